--- /dev/null
+++ b/cmd/command/cmd_check.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fatih/color"
+
+	"cicadabeam/cmd/settings"
+	"cicadabeam/core/config"
+)
+
+// CmdCheck checks files without starting anything.
+var CmdCheck = &Cmd{
+	name:        "check",
+	description: "check settings or a questionnaire",
+	long:        "Checks files whole and prints every problem with its file, line, section and key. Exits with 3 if there are any.",
+	action:      func() action { return &check{} },
+}
+
+type check struct {
+	Settings      string `long:"settings" value-name:"FILE" description:"a node's settings"`
+	Questionnaire string `long:"questionnaire" value-name:"FILE" description:"a questionnaire"`
+}
+
+// Run implements action.
+func (c *check) Run(e *Env) error {
+	if c.Settings == "" && c.Questionnaire == "" {
+		return exitWith(ExitUsage, errors.New("give --settings or --questionnaire"))
+	}
+	if c.Settings != "" {
+		if _, err := settings.Load(c.Settings); err != nil {
+			return exitWith(ExitProblems, err)
+		}
+		c.fine(e, c.Settings, "")
+	}
+	if c.Questionnaire == "" {
+		return nil
+	}
+	x, err := readQuestionnaire(c.Questionnaire)
+	if err != nil {
+		return err
+	}
+	c.fine(e, c.Questionnaire, fmt.Sprintf(" (%d organisations, %d services, %d backend servers)", len(x.Organisations()), len(x.Services()), len(x.AllServers())))
+	return nil
+}
+
+func (c *check) fine(e *Env, file, more string) {
+	_, _ = fmt.Fprintln(e.out, color.GreenString("ok"), file+more)
+}
+
+func readQuestionnaire(path string) (*config.Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the questionnaire")
+	}
+	c, err := config.Parse(path, text)
+	if err != nil {
+		return nil, exitWith(ExitProblems, err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/cmd/command/cmd_man.go
@@ -0,0 +1,17 @@
+package command
+
+// CmdMan prints the manual page.
+var CmdMan = &Cmd{
+	name:        "man",
+	description: "print the manual page",
+	long:        "Prints the manual page, made from the same table as the help.",
+	action:      func() action { return &man{} },
+}
+
+type man struct{}
+
+// Run implements action.
+func (*man) Run(e *Env) error {
+	e.manual(e.out)
+	return nil
+}
--- /dev/null
+++ b/cmd/command/cmd_status.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fatih/color"
+
+	"cicadabeam/io/operator"
+)
+
+// CmdStatus prints what an operator asks first.
+var CmdStatus = &Cmd{
+	name:        "status",
+	description: "print the state of a node and what it sees",
+	long:        "Prints in one screen: the node, its answers, the platform, the other nodes with their revisions, and the backend servers.",
+	action:      func() action { return &status{} },
+}
+
+type status struct {
+	target
+	JSON bool `long:"json" description:"print the status as JSON"`
+}
+
+// Run implements action.
+func (s *status) Run(e *Env) error {
+	c, err := s.client(e)
+	if err != nil {
+		return err
+	}
+	x, err := c.Status(context.Background())
+	if err != nil {
+		return err
+	}
+	if s.JSON {
+		return printJSON(e, x)
+	}
+	printNode(e, x)
+	printNodes(e, x)
+	printServers(e, x)
+	return nil
+}
+
+func printNode(e *Env, x operator.Status) {
+	_, _ = fmt.Fprintf(e.out, "%s %s in %s, %s: %s, version %s, up %s\n", color.CyanString("node"), x.Node, x.DataCentre, x.Region, x.State, x.Version, ago(x.Started))
+	_, _ = fmt.Fprintf(e.out, "configuration revision %d; platform reached %s ago\n", x.Revision, ago(x.PlatformReached))
+	_, _ = fmt.Fprintf(e.out, "requests %d running, %d waiting; calls %d; answers %d held, %d copies, %d taken over\n", x.Requests, x.Waiting, x.Calls, x.Answers.Held, x.Answers.Copies, x.Answers.Takeovers)
+	_, _ = fmt.Fprintf(e.out, "unprotected answers %s; quarantined requests %s; retries %d, denied %s\n", alarming(x.Unprotected), alarming(x.Quarantined), x.RetriesSpent, alarming(int(x.RetriesDenied)))
+}
+
+func printNodes(e *Env, x operator.Status) {
+	_, _ = fmt.Fprintln(e.out, color.CyanString("entry hosts"))
+	for _, n := range x.Nodes {
+		word := color.GreenString("alive")
+		switch {
+		case !n.Alive:
+			word = color.RedString("dead")
+		case n.Leaving:
+			word = color.YellowString("leaving")
+		}
+		revision := n.Revision
+		if n.Name == x.Node {
+			revision = x.Revision
+		}
+		_, _ = fmt.Fprintf(e.out, "  %-24s %-14s %-10s revision %d\n", n.Name, n.DataCentre, word, revision)
+	}
+}
+
+func printServers(e *Env, x operator.Status) {
+	_, _ = fmt.Fprintln(e.out, color.CyanString("backend servers"))
+	for _, s := range x.Servers {
+		word := color.GreenString("up")
+		switch {
+		case s.Down:
+			word = color.RedString("down")
+		case s.Leaving:
+			word = color.YellowString("leaving")
+		}
+		_, _ = fmt.Fprintf(e.out, "  %-24s %-10s own %d, reported %d running %d waiting, report %.1f s old\n", s.Server, word, s.Own, s.Running, s.Waiting, s.ReportAge)
+	}
+}
+
+func ago(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return time.Since(t).Round(time.Second).String()
+}
+
+func alarming(n int) string {
+	if n == 0 {
+		return "0"
+	}
+	return color.RedString("%d", n)
+}
--- /dev/null
+++ b/cmd/command/target.go
@@ -0,0 +1,51 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/cmd/settings"
+	"cicadabeam/io/operator"
+)
+
+// secretVariable names the environment variable with the operators' secret.
+const secretVariable = "CICADABEAM_OPERATOR_SECRET"
+
+// target is the node that an operator's command asks.
+type target struct {
+	Settings   string `long:"settings" value-name:"FILE" description:"a node's settings, which tell its address and the operators' secret"`
+	Node       string `long:"node" value-name:"URL" description:"the node's listener for operators, such as http://10.0.0.1:8081"`
+	SecretFile string `long:"secret-file" value-name:"FILE" description:"file with the operators' secret; else CICADABEAM_OPERATOR_SECRET"`
+}
+
+func (t target) client(e *Env) (*operator.Client, error) {
+	if t.Settings != "" {
+		s, err := settings.Load(t.Settings)
+		if err != nil {
+			return nil, exitWith(ExitProblems, err)
+		}
+		return operator.NewClient(s.BaseURL(), s.OperatorSecret()), nil
+	}
+	if t.Node == "" {
+		return nil, exitWith(ExitUsage, errors.New("give --settings or --node"))
+	}
+	secret := e.Getenv(secretVariable)
+	if t.SecretFile != "" {
+		b, err := os.ReadFile(t.SecretFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "read the operators' secret")
+		}
+		secret = string(bytes.TrimSpace(b))
+	}
+	return operator.NewClient(t.Node, secret), nil
+}
+
+// printJSON prints a value for a program.
+func printJSON(e *Env, v any) error {
+	x := json.NewEncoder(e.out)
+	x.SetIndent("", "  ")
+	return x.Encode(v)
+}
--- /dev/null
+++ b/cmd/node/backend.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"cicadabeam/core/answer"
+	"cicadabeam/core/claim"
+	"cicadabeam/core/completion"
+	"cicadabeam/core/config"
+	"cicadabeam/core/fault"
+	"cicadabeam/core/generation"
+	"cicadabeam/core/holder"
+	"cicadabeam/core/quarantine"
+	"cicadabeam/core/route"
+	"cicadabeam/io/caller"
+)
+
+// downAfterDial is how long a server whose port is closed gets no calls.
+const downAfterDial = time.Second
+
+// Enter implements caller.Backend.
+func (n *Node) Enter(o config.Organisation) (func(), error) {
+	return n.counter.Enter(o.Name(), o.MaxRunning())
+}
+
+// Quarantined implements caller.Backend.
+func (n *Node) Quarantined(f quarantine.Fingerprint) bool {
+	return n.quarantine.Quarantined(f, time.Now())
+}
+
+// Start implements caller.Backend.
+func (n *Node) Start(ctx context.Context, r holder.Request) (*holder.Reader, error) {
+	return n.holder.Start(ctx, r)
+}
+
+// Resume implements caller.Backend.
+func (n *Node) Resume(ctx context.Context, r holder.Request) (*holder.Reader, error) {
+	return n.holder.Resume(ctx, r)
+}
+
+// CallOnce implements caller.Backend.
+func (n *Node) CallOnce(ctx context.Context, c claim.Call) (claim.Response, error) {
+	return n.desk.Do(ctx, c)
+}
+
+// Forward implements caller.Backend.
+func (n *Node) Forward(ctx context.Context, c claim.Call, s config.Service) (claim.Response, string, error) {
+	return n.service.Forward(ctx, c, s.Attempts())
+}
+
+// Reserve implements service.Router.
+func (n *Node) Reserve(ctx context.Context, c claim.Call, exclude map[string]bool) (*route.Lease, error) {
+	x := n.Config()
+	s, found := x.Service(c.Key.Service)
+	if !found {
+		return nil, fault.Newf(fault.NotFound, "route", c.Key.Service, "the service is no longer configured")
+	}
+	return n.router.Reserve(ctx, route.Request{Service: s, Organisation: organisation(x, c.Key.Organisation), Exclude: exclude})
+}
+
+// Failed implements service.Router.
+func (n *Node) Failed(s config.Server) {
+	n.loads.SetDown(s.Name(), time.Now().Add(downAfterDial))
+}
+
+func organisation(c *config.Config, name string) config.Organisation {
+	o, _ := c.Organisation(name)
+	return o
+}
+
+// job makes the runner's job of an answer that this node holds.
+func (n *Node) job(a *answer.Answer, epoch uint64) (generation.Job, error) {
+	h := a.Header()
+	q, err := completion.Parse(h.Path, h.Body)
+	if err != nil {
+		return generation.Job{}, err
+	}
+	c := n.Config()
+	s, found := c.Service(h.Service)
+	if !found {
+		return generation.Job{}, fault.Newf(fault.NotFound, "route", h.Service, "the service is no longer configured")
+	}
+	return generation.Job{
+		Answer: a, Epoch: epoch, Request: q, Service: s, Organisation: organisation(c, h.Organisation),
+		Fingerprint: caller.Fingerprint(h.Organisation, h.Service, h.Body),
+	}, nil
+}
--- /dev/null
+++ b/cmd/node/drain.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/fault"
+)
+
+const drainPoll = 50 * time.Millisecond
+
+var errDrained = errors.New("drained")
+
+// Drain makes Run return once what is under way has ended. New requests are taken
+// for a short while, then refused.
+func (n *Node) Drain() {
+	n.drainOnce.Do(func() {
+		n.state.Store(draining)
+		n.refuseFrom.Store(n.settings.DrainGrace(time.Now()).UnixMilli())
+		close(n.drainStart)
+		n.spread()
+		n.log.Info("draining")
+	})
+}
+
+// waitDrain returns when a drain has finished or ctx is done.
+func (n *Node) waitDrain(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.drainStart:
+	}
+	deadline := n.settings.DrainDeadline(time.Now())
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for time.Now().Before(deadline) {
+		if n.refuses(time.Now()) && n.idle() {
+			n.desk.Close(ctx)
+			n.log.Info("drained")
+			return errDrained
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	n.log.Warn("drain deadline passed")
+	return errDrained
+}
+
+func (n *Node) idle() bool {
+	return n.counter.Total() == 0 && n.desk.Running() == 0 && n.remote.Load() == 0
+}
+
+func (n *Node) refuses(now time.Time) bool {
+	t := n.refuseFrom.Load()
+	return t != 0 && now.UnixMilli() >= t
+}
+
+// Ready implements caller.Backend.
+func (n *Node) Ready() error {
+	now := time.Now()
+	if n.refuses(now) {
+		return fault.Newf(fault.Draining, "admit", "", "the node is leaving").WithRetry(now.Add(time.Second))
+	}
+	if n.state.Load() == starting {
+		return fault.Newf(fault.NotReady, "admit", "", "the node has no configuration yet").WithRetry(now.Add(time.Second))
+	}
+	return nil
+}
+
+// Accepting tells the balancer whether to send new requests.
+func (n *Node) Accepting() error {
+	if n.state.Load() == draining {
+		return fault.Newf(fault.Draining, "admit", "", "the node is leaving")
+	}
+	return n.Ready()
+}
--- /dev/null
+++ b/cmd/node/observe.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"cicadabeam/core/answer"
+	"cicadabeam/core/fault"
+	"cicadabeam/core/generation"
+	"cicadabeam/core/quarantine"
+	"cicadabeam/io/caller"
+)
+
+const (
+	metricsPrefix = "cicadabeam"
+	reportPeriod  = time.Second
+)
+
+// metrics are the node's metrics by name; docs/OPERATIONS.md lists them.
+type metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+}
+
+func newMetrics() *metrics {
+	r := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: metricsPrefix, CachedReporter: r, Separator: prometheus.DefaultSeparator, OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return &metrics{scope: scope, closer: closer, reporter: r}
+}
+
+func (m *metrics) close() { _ = m.closer.Close() }
+
+func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+
+func (m *metrics) revision(r uint64) { m.scope.Gauge("configuration_revision").Update(float64(r)) }
+
+func (m *metrics) count(name, key, value string) {
+	m.scope.Tagged(map[string]string{key: value}).Counter(name).Inc(1)
+}
+
+var latencyBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	250 * time.Millisecond, 500 * time.Millisecond, 890 * time.Millisecond, 2 * time.Second, 3 * time.Second, 10 * time.Second, time.Minute,
+}
+
+func (m *metrics) latency(name, service string, d time.Duration) {
+	m.scope.Tagged(map[string]string{"service": service}).Histogram(name, latencyBuckets).RecordDuration(d)
+}
+
+// measure updates the gauges.
+func (n *Node) measure() {
+	c := n.holder.Counts()
+	s := n.metrics.scope
+	s.Gauge("answers_held").Update(float64(c.Held))
+	s.Gauge("answers_copies").Update(float64(c.Copies))
+	s.Gauge("answers_producing").Update(float64(c.Producing))
+	s.Gauge("answers_taken_over").Update(float64(c.Takeovers))
+	s.Gauge("answers_unprotected").Update(float64(n.copier.Unprotected()))
+	s.Gauge("requests_running").Update(float64(n.counter.Total()))
+	s.Gauge("requests_waiting").Update(float64(n.router.Waiting()))
+	s.Gauge("calls_running").Update(float64(n.desk.Running()))
+	s.Gauge("quarantined").Update(float64(len(n.quarantine.Entries(time.Now()))))
+	s.Gauge("retries_denied").Update(float64(n.runner.Budget().Denied()))
+	s.Gauge("peer_sent_bytes").Update(float64(n.traffic.Sent()))
+	s.Gauge("peer_received_bytes").Update(float64(n.traffic.Received()))
+	s.Gauge("platform_reads").Update(float64(n.platform.Reads()))
+	s.Gauge("platform_writes").Update(float64(n.platform.Writes()))
+}
+
+// RequestEnded implements caller.Observer.
+func (n *Node) RequestEnded(e caller.Event) {
+	f := log.Fields{
+		"request": e.Request, "organisation": e.Organisation, "service": e.Service, "method": e.Method, "path": e.Path,
+		"status": e.Status, "ms": time.Since(e.Started).Milliseconds(), "pieces": e.Pieces,
+	}
+	outcome := "ok"
+	if !e.FirstToken.IsZero() {
+		n.metrics.latency("first_token_seconds", e.Service, e.FirstToken.Sub(e.Started))
+	}
+	if e.Err != nil {
+		x := fault.From(e.Err)
+		outcome = string(x.Code())
+		f["step"], f["peer"], f["ran"], f["code"], f["error"] = x.Step(), x.Peer(), x.Ran(), x.Code(), e.Err.Error()
+	}
+	n.metrics.count("requests", "outcome", outcome)
+	n.log.WithFields(f).Info("request ended")
+}
+
+func jobFields(j generation.Job, server string, number int) log.Fields {
+	h := j.Answer.Header()
+	return log.Fields{"request": h.ID, "organisation": h.Organisation, "service": h.Service, "server": server, "attempt": number}
+}
+
+// AttemptStarted implements generation.Observer.
+func (n *Node) AttemptStarted(j generation.Job, server string, number int) {
+	n.metrics.count("attempts", "service", j.Service.Name())
+	n.log.WithFields(jobFields(j, server, number)).Debug("attempt started")
+}
+
+// AttemptEnded implements generation.Observer.
+func (n *Node) AttemptEnded(j generation.Job, server string, number int, err error) {
+	if err == nil {
+		return
+	}
+	x := fault.From(err)
+	n.metrics.count("attempts_failed", "service", j.Service.Name())
+	f := jobFields(j, server, number)
+	f["step"], f["peer"], f["error"] = x.Step(), x.Peer(), err.Error()
+	n.log.WithFields(f).Warn("attempt failed")
+}
+
+// Resumed implements generation.Observer.
+func (n *Node) Resumed(j generation.Job, server string, latency time.Duration) {
+	n.metrics.latency("resume_seconds", j.Service.Name(), latency)
+	f := jobFields(j, server, 0)
+	delete(f, "attempt")
+	f["ms"] = latency.Milliseconds()
+	n.log.WithFields(f).Info("answer resumed")
+}
+
+// ServerDied implements generation.Observer.
+func (n *Node) ServerDied(server string, f quarantine.Fingerprint) {
+	n.recent.add(quarantine.Suspicion{Fingerprint: f, Server: server}, time.Now())
+	n.metrics.count("server_deaths", "server", server)
+	n.log.WithFields(log.Fields{"server": server, "fingerprint": f.String()}).Warn("server died")
+	n.spread()
+}
+
+// AnswerEnded implements generation.Observer.
+func (n *Node) AnswerEnded(j generation.Job, f answer.Finish) {
+	x := jobFields(j, f.Peer, 0)
+	delete(x, "attempt")
+	x["reason"] = f.Reason
+	if f.Reason == answer.Failed {
+		x["code"], x["step"] = f.Code, f.Step
+	}
+	n.log.WithFields(x).Info("answer ended")
+}
--- /dev/null
+++ b/cmd/node/peers.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"cicadabeam/core/answer"
+	"cicadabeam/core/claim"
+	"cicadabeam/core/holder"
+	"cicadabeam/core/replication"
+	"cicadabeam/io/peer"
+	"cicadabeam/io/platform"
+)
+
+const takeOverWait = time.Second
+
+// configReply returns the configuration in force for another node.
+func (n *Node) configReply() peer.ConfigReply {
+	c := n.Config()
+	if c == nil {
+		return peer.ConfigReply{}
+	}
+	packed, err := platform.Pack(c.Text())
+	if err != nil {
+		n.log.WithFields(log.Fields{"step": "pack-configuration", "error": err.Error()}).Error("configuration not packed")
+		return peer.ConfigReply{}
+	}
+	return peer.ConfigReply{Revision: c.Revision(), Text: packed}
+}
+
+// peerHandler implements peer.Handler.
+type peerHandler struct{ node *Node }
+
+func (p peerHandler) Heartbeat(h peer.Heartbeat) peer.HeartbeatReply { return p.node.Heartbeat(h) }
+
+func (p peerHandler) Config() peer.ConfigReply { return p.node.configReply() }
+
+func (p peerHandler) Find(r holder.FindRequest) holder.FindReply { return p.node.holder.Find(r) }
+
+func (p peerHandler) Read(r holder.ReadRequest) holder.ReadReply {
+	p.node.remote.Add(1)
+	defer p.node.remote.Add(-1)
+	ctx, cancel := context.WithDeadline(p.node.ctx, time.UnixMilli(r.Until))
+	defer cancel()
+	return p.node.holder.Read(ctx, r)
+}
+
+func (p peerHandler) TakeOver(r holder.TakeOverRequest) holder.TakeOverReply {
+	ctx, cancel := context.WithDeadline(p.node.ctx, time.Now().Add(takeOverWait))
+	defer cancel()
+	return p.node.holder.TakeOver(ctx, r)
+}
+
+func (p peerHandler) OpenCopy(s answer.Snapshot) replication.Result {
+	return p.node.holder.OpenCopy(s)
+}
+
+func (p peerHandler) AppendCopies(b []answer.Batch) []replication.Result {
+	return p.node.holder.AppendCopies(b)
+}
+
+func (p peerHandler) Word(q peer.CallQuestion) claim.Word {
+	ctx, cancel := context.WithDeadline(p.node.ctx, time.UnixMilli(q.Until))
+	defer cancel()
+	return p.node.desk.Word(ctx, q.Incarnation, q.Key, q.ClaimID)
+}
--- /dev/null
+++ b/core/answer/transcript.go
@@ -0,0 +1,105 @@
+package answer
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Mark names a prefix of an answer: its number of pieces and a rolling hash of
+// their texts. Equal marks mean equal prefixes.
+type Mark struct {
+	position int
+	sum      uint64
+}
+
+// Position returns the number of pieces in the prefix.
+func (m Mark) Position() int { return m.position }
+
+// Next returns the mark of the prefix with one more piece.
+func (m Mark) Next(text string) Mark {
+	var d xxhash.Digest
+	var seed [8]byte
+	binary.LittleEndian.PutUint64(seed[:], m.sum)
+	d.Reset()
+	_, _ = d.Write(seed[:])
+	_, _ = d.WriteString(text)
+	return Mark{position: m.position + 1, sum: d.Sum64()}
+}
+
+// String returns the mark as an event id, "<position>-<hash>".
+func (m Mark) String() string {
+	return strconv.Itoa(m.position) + "-" + strconv.FormatUint(m.sum, 16)
+}
+
+// ParseMark reads an event id and tells whether it is one.
+func ParseMark(id string) (Mark, bool) {
+	p, h, found := strings.Cut(id, "-")
+	if !found {
+		return Mark{}, false
+	}
+	position, err := strconv.Atoi(p)
+	if err != nil || position < 0 {
+		return Mark{}, false
+	}
+	sum, err := strconv.ParseUint(h, 16, 64)
+	if err != nil {
+		return Mark{}, false
+	}
+	return Mark{position: position, sum: sum}, true
+}
+
+// transcript is the text of an answer so far, cut into the pieces in which the
+// engine sent it. It holds four bytes for each piece beside the text.
+type transcript struct {
+	text []byte
+	ends []uint32
+}
+
+func (t *transcript) append(text string) {
+	t.text = append(t.text, text...)
+	t.ends = append(t.ends, uint32(len(t.text)))
+}
+
+func (t *transcript) len() int { return len(t.ends) }
+
+func (t *transcript) start(i int) uint32 {
+	if i == 0 {
+		return 0
+	}
+	return t.ends[i-1]
+}
+
+// slice returns the pieces from position from up to position to.
+func (t *transcript) slice(from, to int) []string {
+	if from >= to {
+		return nil
+	}
+	all := string(t.text[t.start(from):t.ends[to-1]])
+	base := t.start(from)
+	pieces := make([]string, 0, to-from)
+	for i := from; i < to; i++ {
+		pieces = append(pieces, all[t.start(i)-base:t.ends[i]-base])
+	}
+	return pieces
+}
+
+// mark returns the mark of the prefix of a length.
+func (t *transcript) mark(position int) Mark {
+	m := Mark{}
+	for _, p := range t.slice(0, position) {
+		m = m.Next(p)
+	}
+	return m
+}
+
+// truncate drops the pieces from position n on.
+func (t *transcript) truncate(n int) {
+	if n >= len(t.ends) {
+		return
+	}
+	t.text = t.text[:t.start(n)]
+	t.ends = t.ends[:n]
+}
--- /dev/null
+++ b/core/generation/attempt.go
@@ -0,0 +1,225 @@
+package generation
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/answer"
+	"cicadabeam/core/config"
+	"cicadabeam/core/fault"
+)
+
+const (
+	// softGap is the silence after which a server is asked whether it lives.
+	softGap = 900 * time.Millisecond
+	// hardGap is the silence after which a stream of a living server is given
+	// up; a long prompt's first token may take as long.
+	hardGap   = 20 * time.Second
+	pulseWait = 700 * time.Millisecond
+)
+
+type received struct {
+	chunk Chunk
+	err   error
+}
+
+// attempt runs one attempt. A nil error comes with how the answer finished.
+func (r *Runner) attempt(ctx context.Context, x *run) (answer.Finish, error) {
+	x.number++
+	lease, err := r.reserve(ctx, x)
+	if err != nil {
+		return answer.Finish{}, err
+	}
+	defer lease.Release()
+	s := lease.Server()
+	r.observer.AttemptStarted(x.job, s.Name(), x.number)
+	finish, err := r.stream(ctx, x, s)
+	if err == nil || fault.From(err).Ran() != fault.NotRun {
+		x.reached = true
+	}
+	r.observer.AttemptEnded(x.job, s.Name(), x.number, err)
+	if err != nil && ctx.Err() == nil {
+		r.blame(ctx, x, s, err)
+	}
+	return finish, err
+}
+
+// blame finds out what became of a server on which an attempt failed.
+func (r *Runner) blame(ctx context.Context, x *run, s config.Server, err error) {
+	f := fault.From(err)
+	now := time.Now()
+	if f.Code() == fault.ServerBusy {
+		r.loads.SetDown(s.Name(), now.Add(downAfterRefuse))
+		return
+	}
+	if f.Code() != fault.ServerFailed {
+		return
+	}
+	clear(x.exclude)
+	x.exclude[s.Name()] = true
+	c, cancel := context.WithDeadline(ctx, now.Add(probeWait))
+	defer cancel()
+	switch r.engine.Probe(c, s) {
+	case Dead:
+		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
+		r.quarantine.Died(x.job.Fingerprint, s.Name(), now)
+		r.observer.ServerDied(s.Name(), x.job.Fingerprint)
+	case Silent:
+		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
+	case Healthy:
+	}
+}
+
+// stream opens the attempt and reads it to its end.
+func (r *Runner) stream(ctx context.Context, x *run, s config.Server) (answer.Finish, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_, before, _ := x.job.Answer.Progress()
+	body, err := x.job.Request.Resume(x.job.Answer.Text(), before.Completion, x.job.Service.Priority())
+	if err != nil {
+		return answer.Finish{}, fault.Wrap(err, fault.Internal, "resume", s.Name()).WithRan(fault.NotRun)
+	}
+	header := x.job.Answer.Header()
+	chunks := make(chan received)
+	go r.read(ctx, s, Attempt{Request: header.ID, Path: header.Path, Body: body, Number: x.number}, chunks)
+	return r.consume(ctx, x, s, chunks, before)
+}
+
+// read sends what comes from the engine until the end or ctx is done.
+func (r *Runner) read(ctx context.Context, s config.Server, a Attempt, to chan<- received) {
+	stream, err := r.engine.Open(ctx, s, a)
+	if err != nil {
+		forward(ctx, to, received{err: err})
+		return
+	}
+	defer stream.Close()
+	for {
+		c, err := stream.Next()
+		if !forward(ctx, to, received{chunk: c, err: err}) || err != nil {
+			return
+		}
+	}
+}
+
+func forward(ctx context.Context, to chan<- received, x received) bool {
+	select {
+	case to <- x:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// consume takes the chunks into the answer and watches for silence.
+func (r *Runner) consume(ctx context.Context, x *run, s config.Server, chunks <-chan received, before answer.Usage) (answer.Finish, error) {
+	w := newWatch()
+	defer w.stop()
+	defer func() { x.lastHeard = w.last }()
+	finish := answer.Finish{}
+	for {
+		select {
+		case <-ctx.Done():
+			return finish, ctx.Err()
+		case c := <-chunks:
+			w.heard(time.Now())
+			if errors.Is(c.err, io.EOF) || (c.err != nil && finish.Reason != "") {
+				return finish, nil
+			}
+			if c.err != nil {
+				return finish, c.err
+			}
+			if c.chunk.Finish != "" {
+				finish.Reason = c.chunk.Finish
+			}
+			if err := r.take(x, s, c.chunk, before); err != nil {
+				return finish, err
+			}
+		case <-w.timer.C:
+			if w.expired() {
+				return finish, fault.Wrap(errors.New("the stream fell silent"), fault.ServerFailed, "generate", s.Name())
+			}
+			w.probe(ctx, func(c context.Context) Health { return r.engine.Probe(c, s) })
+		case h := <-w.result:
+			if h != Healthy {
+				return finish, fault.Wrap(errors.New("the server fell silent"), fault.ServerFailed, "generate", s.Name())
+			}
+			w.rearm()
+		}
+	}
+}
+
+// take adds one chunk to the answer. Chunks without text only count tokens,
+// which are counted with the text that follows: text that was not sent is made
+// again by the next attempt.
+func (r *Runner) take(x *run, s config.Server, c Chunk, before answer.Usage) error {
+	if c.Text == "" {
+		return nil
+	}
+	u := answer.Usage{Prompt: before.Prompt, Completion: before.Completion + c.Completion}
+	if u.Prompt == 0 {
+		u.Prompt = c.Prompt
+	}
+	if !x.job.Answer.Push(x.job.Epoch, c.Text, u) {
+		return fault.New(fault.Superseded, "generate", s.Name()).WithRan(fault.DidRun)
+	}
+	x.fruitful = x.number
+	if !x.lost.IsZero() {
+		r.observer.Resumed(x.job, s.Name(), time.Since(x.lost))
+		x.lost = time.Time{}
+	}
+	r.copier.Notify(x.job.Answer)
+	return nil
+}
+
+// watch notices silence. After softGap it wants a probe; a healthy answer gives
+// the stream until its hard deadline.
+type watch struct {
+	timer    *time.Timer
+	last     time.Time
+	deadline time.Time
+	result   chan Health
+	cancel   context.CancelFunc
+}
+
+func newWatch() *watch {
+	now := time.Now()
+	return &watch{timer: time.NewTimer(softGap), last: now, deadline: now.Add(hardGap)}
+}
+
+func (w *watch) heard(now time.Time) {
+	w.abandon()
+	w.last = now
+	w.deadline = now.Add(hardGap)
+	w.timer.Reset(softGap)
+}
+
+func (w *watch) rearm() {
+	w.abandon()
+	w.timer.Reset(softGap)
+}
+
+func (w *watch) expired() bool { return time.Now().After(w.deadline) }
+
+func (w *watch) probe(ctx context.Context, ask func(context.Context) Health) {
+	c, cancel := context.WithDeadline(ctx, time.Now().Add(pulseWait))
+	result := make(chan Health, 1)
+	w.result = result
+	w.cancel = cancel
+	go func() { result <- ask(c) }()
+}
+
+func (w *watch) abandon() {
+	if w.cancel != nil {
+		w.cancel()
+	}
+	w.cancel = nil
+	w.result = nil
+}
+
+func (w *watch) stop() {
+	w.abandon()
+	w.timer.Stop()
+}
--- /dev/null
+++ b/core/inifile/document.go
@@ -0,0 +1,199 @@
+// Package inifile reads INI text and checks it whole: every problem is kept
+// with its line, section and key, so that an operator can mend all of them in
+// one go. Sections are named "kind" or "kind name".
+//
+// # Usage
+//
+//	d := inifile.Parse("node.ini", text)
+//	for _, s := range d.Sections("server") {
+//		address := s.Required("address")
+//		slots := s.Int("slots", 16, 1, 4096)
+//	}
+//	d.RejectUnknown()
+//	if err := d.Err(); err != nil { ... }
+package inifile
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// Problem is one thing wrong with a document.
+type Problem struct {
+	file    string
+	line    int
+	section string
+	key     string
+	text    string
+}
+
+// String returns "file:line: [section] key: text".
+func (p Problem) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d:", p.file, p.line)
+	if p.section != "" {
+		fmt.Fprintf(&b, " [%s]", p.section)
+	}
+	if p.key != "" {
+		fmt.Fprintf(&b, " %s:", p.key)
+	}
+	b.WriteString(" " + p.text)
+	return b.String()
+}
+
+// Problems is the error of a document with at least one problem.
+type Problems []Problem
+
+// Error returns one line for each problem.
+func (p Problems) Error() string {
+	lines := make([]string, 0, len(p))
+	for _, x := range p {
+		lines = append(lines, x.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Document is a parsed INI text.
+type Document struct {
+	name     string
+	file     *ini.File
+	lines    lineIndex
+	used     map[string]map[string]bool
+	problems Problems
+}
+
+// Parse reads text. name stands in the problems. Text that is not INI gives a
+// document with problems and no sections.
+func Parse(name string, text []byte) *Document {
+	d := &Document{name: name, used: make(map[string]map[string]bool)}
+	d.lines = indexLines(text)
+	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false, AllowBooleanKeys: false, IgnoreInlineComment: true}, text)
+	if err != nil {
+		d.problems = append(d.problems, Problem{file: name, line: 1, text: err.Error()})
+		f = ini.Empty()
+	}
+	d.file = f
+	for _, r := range d.lines.repeats {
+		d.problems = append(d.problems, Problem{file: name, line: r.line, section: r.section, key: r.key, text: "is given twice"})
+	}
+	return d
+}
+
+// Sections returns the sections of a kind in the order of their names.
+func (d *Document) Sections(kind string) []*Section {
+	var all []*Section
+	for _, s := range d.file.Sections() {
+		k, name := splitSection(s.Name())
+		if k != kind {
+			continue
+		}
+		d.use(s.Name())
+		all = append(all, &Section{document: d, section: s, name: name})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].name < all[j].name })
+	return all
+}
+
+// Section returns the one section of a kind; a missing one reads as empty.
+func (d *Document) Section(kind string) *Section {
+	d.use(kind)
+	s, err := d.file.GetSection(kind)
+	if err != nil {
+		s, _ = ini.Empty().NewSection(kind)
+	}
+	return &Section{document: d, section: s}
+}
+
+func (d *Document) use(section string) {
+	if d.used[section] == nil {
+		d.used[section] = make(map[string]bool)
+	}
+}
+
+// RejectUnknown adds a problem for each section and key that nobody asked for.
+func (d *Document) RejectUnknown() {
+	for _, s := range d.file.Sections() {
+		if s.Name() == ini.DefaultSection && len(s.Keys()) == 0 {
+			continue
+		}
+		keys, known := d.used[s.Name()]
+		if !known {
+			d.add(s.Name(), "", "is no known section")
+			continue
+		}
+		d.rejectUnknownKeys(s, keys)
+	}
+}
+
+func (d *Document) rejectUnknownKeys(s *ini.Section, known map[string]bool) {
+	for _, k := range s.Keys() {
+		if known[k.Name()] {
+			continue
+		}
+		allowed := make([]string, 0, len(known))
+		for name := range known {
+			allowed = append(allowed, name)
+		}
+		sort.Strings(allowed)
+		d.add(s.Name(), k.Name(), "is no known key; allowed are "+strings.Join(allowed, ", "))
+	}
+}
+
+func (d *Document) add(section, key, text string) {
+	line := d.lines.find(section, key)
+	d.problems = append(d.problems, Problem{file: d.name, line: line, section: section, key: key, text: text})
+}
+
+// Err returns the problems in the order of their lines, or nil.
+func (d *Document) Err() error {
+	if len(d.problems) == 0 {
+		return nil
+	}
+	sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].line < d.problems[j].line })
+	return d.problems
+}
+
+// Entry is one key of a section with its value.
+type Entry struct {
+	section string
+	key     string
+	value   string
+}
+
+// Section returns the section's full name.
+func (e Entry) Section() string { return e.section }
+
+// Key returns the key.
+func (e Entry) Key() string { return e.key }
+
+// Value returns the value.
+func (e Entry) Value() string { return e.value }
+
+// Entries returns every key of every section, sorted by section and key.
+func (d *Document) Entries() []Entry {
+	var all []Entry
+	for _, s := range d.file.Sections() {
+		if s.Name() == ini.DefaultSection {
+			continue
+		}
+		all = append(all, Entry{section: s.Name()})
+		for _, k := range s.Keys() {
+			all = append(all, Entry{section: s.Name(), key: k.Name(), value: k.Value()})
+		}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].section != all[j].section {
+			return all[i].section < all[j].section
+		}
+		return all[i].key < all[j].key
+	})
+	return all
+}
+
+func splitSection(full string) (kind, name string) {
+	kind, name, _ = strings.Cut(full, " ")
+	return kind, strings.TrimSpace(name)
+}
--- /dev/null
+++ b/core/inifile/section.go
@@ -0,0 +1,134 @@
+package inifile
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Section reads the keys of one section and notes what is wrong with them.
+type Section struct {
+	document *Document
+	section  *ini.Section
+	name     string
+}
+
+// Name returns the section's name without its kind.
+func (s *Section) Name() string { return s.name }
+
+// Problem notes that the value of key can't be taken.
+func (s *Section) Problem(key, format string, args ...any) {
+	s.document.add(s.section.Name(), key, fmt.Sprintf(format, args...))
+}
+
+// String returns the value of key, or fallback.
+func (s *Section) String(key, fallback string) string {
+	s.document.use(s.section.Name())
+	s.document.used[s.section.Name()][key] = true
+	if !s.section.HasKey(key) {
+		return fallback
+	}
+	return s.section.Key(key).Value()
+}
+
+// Required returns the value of key and notes a missing or empty one.
+func (s *Section) Required(key string) string {
+	v := s.String(key, "")
+	if v == "" {
+		s.Problem(key, "is missing")
+	}
+	return v
+}
+
+// OneOf returns the value of key, which must be among allowed.
+func (s *Section) OneOf(key, fallback string, allowed ...string) string {
+	v := s.String(key, fallback)
+	if !slices.Contains(allowed, v) {
+		s.Problem(key, "is %q; allowed are %s", v, strings.Join(allowed, ", "))
+		return fallback
+	}
+	return v
+}
+
+// Bool returns the value of key, yes or no.
+func (s *Section) Bool(key string, fallback bool) bool {
+	words := map[bool]string{true: "yes", false: "no"}
+	return s.OneOf(key, words[fallback], "yes", "no") == "yes"
+}
+
+// Int returns the value of key, a whole number from low to high.
+func (s *Section) Int(key string, fallback, low, high int) int {
+	v := s.String(key, "")
+	if v == "" {
+		return fallback
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < low || n > high {
+		s.Problem(key, "is %q; allowed is a whole number from %d to %d", v, low, high)
+		return fallback
+	}
+	return n
+}
+
+// Span returns the value of key, a length of time such as 250ms or 3s from low
+// to high.
+func (s *Section) Span(key string, fallback, low, high time.Duration) time.Duration {
+	v := s.String(key, "")
+	if v == "" {
+		return fallback
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d < low || d > high {
+		s.Problem(key, "is %q; allowed is a time from %v to %v", v, low, high)
+		return fallback
+	}
+	return d
+}
+
+// Address returns the value of key, an IP number with a port. An absent key is
+// a problem only when required is true.
+func (s *Section) Address(key string, required bool) string {
+	v := s.String(key, "")
+	if v == "" && !required {
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		s.Problem(key, "is %q; allowed is an IP number with a port, such as 10.0.0.1:8080", v)
+	}
+	return v
+}
+
+// URL returns the value of key, an http or https URL whose host is an IP number.
+func (s *Section) URL(key string) string {
+	v := s.Required(key)
+	if v == "" {
+		return v
+	}
+	u, err := url.Parse(v)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		s.Problem(key, "is %q; allowed is a URL such as http://10.0.0.1:9000", v)
+		return v
+	}
+	if _, err := netip.ParseAddr(u.Hostname()); err != nil {
+		s.Problem(key, "is %q; its host must be an IP number", v)
+	}
+	return strings.TrimSuffix(v, "/")
+}
+
+// List returns the comma-separated values of key.
+func (s *Section) List(key string) []string {
+	var all []string
+	for _, v := range strings.Split(s.String(key, ""), ",") {
+		v = strings.TrimSpace(v)
+		if v != "" {
+			all = append(all, v)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/io/caller/errors.go
@@ -0,0 +1,73 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/answer"
+	"cicadabeam/core/fault"
+)
+
+// errorBody is the JSON of an error, in the shape that model clients expect.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string     `json:"message"`
+	Type    string     `json:"type"`
+	Code    fault.Code `json:"code"`
+	Step    string     `json:"step"`
+	Ran     fault.Ran  `json:"ran"`
+}
+
+func detail(f *fault.Error) errorDetail {
+	return errorDetail{Message: f.Message(), Type: errorType(f.Status()), Code: f.Code(), Step: f.Step(), Ran: f.Ran()}
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// writeError writes an error as the whole response and returns its status.
+func writeError(w http.ResponseWriter, err error) int {
+	if errors.Is(err, context.Canceled) {
+		return statusCallerGone
+	}
+	f := fault.From(err)
+	if !f.RetryAt().IsZero() {
+		seconds := math.Ceil(time.Until(f.RetryAt()).Seconds())
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(seconds))))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(f.Status())
+	_ = json.NewEncoder(w).Encode(errorBody{Error: detail(f)})
+	return f.Status()
+}
+
+// statusCallerGone stands in the log for a caller that went away.
+const statusCallerGone = 499
+
+// failure turns the end of a failed answer into its error.
+func failure(f answer.Finish) *fault.Error {
+	e := fault.Newf(fault.Code(f.Code), f.Step, f.Peer, "%s", f.Message).WithRan(fault.Ran(f.Ran)).WithStatus(f.Status)
+	if f.RetryAt != 0 {
+		e = e.WithRetry(time.UnixMilli(f.RetryAt))
+	}
+	return e
+}
--- /dev/null
+++ b/io/caller/format.go
@@ -0,0 +1,139 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"cicadabeam/core/answer"
+	"cicadabeam/core/completion"
+)
+
+// The types below are the JSON that model clients expect.
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Delta        *message `json:"delta,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Text         *string  `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Total      int `json:"total_tokens"`
+}
+
+type completionBody struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// format makes the bodies of one answer.
+type format struct {
+	header answer.Header
+	model  string
+	chat   bool
+}
+
+func newFormat(h answer.Header, q *completion.Request) format {
+	return format{header: h, model: q.Model(), chat: q.Path() == completion.Chat}
+}
+
+func (f format) body(object string, choices []choice) completionBody {
+	return completionBody{ID: f.header.ID, Object: object, Created: f.header.Created, Model: f.model, Choices: choices}
+}
+
+func (f format) object(stream bool) string {
+	switch {
+	case !f.chat:
+		return "text_completion"
+	case stream:
+		return "chat.completion.chunk"
+	default:
+		return "chat.completion"
+	}
+}
+
+// chunk returns one event of a stream. reason is "" before the end.
+func (f format) chunk(role, text, reason string) completionBody {
+	c := choice{FinishReason: optional(reason)}
+	if f.chat {
+		c.Delta = &message{Role: role, Content: text}
+	} else {
+		c.Text = &text
+	}
+	return f.body(f.object(true), []choice{c})
+}
+
+// usageChunk returns the event that ends a stream with usage.
+func (f format) usageChunk(u answer.Usage) completionBody {
+	b := f.body(f.object(true), []choice{})
+	b.Usage = newUsage(u)
+	return b
+}
+
+// whole returns the answer that is not streamed.
+func (f format) whole(text, reason string, u answer.Usage) completionBody {
+	c := choice{FinishReason: optional(reason)}
+	if f.chat {
+		c.Message = &message{Role: "assistant", Content: text}
+	} else {
+		c.Text = &text
+	}
+	b := f.body(f.object(false), []choice{c})
+	b.Usage = newUsage(u)
+	return b
+}
+
+func newUsage(u answer.Usage) *usage {
+	return &usage{Prompt: u.Prompt, Completion: u.Completion, Total: u.Prompt + u.Completion}
+}
+
+func optional(s string) *string {
+	if s == "" {
+		return nil
+	}
+	return &s
+}
+
+func (x *exchange) begin(status int) {
+	x.wrote = true
+	x.event.Status = status
+	x.w.WriteHeader(status)
+}
+
+func (x *exchange) writeJSON(status int, v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	x.begin(status)
+	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(writeWait))
+	_, err = x.w.Write(append(b, '\n'))
+	return asGone(err)
+}
+
+const writeWait = 30 * time.Second
--- /dev/null
+++ b/io/operator/client.go
@@ -0,0 +1,125 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/fault"
+	"cicadabeam/io/platform"
+)
+
+const clientWait = 15 * time.Second
+
+// Client asks a node as an operator does.
+type Client struct {
+	base   string
+	secret string
+	client *http.Client
+}
+
+// NewClient returns a client for the node whose listener for operators is at
+// base.
+func NewClient(base, secret string) *Client {
+	return &Client{base: strings.TrimSuffix(base, "/"), secret: secret, client: &http.Client{}}
+}
+
+// Error is an error that the node reports.
+type Error struct {
+	status  int
+	failure failure
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := e.failure.Message
+	if len(e.failure.Problems) > 0 {
+		s = strings.Join(e.failure.Problems, "\n")
+	}
+	return s
+}
+
+// Code returns the kind of failure.
+func (e *Error) Code() fault.Code { return e.failure.Code }
+
+// Ran tells whether the change took effect.
+func (e *Error) Ran() fault.Ran { return e.failure.Ran }
+
+// Winner returns the change that came first, or nil.
+func (e *Error) Winner() *platform.Audit { return e.failure.Winner }
+
+// Configuration returns the questionnaire in force and its revision.
+func (c *Client) Configuration(ctx context.Context) ([]byte, uint64, error) {
+	body, header, err := c.do(ctx, http.MethodGet, "/v1/configuration", nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	revision, err := strconv.ParseUint(header.Get(revisionHeader), 10, 64)
+	return body, revision, errors.Wrap(err, "read the revision")
+}
+
+// Apply makes a questionnaire the configuration, if base is the newest revision.
+func (c *Client) Apply(ctx context.Context, text []byte, base uint64, by, note string) (platform.Audit, error) {
+	q := url.Values{"base": {strconv.FormatUint(base, 10)}, "by": {by}, "note": {note}}
+	var a platform.Audit
+	body, _, err := c.do(ctx, http.MethodPost, "/v1/configuration?"+q.Encode(), text)
+	if err != nil {
+		return a, err
+	}
+	return a, errors.Wrap(json.Unmarshal(body, &a), "read the answer")
+}
+
+// Audit returns the newest entries of the audit trail, newest first.
+func (c *Client) Audit(ctx context.Context, limit int) ([]platform.Audit, error) {
+	body, _, err := c.do(ctx, http.MethodGet, "/v1/audit?limit="+strconv.Itoa(limit), nil)
+	if err != nil {
+		return nil, err
+	}
+	var all []platform.Audit
+	return all, errors.Wrap(json.Unmarshal(body, &all), "read the audit trail")
+}
+
+// Status returns the node's status.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	body, _, err := c.do(ctx, http.MethodGet, "/v1/status", nil)
+	if err != nil {
+		return s, err
+	}
+	return s, errors.Wrap(json.Unmarshal(body, &s), "read the status")
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in []byte) ([]byte, http.Header, error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(clientWait))
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(in))
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "ask %s", c.base)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.secret)
+	response, err := c.client.Do(r)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "ask %s", c.base)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "ask %s", c.base)
+	}
+	if response.StatusCode == http.StatusOK {
+		return body, response.Header, nil
+	}
+	e := &Error{status: response.StatusCode}
+	if err := json.Unmarshal(body, &e.failure); err != nil {
+		return nil, nil, errors.Newf("ask %s: status %d: %s", c.base, response.StatusCode, body)
+	}
+	return nil, nil, e
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/answer"
+	"cicadabeam/core/claim"
+	"cicadabeam/core/holder"
+	"cicadabeam/core/replication"
+)
+
+// methods are what net/rpc calls.
+type methods struct{ handler Handler }
+
+func (m *methods) Ping(_ Nothing, _ *Nothing) error { return nil }
+
+func (m *methods) Heartbeat(h Heartbeat, r *HeartbeatReply) error {
+	*r = m.handler.Heartbeat(h)
+	return nil
+}
+
+func (m *methods) Config(_ Nothing, r *ConfigReply) error {
+	*r = m.handler.Config()
+	return nil
+}
+
+func (m *methods) Find(q holder.FindRequest, r *holder.FindReply) error {
+	*r = m.handler.Find(q)
+	return nil
+}
+
+func (m *methods) Read(q holder.ReadRequest, r *holder.ReadReply) error {
+	*r = m.handler.Read(q)
+	return nil
+}
+
+func (m *methods) TakeOver(q holder.TakeOverRequest, r *holder.TakeOverReply) error {
+	*r = m.handler.TakeOver(q)
+	return nil
+}
+
+func (m *methods) OpenCopy(s answer.Snapshot, r *replication.Result) error {
+	*r = m.handler.OpenCopy(s)
+	return nil
+}
+
+func (m *methods) AppendCopies(b Batches, r *Results) error {
+	r.Results = m.handler.AppendCopies(b.Batches)
+	return nil
+}
+
+func (m *methods) Word(q CallQuestion, r *claim.Word) error {
+	*r = m.handler.Word(q)
+	return nil
+}
+
+// Server answers other nodes on one listener.
+type Server struct {
+	listener net.Listener
+	secret   string
+	rpc      *rpc.Server
+	refused  func(from string, err error)
+	traffic  *Traffic
+
+	mu     sync.Mutex
+	open   map[net.Conn]bool
+	closed bool
+}
+
+// NewServer returns a server. refused is told of connections that did not prove
+// themselves.
+func NewServer(l net.Listener, secret string, h Handler, t *Traffic, refused func(from string, err error)) (*Server, error) {
+	s := &Server{listener: l, secret: secret, rpc: rpc.NewServer(), refused: refused, traffic: t, open: make(map[net.Conn]bool)}
+	err := s.rpc.RegisterName(serviceName, &methods{handler: h})
+	return s, errors.Wrap(err, "peer: register")
+}
+
+// Serve takes connections until Close.
+func (s *Server) Serve() error {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return err
+		}
+		go s.serve(c)
+	}
+}
+
+func (s *Server) serve(c net.Conn) {
+	if !s.add(c) {
+		_ = c.Close()
+		return
+	}
+	defer s.remove(c)
+	if err := greetClient(c, s.secret); err != nil {
+		s.refused(c.RemoteAddr().String(), err)
+		_ = c.Close()
+		return
+	}
+	s.rpc.ServeConn(s.traffic.count(c))
+}
+
+func (s *Server) add(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.open[c] = true
+	return true
+}
+
+func (s *Server) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, c)
+}
+
+// Close ends the listener and the connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.listener.Close()
+	for c := range s.open {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/io/platform/claims.go
@@ -0,0 +1,165 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/claim"
+	"cicadabeam/core/fault"
+)
+
+const (
+	claimTable = "claims"
+	maxGroup   = 64
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// Claims keeps the claims of calls in the platform's table. Writes that arrive
+// while a transaction is under way go together with the next one.
+type Claims struct {
+	client *Client
+
+	mu      sync.Mutex
+	waiting []*pending
+	busy    bool
+}
+
+// NewClaims returns the claims kept in a platform's table.
+func NewClaims(c *Client) *Claims { return &Claims{client: c} }
+
+type pending struct {
+	condition Condition
+	write     Write
+	done      chan written
+}
+
+type written struct {
+	revision uint64
+	ok       bool
+	err      error
+}
+
+// Insert implements claim.Store.
+func (c *Claims) Insert(ctx context.Context, key claim.Key, r claim.Row) (uint64, bool, error) {
+	return c.put(ctx, key, 0, r)
+}
+
+// Replace implements claim.Store.
+func (c *Claims) Replace(ctx context.Context, key claim.Key, revision uint64, r claim.Row) (uint64, bool, error) {
+	return c.put(ctx, key, revision, r)
+}
+
+// Read implements claim.Store.
+func (c *Claims) Read(ctx context.Context, key claim.Key) (claim.Stored, bool, error) {
+	row, found, err := c.client.Get(ctx, claimTable, key.String())
+	if err != nil || !found {
+		return claim.Stored{}, false, err
+	}
+	s := claim.Stored{Revision: row.Revision}
+	err = json.Unmarshal(row.Value, &s.Row)
+	return s, err == nil, errors.Wrapf(err, "platform: claim %s", key)
+}
+
+func (c *Claims) put(ctx context.Context, key claim.Key, revision uint64, r claim.Row) (uint64, bool, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return 0, false, errors.Wrapf(err, "platform: claim %s", key)
+	}
+	p := &pending{
+		condition: Condition{Table: claimTable, Key: key.String(), Revision: revision},
+		write:     Write{Table: claimTable, Key: key.String(), Value: value},
+		done:      make(chan written, 1),
+	}
+	c.enqueue(p)
+	select {
+	case w := <-p.done:
+		return w.revision, w.ok, w.err
+	case <-ctx.Done():
+		return 0, false, fault.Wrap(ctx.Err(), fault.PlatformAway, "write-claim", c.client.base)
+	}
+}
+
+func (c *Claims) enqueue(p *pending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = append(c.waiting, p)
+	if !c.busy {
+		c.busy = true
+		go c.commitAll()
+	}
+}
+
+func (c *Claims) commitAll() {
+	for {
+		group := c.take()
+		if len(group) == 0 {
+			return
+		}
+		c.commit(group)
+	}
+}
+
+// take returns the next group. Writes to a row that the group has already wait
+// for the one after it.
+func (c *Claims) take() []*pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var group, left []*pending
+	seen := make(map[string]bool)
+	for _, p := range c.waiting {
+		if len(group) == maxGroup || seen[p.write.Key] {
+			left = append(left, p)
+			continue
+		}
+		seen[p.write.Key] = true
+		group = append(group, p)
+	}
+	c.waiting = left
+	c.busy = len(group) > 0
+	return group
+}
+
+// commit writes a group. Those whose condition does not hold are answered, and
+// the others go again without them.
+func (c *Claims) commit(group []*pending) {
+	for len(group) > 0 {
+		t := Transaction{}
+		for _, p := range group {
+			t.Conditions = append(t.Conditions, p.condition)
+			t.Writes = append(t.Writes, p.write)
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(requestWait))
+		revision, err := c.client.Commit(ctx, t)
+		cancel()
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			for _, p := range group {
+				p.done <- written{revision: revision, ok: err == nil, err: err}
+			}
+			return
+		}
+		group = answerConflicts(group, conflict)
+	}
+}
+
+func answerConflicts(group []*pending, conflict *ConflictError) []*pending {
+	failed := make(map[int]bool, len(conflict.Failed))
+	for _, i := range conflict.Failed {
+		failed[i] = true
+	}
+	var left []*pending
+	for i, p := range group {
+		if failed[i] || len(failed) == 0 {
+			p.done <- written{}
+			continue
+		}
+		left = append(left, p)
+	}
+	return left
+}
--- /dev/null
+++ b/io/platform/configs.go
@@ -0,0 +1,251 @@
+package platform
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cicadabeam/core/config"
+	"cicadabeam/core/fault"
+)
+
+const (
+	configTable   = "config"
+	headKey       = "head"
+	bodyKey       = "body"
+	auditTable    = "audit"
+	settleWait    = 5 * time.Second
+	settlePause   = 100 * time.Millisecond
+	maxConfigSize = 32 << 20
+)
+
+// Head names the newest configuration.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	Change   string `json:"change"`
+}
+
+// Audit is an entry of the audit trail.
+type Audit struct {
+	Revision uint64          `json:"revision"`
+	Change   string          `json:"change"`
+	By       string          `json:"by"`
+	Node     string          `json:"node"`
+	At       time.Time       `json:"at"`
+	Note     string          `json:"note,omitempty"`
+	Changes  []config.Change `json:"changes"`
+}
+
+type body struct {
+	Revision uint64 `json:"revision"`
+	Text     []byte `json:"text_gzip"`
+}
+
+// LostRaceError tells that another change was accepted first.
+type LostRaceError struct {
+	Winner Audit
+}
+
+// Error implements error.
+func (e *LostRaceError) Error() string {
+	return fmt.Sprintf("revision %d by %s came first", e.Winner.Revision, e.Winner.By)
+}
+
+// Configs keeps the configuration and its audit trail in the platform's table.
+type Configs struct {
+	client *Client
+}
+
+// NewConfigs returns the configurations kept in a platform's table.
+func NewConfigs(c *Client) *Configs { return &Configs{client: c} }
+
+// Head returns the newest revision, 0 when there is no configuration yet.
+func (c *Configs) Head(ctx context.Context) (Head, error) {
+	h, _, err := c.head(ctx)
+	return h, err
+}
+
+func (c *Configs) head(ctx context.Context) (Head, uint64, error) {
+	row, found, err := c.client.Get(ctx, configTable, headKey)
+	if err != nil || !found {
+		return Head{}, 0, err
+	}
+	var h Head
+	err = json.Unmarshal(row.Value, &h)
+	return h, row.Revision, errors.Wrap(err, "platform: configuration head")
+}
+
+// Load returns the newest configuration; nil when there is none yet.
+func (c *Configs) Load(ctx context.Context) (*config.Config, error) {
+	row, found, err := c.client.Get(ctx, configTable, bodyKey)
+	if err != nil || !found {
+		return nil, err
+	}
+	var b body
+	if err := json.Unmarshal(row.Value, &b); err != nil {
+		return nil, errors.Wrap(err, "platform: configuration")
+	}
+	text, err := Unpack(b.Text)
+	if err != nil {
+		return nil, err
+	}
+	parsed, err := config.Parse("questionnaire", text)
+	if err != nil {
+		return nil, errors.Wrap(err, "platform: configuration")
+	}
+	return parsed.WithRevision(b.Revision), nil
+}
+
+// Apply makes next the configuration, provided that the newest one is at the
+// revision base. A *LostRaceError names the change that was accepted instead. An
+// answer that was lost is settled by reading back.
+func (c *Configs) Apply(ctx context.Context, next *config.Config, base uint64, a Audit, changes []config.Change) (Audit, error) {
+	head, row, err := c.head(ctx)
+	if err != nil {
+		return Audit{}, fault.From(err).WithRan(fault.NotRun)
+	}
+	if head.Revision != base {
+		return Audit{}, c.lostRace(ctx, head.Revision)
+	}
+	a.Revision = base + 1
+	a.Change = uuid.NewString()
+	a.At = time.Now().UTC()
+	a.Changes = changes
+	t, err := applyTransaction(next, row, a)
+	if err != nil {
+		return Audit{}, err
+	}
+	_, err = c.client.Commit(ctx, t)
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		return a, nil
+	case errors.As(err, &conflict):
+		return Audit{}, c.lostRace(ctx, a.Revision)
+	default:
+		return c.readBack(ctx, t, a, err)
+	}
+}
+
+func applyTransaction(next *config.Config, headRow uint64, a Audit) (Transaction, error) {
+	packed, err := Pack(next.Text())
+	if err != nil {
+		return Transaction{}, err
+	}
+	t := Transaction{Conditions: []Condition{{Table: configTable, Key: headKey, Revision: headRow}}}
+	for _, w := range []struct {
+		table, key string
+		value      any
+	}{
+		{configTable, headKey, Head{Revision: a.Revision, Change: a.Change}},
+		{configTable, bodyKey, body{Revision: a.Revision, Text: packed}},
+		{auditTable, auditKey(a.Revision), a},
+	} {
+		value, err := json.Marshal(w.value)
+		if err != nil {
+			return Transaction{}, errors.Wrap(err, "platform: encode "+w.table)
+		}
+		t.Writes = append(t.Writes, Write{Table: w.table, Key: w.key, Value: value})
+	}
+	return t, nil
+}
+
+// readBack finds out whether a transaction whose answer was lost took effect. As
+// it may still be on its way, it is sent again until the head has moved.
+func (c *Configs) readBack(ctx context.Context, t Transaction, a Audit, cause error) (Audit, error) {
+	deadline := time.Now().Add(settleWait)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		_, err := c.client.Commit(ctx, t)
+		if err == nil {
+			return a, nil
+		}
+		var conflict *ConflictError
+		if errors.As(err, &conflict) {
+			return c.readWinner(ctx, a)
+		}
+		time.Sleep(settlePause)
+	}
+	return Audit{}, fault.Wrap(cause, fault.PlatformAway, "apply", "platform").WithRetry(time.Now().Add(time.Second))
+}
+
+func (c *Configs) readWinner(ctx context.Context, a Audit) (Audit, error) {
+	winner, err := c.Audit(ctx, a.Revision)
+	if err != nil {
+		return Audit{}, fault.From(err).WithRan(fault.Unknown)
+	}
+	if winner.Change == a.Change {
+		return a, nil
+	}
+	return Audit{}, &LostRaceError{Winner: winner}
+}
+
+func (c *Configs) lostRace(ctx context.Context, revision uint64) error {
+	winner, err := c.Audit(ctx, revision)
+	if err != nil {
+		return fault.Newf(fault.Conflict, "apply", "platform", "the configuration is at revision %d", revision)
+	}
+	return &LostRaceError{Winner: winner}
+}
+
+// Audit returns the entry of one revision.
+func (c *Configs) Audit(ctx context.Context, revision uint64) (Audit, error) {
+	row, found, err := c.client.Get(ctx, auditTable, auditKey(revision))
+	if err != nil {
+		return Audit{}, err
+	}
+	if !found {
+		return Audit{}, fault.Newf(fault.NotFound, "read-audit", "platform", "there is no revision %d", revision)
+	}
+	var a Audit
+	err = json.Unmarshal(row.Value, &a)
+	return a, errors.Wrap(err, "platform: audit")
+}
+
+// Trail returns the newest entries of the audit trail, newest first.
+func (c *Configs) Trail(ctx context.Context, limit int) ([]Audit, error) {
+	values, err := c.client.List(ctx, auditTable, "", limit)
+	if err != nil {
+		return nil, err
+	}
+	all := make([]Audit, 0, len(values))
+	for _, v := range values {
+		var a Audit
+		if err := json.Unmarshal(v, &a); err != nil {
+			return nil, errors.Wrap(err, "platform: audit")
+		}
+		all = append(all, a)
+	}
+	return all, nil
+}
+
+func auditKey(revision uint64) string { return fmt.Sprintf("%012d", revision) }
+
+// Pack compresses a questionnaire for the table and for other nodes.
+func Pack(text []byte) ([]byte, error) {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if _, err := z.Write(text); err != nil {
+		return nil, errors.Wrap(err, "pack configuration")
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Wrap(err, "pack configuration")
+	}
+	return b.Bytes(), nil
+}
+
+// Unpack undoes Pack.
+func Unpack(packed []byte) ([]byte, error) {
+	z, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack configuration")
+	}
+	text, err := io.ReadAll(io.LimitReader(z, maxConfigSize))
+	return text, errors.Wrap(err, "unpack configuration")
+}
--- /dev/null
+++ b/test/cluster/caller.go
@@ -0,0 +1,306 @@
+package cluster
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cicadabeam/core/fault"
+)
+
+// Prompt is a caller's request for an answer.
+type Prompt struct {
+	Organisation string // the first one by default
+	Text         string
+	Key          string
+	LastEvent    string
+	MaxTokens    int
+	Whole        bool // without stream
+	Path         string
+}
+
+// Piece is an event with text as a caller got it.
+type Piece struct {
+	ID   string
+	Text string
+	At   time.Time
+}
+
+// Transcript is what a caller got of one answer, on one connection.
+type Transcript struct {
+	Marker  string
+	Status  int
+	Answer  string // the answer's id
+	Started time.Time
+	Pieces  []Piece
+	Roles   int
+	Finish  []string
+	Done    bool
+	Usage   Usage
+	Failure Failure
+	Header  http.Header
+	Err     error // of the connection
+}
+
+// Usage is the usage that an answer came with.
+type Usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+}
+
+// Failure is the error that a caller was told.
+type Failure struct {
+	Message string     `json:"message"`
+	Code    fault.Code `json:"code"`
+	Step    string     `json:"step"`
+	Ran     fault.Ran  `json:"ran"`
+}
+
+// Text returns the text of the answer so far.
+func (t *Transcript) Text() string {
+	var b strings.Builder
+	for _, p := range t.Pieces {
+		b.WriteString(p.Text)
+	}
+	return b.String()
+}
+
+// LastEvent returns the id of the last event with text.
+func (t *Transcript) LastEvent() string {
+	if len(t.Pieces) == 0 {
+		return ""
+	}
+	return t.Pieces[len(t.Pieces)-1].ID
+}
+
+// LongestGap returns the longest time between two events with text.
+func (t *Transcript) LongestGap() time.Duration {
+	longest := time.Duration(0)
+	for i := 1; i < len(t.Pieces); i++ {
+		longest = max(longest, t.Pieces[i].At.Sub(t.Pieces[i-1].At))
+	}
+	return longest
+}
+
+// callers keeps no connections, so that each request shows what a new caller sees.
+var callers = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+type chatBody struct {
+	Model         string         `json:"model"`
+	Stream        bool           `json:"stream"`
+	Messages      []chatMessage  `json:"messages,omitempty"`
+	Prompt        string         `json:"prompt,omitempty"`
+	MaxTokens     int            `json:"max_tokens,omitempty"`
+	StreamOptions map[string]any `json:"stream_options,omitempty"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+func (p Prompt) request(ctx context.Context, base, marker string) (*http.Request, error) {
+	text := p.Text + " marker=" + marker
+	b := chatBody{Model: "ledger", Stream: !p.Whole, MaxTokens: p.MaxTokens, Messages: []chatMessage{{Role: "user", Content: text}}}
+	path := "/v1/chat/completions"
+	if p.Path != "" {
+		path = p.Path
+		b.Messages, b.Prompt = nil, text
+	}
+	if !p.Whole {
+		b.StreamOptions = map[string]any{"include_usage": true}
+	}
+	body, err := json.Marshal(b)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	p.setHeaders(r)
+	return r, nil
+}
+
+func (p Prompt) setHeaders(r *http.Request) {
+	o := p.Organisation
+	if o == "" {
+		o = Organisations[0]
+	}
+	r.Header.Set("Authorization", "Bearer key-"+o)
+	if p.Key != "" {
+		r.Header.Set("Idempotency-Key", p.Key)
+	}
+	if p.LastEvent != "" {
+		r.Header.Set("Last-Event-ID", p.LastEvent)
+	}
+}
+
+// Ask sends a prompt and reads the answer to its end.
+func (n *Node) Ask(ctx context.Context, p Prompt) *Transcript {
+	return n.Watch(ctx, p, nil)
+}
+
+// Watch is Ask with a function that is called after each event with text.
+func (n *Node) Watch(ctx context.Context, p Prompt, each func(t *Transcript)) *Transcript {
+	marker := p.Key
+	if marker == "" {
+		marker = uuid.NewString()
+	}
+	r, err := p.request(ctx, n.URL(), marker)
+	if err != nil {
+		return &Transcript{Err: err}
+	}
+	t := read(r, each)
+	t.Marker = marker
+	return t
+}
+
+// Resume goes on with an answer after an event.
+func (n *Node) Resume(ctx context.Context, organisation, id, lastEvent string) *Transcript {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, n.URL()+"/v1/answers/"+id, nil)
+	if err != nil {
+		return &Transcript{Err: err}
+	}
+	Prompt{Organisation: organisation, LastEvent: lastEvent}.setHeaders(r)
+	return read(r, nil)
+}
+
+func read(r *http.Request, each func(t *Transcript)) *Transcript {
+	t := &Transcript{Started: time.Now()}
+	response, err := callers.Do(r)
+	if err != nil {
+		t.Err = err
+		return t
+	}
+	defer func() { _ = response.Body.Close() }()
+	t.Status = response.StatusCode
+	t.Header = response.Header
+	t.Answer = response.Header.Get("X-Answer-Id")
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		t.readEvents(response.Body, each)
+		return t
+	}
+	t.readWhole(response.Body)
+	return t
+}
+
+type eventBody struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		} `json:"delta"`
+		Message struct {
+			Content string `json:"content"`
+		} `json:"message"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage   `json:"usage"`
+	Error *Failure `json:"error"`
+}
+
+func (t *Transcript) readEvents(body io.Reader, each func(t *Transcript)) {
+	lines := bufio.NewReader(body)
+	id := ""
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			if err != io.EOF || !t.Done {
+				t.Err = err
+			}
+			return
+		}
+		line = strings.TrimSuffix(line, "\n")
+		if x, found := strings.CutPrefix(line, "id: "); found {
+			id = x
+		}
+		data, found := strings.CutPrefix(line, "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			t.Done = true
+			continue
+		}
+		before := len(t.Pieces)
+		t.take(id, data)
+		if each != nil && len(t.Pieces) > before {
+			each(t)
+		}
+	}
+}
+
+func (t *Transcript) take(id, data string) {
+	var e eventBody
+	if err := json.Unmarshal([]byte(data), &e); err != nil {
+		t.Err = fmt.Errorf("event %q: %w", data, err)
+		return
+	}
+	if e.Error != nil {
+		t.Failure = *e.Error
+	}
+	if e.Usage != nil {
+		t.Usage = *e.Usage
+	}
+	for _, c := range e.Choices {
+		if c.Delta.Role != "" {
+			t.Roles++
+		}
+		if text := c.Delta.Content + c.Text + c.Message.Content; text != "" {
+			t.Pieces = append(t.Pieces, Piece{ID: id, Text: text, At: time.Now()})
+		}
+		if c.FinishReason != "" {
+			t.Finish = append(t.Finish, c.FinishReason)
+		}
+	}
+}
+
+func (t *Transcript) readWhole(body io.Reader) {
+	b, err := io.ReadAll(body)
+	if err != nil {
+		t.Err = err
+		return
+	}
+	t.take("", string(b))
+	t.Done = t.Status == http.StatusOK
+}
+
+// Result is the outcome of a call to a plain service.
+type Result struct {
+	Status  int
+	Body    string
+	Failure Failure
+	Header  http.Header
+	Err     error
+}
+
+// Call calls a plain service.
+func (n *Node) Call(ctx context.Context, method, path, key, body string) Result {
+	r, err := http.NewRequestWithContext(ctx, method, n.URL()+path, strings.NewReader(body))
+	if err != nil {
+		return Result{Err: err}
+	}
+	Prompt{Key: key}.setHeaders(r)
+	response, err := callers.Do(r)
+	if err != nil {
+		return Result{Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	b, err := io.ReadAll(response.Body)
+	x := Result{Status: response.StatusCode, Body: string(b), Header: response.Header, Err: err}
+	var e eventBody
+	if json.Unmarshal(b, &e) == nil && e.Error != nil {
+		x.Failure = *e.Error
+	}
+	return x
+}
--- /dev/null
+++ b/test/cluster/node.go
@@ -0,0 +1,130 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"cicadabeam/io/operator"
+	"cicadabeam/io/platform"
+)
+
+// Node is an entry host.
+type Node struct {
+	*Process
+	cluster    *Cluster
+	host       int
+	dataCentre string
+	region     string
+	settings   string
+}
+
+func (c *Cluster) makeNodes() error {
+	for i := range c.layout.DataCentres * c.layout.NodesEach {
+		dc := i / c.layout.NodesEach
+		name := fmt.Sprintf("node-%d", i+1)
+		settings := c.file(name + ".ini")
+		c.nodes = append(c.nodes, &Node{
+			Process: newProcess(name, filepath.Join(c.bin, "cicadabeam"), c.file(name+".out"), "serve", "--settings", settings),
+			cluster: c, host: hostNodes + i, dataCentre: dataCentre(dc), region: c.region(dc), settings: settings,
+		})
+	}
+	if c.layout.Linked {
+		if err := c.linkNodes(); err != nil {
+			return err
+		}
+	}
+	for _, n := range c.nodes {
+		if err := os.WriteFile(n.settings, []byte(c.settingsOf(n)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) linkNodes() error {
+	for _, a := range c.nodes {
+		for _, b := range c.nodes {
+			if a == b {
+				continue
+			}
+			if _, err := c.link(a.Name(), b.Name(), c.address(b.host, portPeers)); err != nil {
+				return err
+			}
+		}
+		if _, err := c.link(a.Name(), "platform", c.address(hostPlatform, portServer)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) settingsOf(n *Node) string {
+	platform := c.address(hostPlatform, portServer)
+	if l := c.Link(n.Name(), "platform"); l != nil {
+		platform = l.Address()
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "[node]\nname = %s\ndata-centre = %s\nregion = %s\n", n.Name(), n.dataCentre, n.region)
+	fmt.Fprintf(&b, "[listen]\ncallers = %s\noperators = %s\npeers = %s\n", c.address(n.host, portCallers), c.address(n.host, portOperators), c.address(n.host, portPeers))
+	fmt.Fprintf(&b, "[platform]\naddress = http://%s\n[secrets]\npeers = %s\noperators = %s\n", platform, peerSecret, operatorSecret)
+	for _, o := range c.hosts(n.Name(), nil).EntryHosts {
+		if o.Name != n.Name() {
+			fmt.Fprintf(&b, "[peer %s]\naddress = %s\ndata-centre = %s\nregion = %s\n", o.Name, o.Address, o.DataCentre, o.Region)
+		}
+	}
+	if !strings.Contains(c.layout.Settings, "[drain]") {
+		b.WriteString("[drain]\ngrace = 200ms\nwait = 60s\n")
+	}
+	b.WriteString("[log]\nlevel = debug\n" + c.layout.Settings)
+	return b.String()
+}
+
+// DataCentre returns the name of the node's data centre.
+func (n *Node) DataCentre() string { return n.dataCentre }
+
+// Settings returns the file with the node's settings.
+func (n *Node) Settings() string { return n.settings }
+
+func (n *Node) url(port int) string { return "http://" + n.cluster.address(n.host, port) }
+
+// URL returns the base URL for callers.
+func (n *Node) URL() string { return n.url(portCallers) }
+
+// OperatorsURL returns the base URL for operators.
+func (n *Node) OperatorsURL() string { return n.url(portOperators) }
+
+// PeersAddress returns the address of the listener for other nodes.
+func (n *Node) PeersAddress() string { return n.cluster.address(n.host, portPeers) }
+
+// Restart starts a node that has ended and waits until it serves.
+func (n *Node) Restart() error {
+	if err := n.Start(); err != nil {
+		return err
+	}
+	return awaitHTTP(n.URL() + "/ready")
+}
+
+// Status returns what the node tells operators.
+func (n *Node) Status() (operator.Status, error) { return n.operators().Status(context.Background()) }
+
+// Apply makes a questionnaire the configuration.
+func (n *Node) Apply(questionnaire string, base uint64, by string) (platform.Audit, error) {
+	return n.operators().Apply(context.Background(), []byte(questionnaire), base, by, "")
+}
+
+// Audit returns the newest entries of the audit trail.
+func (n *Node) Audit(limit int) ([]platform.Audit, error) {
+	return n.operators().Audit(context.Background(), limit)
+}
+
+// Revision returns the revision in force on the node, 0 if it can't be asked.
+func (n *Node) Revision() uint64 {
+	s, err := n.Status()
+	if err != nil {
+		return 0
+	}
+	return s.Revision
+}
--- /dev/null
+++ b/test/integration/main_test.go
@@ -0,0 +1,97 @@
+// Package integration runs the whole system as real processes and makes it fail.
+package integration
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"cicadabeam/test/check"
+	"cicadabeam/test/cluster"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "cicadabeam-bin")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", "build", "-o", dir, "cicadabeam/cmd/cicadabeam", "cicadabeam/test/cmd/standin")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	binaries = dir
+	return m.Run()
+}
+
+// testWait bounds what a test waits for; it says nothing about the system.
+const testWait = 60 * time.Second
+
+func start(t *testing.T, l cluster.Layout) *cluster.Cluster {
+	t.Helper()
+	c, err := cluster.Start(t.TempDir(), binaries, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Stop()
+		if t.Failed() {
+			printOutputs(t, c)
+		}
+	})
+	return c
+}
+
+const outputTail = 6000
+
+func printOutputs(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	for _, n := range c.Nodes() {
+		b, err := os.ReadFile(n.Output())
+		if err != nil {
+			continue
+		}
+		t.Logf("%s:\n%s", n.Name(), b[max(0, len(b)-outputTail):])
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// checkWhole checks that a caller got a whole answer on one connection.
+func checkWhole(t *testing.T, c *cluster.Cluster, x *cluster.Transcript, length int) {
+	t.Helper()
+	if x.Err != nil || !x.Done {
+		t.Fatalf("the answer is not whole: status %d, done %v, error %v, told %+v, %d pieces", x.Status, x.Done, x.Err, x.Failure, len(x.Pieces))
+	}
+	log, err := c.EngineLog()
+	must(t, err)
+	must(t, check.Answer(x.Text(), length, x.Marker, log))
+	if len(x.Finish) != 1 {
+		t.Fatalf("the answer has %d finish reasons", len(x.Finish))
+	}
+	if x.Usage.Completion != length {
+		t.Fatalf("the usage has %d completion tokens, not %d", x.Usage.Completion, length)
+	}
+}
