Prove that answers survive engines and entry hosts

Cause of the one failure found: a caller who came back with the id alone to a node without the copy got 400, because the reader did not know the answer's header when its holder was dead. The header is now learned from the copy. Ruled out: the copy itself (the other nodes went on).

A request whose engines died twice was quarantined like a crashing one. Deaths now quarantine at the second only if they look reproducible (early, or after about as many tokens), else at the third.

Before: TestAnyNodeGoesOn 'the answer is not whole: status 400'. After: all of integration passes.

--- a/cmd/node/loops.go
+++ b/cmd/node/loops.go
@@ -120,7 +120,7 @@
 	fresh := n.loads.Note(h.Notices...)
 	fresh = n.quarantine.Merge(h.Quarantined) || fresh
 	for _, s := range h.Suspicions {
-		n.quarantine.Died(s.Fingerprint, s.Server, now)
+		n.quarantine.Died(s, now)
 	}
 	if fresh {
 		n.spread()
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -127,10 +127,10 @@
 }
 
 // ServerDied implements generation.Observer.
-func (n *Node) ServerDied(server string, f quarantine.Fingerprint) {
-	n.recent.add(quarantine.Suspicion{Fingerprint: f, Server: server}, time.Now())
-	n.metrics.count("server_deaths", "server", server)
-	n.log.WithFields(log.Fields{"server": server, "fingerprint": f.String()}).Warn("server died")
+func (n *Node) ServerDied(s quarantine.Suspicion) {
+	n.recent.add(s, time.Now())
+	n.metrics.count("server_deaths", "server", s.Server)
+	n.log.WithFields(log.Fields{"server": s.Server, "fingerprint": s.Fingerprint.String(), "tokens": s.Tokens}).Warn("server died")
 	n.spread()
 }
 
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -10,6 +10,7 @@
 	"cicadabeam/core/answer"
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
+	"cicadabeam/core/quarantine"
 )
 
 const (
@@ -29,6 +30,7 @@
 // attempt runs one attempt. A nil error comes with how the answer finished.
 func (r *Runner) attempt(ctx context.Context, x *run) (answer.Finish, error) {
 	x.number++
+	x.made = 0
 	lease, err := r.reserve(ctx, x)
 	if err != nil {
 		return answer.Finish{}, err
@@ -65,8 +67,9 @@
 	switch r.engine.Probe(c, s) {
 	case Dead:
 		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
-		r.quarantine.Died(x.job.Fingerprint, s.Name(), now)
-		r.observer.ServerDied(s.Name(), x.job.Fingerprint)
+		d := quarantine.Suspicion{Fingerprint: x.job.Fingerprint, Server: s.Name(), Tokens: x.made}
+		r.quarantine.Died(d, now)
+		r.observer.ServerDied(d)
 	case Silent:
 		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
 	case Healthy:
@@ -166,6 +169,7 @@
 		return fault.New(fault.Superseded, "generate", s.Name()).WithRan(fault.DidRun)
 	}
 	x.fruitful = x.number
+	x.made = c.Completion
 	if !x.lost.IsZero() {
 		r.observer.Resumed(x.job, s.Name(), time.Since(x.lost))
 		x.lost = time.Time{}
--- a/core/generation/runner.go
+++ b/core/generation/runner.go
@@ -46,7 +46,7 @@
 	AttemptStarted(j Job, server string, number int)
 	AttemptEnded(j Job, server string, number int, err error)
 	Resumed(j Job, server string, latency time.Duration)
-	ServerDied(server string, f quarantine.Fingerprint)
+	ServerDied(s quarantine.Suspicion)
 	AnswerEnded(j Job, f answer.Finish)
 }
 
@@ -78,6 +78,7 @@
 	exclude   map[string]bool
 	number    int
 	fruitful  int // number of the last attempt that brought text
+	made      int // tokens of the present attempt
 	reached   bool
 	lastHeard time.Time
 	lost      time.Time
--- a/core/holder/reader.go
+++ b/core/holder/reader.go
@@ -46,11 +46,27 @@
 func (h *Holder) remoteReader(ctx context.Context, p place, r Request) (*Reader, error) {
 	x := &Reader{holder: h, header: r.Header, mark: r.Mark, place: p}
 	reply, err := x.read(ctx, p.holder, time.Now())
-	if err != nil {
-		return x, nil // Next finds the copies.
+	if err == nil {
+		x.learn(reply)
+		return x, x.refusal(reply)
+	}
+	// A caller who comes back with the id alone needs the header from a copy.
+	for x.header.Path == "" {
+		if _, err := x.recover(ctx); err != nil {
+			return nil, err
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+	}
+	return x, nil
+}
+
+// learn takes the answer's header from who has it.
+func (x *Reader) learn(r ReadReply) {
+	if r.Header.ID != "" {
+		x.header = r.Header
 	}
-	x.header = reply.Header
-	return x, x.refusal(reply)
 }
 
 func (x *Reader) refusal(r ReadReply) error {
@@ -169,6 +185,7 @@
 	if err := x.refusal(r); err != nil {
 		return answer.View{}, err
 	}
+	x.learn(r)
 	switch r.State {
 	case ReadMoved:
 		x.place.holder, x.place.epoch = r.Holder, r.Epoch
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,14 +1,16 @@
 // Package quarantine finds requests that crash the backend servers that run
 // them, and keeps them from further ones.
 //
-// A request is suspected for each server that died while running it. At the
-// second server it is quarantined, unless servers die that it did not run on:
-// then something else kills them.
+// A request is suspected for each server that died while running it. A second
+// death quarantines it if the crash looks reproducible: the attempt died early, or
+// after about as many tokens as the one before. A third death always does. When
+// several servers die that it did not run on, something else kills them, and the
+// deaths don't count.
 //
 // # Usage
 //
 //	l := quarantine.New()
-//	l.Died(fingerprint, "engine-3", now)
+//	l.Died(quarantine.Suspicion{Fingerprint: f, Server: "engine-3", Tokens: 2}, now)
 //	if l.Quarantined(fingerprint, now) { ... refuse ... }
 package quarantine
 
@@ -19,7 +21,14 @@
 )
 
 const (
-	deathLimit      = 2
+	// deathLimit is the number of deaths that quarantine a request, and
+	// reproducedLimit the one for deaths that look alike.
+	deathLimit      = 3
+	reproducedLimit = 2
+	// earlyTokens is the most that an attempt that dies early has produced.
+	earlyTokens = 8
+	// alikeTokens is by how much deaths that look alike may differ.
+	alikeTokens     = 4
 	massDeathCount  = 4
 	massDeathWindow = 10 * time.Second
 	retention       = 30 * time.Minute
@@ -37,11 +46,36 @@
 	Till        int64 // Unix time in milliseconds
 }
 
+// Suspicion is a request that ran on a server as it died.
+type Suspicion struct {
+	Fingerprint Fingerprint
+	Server      string
+	Tokens      int // produced there
+}
+
 type suspicion struct {
-	servers map[string]time.Time
+	servers map[string]int // tokens produced there
 	latest  time.Time
 }
 
+// condemned tells whether the deaths so far, of which the last is at a server
+// after some tokens, quarantine the request.
+func (s *suspicion) condemned(server string, tokens int) bool {
+	if len(s.servers) >= deathLimit {
+		return true
+	}
+	return len(s.servers) >= reproducedLimit && (tokens <= earlyTokens || s.alike(server, tokens))
+}
+
+func (s *suspicion) alike(server string, tokens int) bool {
+	for other, n := range s.servers {
+		if other != server && max(n-tokens, tokens-n) <= alikeTokens {
+			return true
+		}
+	}
+	return false
+}
+
 // List holds the suspicions and the quarantined requests.
 type List struct {
 	mu       sync.Mutex
@@ -61,24 +95,24 @@
 
 // Died notes that a server died while running a request, however often it is
 // told. It tells whether the request is quarantined.
-func (l *List) Died(f Fingerprint, server string, now time.Time) bool {
+func (l *List) Died(x Suspicion, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.suspects[f]
+	s := l.suspects[x.Fingerprint]
 	if s == nil {
-		s = &suspicion{servers: make(map[string]time.Time)}
-		l.suspects[f] = s
+		s = &suspicion{servers: make(map[string]int)}
+		l.suspects[x.Fingerprint] = s
 	}
-	if _, known := s.servers[server]; known {
-		return now.Before(l.till[f])
+	if _, known := s.servers[x.Server]; known {
+		return now.Before(l.till[x.Fingerprint])
 	}
-	l.deaths[server] = now
-	s.servers[server] = now
+	l.deaths[x.Server] = now
+	s.servers[x.Server] = x.Tokens
 	s.latest = now
-	if len(s.servers) < deathLimit || l.massDeath(s, now) {
+	if !s.condemned(x.Server, x.Tokens) || l.massDeath(s, now) {
 		return false
 	}
-	l.till[f] = now.Add(retention)
+	l.till[x.Fingerprint] = now.Add(retention)
 	return true
 }
 
@@ -162,12 +196,6 @@
 	return fresh
 }
 
-// Suspicion tells another node which servers died under a request.
-type Suspicion struct {
-	Fingerprint Fingerprint
-	Server      string
-}
-
 // Expire forgets what is past its retention.
 func (l *List) Expire(now time.Time) {
 	l.mu.Lock()
--- /dev/null
+++ b/test/integration/engine_failure_test.go
@@ -0,0 +1,141 @@
+package integration
+
+import (
+	"testing"
+
+	"cicadabeam/test/cluster"
+	"cicadabeam/test/standin/engine"
+)
+
+const longAnswer = 150
+
+// serverOf returns the engine that began the newest attempt of a request.
+func serverOf(t *testing.T, c *cluster.Cluster, marker string) *cluster.Engine {
+	t.Helper()
+	log, err := c.EngineLog()
+	must(t, err)
+	var newest engine.Record
+	for _, r := range log {
+		if r.Event == "start" && r.Marker == marker && r.At >= newest.At && r.From >= newest.From {
+			newest = r
+		}
+	}
+	e := c.EngineNamed(newest.Server)
+	if e == nil {
+		t.Fatalf("no engine began %s", marker)
+	}
+	return e
+}
+
+// watchFailing reads an answer and calls fail with its engine once it has at
+// pieces.
+func watchFailing(t *testing.T, c *cluster.Cluster, at int, fail func(e *cluster.Engine)) *cluster.Transcript {
+	t.Helper()
+	key := "key-" + t.Name()
+	failed := false
+	return c.Node(0).Watch(testContext(t), cluster.Prompt{Text: "tokens=150", Key: key}, func(x *cluster.Transcript) {
+		if len(x.Pieces) < at || failed {
+			return
+		}
+		failed = true
+		fail(serverOf(t, c, key))
+	})
+}
+
+func TestEngineDies(t *testing.T) {
+	for _, at := range []int{1, 75, longAnswer - 1} {
+		c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 3})
+		x := watchFailing(t, c, at, func(e *cluster.Engine) { e.Kill() })
+		checkWhole(t, c, x, longAnswer)
+		checkResumed(t, x)
+	}
+}
+
+// Both engines on which the answer runs die, one after the other.
+func TestTwoEnginesDie(t *testing.T) {
+	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 4})
+	at := []int{30, 100}
+	kills := 0
+	x := c.Node(0).Watch(testContext(t), cluster.Prompt{Text: "tokens=150", Key: "twice"}, func(x *cluster.Transcript) {
+		if kills < len(at) && len(x.Pieces) >= at[kills] {
+			kills++
+			serverOf(t, c, "twice").Kill()
+		}
+	})
+	checkWhole(t, c, x, longAnswer)
+	checkResumed(t, x)
+}
+
+// A frozen engine wakes after the next attempt began; its late tokens must not
+// come in.
+func TestEngineFreezesAndWakes(t *testing.T) {
+	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 3})
+	var frozen *cluster.Engine
+	x := c.Node(0).Watch(testContext(t), cluster.Prompt{Text: "tokens=150", Key: "frozen"}, func(x *cluster.Transcript) {
+		switch {
+		case frozen == nil && len(x.Pieces) >= 40:
+			frozen = serverOf(t, c, "frozen")
+			frozen.Freeze()
+		case frozen != nil && len(x.Pieces) == 60:
+			frozen.Thaw()
+		}
+	})
+	checkWhole(t, c, x, longAnswer)
+	checkResumed(t, x)
+}
+
+// Streams that end in other ways than they should, on engines that live.
+func TestStreamBreaks(t *testing.T) {
+	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 2})
+	faults := map[string]engine.Faults{
+		"closed":              {CloseAfter: 30},
+		"closed-before-first": {CloseAfter: -1},
+		"reset":               {ResetAfter: 30},
+		"reset-before-first":  {ResetAfter: -1},
+		"no-finish":           {DropFinish: true},
+		"busy":                {Busy: true},
+	}
+	for name, f := range faults {
+		t.Run(name, func(t *testing.T) {
+			must(t, c.Engine(0).Set(f))
+			defer func() { must(t, c.Engine(0).Set(engine.Faults{})) }()
+			// Enough answers that some begin on the engine with the fault.
+			for i := range 8 {
+				x := c.Node(i%2).Ask(testContext(t), cluster.Prompt{Text: "tokens=50"})
+				checkWhole(t, c, x, 50)
+				checkResumed(t, x)
+			}
+		})
+	}
+}
+
+// A connection that is cut in the middle of a token.
+func TestStreamCutMidToken(t *testing.T) {
+	c := start(t, cluster.Layout{NodesEach: 1, EnginesEach: 2})
+	for _, bytes := range []int{700, 1001, 2222} {
+		must(t, c.Link("nodes", "engine-1").CutAfter(bytes))
+		for range 4 {
+			x := c.Node(0).Ask(testContext(t), cluster.Prompt{Text: "tokens=50"})
+			checkWhole(t, c, x, 50)
+			checkResumed(t, x)
+		}
+		c.Link("nodes", "engine-1").Heal()
+	}
+}
+
+// The path to an engine swallows everything in one direction.
+func TestEngineCutOff(t *testing.T) {
+	ways := map[string]func(l *cluster.Link) error{
+		"requests": (*cluster.Link).SwallowRequests,
+		"answers":  (*cluster.Link).SwallowAnswers,
+		"both":     (*cluster.Link).Swallow,
+	}
+	for name, cut := range ways {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 2})
+			x := watchFailing(t, c, 40, func(e *cluster.Engine) { must(t, cut(c.Link("nodes", e.Name()))) })
+			checkWhole(t, c, x, longAnswer)
+			checkResumed(t, x)
+		})
+	}
+}
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -34,6 +34,9 @@
 	return m.Run()
 }
 
+// resumeBound is how long output may stand still after a loss.
+const resumeBound = 3 * time.Second
+
 // testWait bounds what a test waits for; it says nothing about the system.
 const testWait = 60 * time.Second
 
@@ -79,6 +82,21 @@
 	}
 }
 
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	if !cluster.Await(testWait, holds) {
+		t.Fatalf("not reached: %s", what)
+	}
+}
+
+// checkResumed checks that output never stood still for longer than it may.
+func checkResumed(t *testing.T, x *cluster.Transcript) {
+	t.Helper()
+	if gap := x.LongestGap(); gap > resumeBound {
+		t.Fatalf("output stood still for %v; allowed are %v", gap, resumeBound)
+	}
+}
+
 // checkWhole checks that a caller got a whole answer on one connection.
 func checkWhole(t *testing.T, c *cluster.Cluster, x *cluster.Transcript, length int) {
 	t.Helper()
--- /dev/null
+++ b/test/integration/node_failure_test.go
@@ -0,0 +1,269 @@
+package integration
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadabeam/test/check"
+	"cicadabeam/test/cluster"
+)
+
+// joined is one answer that a caller read on several connections.
+type joined struct {
+	marker string
+	parts  []*cluster.Transcript
+}
+
+func (j *joined) text() string {
+	var b strings.Builder
+	for _, p := range j.parts {
+		b.WriteString(p.Text())
+	}
+	return b.String()
+}
+
+func (j *joined) lastEvent() string {
+	for i := len(j.parts) - 1; i >= 0; i-- {
+		if id := j.parts[i].LastEvent(); id != "" {
+			return id
+		}
+	}
+	return ""
+}
+
+func (j *joined) last() *cluster.Transcript { return j.parts[len(j.parts)-1] }
+
+// check checks the answer and how long output stood still between the connections.
+func (j *joined) check(t *testing.T, c *cluster.Cluster, length int) {
+	t.Helper()
+	last := j.last()
+	if last.Err != nil || !last.Done {
+		t.Fatalf("the answer is not whole: status %d, told %+v, error %v", last.Status, last.Failure, last.Err)
+	}
+	log, err := c.EngineLog()
+	must(t, err)
+	must(t, check.Answer(j.text(), length, j.marker, log))
+	all := &cluster.Transcript{}
+	for _, p := range j.parts {
+		all.Pieces = append(all.Pieces, p.Pieces...)
+	}
+	checkResumed(t, all)
+	if last.Usage.Completion != length {
+		t.Fatalf("the usage has %d completion tokens, not %d", last.Usage.Completion, length)
+	}
+}
+
+// readUntil reads an answer on a node until it has at pieces, calls fail, and
+// reads on until the connection breaks or the answer ends. A caller whose
+// connection stays silent leaves it after a second.
+func readUntil(t *testing.T, n *cluster.Node, p cluster.Prompt, at int, fail func()) *joined {
+	t.Helper()
+	ctx, cancel := context.WithCancel(testContext(t))
+	defer cancel()
+	var impatience *time.Timer
+	failed := false
+	x := n.Watch(ctx, p, func(x *cluster.Transcript) {
+		if len(x.Pieces) < at {
+			return
+		}
+		if !failed {
+			failed = true
+			impatience = time.AfterFunc(time.Second, cancel)
+			fail()
+		}
+		impatience.Reset(time.Second)
+	})
+	if !failed {
+		t.Fatalf("the answer ended before its failure: %d pieces, told %+v, error %v", len(x.Pieces), x.Failure, x.Err)
+	}
+	return &joined{marker: p.Key, parts: []*cluster.Transcript{x}}
+}
+
+type comeBack func(t *testing.T, n *cluster.Node, j *joined, p cluster.Prompt)
+
+// byLastEvent goes on with GET and the id of the last event.
+func byLastEvent(t *testing.T, n *cluster.Node, j *joined, _ cluster.Prompt) {
+	t.Helper()
+	j.parts = append(j.parts, n.Resume(testContext(t), "", j.parts[0].Answer, j.lastEvent()))
+}
+
+// byRepeat sends the POST again, with the id of the last event.
+func byRepeat(t *testing.T, n *cluster.Node, j *joined, p cluster.Prompt) {
+	t.Helper()
+	p.LastEvent = j.lastEvent()
+	j.parts = append(j.parts, n.Ask(testContext(t), p))
+}
+
+func TestHolderDies(t *testing.T) {
+	ways := map[string]comeBack{"last-event": byLastEvent, "repeat": byRepeat}
+	for name, back := range ways {
+		for _, at := range []int{1, 60, longAnswer - 1} {
+			t.Run(name, func(t *testing.T) {
+				c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
+				p := cluster.Prompt{Text: "tokens=150", Key: "holder-dies"}
+				j := readUntil(t, c.Node(0), p, at, c.Node(0).Kill)
+				back(t, c.Node(3), j, p)
+				j.check(t, c, longAnswer)
+			})
+		}
+	}
+}
+
+// The caller comes back to each of the other nodes, whichever has the copy.
+func TestAnyNodeGoesOn(t *testing.T) {
+	for i := 1; i < 4; i++ {
+		c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
+		p := cluster.Prompt{Text: "tokens=150", Key: "any-node"}
+		j := readUntil(t, c.Node(0), p, 40, c.Node(0).Kill)
+		byLastEvent(t, c.Node(i), j, p)
+		j.check(t, c, longAnswer)
+	}
+}
+
+// A holder freezes, is replaced, and wakes: its own caller and the one who came
+// back each see one answer.
+func TestHolderFreezesAndWakes(t *testing.T) {
+	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
+	p := cluster.Prompt{Text: "tokens=150", Key: "holder-freezes"}
+	frozen := c.Node(0)
+	stays := make(chan *cluster.Transcript, 1)
+	go func() { stays <- frozen.Ask(testContext(t), p) }()
+	j := readUntil(t, frozen, p, 40, frozen.Freeze)
+	ctx := testContext(t)
+	again := c.Node(2).Watch(ctx, cluster.Prompt{Text: p.Text, Key: p.Key, LastEvent: j.lastEvent()}, func(x *cluster.Transcript) {
+		if len(x.Pieces) == 10 {
+			frozen.Thaw()
+		}
+	})
+	j.parts = append(j.parts, again)
+	j.check(t, c, longAnswer)
+	checkWhole(t, c, <-stays, longAnswer)
+}
+
+// Two losses in one answer: the holder, then the engine of the node that goes on.
+func TestHolderThenEngineDies(t *testing.T) {
+	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
+	p := cluster.Prompt{Text: "tokens=150", Key: "both-die"}
+	j := readUntil(t, c.Node(0), p, 40, c.Node(0).Kill)
+	killed := false
+	p.LastEvent = j.lastEvent()
+	j.parts = append(j.parts, c.Node(3).Watch(testContext(t), p, func(x *cluster.Transcript) {
+		if !killed && len(x.Pieces) >= 40 {
+			killed = true
+			serverOf(t, c, p.Key).Kill()
+		}
+	}))
+	j.check(t, c, longAnswer)
+}
+
+// The replica dies or freezes: the answer gets another one and goes on.
+func TestReplicaFails(t *testing.T) {
+	ways := map[string]func(n *cluster.Node){
+		"dies":    func(n *cluster.Node) { n.Kill() },
+		"freezes": func(n *cluster.Node) { n.Freeze() },
+	}
+	for name, fail := range ways {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
+			failed := false
+			x := c.Node(0).Watch(testContext(t), cluster.Prompt{Text: "tokens=150"}, func(x *cluster.Transcript) {
+				if failed || len(x.Pieces) < 40 {
+					return
+				}
+				failed = true
+				for _, n := range c.Nodes()[1:] {
+					if s, err := n.Status(); err == nil && s.Answers.Copies > 0 {
+						fail(n)
+					}
+				}
+			})
+			checkWhole(t, c, x, longAnswer)
+			checkResumed(t, x)
+			await(t, "no unprotected answer", func() bool {
+				s, err := c.Node(0).Status()
+				return err == nil && s.Unprotected == 0
+			})
+		})
+	}
+}
+
+// Both sides of a partition go on with one answer. Callers see two answers,
+// never a mix; a caller whose answer diverged is told so.
+func TestBothSidesGoOn(t *testing.T) {
+	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2, Linked: true})
+	p := cluster.Prompt{Text: "tokens=300", Key: "both-sides"}
+	var other *cluster.Transcript
+	done := make(chan struct{})
+	mine := c.Node(0).Watch(testContext(t), p, func(x *cluster.Transcript) {
+		if len(x.Pieces) != 40 {
+			return
+		}
+		partition(t, c, "dc-1", "dc-2")
+		last := x.LastEvent()
+		go func() {
+			defer close(done)
+			other = c.Node(2).Ask(testContext(t), cluster.Prompt{Text: p.Text, Key: p.Key, LastEvent: last})
+		}()
+	})
+	checkWhole(t, c, mine, 300)
+	checkResumed(t, mine)
+	<-done
+	j := &joined{marker: p.Key, parts: []*cluster.Transcript{{Pieces: mine.Pieces[:40]}, other}}
+	j.check(t, c, 300)
+	if j.text() == mine.Text() {
+		t.Fatal("both sides have one answer; the partition did not hold")
+	}
+	heal(c)
+	checkDiverged(t, c, mine, other)
+}
+
+// checkDiverged lets each caller ask the other side for the rest of its answer.
+func checkDiverged(t *testing.T, c *cluster.Cluster, mine, other *cluster.Transcript) {
+	t.Helper()
+	marker := mine.Marker
+	for _, n := range c.Nodes() {
+		for _, x := range []*cluster.Transcript{mine, other} {
+			at := len(x.Pieces) - 50
+			rest := n.Resume(testContext(t), "", mine.Answer, x.Pieces[at].ID)
+			if rest.Status == 409 {
+				if rest.Failure.Code != "answer_diverged" {
+					t.Fatalf("%s: %+v", n.Name(), rest.Failure)
+				}
+				continue
+			}
+			whole := &joined{marker: marker, parts: []*cluster.Transcript{{Pieces: x.Pieces[:at+1]}, rest}}
+			tail := &joined{marker: marker, parts: []*cluster.Transcript{x}}
+			if !strings.HasSuffix(tail.text(), whole.text()) {
+				t.Fatalf("%s went on with another answer", n.Name())
+			}
+		}
+	}
+}
+
+// partition cuts all paths between two data centres, both ways.
+func partition(t *testing.T, c *cluster.Cluster, a, b string) {
+	t.Helper()
+	for _, x := range c.Nodes() {
+		for _, y := range c.Nodes() {
+			if x.DataCentre() == a && y.DataCentre() == b || x.DataCentre() == b && y.DataCentre() == a {
+				must(t, c.Link(x.Name(), y.Name()).Swallow())
+			}
+		}
+	}
+}
+
+// heal ends all faults on the paths between nodes and to the platform.
+func heal(c *cluster.Cluster) {
+	for _, x := range c.Nodes() {
+		for _, y := range c.Nodes() {
+			if l := c.Link(x.Name(), y.Name()); l != nil {
+				l.Heal()
+			}
+		}
+		if l := c.Link(x.Name(), "platform"); l != nil {
+			l.Heal()
+		}
+	}
+}
