--- a/cmd/node/loops.go
+++ b/cmd/node/loops.go
@@ -11,7 +11,6 @@
 	"cicadabeam/core/balance"
 	"cicadabeam/core/config"
 	"cicadabeam/core/membership"
-	"cicadabeam/core/quarantine"
 	"cicadabeam/io/peer"
 	"cicadabeam/io/platform"
 )
@@ -78,7 +77,6 @@
 		Leaving:     n.state.Load() == draining,
 		Notices:     n.loads.Notices(now),
 		Quarantined: n.quarantine.Entries(now),
-		Suspicions:  n.recent.list(now),
 	}
 }
 
@@ -119,9 +117,6 @@
 	}
 	fresh := n.loads.Note(h.Notices...)
 	fresh = n.quarantine.Merge(h.Quarantined) || fresh
-	for _, s := range h.Suspicions {
-		n.quarantine.Died(s, now)
-	}
 	if fresh {
 		n.spread()
 	}
@@ -247,36 +242,3 @@
 	}
 	return all
 }
-
-// suspicionSpread is how long a node tells the others which request ran on a
-// server that died.
-const suspicionSpread = 5 * time.Second
-
-// recentSuspicions are the suspicions of this node that are still being spread.
-type recentSuspicions struct {
-	mu  sync.Mutex
-	all map[quarantine.Suspicion]time.Time
-}
-
-func (s *recentSuspicions) add(x quarantine.Suspicion, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.all == nil {
-		s.all = make(map[quarantine.Suspicion]time.Time)
-	}
-	s.all[x] = now.Add(suspicionSpread)
-}
-
-func (s *recentSuspicions) list(now time.Time) []quarantine.Suspicion {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var all []quarantine.Suspicion
-	for x, till := range s.all {
-		if now.After(till) {
-			delete(s.all, x)
-			continue
-		}
-		all = append(all, x)
-	}
-	return all
-}
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -69,7 +69,6 @@
 
 	news     chan struct{}
 	fetching sync.Mutex
-	recent   recentSuspicions
 	reports  ownReports
 
 	state      atomic.Value // of state
@@ -81,6 +80,9 @@
 	stop       context.CancelFunc
 }
 
+// shutdownWait bounds how long a stopping node waits for requests that it refuses.
+const shutdownWait = 500 * time.Millisecond
+
 type state string
 
 const (
@@ -168,10 +170,20 @@
 		ReadHeaderTimeout: n.settings.HeaderWait(),
 		IdleTimeout:       n.settings.IdleWait(),
 	}
-	g.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
+	g.Add(func() error { return s.Serve(l) }, func(error) { shutDown(s) })
 	return nil
 }
 
+// shutDown lets requests end that came in as the node stopped: they are being
+// refused. Those that a drain did not wait for are cut.
+func shutDown(s *http.Server) {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutdownWait))
+	defer cancel()
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
 func (n *Node) peerRefused(from string, err error) {
 	n.log.WithFields(log.Fields{"step": "handshake", "peer": from, "error": err.Error()}).Warn("peer refused")
 }
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -12,7 +12,6 @@
 	"cicadabeam/core/answer"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
-	"cicadabeam/core/quarantine"
 	"cicadabeam/io/caller"
 )
 
@@ -126,14 +125,6 @@
 	n.log.WithFields(f).Info("answer resumed")
 }
 
-// ServerDied implements generation.Observer.
-func (n *Node) ServerDied(s quarantine.Suspicion) {
-	n.recent.add(s, time.Now())
-	n.metrics.count("server_deaths", "server", s.Server)
-	n.log.WithFields(log.Fields{"server": s.Server, "fingerprint": s.Fingerprint.String(), "tokens": s.Tokens}).Warn("server died")
-	n.spread()
-}
-
 // AnswerEnded implements generation.Observer.
 func (n *Node) AnswerEnded(j generation.Job, f answer.Finish) {
 	x := jobFields(j, f.Peer, 0)
--- a/cmd/node/peers.go
+++ b/cmd/node/peers.go
@@ -35,6 +35,8 @@
 
 func (p peerHandler) Heartbeat(h peer.Heartbeat) peer.HeartbeatReply { return p.node.Heartbeat(h) }
 
+func (p peerHandler) Alarm(a peer.Alarm) { p.node.takeAlarm(a) }
+
 func (p peerHandler) Config() peer.ConfigReply { return p.node.configReply() }
 
 func (p peerHandler) Find(r holder.FindRequest) holder.FindReply { return p.node.holder.Find(r) }
--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -91,6 +91,9 @@
 	Read(ctx context.Context, key Key) (Stored, bool, error)
 	// Replace changes a row that is still at revision, else returns false.
 	Replace(ctx context.Context, key Key, revision uint64, r Row) (next uint64, ok bool, err error)
+	// Away tells whether the store has lately not answered anyone, so that it is no
+	// use to try for long.
+	Away() bool
 }
 
 // Word is what a node says about a call that it claimed.
@@ -126,15 +129,16 @@
 	Peer    string
 	Message string
 	Ran     fault.Ran
+	Attempt fault.Ran
 	RetryAt time.Time
 }
 
 func failure(err error) *Failure {
 	f := fault.From(err)
-	return &Failure{Code: f.Code(), Step: f.Step(), Peer: f.Peer(), Message: f.Message(), Ran: f.Ran(), RetryAt: f.RetryAt()}
+	return &Failure{Code: f.Code(), Step: f.Step(), Peer: f.Peer(), Message: f.Message(), Ran: f.Ran(), Attempt: f.Attempt(), RetryAt: f.RetryAt()}
 }
 
 // Err returns the failure as a fault.
 func (f *Failure) Err() error {
-	return fault.Newf(f.Code, f.Step, f.Peer, "%s", f.Message).WithRan(f.Ran).WithRetry(f.RetryAt)
+	return fault.Newf(f.Code, f.Step, f.Peer, "%s", f.Message).WithRan(f.Ran).WithAttempt(f.Attempt).WithRetry(f.RetryAt)
 }
--- a/core/claim/settle.go
+++ b/core/claim/settle.go
@@ -21,6 +21,9 @@
 		if err != nil {
 			// It may have taken effect. The next try finds the row then.
 			last = err
+			if d.store.Away() {
+				break
+			}
 			pause(c, storePause)
 			continue
 		}
@@ -44,7 +47,7 @@
 	if cause == nil {
 		cause = context.DeadlineExceeded
 	}
-	f := fault.Wrap(cause, fault.PlatformAway, "claim", "platform").WithRetry(time.Now().Add(retryAfter))
+	f := fault.Wrap(cause, fault.PlatformAway, "claim", "platform").WithAttempt(fault.NotRun).WithRetry(time.Now().Add(retryAfter))
 	return &Outcome{State: Abandoned, Failure: failure(f)}
 }
 
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -89,6 +89,7 @@
 	step    string
 	peer    string
 	ran     Ran
+	attempt Ran
 	status  int
 	retryAt time.Time
 	cause   error
@@ -134,6 +135,14 @@
 	return &c
 }
 
+// WithAttempt returns a copy that tells whether this attempt of the request ran,
+// where Ran speaks for the earlier ones with the same key as well.
+func (e *Error) WithAttempt(r Ran) *Error {
+	c := *e
+	c.attempt = r
+	return &c
+}
+
 // WithRetry returns a copy that tells the caller when to come back.
 func (e *Error) WithRetry(at time.Time) *Error {
 	c := *e
@@ -160,6 +169,9 @@
 // Ran tells whether the request ran.
 func (e *Error) Ran() Ran { return e.ran }
 
+// Attempt tells whether this attempt ran, or is "" where Ran says it all.
+func (e *Error) Attempt() Ran { return e.attempt }
+
 // RetryAt returns when the caller may come back; zero means no advice.
 func (e *Error) RetryAt() time.Time { return e.retryAt }
 
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +19,9 @@
 	// up; a long prompt's first token may take as long.
 	hardGap   = 20 * time.Second
 	pulseWait = 700 * time.Millisecond
+	// judgeWait is how long the other nodes have to tell what ran on a server that
+	// died.
+	judgeWait = 250 * time.Millisecond
 )
 
 type received struct {
@@ -67,15 +69,36 @@
 	switch r.engine.Probe(c, s) {
 	case Dead:
 		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
+		if f.Ran() == fault.NotRun {
+			return // It was dead before.
+		}
 		d := quarantine.Suspicion{Fingerprint: x.job.Fingerprint, Server: s.Name(), Tokens: x.made}
-		r.quarantine.Died(d, now)
+		judge := r.quarantine.Died(d, now)
 		r.observer.ServerDied(d)
+		if judge {
+			r.judge(ctx, x)
+		}
 	case Silent:
 		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
 	case Healthy:
 	}
 }
 
+// judge waits for what other nodes know of the servers that died, and quarantines
+// the request if it is the cause. The other nodes know of it before the caller
+// does, so that a repeat through any of them is refused.
+func (r *Runner) judge(ctx context.Context, x *run) {
+	t := time.NewTimer(judgeWait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	if r.quarantine.Judge(x.job.Fingerprint, time.Now()) {
+		r.observer.Condemned(x.job.Fingerprint)
+	}
+}
+
 // stream opens the attempt and reads it to its end.
 func (r *Runner) stream(ctx context.Context, x *run, s config.Server) (answer.Finish, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -128,9 +151,12 @@
 			return finish, ctx.Err()
 		case c := <-chunks:
 			w.heard(time.Now())
-			if errors.Is(c.err, io.EOF) || (c.err != nil && finish.Reason != "") {
+			if c.err != nil && finish.Reason != "" {
 				return finish, nil
 			}
+			if errors.Is(c.err, ErrEnd) {
+				return finish, fault.Wrap(errors.New("the stream ended without a finish reason"), fault.ServerFailed, "generate", s.Name())
+			}
 			if c.err != nil {
 				return finish, c.err
 			}
--- a/core/generation/engine.go
+++ b/core/generation/engine.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadabeam/core/answer"
 	"cicadabeam/core/config"
 )
 
+// ErrEnd is the end of a stream that is whole. It is not io.EOF, which is also how
+// a connection ends that a dying server closes.
+var ErrEnd = errors.New("the stream is whole")
+
 // Attempt is one try to produce an answer, or the rest of it, on an engine.
 type Attempt struct {
 	Request string // the answer's id
@@ -26,8 +32,8 @@
 
 // Stream is a running attempt.
 type Stream interface {
-	// Next waits for a chunk. It returns io.EOF after the finish marker and
-	// another error when the stream ended without one.
+	// Next waits for a chunk. It returns ErrEnd after the finish marker and another
+	// error when the stream ended without one.
 	Next() (Chunk, error)
 	// Close ends the attempt; the engine stops generating.
 	Close()
--- a/core/generation/runner.go
+++ b/core/generation/runner.go
@@ -47,6 +47,9 @@
 	AttemptEnded(j Job, server string, number int, err error)
 	Resumed(j Job, server string, latency time.Duration)
 	ServerDied(s quarantine.Suspicion)
+	// Condemned is told of a request that is quarantined from now on. It returns
+	// when the reachable nodes know.
+	Condemned(f quarantine.Fingerprint)
 	AnswerEnded(j Job, f answer.Finish)
 }
 
@@ -99,7 +102,6 @@
 			return
 		}
 		if err == nil {
-			r.quarantine.Survived(j.Fingerprint)
 			r.end(j, finish)
 			return
 		}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,17 +1,18 @@
 // Package quarantine finds requests that crash the backend servers that run
 // them, and keeps them from further ones.
 //
-// A request is suspected for each server that died while running it. A second
-// death quarantines it if the crash looks reproducible: the attempt died early, or
-// after about as many tokens as the one before. A third death always does. When
-// several servers die that it did not run on, something else kills them, and the
-// deaths don't count.
+// Every request that ran on a server as it died is suspected. One that has been
+// there twice is judged, once the other nodes have had time to tell what ran on
+// the same servers: see List.Judge.
 //
 // # Usage
 //
 //	l := quarantine.New()
-//	l.Died(quarantine.Suspicion{Fingerprint: f, Server: "engine-3", Tokens: 2}, now)
-//	if l.Quarantined(fingerprint, now) { ... refuse ... }
+//	if l.Died(quarantine.Suspicion{Fingerprint: f, Server: "engine-3", Tokens: 2}, now) {
+//		// wait for the other nodes' suspicions, then
+//		guilty := l.Judge(f, now)
+//	}
+//	if l.Quarantined(f, now) { ... refuse ... }
 package quarantine
 
 import (
@@ -21,16 +22,18 @@
 )
 
 const (
-	// deathLimit is the number of deaths that quarantine a request, and
-	// reproducedLimit the one for deaths that look alike.
-	deathLimit      = 3
-	reproducedLimit = 2
+	// judgeAt is the number of deaths from which on a request is judged, and
+	// deathLimit the one that condemns in any case.
+	judgeAt    = 2
+	deathLimit = 3
 	// earlyTokens is the most that an attempt that dies early has produced.
 	earlyTokens = 8
 	// alikeTokens is by how much deaths that look alike may differ.
-	alikeTokens     = 4
-	massDeathCount  = 4
-	massDeathWindow = 10 * time.Second
+	alikeTokens = 4
+	// massDeathOthers is the number of other servers whose death within
+	// massDeathWindow makes a death part of a mass death.
+	massDeathOthers = 2
+	massDeathWindow = 300 * time.Millisecond
 	retention       = 30 * time.Minute
 )
 
@@ -53,33 +56,10 @@
 	Tokens      int // produced there
 }
 
-type suspicion struct {
-	servers map[string]int // tokens produced there
-	latest  time.Time
-}
-
-// condemned tells whether the deaths so far, of which the last is at a server
-// after some tokens, quarantine the request.
-func (s *suspicion) condemned(server string, tokens int) bool {
-	if len(s.servers) >= deathLimit {
-		return true
-	}
-	return len(s.servers) >= reproducedLimit && (tokens <= earlyTokens || s.alike(server, tokens))
-}
-
-func (s *suspicion) alike(server string, tokens int) bool {
-	for other, n := range s.servers {
-		if other != server && max(n-tokens, tokens-n) <= alikeTokens {
-			return true
-		}
-	}
-	return false
-}
-
 // List holds the suspicions and the quarantined requests.
 type List struct {
 	mu       sync.Mutex
-	suspects map[Fingerprint]*suspicion
+	suspects map[Fingerprint]*suspect
 	till     map[Fingerprint]time.Time
 	deaths   map[string]time.Time
 }
@@ -87,65 +67,99 @@
 // New returns an empty list.
 func New() *List {
 	return &List{
-		suspects: make(map[Fingerprint]*suspicion),
+		suspects: make(map[Fingerprint]*suspect),
 		till:     make(map[Fingerprint]time.Time),
 		deaths:   make(map[string]time.Time),
 	}
 }
 
 // Died notes that a server died while running a request, however often it is
-// told. It tells whether the request is quarantined.
+// told. It tells whether the request is to be judged.
 func (l *List) Died(x Suspicion, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.suspects[x.Fingerprint]
 	if s == nil {
-		s = &suspicion{servers: make(map[string]int)}
+		s = &suspect{tokens: make(map[string]int)}
 		l.suspects[x.Fingerprint] = s
 	}
-	if _, known := s.servers[x.Server]; known {
-		return now.Before(l.till[x.Fingerprint])
+	if _, known := s.tokens[x.Server]; !known {
+		l.deaths[x.Server] = now
+		s.add(x.Server, x.Tokens, now)
 	}
-	l.deaths[x.Server] = now
-	s.servers[x.Server] = x.Tokens
-	s.latest = now
-	if !s.condemned(x.Server, x.Tokens) || l.massDeath(s, now) {
-		return false
+	return len(s.tokens) >= judgeAt
+}
+
+// Judge decides whether a request crashes servers, and quarantines it if so. It
+// does if a third server has died under it, or a second one after about as many
+// tokens as the first. It does too if the second one died early, unless another
+// request was on both servers and explains their deaths better. Deaths that were
+// part of a mass death don't count.
+func (l *List) Judge(f Fingerprint, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.suspects[f]
+	if s == nil || !l.guilty(f, l.counted(s)) {
+		return now.Before(l.till[f])
 	}
-	l.till[x.Fingerprint] = now.Add(retention)
+	l.till[f] = now.Add(retention)
 	return true
 }
 
-// massDeath tells whether so many servers died lately, most of them without
-// this request, that it explains nothing.
-func (l *List) massDeath(s *suspicion, now time.Time) bool {
-	recent := 0
-	own := 0
-	for name, at := range l.deaths {
-		if now.Sub(at) > massDeathWindow {
-			continue
+func (l *List) guilty(f Fingerprint, s *suspect) bool {
+	switch {
+	case len(s.tokens) < judgeAt:
+		return false
+	case len(s.tokens) >= deathLimit || s.alike():
+		return true
+	default:
+		return s.tokens[s.last] <= earlyTokens && !l.explained(f, s)
+	}
+}
+
+// explained tells whether another request was on all the servers that died under
+// s, and looks more like their cause.
+func (l *List) explained(f Fingerprint, s *suspect) bool {
+	for g, other := range l.suspects {
+		if g != f && other.covers(s) && (other.alike() || other.tokens[s.last] < s.tokens[s.last]) {
+			return true
 		}
-		recent++
-		if _, ran := s.servers[name]; ran {
-			own++
+	}
+	return false
+}
+
+// counted returns the suspect with only those deaths that it may have caused.
+func (l *List) counted(s *suspect) *suspect {
+	c := &suspect{tokens: make(map[string]int)}
+	for _, server := range s.order {
+		if !l.massDeath(s, server) {
+			c.add(server, s.tokens[server], s.latest)
 		}
 	}
-	return recent >= massDeathCount && own*2 <= recent
+	return c
 }
 
-// Survived clears a request that has finished.
-func (l *List) Survived(f Fingerprint) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.suspects, f)
+// massDeath tells whether servers on which the request did not run died at about
+// the same time as one on which it did.
+func (l *List) massDeath(s *suspect, server string) bool {
+	at := l.deaths[server]
+	others := 0
+	for name, t := range l.deaths {
+		if _, ran := s.tokens[name]; ran {
+			continue
+		}
+		if max(t.Sub(at), at.Sub(t)) <= massDeathWindow {
+			others++
+		}
+	}
+	return others >= massDeathOthers
 }
 
 // Suspected tells whether a server died while running the request.
 func (l *List) Suspected(f Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.suspects[f]
-	return s != nil && len(s.servers) > 0
+	return l.suspects[f] != nil
 }
 
 // Servers returns the servers that died while running the request.
@@ -154,7 +168,7 @@
 	defer l.mu.Unlock()
 	var all []string
 	if s := l.suspects[f]; s != nil {
-		for name := range s.servers {
+		for name := range s.tokens {
 			all = append(all, name)
 		}
 	}
@@ -211,7 +225,7 @@
 		}
 	}
 	for name, at := range l.deaths {
-		if now.Sub(at) > massDeathWindow {
+		if now.Sub(at) > retention {
 			delete(l.deaths, name)
 		}
 	}
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -25,10 +25,13 @@
 	Code    fault.Code `json:"code"`
 	Step    string     `json:"step"`
 	Ran     fault.Ran  `json:"ran"`
+	// Attempt is given where this attempt is known not to have run but nothing is
+	// known of earlier ones with the same key.
+	Attempt fault.Ran `json:"attempt,omitempty"`
 }
 
 func detail(f *fault.Error) errorDetail {
-	return errorDetail{Message: f.Message(), Type: errorType(f.Status()), Code: f.Code(), Step: f.Step(), Ran: f.Ran()}
+	return errorDetail{Message: f.Message(), Type: errorType(f.Status()), Code: f.Code(), Step: f.Step(), Ran: f.Ran(), Attempt: f.Attempt()}
 }
 
 func errorType(status int) string {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -161,6 +161,11 @@
 	return r, err
 }
 
+// Alarm sends an alarm.
+func (c *Client) Alarm(ctx context.Context, node string, a Alarm) error {
+	return c.call(ctx, control, node, "Alarm", a, new(Nothing))
+}
+
 // Config asks for a node's configuration.
 func (c *Client) Config(ctx context.Context, node string) (ConfigReply, error) {
 	var r ConfigReply
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -20,7 +20,12 @@
 	Loads       []balance.Report
 	Notices     []balance.Notice
 	Quarantined []quarantine.Entry
+}
+
+// Alarm goes to all nodes at once when a server has died.
+type Alarm struct {
 	Suspicions  []quarantine.Suspicion
+	Quarantined []quarantine.Entry
 }
 
 // HeartbeatReply answers a heartbeat.
@@ -59,6 +64,7 @@
 // Handler answers other nodes.
 type Handler interface {
 	Heartbeat(h Heartbeat) HeartbeatReply
+	Alarm(a Alarm)
 	Config() ConfigReply
 	Find(r holder.FindRequest) holder.FindReply
 	Read(r holder.ReadRequest) holder.ReadReply
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -23,6 +23,11 @@
 	return nil
 }
 
+func (m *methods) Alarm(a Alarm, _ *Nothing) error {
+	m.handler.Alarm(a)
+	return nil
+}
+
 func (m *methods) Config(_ Nothing, r *ConfigReply) error {
 	*r = m.handler.Config()
 	return nil
--- a/io/platform/claims.go
+++ b/io/platform/claims.go
@@ -55,6 +55,9 @@
 	return c.put(ctx, key, revision, r)
 }
 
+// Away implements claim.Store.
+func (c *Claims) Away() bool { return c.client.Away() }
+
 // Read implements claim.Store.
 func (c *Claims) Read(ctx context.Context, key claim.Key) (claim.Stored, bool, error) {
 	row, found, err := c.client.Get(ctx, claimTable, key.String())
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -29,6 +29,7 @@
 
 const (
 	requestWait      = 2 * time.Second
+	awayAfter        = time.Second
 	maxResponseBytes = 16 << 20
 	idleConnections  = 4
 )
@@ -94,6 +95,7 @@
 	reader  string
 	client  *http.Client
 	reached atomic.Int64
+	failing atomic.Int64 // Unix time in milliseconds since when every request fails
 	reads   atomic.Int64
 	writes  atomic.Int64
 }
@@ -113,6 +115,12 @@
 	return time.UnixMilli(ms)
 }
 
+// Away tells whether every request has failed for a while.
+func (c *Client) Away() bool {
+	since := c.failing.Load()
+	return since != 0 && time.Since(time.UnixMilli(since)) > awayAfter
+}
+
 // Reads returns the number of reads sent.
 func (c *Client) Reads() int64 { return c.reads.Load() }
 
@@ -165,9 +173,13 @@
 	defer cancel()
 	status, body, err := c.roundTrip(ctx, method, path, in)
 	if err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.failing.CompareAndSwap(0, time.Now().UnixMilli())
+		}
 		return fault.Wrap(err, fault.PlatformAway, method+" "+path, c.base)
 	}
 	c.reached.Store(time.Now().UnixMilli())
+	c.failing.Store(0)
 	switch status {
 	case http.StatusOK:
 		return errors.Wrapf(json.Unmarshal(body, out), "platform %s: %s %s", c.base, method, path)
--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -21,6 +21,7 @@
 	Organisation string // the first one by default
 	Text         string
 	Key          string
+	Marker       string // goes into the text; the key by default, else a new one
 	LastEvent    string
 	MaxTokens    int
 	Whole        bool // without stream
@@ -62,6 +63,7 @@
 	Code    fault.Code `json:"code"`
 	Step    string     `json:"step"`
 	Ran     fault.Ran  `json:"ran"`
+	Attempt fault.Ran  `json:"attempt"`
 }
 
 // Text returns the text of the answer so far.
@@ -151,7 +153,10 @@
 
 // Watch is Ask with a function that is called after each event with text.
 func (n *Node) Watch(ctx context.Context, p Prompt, each func(t *Transcript)) *Transcript {
-	marker := p.Key
+	marker := p.Marker
+	if marker == "" {
+		marker = p.Key
+	}
 	if marker == "" {
 		marker = uuid.NewString()
 	}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -375,6 +375,14 @@
 // DataCentre returns the name of the server's data centre.
 func (s *server) DataCentre() string { return s.dataCentre }
 
+// Restart starts a server that has ended and waits until it serves.
+func (s *server) Restart() error {
+	if err := s.Start(); err != nil {
+		return err
+	}
+	return awaitHTTP("http://" + s.address + "/health")
+}
+
 // Engine is a model engine's stand-in.
 type Engine struct{ *server }
 
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"cicadabeam/io/operator"
 	"cicadabeam/io/platform"
@@ -107,6 +109,16 @@
 	return awaitHTTP(n.URL() + "/ready")
 }
 
+// Ready tells whether the node takes new requests, as a balancer asks it.
+func (n *Node) Ready() bool {
+	r, err := callers.Get(n.URL() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
 // Status returns what the node tells operators.
 func (n *Node) Status() (operator.Status, error) { return n.operators().Status(context.Background()) }
 
@@ -128,3 +140,10 @@
 	}
 	return s.Revision
 }
+
+// StatusWithin is Status with a bound on how long to wait.
+func (n *Node) StatusWithin(ctx context.Context, most time.Duration) (operator.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	return n.operators().Status(ctx)
+}
--- /dev/null
+++ b/test/integration/crowd_test.go
@@ -0,0 +1,219 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cicadabeam/core/fault"
+	"cicadabeam/test/check"
+	"cicadabeam/test/cluster"
+	"cicadabeam/test/standin/application"
+	"cicadabeam/test/standin/engine"
+)
+
+// Hundreds of requests of several organisations at once, with answers late and
+// crossed, streams that break, and callers who leave half way.
+func TestEveryoneGetsOwnAnswer(t *testing.T) {
+	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 3, AppsEach: 1, Slots: 64, TokenMS: 3})
+	must(t, c.Engine(1).Set(engine.Faults{ResetAfter: 10}))
+	must(t, c.Engine(2).Set(engine.Faults{PrefillMS: 300}))
+	var work sync.WaitGroup
+	all := make([]*cluster.Transcript, 300)
+	lengths := make([]int, len(all))
+	for i := range all {
+		lengths[i] = 10 + i%37
+		p := cluster.Prompt{
+			Organisation: cluster.Organisations[i%3], Text: fmt.Sprintf("tokens=%d", lengths[i]),
+			Key: fmt.Sprintf("shared-key-%d", i/3), Whole: i%2 == 0,
+		}
+		work.Go(func() { all[i] = c.Node(i%4).Ask(testContext(t), p) })
+	}
+	for i := range 50 {
+		work.Go(func() { leaveHalfWay(t, c.Node(i%4)) })
+	}
+	for i := range 50 {
+		work.Go(func() { lookUp(t, c.Node(i%4), i) })
+	}
+	work.Wait()
+	for i, x := range all {
+		checkWhole(t, c, x, lengths[i])
+	}
+}
+
+func leaveHalfWay(t *testing.T, n *cluster.Node) {
+	ctx, cancel := contextWithCancel(t)
+	n.Watch(ctx, cluster.Prompt{Text: "tokens=40"}, func(x *cluster.Transcript) {
+		if len(x.Pieces) > 5 {
+			cancel()
+		}
+	})
+}
+
+func lookUp(t *testing.T, n *cluster.Node, i int) {
+	body := fmt.Sprintf("question-%d", i)
+	r := n.Call(testContext(t), http.MethodPost, "/services/lookup/balance", "", body)
+	if r.Status != http.StatusOK || !contains(r.Body, `"body":"`+body+`"`) {
+		t.Errorf("%s got %d %s", body, r.Status, r.Body)
+	}
+}
+
+// An organisation's key opens its own answers only.
+func TestCrossedKeys(t *testing.T) {
+	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 1})
+	mine := c.Node(0).Ask(testContext(t), cluster.Prompt{Organisation: "forge", Text: "tokens=20", Key: "mine"})
+	checkWhole(t, c, mine, 20)
+	for _, n := range c.Nodes() {
+		x := n.Resume(testContext(t), "kiosk-north", mine.Answer, "")
+		if x.Status != http.StatusNotFound || len(x.Pieces) > 0 {
+			t.Fatalf("%s: %d %+v", n.Name(), x.Status, x.Failure)
+		}
+		again := n.Resume(testContext(t), "forge", mine.Answer, mine.Pieces[4].ID)
+		if again.Status != http.StatusOK {
+			t.Fatalf("%s: %d %+v", n.Name(), again.Status, again.Failure)
+		}
+		other := n.Ask(testContext(t), cluster.Prompt{Organisation: "kiosk-north", Text: "tokens=20", Key: "mine"})
+		checkWhole(t, c, other, 20)
+		if other.Text() == mine.Text() {
+			t.Fatalf("%s gave one organisation's answer to another", n.Name())
+		}
+	}
+}
+
+// A request that crashes every server that runs it is sent again and again through
+// all entry hosts. At most two servers die; bystanders get whole answers.
+func TestCrashingRequest(t *testing.T) {
+	// The last one brings an answer each time: the second server needs fewer tokens
+	// than crash it.
+	for _, text := range []string{"crash-engine tokens=50", "crash-engine=3 tokens=50", "crash-engine=30 tokens=200", "crash-engine=30 tokens=50"} {
+		t.Run(text, func(t *testing.T) {
+			c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 4})
+			bystanders := make([]*cluster.Transcript, 16)
+			var work sync.WaitGroup
+			for i := range bystanders {
+				work.Go(func() { bystanders[i] = c.Node(i%4).Ask(testContext(t), cluster.Prompt{Text: "tokens=300"}) })
+			}
+			time.Sleep(500 * time.Millisecond)
+			crash := cluster.Prompt{Text: text, Key: "crash"}
+			for i := range 8 {
+				x := c.Node(i%4).Ask(testContext(t), crash)
+				if x.Failure.Code != fault.Quarantined && (i > 0 || !x.Done) {
+					t.Errorf("try %d: status %d, %+v", i, x.Status, x.Failure)
+				}
+				crash.Key = fmt.Sprintf("crash-%d", i)
+				crash.Marker = "crash"
+			}
+			work.Wait()
+			for _, x := range bystanders {
+				checkWhole(t, c, x, 300)
+				checkResumed(t, x)
+			}
+			if n := deadEngines(c); n > 2 {
+				t.Fatalf("%d servers died", n)
+			}
+		})
+	}
+}
+
+func deadEngines(c *cluster.Cluster) int {
+	n := 0
+	for _, e := range c.Engines() {
+		select {
+		case <-e.Exited():
+			n++
+		default:
+		}
+	}
+	return n
+}
+
+// A rack's worth of servers dies at once, and then another one that got the
+// refugees. Nobody is quarantined.
+func TestRackDies(t *testing.T) {
+	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 5})
+	answers := make([]*cluster.Transcript, 40)
+	var work sync.WaitGroup
+	for i := range answers {
+		work.Go(func() { answers[i] = c.Node(i%4).Ask(testContext(t), cluster.Prompt{Text: "tokens=300"}) })
+	}
+	time.Sleep(700 * time.Millisecond)
+	for i := range 4 {
+		c.Engine(i).Kill()
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.Engine(5).Kill()
+	work.Wait()
+	for _, x := range answers {
+		checkWhole(t, c, x, 300)
+		checkResumed(t, x)
+	}
+	for _, n := range c.Nodes() {
+		s, err := n.Status()
+		must(t, err)
+		if s.Quarantined != 0 {
+			t.Fatalf("%s has %d requests in quarantine", n.Name(), s.Quarantined)
+		}
+	}
+}
+
+// Each data centre, cut off from the platform and all others, goes on with model
+// answers and idempotent calls. What must not be repeated is refused at once.
+func TestCutOffDataCentresServe(t *testing.T) {
+	c := start(t, cluster.Layout{DataCentres: 3, Regions: 2, NodesEach: 2, EnginesEach: 2, AppsEach: 1, Linked: true})
+	for i := range 3 {
+		cutOff(t, c, fmt.Sprintf("dc-%d", i+1))
+	}
+	var work sync.WaitGroup
+	for i, n := range c.Nodes() {
+		work.Go(func() {
+			x := n.Ask(testContext(t), cluster.Prompt{Text: "tokens=100", Key: fmt.Sprintf("alone-%d", i)})
+			checkWhole(t, c, x, 100)
+			r := n.Call(testContext(t), http.MethodGet, "/services/lookup/stock", "", "")
+			if r.Status != http.StatusOK {
+				t.Errorf("%s: lookup %+v", n.Name(), r)
+			}
+			b := &buyer{key: fmt.Sprintf("alone-%d", i)}
+			r = b.buy(testContext(t), n)
+			if r.Failure.Code != fault.PlatformAway || r.Failure.Attempt != fault.NotRun || r.Header.Get("Retry-After") == "" {
+				t.Errorf("%s: purchase %+v", n.Name(), r)
+			}
+		})
+	}
+	work.Wait()
+	runs, err := c.Runs()
+	must(t, err)
+	must(t, check.AtMostOnce(purchases(runs)))
+	if n := len(purchases(runs)); n != 0 {
+		t.Fatalf("%d purchases ran", n)
+	}
+}
+
+func purchases(runs []application.Record) []application.Record {
+	var all []application.Record
+	for _, r := range runs {
+		if r.Key != "" {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// With no engine in reach a request is refused at once and was truly not run.
+func TestNoEngineMeansNotRun(t *testing.T) {
+	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 2})
+	for _, e := range c.Engines() {
+		c.Link("nodes", e.Name()).Break()
+	}
+	await(t, "a refusal", func() bool {
+		x := c.Node(0).Ask(testContext(t), cluster.Prompt{Text: "tokens=20"})
+		if x.Failure.Ran != fault.NotRun || x.Header.Get("Retry-After") == "" {
+			return false
+		}
+		log, err := c.EngineLog()
+		must(t, err)
+		must(t, check.NoGeneration(x.Marker, log))
+		return true
+	})
+}
--- a/test/integration/main_test.go
+++ b/test/integration/main_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 	return c
 }
 
-const outputTail = 6000
+const outputTail = 20000
 
 func printOutputs(t *testing.T, c *cluster.Cluster) {
 	t.Helper()
@@ -75,6 +76,13 @@
 	return ctx
 }
 
+func contextWithCancel(t *testing.T) (context.Context, context.CancelFunc) {
+	t.Helper()
+	return context.WithCancel(testContext(t))
+}
+
+func contains(text, part string) bool { return strings.Contains(text, part) }
+
 func must(t *testing.T, err error) {
 	t.Helper()
 	if err != nil {
