--- a/test/cmd/runtests/main.go
+++ b/test/cmd/runtests/main.go
@@ -71,7 +71,7 @@
 }
 
 func (r *results) run() error {
-	c := exec.Command("go", "test", "-json", "-count=1", "-timeout=30m", "work")
+	c := exec.Command("go", "test", "-json", "-count=1", "-timeout=30m", "-parallel=6", "work")
 	c.Stderr = os.Stderr
 	out, err := c.StdoutPipe()
 	if err != nil {
--- a/test/integration/calls_test.go
+++ b/test/integration/calls_test.go
@@ -81,6 +81,7 @@
 
 // One purchase is sent at once through all entry hosts, again and again.
 func TestSameKeyEverywhere(t *testing.T) {
+	t.Parallel()
 	c := start(t, callLayout)
 	var buyers []*buyer
 	for i := range 20 {
@@ -105,6 +106,7 @@
 
 // A key that is used with another body is refused.
 func TestKeyWithOtherBody(t *testing.T) {
+	t.Parallel()
 	c := start(t, callLayout)
 	ctx := testContext(t)
 	for i, n := range c.Nodes() {
@@ -165,6 +167,7 @@
 // The node that runs a purchase is killed or frozen at each point, while the
 // caller repeats it through the others.
 func TestClaimantFails(t *testing.T) {
+	t.Parallel()
 	for _, x := range holderFailures(t) {
 		for _, frozen := range []bool{false, true} {
 			name := x.name + "-killed"
@@ -213,6 +216,7 @@
 // The platform is down, slow, or loses the answers to writes that took effect,
 // while purchases go on.
 func TestPlatformFailsUnderCalls(t *testing.T) {
+	t.Parallel()
 	faults := map[string]platform.Faults{
 		"down":          {Down: true},
 		"slow":          {DelayMS: 400},
@@ -250,6 +254,7 @@
 // While the platform is away, a call that must not be repeated is refused with
 // when to come back; none is run.
 func TestPlatformDownRefusesCalls(t *testing.T) {
+	t.Parallel()
 	c := start(t, callLayout)
 	must(t, c.SetPlatform(platform.Faults{Down: true}))
 	b := &buyer{key: "outage"}
@@ -268,6 +273,7 @@
 // Servers that drop connections before and after the run, die after it, or can't
 // be reached.
 func TestServerFailsUnderCalls(t *testing.T) {
+	t.Parallel()
 	faults := map[string]application.Faults{
 		"drops-before": {DropBefore: true},
 		"drops-after":  {DropAfter: true},
@@ -290,6 +296,7 @@
 }
 
 func TestNoServerMeansNotRun(t *testing.T) {
+	t.Parallel()
 	c := start(t, callLayout)
 	for _, a := range c.Apps() {
 		c.Link("nodes", a.Name()).Break()
@@ -313,6 +320,7 @@
 
 // Idempotent calls are repeated on another server when one fails.
 func TestLookupSurvivesServer(t *testing.T) {
+	t.Parallel()
 	c := start(t, callLayout)
 	must(t, c.App(0).Set(application.Faults{DropAfter: true}))
 	c.App(1).Kill()
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -44,6 +44,7 @@
 }
 
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 1, Linked: true})
 	base := uint64(1)
 	for round := range 5 {
@@ -91,6 +92,7 @@
 // The answer to the write of a change is lost; the operator learns that it was
 // accepted, and it is accepted once.
 func TestApplyAnswerLost(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 1})
 	must(t, c.SetPlatform(platform.Faults{LoseAnswers: 2}))
 	a, err := c.Node(0).Apply(withModel(c, "lost"), 1, "operator")
@@ -109,6 +111,7 @@
 // A node that starts while the platform is away takes the newest revision that
 // its peers have.
 func TestRestartWhilePlatformAway(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 1})
 	_, err := c.Node(0).Apply(withModel(c, "newer"), 1, "operator")
 	must(t, err)
@@ -126,6 +129,7 @@
 // configuration changes; it takes the change when the cut is mended, and no node
 // ever goes back.
 func TestCutOffDataCentreCatchesUp(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 1, Linked: true})
 	cutOff(t, c, "dc-2")
 	ctx, cancel := context.WithCancel(testContext(t))
@@ -195,6 +199,7 @@
 // Requests are served by the revision in force: a model that was added is served
 // on all nodes, and one that was taken away is no longer.
 func TestRequestsFollowRevision(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 3, EnginesEach: 1})
 	renamed := strings.Replace(c.Questionnaire(), "model = ledger", "model = quotes", 1)
 	_, err := c.Node(1).Apply(renamed, 1, "operator")
--- a/test/integration/crowd_test.go
+++ b/test/integration/crowd_test.go
@@ -17,6 +17,7 @@
 // Hundreds of requests of several organisations at once, with answers late and
 // crossed, streams that break, and callers who leave half way.
 func TestEveryoneGetsOwnAnswer(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 3, AppsEach: 1, Slots: 64, TokenMS: 3})
 	must(t, c.Engine(1).Set(engine.Faults{ResetAfter: 10}))
 	must(t, c.Engine(2).Set(engine.Faults{PrefillMS: 300}))
@@ -62,6 +63,7 @@
 
 // An organisation's key opens its own answers only.
 func TestCrossedKeys(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 1})
 	mine := c.Node(0).Ask(testContext(t), cluster.Prompt{Organisation: "forge", Text: "tokens=20", Key: "mine"})
 	checkWhole(t, c, mine, 20)
@@ -85,6 +87,7 @@
 // A request that crashes every server that runs it is sent again and again through
 // all entry hosts. At most two servers die; bystanders get whole answers.
 func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
 	// The last one brings an answer each time: the second server needs fewer tokens
 	// than crash it.
 	for _, text := range []string{"crash-engine tokens=50", "crash-engine=3 tokens=50", "crash-engine=30 tokens=200", "crash-engine=30 tokens=50"} {
@@ -132,6 +135,7 @@
 // A rack's worth of servers dies at once, and then another one that got the
 // refugees. Nobody is quarantined.
 func TestRackDies(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 5})
 	answers := make([]*cluster.Transcript, 40)
 	var work sync.WaitGroup
@@ -161,6 +165,7 @@
 // Each data centre, cut off from the platform and all others, goes on with model
 // answers and idempotent calls. What must not be repeated is refused at once.
 func TestCutOffDataCentresServe(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 3, Regions: 2, NodesEach: 2, EnginesEach: 2, AppsEach: 1, Linked: true})
 	for i := range 3 {
 		cutOff(t, c, fmt.Sprintf("dc-%d", i+1))
@@ -202,6 +207,7 @@
 
 // With no engine in reach a request is refused at once and was truly not run.
 func TestNoEngineMeansNotRun(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 2})
 	for _, e := range c.Engines() {
 		c.Link("nodes", e.Name()).Break()
--- a/test/integration/engine_failure_test.go
+++ b/test/integration/engine_failure_test.go
@@ -43,6 +43,7 @@
 }
 
 func TestEngineDies(t *testing.T) {
+	t.Parallel()
 	for _, at := range []int{1, 75, longAnswer - 1} {
 		c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 3})
 		x := watchFailing(t, c, at, func(e *cluster.Engine) { e.Kill() })
@@ -53,6 +54,7 @@
 
 // Both engines on which the answer runs die, one after the other.
 func TestTwoEnginesDie(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 4})
 	at := []int{30, 100}
 	kills := 0
@@ -69,6 +71,7 @@
 // A frozen engine wakes after the next attempt began; its late tokens must not
 // come in.
 func TestEngineFreezesAndWakes(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 3})
 	var frozen *cluster.Engine
 	x := c.Node(0).Watch(testContext(t), cluster.Prompt{Text: "tokens=150", Key: "frozen"}, func(x *cluster.Transcript) {
@@ -86,6 +89,7 @@
 
 // Streams that end in other ways than they should, on engines that live.
 func TestStreamBreaks(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 2})
 	faults := map[string]engine.Faults{
 		"closed":              {CloseAfter: 30},
@@ -111,6 +115,7 @@
 
 // A connection that is cut in the middle of a token.
 func TestStreamCutMidToken(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 1, EnginesEach: 2})
 	for _, bytes := range []int{700, 1001, 2222} {
 		must(t, c.Link("nodes", "engine-1").CutAfter(bytes))
@@ -125,6 +130,7 @@
 
 // The path to an engine swallows everything in one direction.
 func TestEngineCutOff(t *testing.T) {
+	t.Parallel()
 	ways := map[string]func(l *cluster.Link) error{
 		"requests": (*cluster.Link).SwallowRequests,
 		"answers":  (*cluster.Link).SwallowAnswers,
--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -116,6 +116,7 @@
 }
 
 func TestLeavingServerGetsNoWork(t *testing.T) {
+	t.Parallel()
 	ways := map[string]func(c *cluster.Cluster) error{
 		"own-word":  func(c *cluster.Cluster) error { return c.Engine(0).Set(engine.Faults{Leaving: true}) },
 		"host-list": func(c *cluster.Cluster) error { return c.PublishHosts("engine-1") },
@@ -146,7 +147,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2, Linked: true, TokenMS: 5})
 			l := startLoad(t, c, "tokens=20", everyNode)
-			time.Sleep(time.Second)
+			await(t, "the server has work", func() bool { return running(t, c.Engine(0)) > 0 })
 			must(t, leave(c))
 			since := time.Now()
 			time.Sleep(leaveBound + 2*time.Second)
@@ -161,10 +162,11 @@
 // A server leaves in a data centre that is cut off from all others and the
 // platform.
 func TestLeavingServerInCutOffDataCentre(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2, Linked: true, TokenMS: 5})
 	cutOff(t, c, "dc-1")
 	l := startLoad(t, c, "tokens=20", func(n *cluster.Node) bool { return n.DataCentre() == "dc-1" })
-	time.Sleep(2 * time.Second)
+	await(t, "the server has work", func() bool { return running(t, c.Engine(0)) > 0 })
 	must(t, c.Engine(0).Set(engine.Faults{Leaving: true}))
 	since := time.Now()
 	time.Sleep(leaveBound + 2*time.Second)
@@ -177,6 +179,7 @@
 // All entry hosts are replaced one after the other under load with long answers
 // and purchases; nothing that was begun is cut.
 func TestRollingReplacement(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2, AppsEach: 1, Linked: true})
 	must(t, setApps(c, application.Faults{BeforeMS: 30, AfterMS: 30}))
 	l := startLoad(t, c, "tokens=100", everyNode)
@@ -223,10 +226,11 @@
 // Engines are replaced one after the other: each says that it leaves, finishes
 // what it has, and is started anew.
 func TestRollingServers(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2, AppsEach: 1, Linked: true})
 	l := startLoad(t, c, "tokens=50", everyNode)
 	for _, e := range c.Engines() {
-		time.Sleep(500 * time.Millisecond)
+		await(t, e.Name()+" has work", func() bool { return running(t, e) > 0 })
 		must(t, e.Set(engine.Faults{Leaving: true}))
 		since := time.Now()
 		time.Sleep(leaveBound)
--- a/test/integration/node_failure_test.go
+++ b/test/integration/node_failure_test.go
@@ -97,6 +97,7 @@
 }
 
 func TestHolderDies(t *testing.T) {
+	t.Parallel()
 	ways := map[string]comeBack{"last-event": byLastEvent, "repeat": byRepeat}
 	for name, back := range ways {
 		for _, at := range []int{1, 60, longAnswer - 1} {
@@ -113,6 +114,7 @@
 
 // The caller comes back to each of the other nodes, whichever has the copy.
 func TestAnyNodeGoesOn(t *testing.T) {
+	t.Parallel()
 	for i := 1; i < 4; i++ {
 		c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
 		p := cluster.Prompt{Text: "tokens=150", Key: "any-node"}
@@ -125,6 +127,7 @@
 // A holder freezes, is replaced, and wakes: its own caller and the one who came
 // back each see one answer.
 func TestHolderFreezesAndWakes(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
 	p := cluster.Prompt{Text: "tokens=150", Key: "holder-freezes"}
 	frozen := c.Node(0)
@@ -144,6 +147,7 @@
 
 // Two losses in one answer: the holder, then the engine of the node that goes on.
 func TestHolderThenEngineDies(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2})
 	p := cluster.Prompt{Text: "tokens=150", Key: "both-die"}
 	j := readUntil(t, c.Node(0), p, 40, c.Node(0).Kill)
@@ -160,6 +164,7 @@
 
 // The replica dies or freezes: the answer gets another one and goes on.
 func TestReplicaFails(t *testing.T) {
+	t.Parallel()
 	ways := map[string]func(n *cluster.Node){
 		"dies":    func(n *cluster.Node) { n.Kill() },
 		"freezes": func(n *cluster.Node) { n.Freeze() },
@@ -192,6 +197,7 @@
 // Both sides of a partition go on with one answer. Callers see two answers,
 // never a mix; a caller whose answer diverged is told so.
 func TestBothSidesGoOn(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 2, Linked: true})
 	p := cluster.Prompt{Text: "tokens=300", Key: "both-sides"}
 	var other *cluster.Transcript
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -10,6 +10,7 @@
 // The whole path: caller, entry host, engine and back, on two entry hosts that
 // read a configuration made from a questionnaire.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 2, AppsEach: 1})
 	ctx := testContext(t)
 	for _, n := range c.Nodes() {
