--- a/core/claim/desk.go
+++ b/core/claim/desk.go
@@ -19,6 +19,9 @@
 	askWait     = time.Second
 	retryAfter  = 2 * time.Second
 	keeping     = time.Hour
+	// abandonLead is by how much the caller who is told that its call was not run
+	// comes before others who may then run it.
+	abandonLead = 100 * time.Millisecond
 	// maxKept is the size in bytes of the largest response body that the table
 	// keeps for repeats.
 	maxKept = 256 << 10
@@ -32,6 +35,7 @@
 // the caller has begun again under another claim.
 type ended struct {
 	outcome Outcome
+	from    time.Time // when other callers may learn of it
 	until   time.Time
 }
 
@@ -151,6 +155,12 @@
 		return
 	}
 	outcome := d.send(ctx, e, r)
+	if outcome.State == Abandoned {
+		d.finish(e, outcome)
+		pause(d.ctx, abandonLead)
+		d.recordLater(e, r, outcome)
+		return
+	}
 	recorded := d.record(e, r, outcome)
 	d.finish(e, outcome)
 	if !recorded {
@@ -161,7 +171,7 @@
 func (d *Desk) finish(e *entry, o Outcome) {
 	e.outcome = o
 	if o.State != Done {
-		d.past.Put(claimName(e.claimID), ended{outcome: o, until: e.until})
+		d.past.Put(claimName(e.claimID), ended{outcome: o, from: time.Now().Add(abandonLead), until: e.until})
 	}
 	close(e.done)
 }
@@ -239,21 +249,36 @@
 	if incarnation != d.incarnation {
 		return Word{}
 	}
-	if x, found := d.past.Get(claimName(claimID)); found {
-		return Word{Known: true, Outcome: x.outcome}
-	}
 	e, found := d.calls.Get(keyName(key.String()))
-	if !found || e.claimID != claimID {
+	if found && e.claimID == claimID {
+		select {
+		case <-e.done:
+		case <-ctx.Done():
+			return stillRunning()
+		}
+		if e.outcome.State == Done {
+			return Word{Known: true, Outcome: e.outcome}
+		}
+	}
+	return d.pastWord(ctx, claimName(claimID))
+}
+
+// pastWord tells of a claim that ended without a response, once its own caller
+// has been told.
+func (d *Desk) pastWord(ctx context.Context, id claimName) Word {
+	x, found := d.past.Get(id)
+	if !found {
 		return Word{}
 	}
-	select {
-	case <-e.done:
-		return Word{Known: true, Outcome: e.outcome}
-	case <-ctx.Done():
-		return Word{Known: true, Outcome: Outcome{State: Claimed}}
+	pause(ctx, time.Until(x.from))
+	if time.Now().Before(x.from) {
+		return stillRunning()
 	}
+	return Word{Known: true, Outcome: x.outcome}
 }
 
+func stillRunning() Word { return Word{Known: true, Outcome: Outcome{State: Claimed}} }
+
 func pause(ctx context.Context, most time.Duration) {
 	t := time.NewTimer(most)
 	defer t.Stop()
