Test outside input, the command line and the parsers

Cause found: a body that stops half way held its caller for ever, because the read deadline was taken back and the server then waited for the rest of the body before it answered (TestBrokenConnections, 60 s without an answer). The deadline now stays after a failed read.

--- a/core/claim/model_test.go
+++ b/core/claim/model_test.go
@@ -36,11 +36,11 @@
 type writeFate int
 
 const (
-	writeWorks    writeFate = iota
-	writeLost               // not applied, no answer
-	answerLost              // applied, no answer
-	writeLate               // no answer, applied later
-	writeRefused            // the platform is down
+	writeWorks   writeFate = iota
+	writeLost              // not applied, no answer
+	answerLost             // applied, no answer
+	writeLate              // no answer, applied later
+	writeRefused           // the platform is down
 	writeFates
 )
 
--- /dev/null
+++ b/core/completion/request_test.go
@@ -0,0 +1,84 @@
+package completion_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"cicadabeam/core/completion"
+)
+
+func TestRefused(t *testing.T) {
+	bodies := map[string]string{
+		``:                                    "not a JSON object",
+		`[]`:                                  "not a JSON object",
+		`{"messages":[{"content":"x"}]}`:      "model is missing",
+		`{"model":"m"}`:                       "messages is missing",
+		`{"model":"m","messages":"x"}`:        "cannot unmarshal",
+		`{"model":"m","messages":[{}],"n":2}`: "n and best_of",
+		`{"model":"m","messages":[{}],"logprobs":true}`:                          "logprobs",
+		`{"model":"m","messages":[{}],"tools":[{}]}`:                             "tools",
+		`{"model":"m","messages":[{}],"response_format":{"type":"json_object"}}`: "response_format",
+		`{"model":"m","messages":[{}],"max_tokens":0}`:                           "max_tokens",
+	}
+	for body, want := range bodies {
+		_, err := completion.Parse(completion.Chat, []byte(body))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, not %q", body, err, want)
+		}
+	}
+	if _, err := completion.Parse(completion.Text, []byte(`{"model":"m","prompt":[1,2]}`)); err == nil {
+		t.Error("a prompt of token numbers was accepted")
+	}
+}
+
+func TestResume(t *testing.T) {
+	r, err := completion.Parse(completion.Chat, []byte(`{"model":"m","messages":[{"role":"user","content":"q"}],"max_completion_tokens":10,"stop":["END"],"seed":7}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := r.Resume("so far \"", 4, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got struct {
+		Messages []struct{ Role, Content string } `json:"messages"`
+		Max      int                              `json:"max_completion_tokens"`
+		Continue bool                             `json:"continue_final_message"`
+		Stream   bool                             `json:"stream"`
+		Stop     []string                         `json:"stop"`
+		Seed     int                              `json:"seed"`
+		Priority int                              `json:"priority"`
+	}
+	if err := json.Unmarshal(body, &got); err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Messages) != 2 || got.Messages[1].Role != "assistant" || got.Messages[1].Content != "so far \"" {
+		t.Fatalf("messages %+v", got.Messages)
+	}
+	if got.Max != 6 || !got.Continue || !got.Stream || got.Stop[0] != "END" || got.Seed != 7 || got.Priority != 2 {
+		t.Fatalf("%+v", got)
+	}
+	if r.Exhausted(9) || !r.Exhausted(10) {
+		t.Fatal("wrong end")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(`{"model":"m","messages":[{"role":"user","content":"q"}]}`, "text")
+	f.Add(`{"model":"m","messages":[null],"stop":null}`, "\x00")
+	f.Add(`{"model":"m","messages":[{"content":[{"type":"text"}]}],"max_tokens":1e3}`, "é")
+	f.Fuzz(func(t *testing.T, body, text string) {
+		r, err := completion.Parse(completion.Chat, []byte(body))
+		if err != nil {
+			return
+		}
+		next, err := r.Resume(text, 1, 0)
+		if err != nil {
+			t.Fatalf("accepted, but can't be resumed: %v", err)
+		}
+		if _, err := completion.Parse(completion.Chat, next); err != nil && !r.Exhausted(1) {
+			t.Fatalf("resumed into a request that is refused: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,58 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"cicadabeam/core/quarantine"
+)
+
+type death struct {
+	request quarantine.Fingerprint
+	server  string
+	tokens  int
+	at      time.Duration
+}
+
+func TestJudge(t *testing.T) {
+	cases := map[string]struct {
+		deaths []death
+		guilty map[quarantine.Fingerprint]bool
+	}{
+		"one death":                 {[]death{{1, "a", 0, 0}}, map[quarantine.Fingerprint]bool{1: false}},
+		"two early deaths":          {[]death{{1, "a", 0, 0}, {1, "b", 3, time.Second}}, map[quarantine.Fingerprint]bool{1: true}},
+		"two after as many tokens":  {[]death{{1, "a", 90, 0}, {1, "b", 91, time.Minute}}, map[quarantine.Fingerprint]bool{1: true}},
+		"at the position it killed": {[]death{{1, "a", 90, 0}, {1, "b", 0, time.Second}}, map[quarantine.Fingerprint]bool{1: true}},
+		"two unlike deaths":         {[]death{{1, "a", 30, 0}, {1, "b", 70, time.Minute}}, map[quarantine.Fingerprint]bool{1: false}},
+		"three deaths":              {[]death{{1, "a", 30, 0}, {1, "b", 70, time.Minute}, {1, "c", 200, time.Hour}}, map[quarantine.Fingerprint]bool{1: true}},
+		"one server twice":          {[]death{{1, "a", 0, 0}, {1, "a", 0, time.Second}}, map[quarantine.Fingerprint]bool{1: false}},
+		"bystander on both servers": {
+			[]death{{1, "a", 2, 0}, {2, "a", 300, 0}, {1, "b", 2, time.Second}, {2, "b", 4, time.Second}},
+			map[quarantine.Fingerprint]bool{1: true, 2: false},
+		},
+		"rack dies": {
+			[]death{{1, "a", 50, 0}, {1, "b", 0, 20 * time.Millisecond}, {2, "c", 50, 0}, {3, "d", 50, 0}},
+			map[quarantine.Fingerprint]bool{1: false, 2: false, 3: false},
+		},
+		"rack dies, then another": {
+			[]death{{1, "a", 50, 0}, {2, "c", 50, 0}, {3, "d", 50, 0}, {1, "e", 4, 2 * time.Second}},
+			map[quarantine.Fingerprint]bool{1: false},
+		},
+	}
+	for name, x := range cases {
+		t.Run(name, func(t *testing.T) {
+			l := quarantine.New()
+			start := time.Now()
+			now := start
+			for _, d := range x.deaths {
+				now = start.Add(d.at)
+				l.Died(quarantine.Suspicion{Fingerprint: d.request, Server: d.server, Tokens: d.tokens}, now)
+			}
+			for f, want := range x.guilty {
+				if got := l.Judge(f, now); got != want {
+					t.Errorf("request %v: quarantined %v, not %v", f, got, want)
+				}
+			}
+		})
+	}
+}
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -161,10 +161,12 @@
 	c := http.NewResponseController(x.w)
 	_ = c.SetReadDeadline(time.Now().Add(h.limits.BodyWait))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.limits.BodyBytes))
-	_ = c.SetReadDeadline(time.Time{})
 	if err == nil {
+		_ = c.SetReadDeadline(time.Time{})
 		return body, nil
 	}
+	// The deadline stays: the server reads the rest of the body before it answers.
+	x.w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, fault.Newf(fault.TooLarge, "read-body", "", "the body has more than %d bytes", large.Limit)
--- /dev/null
+++ b/io/engine/stream_test.go
@@ -0,0 +1,70 @@
+package engine
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/fault"
+	"cicadabeam/core/generation"
+)
+
+func readAll(text string) ([]generation.Chunk, error) {
+	s := newStream(io.NopCloser(strings.NewReader(text)), func() {}, "engine-1")
+	var all []generation.Chunk
+	for {
+		c, err := s.Next()
+		if err != nil {
+			return all, err
+		}
+		all = append(all, c)
+	}
+}
+
+func TestStream(t *testing.T) {
+	cases := map[string]struct {
+		text   string
+		chunks int
+		whole  bool
+	}{
+		"whole":            {"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n", 1, true},
+		"comments":         {": ping\n\nid: 3\ndata: {\"choices\":[]}\n\ndata: [DONE]\n", 1, true},
+		"no marker":        {"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n", 1, false},
+		"cut in the event": {"data: {\"choices\":[{\"delta\":{\"cont", 0, false},
+		"no JSON":          {"data: token\n\n", 0, false},
+		"error event":      {"data: {\"error\":{\"message\":\"out of memory\"}}\n\n", 0, false},
+		"empty":            {"", 0, false},
+		"long line":        {"data: " + strings.Repeat("x", maxEventBytes+1) + "\n", 0, false},
+	}
+	for name, x := range cases {
+		chunks, err := readAll(x.text)
+		if len(chunks) != x.chunks || errors.Is(err, generation.ErrEnd) != x.whole {
+			t.Errorf("%s: %d chunks, %v", name, len(chunks), err)
+		}
+		if !x.whole && (!fault.Is(err, fault.ServerFailed) || fault.From(err).Peer() != "engine-1") {
+			t.Errorf("%s: the error does not tell step and peer: %v", name, err)
+		}
+	}
+}
+
+// Tokens are counted by the engine's usage, else one for each text.
+func TestStreamCountsTokens(t *testing.T) {
+	chunks, _ := readAll("data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"choices\":[{\"text\":\"b\"}],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":5}}\n\n")
+	if len(chunks) != 2 || chunks[0].Completion != 1 || chunks[1].Completion != 5 || chunks[1].Prompt != 9 {
+		t.Fatalf("%+v", chunks)
+	}
+}
+
+func FuzzStream(f *testing.F) {
+	f.Add("data: {\"choices\":[{\"delta\":{\"content\":\"a\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+	f.Add("data:{}\r\n\r\ndata: null\n")
+	f.Add("\n\n\ndata: [1,2]\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := readAll(text)
+		if errors.Is(err, generation.ErrEnd) && !strings.Contains(text, "[DONE]") {
+			t.Fatal("whole without the finish marker")
+		}
+	})
+}
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -52,7 +52,7 @@
 	EnginesEach int
 	AppsEach    int
 	Slots       int
-	TokenMS     int
+	TokenMS     int // -1 for none
 	// Linked puts a proxy into each path between nodes, and from each to the
 	// platform. Engines and application servers always have one.
 	Linked       bool
@@ -255,7 +255,7 @@
 func (c *Cluster) startServers() error {
 	for i := range c.layout.DataCentres * c.layout.EnginesEach {
 		e := &Engine{server: c.newServer("engine", i, hostEngines+i, i/c.layout.EnginesEach,
-			"--slots", fmt.Sprint(c.layout.Slots), "--token-ms", fmt.Sprint(c.layout.TokenMS))}
+			"--slots", fmt.Sprint(c.layout.Slots), "--token-ms", fmt.Sprint(max(c.layout.TokenMS, 0)))}
 		c.engines = append(c.engines, e)
 	}
 	for i := range c.layout.DataCentres * c.layout.AppsEach {
--- /dev/null
+++ b/test/integration/command_test.go
@@ -0,0 +1,94 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/io/operator"
+	"cicadabeam/io/platform"
+	"cicadabeam/test/cluster"
+)
+
+// tool runs the program as an operator does.
+func tool(t *testing.T, want int, args ...string) string {
+	t.Helper()
+	var out bytes.Buffer
+	c := exec.Command(filepath.Join(binaries, "cicadabeam"), args...)
+	c.Stdout, c.Stderr = &out, &out
+	err := c.Run()
+	code := 0
+	var x *exec.ExitError
+	if errors.As(err, &x) {
+		code = x.ExitCode()
+	}
+	if code != want {
+		t.Fatalf("cicadabeam %s: exit code %d, not %d\n%s", strings.Join(args, " "), code, want, out.String())
+	}
+	return out.String()
+}
+
+func expect(t *testing.T, out string, parts ...string) {
+	t.Helper()
+	for _, p := range parts {
+		if !strings.Contains(out, p) {
+			t.Errorf("%q is not in:\n%s", p, out)
+		}
+	}
+}
+
+func TestCommands(t *testing.T) {
+	t.Parallel()
+	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 1, AppsEach: 1})
+	settings := c.Node(0).Settings()
+	file := filepath.Join(t.TempDir(), "q.ini")
+	must(t, os.WriteFile(file, []byte(withModel(c, "quotes")), 0o600))
+	expect(t, tool(t, 0, "--help"), "serve", "apply", "status", "audit")
+	expect(t, tool(t, 0, "version"), ".")
+	expect(t, tool(t, 0, "man"), ".SH COMMANDS")
+	expect(t, tool(t, 2, "apply"), "QUESTIONNAIRE")
+	expect(t, tool(t, 2, "status"), "give --settings or --node")
+	expect(t, tool(t, 2, "status", "extra", "--settings", settings), "unexpected argument")
+	expect(t, tool(t, 0, "check", "--settings", settings, "--questionnaire", file), "ok", "3 organisations")
+	expect(t, tool(t, 0, "diff", "--settings", settings, file), "+ [service extra] model = quotes")
+	expect(t, tool(t, 0, "apply", "--settings", settings, "--by", "amina", "--note", "more", "--dry-run", file), "+ [service extra]")
+	expect(t, tool(t, 0, "apply", "--settings", settings, "--by", "amina", "--note", "more", file), "accepted as revision 2")
+	expect(t, tool(t, 0, "apply", "--settings", settings, file), "no change")
+	must(t, os.WriteFile(file, []byte(withModel(c, "other")), 0o600))
+	expect(t, tool(t, 4, "apply", "--settings", settings, "--base", "1", "--by", "rosa", file), "revision 2 by amina", "not applied")
+	expect(t, tool(t, 0, "show", "--settings", settings), "# revision 2", "model = quotes")
+	expect(t, tool(t, 0, "audit", "--settings", settings), "revision 2", "by amina", "more", "+ [service extra] model = quotes")
+	expect(t, tool(t, 0, "status", "--settings", settings), "node-1", "node-2", "alive", "engine-1", "revision 2", "unprotected answers 0")
+	expect(t, tool(t, 0, "key", "--hash", "key-forge"), "key-sha256 = ")
+	checkJSON(t, settings)
+}
+
+// What a program reads is JSON.
+func checkJSON(t *testing.T, settings string) {
+	t.Helper()
+	var s operator.Status
+	must(t, json.Unmarshal([]byte(tool(t, 0, "status", "--json", "--settings", settings)), &s))
+	if s.Node != "node-1" || s.Revision != 2 || len(s.Nodes) != 2 || len(s.Servers) != 2 {
+		t.Errorf("%+v", s)
+	}
+	var trail []platform.Audit
+	must(t, json.Unmarshal([]byte(tool(t, 0, "audit", "--json", "--settings", settings)), &trail))
+	if len(trail) != 2 || trail[0].By != "amina" {
+		t.Errorf("%+v", trail)
+	}
+}
+
+func TestCheckTellsEveryProblem(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "bad.ini")
+	must(t, os.WriteFile(file, []byte("[server a]\nslots = many\n[organisation b]\nkeys = x\n"), 0o600))
+	expect(t, tool(t, 3, "check", "--questionnaire", file), "bad.ini:2: [server a] slots", "[server a] address", "bad.ini:4: [organisation b] keys: is no known key")
+	expect(t, tool(t, 3, "check", "--settings", file), "[node] name: is missing", "is no known section")
+	expect(t, tool(t, 3, "serve", "--settings", file), "[node] name: is missing")
+}
--- /dev/null
+++ b/test/integration/input_test.go
@@ -0,0 +1,181 @@
+package integration
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadabeam/test/check"
+	"cicadabeam/test/cluster"
+)
+
+type badRequest struct {
+	name   string
+	method string
+	path   string
+	key    string
+	body   string
+	header map[string]string
+	status int
+	code   string
+}
+
+var badRequests = []badRequest{
+	{name: "no key", method: "POST", path: "/v1/chat/completions", body: `{}`, status: 401, code: "unauthorized"},
+	{name: "wrong key", method: "POST", path: "/v1/chat/completions", key: "key-nobody", body: `{}`, status: 401, code: "unauthorized"},
+	{name: "no JSON", method: "POST", path: "/v1/chat/completions", key: "key-forge", body: `{"model":`, status: 400, code: "bad_request"},
+	{name: "no model", method: "POST", path: "/v1/chat/completions", key: "key-forge", body: `{"model":"none","messages":[{}]}`, status: 404, code: "not_found"},
+	{name: "several choices", method: "POST", path: "/v1/completions", key: "key-forge", body: `{"model":"ledger","prompt":"x","n":3}`, status: 400, code: "bad_request"},
+	{name: "bad event id", method: "POST", path: "/v1/chat/completions", key: "key-forge", body: `{"model":"ledger","messages":[{}]}`, header: map[string]string{"Last-Event-ID": "7"}, status: 400, code: "bad_request"},
+	{name: "bad key", method: "POST", path: "/v1/chat/completions", key: "key-forge", body: `{"model":"ledger","messages":[{}]}`, header: map[string]string{"Idempotency-Key": "a b"}, status: 400, code: "bad_request"},
+	{name: "too large", method: "POST", path: "/v1/chat/completions", key: "key-forge", body: `{"model":"` + strings.Repeat("x", 70000) + `"}`, status: 413, code: "too_large"},
+	{name: "unknown path", method: "GET", path: "/v2/things", key: "key-forge", status: 404, code: "not_found"},
+	{name: "wrong method", method: "DELETE", path: "/v1/chat/completions", key: "key-forge", status: 404, code: "not_found"},
+	{name: "unknown answer", method: "GET", path: "/v1/answers/answer-0", key: "key-forge", status: 404, code: "not_found"},
+	{name: "unknown service", method: "GET", path: "/services/none/x", key: "key-forge", status: 404, code: "not_found"},
+	{name: "model as service", method: "GET", path: "/services/assistant/x", key: "key-forge", status: 404, code: "not_found"},
+	{name: "purchase without key", method: "POST", path: "/services/purchase/x", key: "key-forge", body: "x", status: 400, code: "idempotency_key_required"},
+}
+
+func inputCluster(t *testing.T) *cluster.Cluster {
+	t.Helper()
+	return start(t, cluster.Layout{EnginesEach: 1, AppsEach: 1, Settings: "[limits]\nbody-bytes = 65536\nheader-bytes = 4096\nheader-wait = 500ms\nbody-wait = 500ms\n"})
+}
+
+func TestBadRequests(t *testing.T) {
+	t.Parallel()
+	c := inputCluster(t)
+	for _, x := range badRequests {
+		t.Run(x.name, func(t *testing.T) {
+			r, err := http.NewRequest(x.method, c.Node(0).URL()+x.path, strings.NewReader(x.body))
+			must(t, err)
+			if x.key != "" {
+				r.Header.Set("Authorization", "Bearer "+x.key)
+			}
+			for k, v := range x.header {
+				r.Header.Set(k, v)
+			}
+			response, err := http.DefaultClient.Do(r)
+			must(t, err)
+			defer func() { _ = response.Body.Close() }()
+			checkError(t, response, x.status, x.code)
+		})
+	}
+	checkNothingReached(t, c)
+}
+
+func checkError(t *testing.T, r *http.Response, status int, code string) {
+	t.Helper()
+	var body struct {
+		Error struct{ Message, Type, Code, Step, Ran string } `json:"error"`
+	}
+	must(t, json.NewDecoder(r.Body).Decode(&body))
+	e := body.Error
+	if r.StatusCode != status || e.Code != code || e.Message == "" || e.Type == "" || e.Step == "" || e.Ran == "" {
+		t.Fatalf("status %d, %+v", r.StatusCode, e)
+	}
+}
+
+func checkNothingReached(t *testing.T, c *cluster.Cluster) {
+	t.Helper()
+	log, err := c.EngineLog()
+	must(t, err)
+	runs, err := c.Runs()
+	must(t, err)
+	if len(log)+len(runs) > 0 {
+		t.Fatalf("%d generations and %d runs of requests that were refused", len(log), len(runs))
+	}
+}
+
+// Requests that a library would not send: half a header, half a body, a header too
+// large, and no HTTP at all.
+func TestBrokenConnections(t *testing.T) {
+	t.Parallel()
+	c := inputCluster(t)
+	head := "POST /services/purchase/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-forge\r\nIdempotency-Key: half\r\n"
+	cases := map[string]struct {
+		sent  string
+		close bool
+		want  string
+	}{
+		"half a body, then silence": {head + "Content-Length: 100\r\n\r\nabc", false, "400"},
+		"half a body, then closed":  {head + "Content-Length: 100\r\n\r\nabc", true, ""},
+		"half a header":             {"POST /services/purchase/x HTTP/1.1\r\nHost: x\r\nAuth", false, ""},
+		"header too large":          {head + "X-Long: " + strings.Repeat("x", 20000) + "\r\n\r\n", false, "431"},
+		"no HTTP":                   {"\x00\x01\x02\r\n\r\n", false, "400"},
+	}
+	for name, x := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(c.Node(0).URL(), "http://"))
+			must(t, err)
+			defer func() { _ = conn.Close() }()
+			must(t, conn.SetDeadline(time.Now().Add(testWait)))
+			_, _ = io.WriteString(conn, x.sent)
+			if x.close {
+				must(t, conn.(*net.TCPConn).CloseWrite())
+			}
+			line, _ := bufio.NewReader(conn).ReadString('\n')
+			if !strings.Contains(line, x.want) {
+				t.Fatalf("answered %q", line)
+			}
+		})
+	}
+	checkNothingReached(t, c)
+	checkWhole(t, c, c.Node(0).Ask(testContext(t), cluster.Prompt{Text: "tokens=20"}), 20)
+}
+
+// The listeners for other nodes and for operators take nobody without the secret.
+func TestSecrets(t *testing.T) {
+	t.Parallel()
+	c := start(t, cluster.Layout{EnginesEach: 1})
+	conn, err := net.Dial("tcp", c.Node(0).PeersAddress())
+	must(t, err)
+	defer func() { _ = conn.Close() }()
+	must(t, conn.SetDeadline(time.Now().Add(testWait)))
+	_, err = conn.Write(make([]byte, 48))
+	must(t, err)
+	if n, _ := io.Copy(io.Discard, conn); n > 16 {
+		t.Fatalf("a stranger got %d bytes, more than the nonce", n)
+	}
+	for _, path := range []string{"/v1/status", "/v1/configuration", "/v1/audit", "/metrics"} {
+		r, err := http.Get(c.Node(0).OperatorsURL() + path)
+		must(t, err)
+		_ = r.Body.Close()
+		if r.StatusCode != http.StatusUnauthorized {
+			t.Errorf("%s without the secret: %d", path, r.StatusCode)
+		}
+	}
+}
+
+// A caller that doesn't read is given up, and the node goes on.
+func TestSlowReader(t *testing.T) {
+	t.Parallel()
+	c := start(t, cluster.Layout{EnginesEach: 1, TokenMS: -1, Settings: "[limits]\nwrite-wait = 300ms\n"})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(c.Node(0).URL(), "http://"))
+	must(t, err)
+	defer func() { _ = conn.Close() }()
+	must(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+	body := `{"model":"ledger","stream":true,"messages":[{"role":"user","content":"tokens=300000 marker=slow"}]}`
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-forge\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	must(t, err)
+	await(t, "the request has begun", func() bool { return requests(c) == 1 })
+	await(t, "the slow reader is given up", func() bool { return requests(c) == 0 })
+	log, err := c.EngineLog()
+	must(t, err)
+	must(t, check.Prefix("", "slow", log))
+	checkWhole(t, c, c.Node(0).Ask(testContext(t), cluster.Prompt{Text: "tokens=20"}), 20)
+}
+
+func requests(c *cluster.Cluster) int {
+	s, err := c.Node(0).Status()
+	if err != nil {
+		return -1
+	}
+	return s.Requests
+}
