--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 .PHONY: build demo test lint bench model fuzz clean
 
 build:
-	go build -o $(BIN)/ cicadabeam/cmd/cicadabeam cicadabeam/test/cmd/standin cicadabeam/test/cmd/demo
+	go build -o $(BIN)/ cicadabeam/cmd/cicadabeam cicadabeam/test/cmd/standin cicadabeam/test/cmd/demo cicadabeam/test/cmd/bench
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
@@ -16,5 +16,20 @@
 	go vet work
 	go tool staticcheck ./core/... ./io/... ./cmd/... ./test/...
 
+bench: build
+	$(BIN)/bench relay
+	$(BIN)/bench resume
+	$(BIN)/bench control
+	$(BIN)/bench choose
+
+model:
+	cd core && MODEL=1 go test -count=1 ./claim -rapid.checks=200000
+
+fuzz:
+	cd core && go test ./config -run none -fuzz FuzzParse -fuzztime 30s
+	cd core && go test ./completion -run none -fuzz FuzzParse -fuzztime 30s
+	cd io && go test ./engine -run none -fuzz FuzzStream -fuzztime 30s
+	cd cmd && go test ./settings -run none -fuzz FuzzParse -fuzztime 30s
+
 clean:
 	rm -rf $(BIN)
--- a/cmd/node/config.go
+++ b/cmd/node/config.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// Choosers implements route.Site.
+func (n *Node) Choosers() int { return len(n.nodes.Neighbours()) + 1 }
+
 func (n *Node) revision() uint64 {
 	c := n.Config()
 	if c == nil {
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -1,6 +1,6 @@
 // Package balance chooses the backend server for a request: near before far,
-// the one with the prefix cached if it isn't overloaded, else the less loaded
-// of two random ones.
+// the one with the prefix cached if it isn't overloaded, else the least loaded of
+// a few random ones.
 //
 // # Usage
 //
@@ -11,7 +11,9 @@
 package balance
 
 import (
+	"math"
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"cicadabeam/core/config"
@@ -26,6 +28,14 @@
 	affinitySlackCount = 1
 )
 
+// crowd is the number of nodes from which on a request compares sampleInCrowd
+// servers instead of sampleAmongFew.
+const (
+	crowd          = 16
+	sampleInCrowd  = 2
+	sampleAmongFew = 3
+)
+
 // Query describes a request that needs a server.
 type Query struct {
 	Candidates []config.Server
@@ -39,7 +49,9 @@
 	Exclude map[string]bool
 	// Suspect marks a request that was running on a server as it died.
 	Suspect bool
-	Now     time.Time
+	// Choosers is the number of nodes that choose by the same reports.
+	Choosers int
+	Now      time.Time
 }
 
 // Result tells why a server was or wasn't found.
@@ -150,7 +162,7 @@
 	if s, found := t.pickAffine(servers, q); found {
 		return s, true
 	}
-	return t.pickRandom(servers, q.Now)
+	return t.pickRandom(servers, q)
 }
 
 // pickAffine reserves the server that has the prefix, unless it is overloaded.
@@ -170,25 +182,48 @@
 	return best, t.reserve(best, q.Now, false)
 }
 
-// pickRandom reserves the less loaded of two random servers; if both are full,
+// pickRandom reserves the least loaded of a few random servers; if those are full,
 // any that is not.
-func (t *Table) pickRandom(servers []config.Server, now time.Time) (config.Server, bool) {
+func (t *Table) pickRandom(servers []config.Server, q Query) (config.Server, bool) {
 	order := rand.Perm(len(servers))
-	a := servers[order[0]]
-	if len(order) > 1 {
-		b := servers[order[1]]
-		if t.relative(b, now) < t.relative(a, now) {
-			order[0], order[1] = order[1], order[0]
-		}
-	}
+	few := order[:min(q.sampleSize(), len(order))]
+	expected := t.expected(servers, q.Now)
+	sort.SliceStable(few, func(a, b int) bool { return expected[few[a]] < expected[few[b]] })
 	for _, i := range order {
-		if t.reserve(servers[i], now, false) {
+		if t.reserve(servers[i], q.Now, false) {
 			return servers[i], true
 		}
 	}
 	return config.Server{}, false
 }
 
+// sampleSize is how many servers a request compares. Many nodes that compare many
+// servers by the same reports would all find the same one.
+func (q Query) sampleSize() int {
+	if q.Choosers > crowd {
+		return sampleInCrowd
+	}
+	return sampleAmongFew
+}
+
+// expected returns the load of each server in parts of its slots. What other nodes
+// have there is taken from the last report, and the older that is the more from
+// the mean over all servers.
+func (t *Table) expected(servers []config.Server, now time.Time) []float64 {
+	views := make([]view, len(servers))
+	mean := 0.0
+	for i, s := range servers {
+		views[i] = t.load(s.Name()).view(s.Slots(), now)
+		mean += views[i].others / float64(len(servers))
+	}
+	loads := make([]float64, len(servers))
+	for i, v := range views {
+		trust := math.Exp(-float64(v.age) / float64(reportTrust))
+		loads[i] = v.own + mean + (v.others-mean)*trust
+	}
+	return loads
+}
+
 // pickSuspect keeps requests that may have crashed a server apart, so that the
 // next crash tells which one it was.
 func (t *Table) pickSuspect(servers []config.Server, q Query) (config.Server, bool) {
--- a/core/balance/load.go
+++ b/core/balance/load.go
@@ -14,6 +14,10 @@
 	At      int64 // Unix time in milliseconds at which the server was asked
 }
 
+// reportTrust is the age at which a report tells by a factor of e less of other
+// nodes' load than when it was new.
+const reportTrust = 500 * time.Millisecond
+
 // reportHalfLife is the age at which a report of other nodes' load counts half.
 const reportHalfLife = 4 * time.Second
 
@@ -45,6 +49,20 @@
 	return float64(l.own) + others
 }
 
+// view is a server's load in parts of its slots.
+type view struct {
+	own    float64
+	others float64
+	age    time.Duration // of what is known of others
+}
+
+func (l *load) view(slots int, now time.Time) view {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	others := max(0, l.report.Running+l.report.Waiting-l.ownThen)
+	return view{own: float64(l.own) / float64(slots), others: float64(others) / float64(slots), age: now.Sub(l.reported)}
+}
+
 func (l *load) isLeaving() bool {
 	for _, n := range l.notices {
 		if n.Leaving {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -26,6 +26,8 @@
 type Site interface {
 	Config() *config.Config
 	Tier(dataCentre string) int
+	// Choosers returns the number of nodes that choose servers here.
+	Choosers() int
 }
 
 // Request is a request that needs a server.
@@ -112,6 +114,7 @@
 		Prefix:     q.Prefix,
 		Exclude:    q.Exclude,
 		Suspect:    q.Suspect,
+		Choosers:   r.site.Choosers(),
 		Now:        time.Now(),
 	}
 }
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -467,3 +467,6 @@
 func (n *Node) operators() *operator.Client {
 	return operator.NewClient(n.url(portOperators), operatorSecret)
 }
+
+// URL returns the engine's own base URL, past its link.
+func (e *Engine) URL() string { return "http://" + e.address }
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -80,7 +80,10 @@
 	if !strings.Contains(c.layout.Settings, "[drain]") {
 		b.WriteString("[drain]\ngrace = 200ms\nwait = 60s\n")
 	}
-	b.WriteString("[log]\nlevel = debug\n" + c.layout.Settings)
+	if !strings.Contains(c.layout.Settings, "[log]") {
+		b.WriteString("[log]\nlevel = debug\n")
+	}
+	b.WriteString(c.layout.Settings)
 	return b.String()
 }
 
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -115,3 +115,6 @@
 		time.Sleep(pollPause)
 	}
 }
+
+// Pid returns the process's id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
--- /dev/null
+++ b/test/cmd/bench/relay.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cicadabeam/test/cluster"
+)
+
+type relay struct {
+	Streams int `long:"streams" default:"200" description:"answers at once"`
+	Tokens  int `long:"tokens" default:"400" description:"tokens of each"`
+	TokenMS int `long:"token-ms" default:"10" description:"time between tokens"`
+	Rounds  int `long:"rounds" default:"5"`
+}
+
+const (
+	startEvery = 5 * time.Millisecond // open loop: answers begin whether or not others wait
+	benchWait  = 5 * time.Minute
+)
+
+// Execute compares the way straight to the engines with the one through an entry
+// host, with a replica and without.
+func (b *relay) Execute([]string) error {
+	fmt.Println("way            first token ms: p50    p95    p99   gap p95 ms  tokens/s  node cores  tokens/s/core  node RSS MB")
+	for range b.Rounds {
+		for _, way := range []struct {
+			name  string
+			nodes int
+		}{{"straight", 1}, {"no-replica", 1}, {"replica", 2}} {
+			if err := b.measure(way.name, way.nodes); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (b *relay) measure(way string, nodes int) error {
+	l := cluster.Layout{DataCentres: nodes, NodesEach: 1, EnginesEach: 4 / nodes, Slots: 1000, TokenMS: b.TokenMS}
+	return withCluster(l, func(c *cluster.Cluster) error {
+		url, key := c.Node(0).URL(), "key-forge"
+		if way == "straight" {
+			url = ""
+		}
+		before, err := usageOf(c.Node(0).Process)
+		if err != nil {
+			return err
+		}
+		r := b.run(c, url, key)
+		after, err := usageOf(c.Node(0).Process)
+		if err != nil {
+			return err
+		}
+		d := after.since(before)
+		tokens := float64(b.Streams * b.Tokens)
+		fmt.Printf("%-14s %20.1f %6.1f %6.1f %12.1f %9.0f %11.2f %14.0f %12.1f\n", way, ms(r.first, 50), ms(r.first, 95), ms(r.first, 99), ms(r.gaps, 95),
+			tokens/r.took.Seconds(), d.cores(before), tokens/max(d.cpu.Seconds(), 0.01), float64(after.rss)/1e6)
+		if r.failed > 0 {
+			return fmt.Errorf("%s: %d answers failed", way, r.failed)
+		}
+		return nil
+	})
+}
+
+type relayed struct {
+	mu     sync.Mutex
+	first  *hdrhistogram.Histogram // microseconds
+	gaps   *hdrhistogram.Histogram
+	failed int
+	took   time.Duration
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
+
+func ms(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func (b *relay) run(c *cluster.Cluster, url, key string) *relayed {
+	r := &relayed{first: newHistogram(), gaps: newHistogram()}
+	ctx, cancel := context.WithTimeout(context.Background(), benchWait)
+	defer cancel()
+	start := time.Now()
+	var work sync.WaitGroup
+	for i := range b.Streams {
+		at := url
+		if at == "" {
+			at = c.Engine(i % len(c.Engines())).URL()
+		}
+		work.Go(func() { r.stream(ctx, at, key, b.Tokens, i) })
+		time.Sleep(startEvery)
+	}
+	work.Wait()
+	r.took = time.Since(start)
+	return r
+}
+
+// stream reads one answer and notes its times, without decoding its events.
+func (r *relayed) stream(ctx context.Context, url, key string, tokens, i int) {
+	body := fmt.Sprintf(`{"model":"ledger","stream":true,"messages":[{"role":"user","content":"%d tokens=%d marker=m%d"}]}`, i, tokens, i)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		r.fail()
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	sent := time.Now()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil || response.StatusCode != http.StatusOK {
+		r.fail()
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	last := time.Time{}
+	done := false
+	s := bufio.NewScanner(response.Body)
+	for s.Scan() {
+		switch {
+		case bytes.Contains(s.Bytes(), []byte(`"content":" t`)):
+			now := time.Now()
+			r.note(sent, last, now)
+			last = now
+		case bytes.HasPrefix(s.Bytes(), []byte("data: [DONE]")):
+			done = true
+		}
+	}
+	if !done {
+		r.fail()
+	}
+}
+
+func (r *relayed) note(sent, last, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if last.IsZero() {
+		_ = r.first.RecordValue(now.Sub(sent).Microseconds())
+		return
+	}
+	_ = r.gaps.RecordValue(now.Sub(last).Microseconds())
+}
+
+func (r *relayed) fail() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed++
+}
