--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -30,6 +30,7 @@
 	Path         string
 	Body         []byte
 	BodyHash     uint64
+	Keyed        bool  // the caller chose the key, and may come back with it
 	Created      int64 // Unix time in seconds
 }
 
@@ -91,9 +92,8 @@
 
 // Answer is one answer on one node.
 type Answer struct {
-	header Header
-
 	mu           sync.Mutex
+	header       Header
 	holder       string
 	epoch        uint64
 	transcript   transcript
@@ -103,6 +103,7 @@
 	released     int
 	finishCopied bool
 	finishOut    bool
+	summarised   bool
 	changed      chan struct{}
 	readers      int
 	idleSince    time.Time
@@ -130,7 +131,32 @@
 }
 
 // Header returns what stays the same.
-func (a *Answer) Header() Header { return a.header }
+func (a *Answer) Header() Header {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.header
+}
+
+// Summarise replaces the request's body, which may be large, by what is needed of
+// it once the answer has ended. Its hash stays.
+func (a *Answer) Summarise(summary func(path string, body []byte) []byte) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.summarised || !a.ended() {
+		return
+	}
+	a.summarised = true
+	a.header.Body = summary(a.header.Path, a.header.Body)
+}
+
+// Ended tells whether the answer has ended and all of it is released.
+func (a *Answer) Ended() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ended()
+}
+
+func (a *Answer) ended() bool { return a.finishOut && a.released == a.transcript.len() }
 
 // Holder returns the node that produces the answer, and its epoch.
 func (a *Answer) Holder() (string, uint64) {
--- a/core/answer/view.go
+++ b/core/answer/view.go
@@ -54,7 +54,7 @@
 	if from < a.released {
 		v.pieces = a.transcript.slice(from, a.released)
 	}
-	if a.finishOut && a.released == a.transcript.len() {
+	if a.ended() {
 		v.finish = a.finish
 	}
 	return v
--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,123 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadabeam/core/balance"
+	"cicadabeam/core/config"
+)
+
+// servers returns two engines in each of three data centres.
+func servers(t *testing.T) []config.Server {
+	t.Helper()
+	text := "[region r]\n[region q]\n[data-centre near]\nregion = r\n[data-centre next]\nregion = r\n[data-centre far]\nregion = q\n[service s]\nmodel = m\n"
+	for i, dc := range []string{"near", "near", "next", "next", "far", "far"} {
+		text += fmt.Sprintf("[server %s-%d]\ndata-centre = %s\naddress = http://10.0.0.1:%d\nslots = 2\nservices = s\n", dc, i, dc, i+1)
+	}
+	c, err := config.Parse("t", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.Servers("s")
+}
+
+func query(all []config.Server, r config.Recovery) balance.Query {
+	tiers := map[string]int{"near": 0, "next": 1, "far": 2}
+	return balance.Query{Candidates: all, Tier: func(dc string) int { return tiers[dc] }, Recovery: r, Now: time.Now()}
+}
+
+// reserve takes servers until none is found and returns their data centres.
+func reserve(x *balance.Table, q balance.Query) (map[string]int, balance.Result) {
+	got := make(map[string]int)
+	for {
+		s, result := x.Reserve(q)
+		if result != balance.Found {
+			return got, result
+		}
+		got[s.DataCentre()]++
+	}
+}
+
+func TestTiers(t *testing.T) {
+	all := servers(t)
+	got, result := reserve(balance.New(), query(all, config.Latency))
+	if got["near"] != 4 || got["next"] != 4 || got["far"] != 0 || result != balance.Full {
+		t.Errorf("latency: %v, %v", got, result)
+	}
+	got, result = reserve(balance.New(), query(all, config.Cost))
+	if got["near"] != 4 || len(got) != 1 || result != balance.Full {
+		t.Errorf("cost: %v, %v", got, result)
+	}
+	got, _ = reserve(balance.New(), query(all[:2], config.Cost))
+	if got["far"] != 4 {
+		t.Errorf("only the other region serves it: %v", got)
+	}
+}
+
+func TestLeavingDownAndExcluded(t *testing.T) {
+	all := servers(t)
+	x := balance.New()
+	q := query(all, config.Latency)
+	q.Exclude = map[string]bool{"next-2": true}
+	now := time.Now()
+	x.Note(balance.Notice{Server: "near-0", Source: balance.FromHostList, Leaving: true, At: 5})
+	x.SetDown("near-1", now.Add(time.Minute))
+	got, _ := reserve(x, q)
+	if got["near"] != 0 || got["next"] != 2 {
+		t.Errorf("%v", got)
+	}
+	if x.Note(balance.Notice{Server: "near-0", Source: balance.FromHostList, Leaving: false, At: 4}) {
+		t.Error("an older notice was taken")
+	}
+	x.Note(balance.Notice{Server: "near-0", Source: balance.FromHostList, Leaving: false, At: 6})
+	if got, _ := reserve(x, q); got["near"] != 2 {
+		t.Errorf("the server no longer leaves: %v", got)
+	}
+	for _, s := range all {
+		x.Note(balance.Notice{Server: s.Name(), Source: balance.FromServer, Leaving: true, At: 9})
+	}
+	if _, result := x.Reserve(q); result != balance.None {
+		t.Errorf("result %v with all servers leaving", result)
+	}
+}
+
+// Others' load counts, and an older report than the last one doesn't.
+func TestReports(t *testing.T) {
+	all := servers(t)[2:4] // the near ones
+	x := balance.New()
+	now := time.Now()
+	for _, s := range all {
+		x.Report(balance.Report{Server: s.Name(), Running: 2, At: 10}, now)
+	}
+	if _, result := x.Reserve(query(all, config.Latency)); result == balance.Found {
+		t.Error("a full server was given work")
+	}
+	x.Report(balance.Report{Server: all[0].Name(), At: 9}, now)
+	if _, result := x.Reserve(query(all, config.Latency)); result == balance.Found {
+		t.Error("an old report was taken")
+	}
+	x.Report(balance.Report{Server: all[0].Name(), At: 11}, now)
+	if s, result := x.Reserve(query(all, config.Latency)); result != balance.Found || s.Name() != all[0].Name() {
+		t.Errorf("%v", result)
+	}
+}
+
+// Requests with one prefix go to one server until it is overloaded.
+func TestPrefix(t *testing.T) {
+	all := servers(t)[2:4]
+	q := query(all, config.Latency)
+	q.Prefix = "m/1"
+	first := ""
+	for range 20 {
+		x := balance.New()
+		s, _ := x.Reserve(q)
+		if first == "" {
+			first = s.Name()
+		}
+		if s.Name() != first {
+			t.Fatal("one prefix went to two idle servers")
+		}
+	}
+}
--- a/core/completion/request.go
+++ b/core/completion/request.go
@@ -211,6 +211,25 @@
 	return err
 }
 
+// Summary returns a short body that reads like body as far as the form of the
+// answer goes, for answers that need no more attempts. A body that can't be read is
+// returned as it is.
+func Summary(path string, body []byte) []byte {
+	r, err := Parse(path, body)
+	if err != nil {
+		return body
+	}
+	short := map[string]any{"model": r.model, "stream": r.stream, "prompt": "", "messages": []message{{Role: "user"}}}
+	if r.includeUsage {
+		short["stream_options"] = map[string]bool{"include_usage": true}
+	}
+	b, err := json.Marshal(short)
+	if err != nil {
+		return body
+	}
+	return b
+}
+
 type message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
--- a/core/holder/holder.go
+++ b/core/holder/holder.go
@@ -29,13 +29,13 @@
 	idleGrace = 30 * time.Second
 	// retention is how long an answer is kept after its end or its last reader.
 	retention          = 10 * time.Minute
+	unkeyedRetention   = 30 * time.Second
 	reservationKeeping = 20 * time.Minute
 )
 
 // Request is a caller's request for an answer.
 type Request struct {
 	Header       answer.Header
-	Keyed        bool // the caller chose the key, so others may have the answer
 	Request      *completion.Request
 	Service      config.Service
 	Organisation config.Organisation
@@ -97,7 +97,7 @@
 	if a, found := h.answers.Get(id); found {
 		return h.reader(a, r)
 	}
-	if r.Keyed {
+	if r.Header.Keyed {
 		place, found := h.locate(ctx, r.Header.ID, h.self(), h.nodes.Self().Region)
 		if found {
 			return h.remoteReader(ctx, place, r)
@@ -167,7 +167,7 @@
 	a.SetStop(cancel)
 	h.work.Go(func() {
 		defer cancel()
-		h.copier.Attach(ctx, a)
+		h.copier.Attach(a)
 		h.produce(ctx, a, epoch)
 		h.stopped(id, epoch)
 	})
@@ -190,12 +190,13 @@
 		if holder == h.self() && !done && a.Idle(now.Add(-idleGrace)) {
 			a.Cancel()
 		}
-		if done && a.Read(0).Finish().Done() {
+		if a.Ended() {
 			h.copier.Detach(a)
+			a.Summarise(completion.Summary)
 		}
 	}
 	h.answers.DeleteIf(func(_ answerID, a *answer.Answer) bool {
-		if !a.Idle(now.Add(-retention)) {
+		if !a.Idle(now.Add(-keeping(a))) {
 			return false
 		}
 		h.copier.Detach(a)
@@ -204,6 +205,15 @@
 	h.reservations.DeleteIf(func(_ answerID, r *reservation) bool { return now.After(r.till) })
 }
 
+// keeping returns how long an answer is kept when nobody reads it. Nobody comes
+// back to a whole answer under a key that only this system knows.
+func keeping(a *answer.Answer) time.Duration {
+	if a.Ended() && !a.Header().Keyed {
+		return unkeyedRetention
+	}
+	return retention
+}
+
 // Counts is a summary for operators.
 type Counts struct {
 	Held      int   `json:"held"`
--- /dev/null
+++ b/core/membership/membership_test.go
@@ -0,0 +1,108 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadabeam/core/membership"
+)
+
+func node(i, dataCentres int) membership.Node {
+	dc := i % dataCentres
+	return membership.Node{Name: fmt.Sprint("n", i), DataCentre: fmt.Sprint("dc", dc), Region: fmt.Sprint("r", dc/4), Address: fmt.Sprint("10.0.0.1:", i)}
+}
+
+// letterSize is 410 nodes in 7 data centres of 2 regions.
+func letterSize(self int) (*membership.Table, []membership.Node) {
+	var all []membership.Node
+	for i := range 410 {
+		all = append(all, node(i, 7))
+	}
+	t := membership.New(all[self])
+	t.SetListed(all, time.Now())
+	return t, all
+}
+
+// All nodes of a region agree on the homes, which are in each of its data centres,
+// and no node has much more than its share.
+func TestHomes(t *testing.T) {
+	a, all := letterSize(0)
+	b, _ := letterSize(5)
+	count := make(map[string]int)
+	const answers = 2000
+	for i := range answers {
+		id := fmt.Sprint("answer-", i)
+		homes := a.Homes("r0", id)
+		other := b.Homes("r0", id)
+		if len(homes) != 8 {
+			t.Fatalf("%d homes", len(homes))
+		}
+		for j, n := range homes {
+			if other[j].Name != n.Name {
+				t.Fatalf("two nodes disagree on the homes of %s", id)
+			}
+		}
+		r := a.Replicas(id, time.Now())[0]
+		if r.DataCentre == all[0].DataCentre || r.Region != all[0].Region {
+			t.Fatalf("the replica is in %s", r.DataCentre)
+		}
+		count[r.Name]++
+	}
+	for name, n := range count {
+		if n > 5*answers/(len(all)/7*3) {
+			t.Errorf("%s is replica of %d answers", name, n)
+		}
+	}
+}
+
+func TestLiveness(t *testing.T) {
+	self := node(0, 2)
+	near, far := node(2, 2), node(1, 2)
+	now := time.Now()
+	x := membership.New(self)
+	x.SetListed([]membership.Node{self, near, far}, now)
+	check := func(step string, name string, want bool) {
+		t.Helper()
+		if x.Alive(name, now) != want {
+			t.Errorf("%s: %s alive is %v", step, name, !want)
+		}
+	}
+	check("listed", near.Name, true)
+	now = now.Add(membership.SuspectAfter + time.Millisecond)
+	check("silent", near.Name, false)
+	check("silent in another data centre", far.Name, true)
+	x.Heard(near.Name, 3, false, now)
+	check("heard", near.Name, true)
+	x.Failed(far.Name, now)
+	check("failed", far.Name, false)
+	check("failed, later", far.Name, false)
+	now = now.Add(10 * time.Second)
+	check("failed long ago", far.Name, true)
+	x.SetListed([]membership.Node{self, far}, now.Add(time.Minute))
+	check("no longer listed", near.Name, false)
+}
+
+// Of the nodes of a data centre just count own a task, and another takes it over
+// when one is silent.
+func TestOwns(t *testing.T) {
+	now := time.Now()
+	owners := 0
+	for i := 0; i < 410; i += 7 {
+		x, _ := letterSize(i)
+		if x.Owns("config", 2, now) {
+			owners++
+		}
+	}
+	if owners != 2 {
+		t.Errorf("%d nodes own the task", owners)
+	}
+}
+
+// What a node sends heartbeats to grows with its data centre, not with all nodes.
+func TestHeartbeatTargets(t *testing.T) {
+	x, _ := letterSize(0)
+	if n := len(x.HeartbeatTargets()); n != 58+2*6 {
+		t.Errorf("%d targets", n)
+	}
+}
--- a/core/replication/copier.go
+++ b/core/replication/copier.go
@@ -9,9 +9,9 @@
 // # Usage
 //
 //	c := replication.New(link, nodes, observer)
-//	c.Attach(ctx, a)     // before the first piece
-//	c.Notify(a)          // after each piece
-//	c.Detach(a)          // when the answer has ended
+//	c.Attach(a)     // before the first piece
+//	c.Notify(a)     // after each piece
+//	c.Detach(a)     // when the answer has ended
 package replication
 
 import (
@@ -91,12 +91,12 @@
 	retry  time.Time
 }
 
-// Attach finds a replica for an answer and gives it all there is. Pieces that
-// are pushed meanwhile wait for Notify.
-func (c *Copier) Attach(ctx context.Context, a *answer.Answer) {
+// Attach begins to find a replica for an answer and gives it all there is. Pieces
+// that are pushed meanwhile wait for it.
+func (c *Copier) Attach(a *answer.Answer) {
 	p := &placement{answer: a, moving: true}
 	c.copies.Put(answerID(a.Header().ID), p)
-	c.place(ctx, p)
+	c.replace(p)
 }
 
 // Detach forgets an answer.
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -54,8 +55,7 @@
 	}
 	f := fault.From(err)
 	if !f.RetryAt().IsZero() {
-		seconds := math.Ceil(time.Until(f.RetryAt()).Seconds())
-		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(seconds))))
+		w.Header().Set("Retry-After", strconv.Itoa(retrySeconds(f.RetryAt())))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(f.Status())
@@ -63,6 +63,13 @@
 	return f.Status()
 }
 
+// retrySeconds returns in how many seconds to come back. It differs between
+// callers, so that those who are refused together don't return together.
+func retrySeconds(at time.Time) int {
+	seconds := max(1, int(math.Ceil(time.Until(at).Seconds())))
+	return seconds + rand.IntN(seconds+1)
+}
+
 // statusCallerGone stands in the log for a caller that went away.
 const statusCallerGone = 499
 
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -214,9 +214,9 @@
 	reader, err := h.backend.Start(x.r.Context(), holder.Request{
 		Header: answer.Header{
 			ID: id, Organisation: x.organisation.Name(), Service: s.Name(), Path: q.Path(), Body: body,
-			BodyHash: xxhash.Sum64(body), Created: time.Now().Unix(),
+			BodyHash: xxhash.Sum64(body), Keyed: keyed, Created: time.Now().Unix(),
 		},
-		Keyed: keyed, Request: q, Service: s, Organisation: x.organisation, Fingerprint: f, Mark: mark,
+		Request: q, Service: s, Organisation: x.organisation, Fingerprint: f, Mark: mark,
 	})
 	if err != nil {
 		return err
--- a/io/operator/handler.go
+++ b/io/operator/handler.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"strings"
 
@@ -58,6 +59,8 @@
 	h.mux.HandleFunc("GET /v1/audit", h.audit)
 	h.mux.HandleFunc("GET /v1/status", h.status)
 	h.mux.Handle("GET /metrics", metrics)
+	h.mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	h.mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	h.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, fault.Newf(fault.NotFound, "route", "", "there is no %s %s", r.Method, r.URL.Path))
 	})
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -150,3 +151,22 @@
 	defer cancel()
 	return n.operators().Status(ctx)
 }
+
+// Profile writes a profile of the node's processor time to a file.
+func (n *Node) Profile(path string, seconds int) error {
+	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/debug/pprof/profile?seconds=%d", n.OperatorsURL(), seconds), nil)
+	if err != nil {
+		return err
+	}
+	r.Header.Set("Authorization", "Bearer "+operatorSecret)
+	response, err := callers.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	b, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, b, 0o600)
+}
--- a/test/cmd/bench/relay.go
+++ b/test/cmd/bench/relay.go
@@ -16,15 +16,18 @@
 )
 
 type relay struct {
-	Streams int `long:"streams" default:"200" description:"answers at once"`
-	Tokens  int `long:"tokens" default:"400" description:"tokens of each"`
-	TokenMS int `long:"token-ms" default:"10" description:"time between tokens"`
-	Rounds  int `long:"rounds" default:"5"`
+	Streams int    `long:"streams" default:"200" description:"answers at once"`
+	Tokens  int    `long:"tokens" default:"400" description:"tokens of each"`
+	TokenMS int    `long:"token-ms" default:"10" description:"time between tokens"`
+	Rounds  int    `long:"rounds" default:"5"`
+	Profile string `long:"profile" value-name:"FILE" description:"write a profile of the node's processor time here"`
 }
 
 const (
 	startEvery = 5 * time.Millisecond // open loop: answers begin whether or not others wait
 	benchWait  = 5 * time.Minute
+
+	profileSeconds = 4
 )
 
 // Execute compares the way straight to the engines with the one through an entry
@@ -55,6 +58,9 @@
 		if err != nil {
 			return err
 		}
+		if b.Profile != "" {
+			go func() { _ = c.Node(0).Profile(b.Profile, profileSeconds) }()
+		}
 		r := b.run(c, url, key)
 		after, err := usageOf(c.Node(0).Process)
 		if err != nil {
