--- a/cmd/command/target.go
+++ b/cmd/command/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"os"
 
@@ -18,6 +19,7 @@
 type target struct {
 	Settings   string `long:"settings" value-name:"FILE" description:"a node's settings, which tell its address and the operators' secret"`
 	Node       string `long:"node" value-name:"URL" description:"the node's listener for operators, such as http://10.0.0.1:8081"`
+	Authority  string `long:"authority" value-name:"FILE" description:"certificates by which to believe a node at an https URL"`
 	SecretFile string `long:"secret-file" value-name:"FILE" description:"file with the operators' secret; else CICADABEAM_OPERATOR_SECRET"`
 }
 
@@ -27,7 +29,7 @@
 		if err != nil {
 			return nil, exitWith(ExitProblems, err)
 		}
-		return operator.NewClient(s.BaseURL(), s.OperatorSecret()), nil
+		return operator.NewClient(s.BaseURL(), s.OperatorSecret(), s.OperatorClientTLS()), nil
 	}
 	if t.Node == "" {
 		return nil, exitWith(ExitUsage, errors.New("give --settings or --node"))
@@ -40,7 +42,23 @@
 		}
 		secret = string(bytes.TrimSpace(b))
 	}
-	return operator.NewClient(t.Node, secret), nil
+	believe, err := t.believe()
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(t.Node, secret, believe), nil
+}
+
+// believe returns whom to believe at an https URL.
+func (t target) believe() (*tls.Config, error) {
+	if t.Authority == "" {
+		return nil, nil
+	}
+	pool, err := settings.LoadAuthority(t.Authority)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the authority")
+	}
+	return settings.ClientTLS(pool), nil
 }
 
 // printJSON prints a value for a program.
--- a/cmd/node/backend.go
+++ b/cmd/node/backend.go
@@ -21,6 +21,11 @@
 
 // Enter implements caller.Backend.
 func (n *Node) Enter(o config.Organisation) (func(), error) {
+	now := time.Now()
+	share := float64(o.PerSecond()) / float64(n.nodes.Accepting(now))
+	if err := n.rates.Take(o.Name(), share, now); err != nil {
+		return nil, err
+	}
 	return n.counter.Enter(o.Name(), o.MaxRunning())
 }
 
--- a/cmd/node/config.go
+++ b/cmd/node/config.go
@@ -61,6 +61,10 @@
 	n.state.CompareAndSwap(starting, ready)
 	n.metrics.revision(c.Revision())
 	n.log.WithFields(log.Fields{"revision": c.Revision(), "peer": from}).Info("configuration in force")
+	n.rates.Forget(func(o string) bool {
+		_, found := c.Organisation(o)
+		return found
+	})
 	n.spread()
 	n.router.Wake()
 }
--- a/cmd/node/loops.go
+++ b/cmd/node/loops.go
@@ -27,6 +27,8 @@
 	pollersPerDC    = 2
 	downAfterPoll   = 2500 * time.Millisecond
 	tendPeriod      = time.Second
+	sweepPeriod     = 10 * time.Second
+	sweepWait       = 5 * time.Second
 )
 
 func (n *Node) addLoops(g *run.Group) {
@@ -36,6 +38,7 @@
 	g.Add(n.loop(watchPeriod, n.watchConfig()), stop)
 	g.Add(n.loop(loadPeriod, n.pollLoads), stop)
 	g.Add(n.loop(tendPeriod, n.tend), stop)
+	g.Add(n.loop(sweepPeriod, n.sweep), stop)
 	g.Add(n.heartbeats, stop)
 }
 
@@ -205,6 +208,24 @@
 	n.measure()
 }
 
+// sweep takes old claims away, on one node for all.
+func (n *Node) sweep(now time.Time) {
+	if n.nodes.First("sweep", now) != n.nodes.Self().Name {
+		return
+	}
+	ctx, cancel := context.WithDeadline(n.ctx, now.Add(sweepWait))
+	defer cancel()
+	for ctx.Err() == nil {
+		taken, err := n.claims.Sweep(ctx, now)
+		if err != nil {
+			n.log.WithFields(log.Fields{"step": "sweep-claims", "peer": "platform", "error": err.Error()}).Warn("claims not swept")
+		}
+		if taken == 0 || err != nil {
+			return
+		}
+	}
+}
+
 // ownReports are the newest reports of the servers that this node polls.
 type ownReports struct {
 	mu  sync.Mutex
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -56,6 +57,7 @@
 	quarantine *quarantine.List
 	router     *route.Router
 	counter    *admit.Counter
+	rates      *admit.Rates
 	runner     *generation.Runner
 	copier     *replication.Copier
 	holder     *holder.Holder
@@ -64,6 +66,7 @@
 	service    *service.Client
 	platform   *platform.Client
 	configs    *platform.Configs
+	claims     *platform.Claims
 	traffic    *peer.Traffic
 	peers      *peer.Client
 
@@ -96,19 +99,20 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{
 		settings: s, version: version, incarnation: uuid.NewString(), started: time.Now(), log: l, metrics: newMetrics(),
-		nodes: membership.New(s.Self()), loads: balance.New(), quarantine: quarantine.New(), counter: admit.NewCounter(),
+		nodes: membership.New(s.Self()), loads: balance.New(), quarantine: quarantine.New(), counter: admit.NewCounter(), rates: admit.NewRates(),
 		engine: engine.New(), platform: platform.New(s.Platform(), s.Self().Name), traffic: &peer.Traffic{},
 		news: make(chan struct{}, 1), drainStart: make(chan struct{}), ctx: ctx, stop: stop,
 	}
 	n.state.Store(starting)
 	n.configs = platform.NewConfigs(n.platform)
-	n.peers = peer.NewClient(n.nodes, s.PeerSecret(), n.traffic)
+	n.claims = platform.NewClaims(n.platform)
+	n.peers = peer.NewClient(n.nodes, s.PeerSecret(), s.PeerClientTLS(), n.traffic)
 	n.router = route.New(n.loads, n)
 	n.service = service.New(n)
 	n.copier = replication.New(n.peers, n.nodes)
 	n.runner = generation.New(n.engine, n.copier, n.loads, n.router, n.quarantine, n)
 	n.holder = holder.New(n.nodes, n.peers, n.copier, n.produce)
-	n.desk = claim.New(s.Self().Name, n.incarnation, platform.NewClaims(n.platform), n.peers, n.service)
+	n.desk = claim.New(s.Self().Name, n.incarnation, n.claims, n.peers, n.service)
 	return n
 }
 
@@ -140,18 +144,18 @@
 func (n *Node) addListeners(g *run.Group) error {
 	limits := caller.Limits{BodyBytes: n.settings.BodyBytes(), BodyWait: n.settings.BodyWait(), WriteWait: n.settings.WriteWait()}
 	callers := caller.New(n, limits, n)
-	if err := n.addHTTP(g, n.settings.Callers(), callers); err != nil {
+	if err := n.addHTTP(g, n.settings.Callers(), nil, callers); err != nil {
 		return err
 	}
 	operators := operator.New(n, n.settings.OperatorSecret(), n.metrics.handler())
-	if err := n.addHTTP(g, n.settings.Operators(), operators); err != nil {
+	if err := n.addHTTP(g, n.settings.Operators(), n.settings.OperatorTLS(), operators); err != nil {
 		return err
 	}
 	l, err := net.Listen("tcp", n.settings.Peers())
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	s, err := peer.NewServer(l, n.settings.PeerSecret(), peerHandler{n}, n.traffic, n.peerRefused)
+	s, err := peer.NewServer(l, n.settings.PeerSecret(), n.settings.PeerServerTLS(), peerHandler{n}, n.traffic, n.peerRefused)
 	if err != nil {
 		return err
 	}
@@ -159,11 +163,14 @@
 	return nil
 }
 
-func (n *Node) addHTTP(g *run.Group, address string, h http.Handler) error {
+func (n *Node) addHTTP(g *run.Group, address string, c *tls.Config, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	if c != nil {
+		l = tls.NewListener(l, c)
+	}
 	s := &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    n.settings.HeaderBytes(),
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -10,7 +10,6 @@
 import (
 	"bytes"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +54,7 @@
 	drainWait     time.Duration
 	drainGrace    time.Duration
 	acquaintances []membership.Node
+	certificates  *certificates
 }
 
 // Load reads and checks a file. The error is inifile.Problems unless the file
@@ -75,6 +75,7 @@
 	s.readListen(d.Section("listen"))
 	s.platform = d.Section("platform").URL("address")
 	s.readSecrets(d.Section("secrets"))
+	s.readTLS(d.Section("tls"))
 	s.readLimits(d.Section("limits"))
 	s.readDrain(d.Section("drain"))
 	s.logLevel = d.Section("log").OneOf("level", defaultLogLevelName, "debug", "info", "warn", "error")
@@ -208,4 +209,9 @@
 func (s *Settings) Acquaintances() []membership.Node { return s.acquaintances }
 
 // BaseURL returns the URL of the listener for operators.
-func (s *Settings) BaseURL() string { return "http://" + strings.TrimSpace(s.operators) }
+func (s *Settings) BaseURL() string {
+	if s.certificates != nil {
+		return "https://" + s.operators
+	}
+	return "http://" + s.operators
+}
--- /dev/null
+++ b/core/admit/rates_test.go
@@ -0,0 +1,46 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"cicadabeam/core/admit"
+	"cicadabeam/core/fault"
+)
+
+func TestRates(t *testing.T) {
+	r := admit.NewRates()
+	now := time.Now()
+	count := func(organisation string, perSecond float64) int {
+		n := 0
+		for range 100 {
+			err := r.Take(organisation, perSecond, now)
+			if err == nil {
+				n++
+				continue
+			}
+			if f := fault.From(err); f.Code() != fault.OrganisationLimit || f.Ran() != fault.NotRun || !f.RetryAt().After(now) {
+				t.Fatalf("%v", err)
+			}
+		}
+		return n
+	}
+	if n := count("a", 5); n != 10 {
+		t.Errorf("%d at once of a rate of 5", n)
+	}
+	if n := count("b", 0); n != 100 {
+		t.Errorf("%d at once without a limit", n)
+	}
+	now = now.Add(time.Second)
+	if n := count("a", 5); n != 5 {
+		t.Errorf("%d after a second", n)
+	}
+	now = now.Add(time.Minute)
+	if n := count("a", 2); n != 4 {
+		t.Errorf("%d at once of the lower rate", n)
+	}
+	now = now.Add(time.Second)
+	if n := count("a", 2); n != 2 {
+		t.Errorf("%d after a second at the lower rate", n)
+	}
+}
--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -85,11 +85,13 @@
 
 // Store keeps the claims. A write that returns an error may have taken effect.
 type Store interface {
-	// Insert adds a row if there is none. It returns false when there is one.
+	// Insert adds a row if there is none of its day or those near it. It returns
+	// false when there is one.
 	Insert(ctx context.Context, key Key, r Row) (revision uint64, ok bool, err error)
 	// Read returns a row and whether there is one.
 	Read(ctx context.Context, key Key) (Stored, bool, error)
-	// Replace changes a row that is still at revision, else returns false.
+	// Replace changes a row that was made on the same day and is still at revision,
+	// else returns false.
 	Replace(ctx context.Context, key Key, revision uint64, r Row) (next uint64, ok bool, err error)
 	// Away tells whether the store has lately not answered anyone, so that it is no
 	// use to try for long.
--- a/core/claim/desk.go
+++ b/core/claim/desk.go
@@ -92,6 +92,7 @@
 type entry struct {
 	call    Call
 	claimID string
+	created int64 // Unix time in seconds of the claim
 	done    chan struct{}
 	outcome Outcome
 	until   time.Time
@@ -132,9 +133,10 @@
 // response may be started again: what is in the table decides.
 func (d *Desk) begin(c Call) *entry {
 	name := keyName(c.Key.String())
-	fresh := &entry{call: c, claimID: uuid.NewString(), done: make(chan struct{}), until: time.Now().Add(keeping)}
+	now := time.Now()
+	made := &entry{call: c, claimID: uuid.NewString(), created: now.Unix(), done: make(chan struct{}), until: now.Add(keeping)}
 	for {
-		e, existed := d.calls.GetOrPut(name, func() *entry { return fresh })
+		e, existed := d.calls.GetOrPut(name, func() *entry { return made })
 		if !existed {
 			d.work.Go(func() { d.run(e) })
 			return e
@@ -177,7 +179,7 @@
 }
 
 func (d *Desk) row(e *entry, s State) Row {
-	return Row{ID: e.claimID, Node: d.node, Incarnation: d.incarnation, BodyHash: e.call.BodyHash, State: s, Created: time.Now().Unix()}
+	return Row{ID: e.claimID, Node: d.node, Incarnation: d.incarnation, BodyHash: e.call.BodyHash, State: s, Created: e.created}
 }
 
 // send runs the claimed call. Before the first byte the deadline is looked at
--- a/core/claim/settle.go
+++ b/core/claim/settle.go
@@ -85,6 +85,7 @@
 func (d *Desk) takeOver(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(claimWait))
 	defer cancel()
+	e.created = s.Row.Created
 	var last error
 	for c.Err() == nil {
 		revision, ok, err := d.store.Replace(c, e.call.Key, s.Revision, d.row(e, Claimed))
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -49,6 +49,7 @@
 	keys       []string
 	weight     int
 	maxRunning int
+	perSecond  int
 	services   []string
 }
 
@@ -61,6 +62,10 @@
 // MaxRunning returns how many requests an entry host runs for it at once.
 func (o Organisation) MaxRunning() int { return o.maxRunning }
 
+// PerSecond returns how many requests it may begin in a second, over all entry
+// hosts; 0 is no limit.
+func (o Organisation) PerSecond() int { return o.perSecond }
+
 // MayUse tells whether the organisation may use a service. An organisation
 // with no list may use all.
 func (o Organisation) MayUse(service string) bool {
--- a/core/config/questionnaire.go
+++ b/core/config/questionnaire.go
@@ -11,6 +11,7 @@
 	maxSlots      = 4096
 	maxWeight     = 1000
 	maxRunning    = 100000
+	maxPerSecond  = 1000000
 	maxAttempts   = 10
 	maxPriority   = 1000
 	maxQueueWait  = 10 * time.Minute
@@ -122,6 +123,7 @@
 			keys:       s.List("key-sha256"),
 			weight:     s.Int("weight", 1, 1, maxWeight),
 			maxRunning: s.Int("max-running", 1000, 1, maxRunning),
+			perSecond:  s.Int("requests-per-second", 0, 0, maxPerSecond),
 			services:   s.List("services"),
 		}
 		if len(v.keys) == 0 {
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -47,6 +47,7 @@
 	ServerFailed      Code = "server_failed"
 	ServerRefused     Code = "server_refused"
 	ServerBusy        Code = "server_busy"
+	ServerSilent      Code = "server_silent"
 	RetryBudget       Code = "retry_budget_spent"
 	PlatformAway      Code = "platform_unavailable"
 	OutcomeUnknown    Code = "outcome_unknown"
@@ -74,6 +75,7 @@
 	ServerFailed:      http.StatusBadGateway,
 	ServerRefused:     http.StatusBadRequest,
 	ServerBusy:        http.StatusServiceUnavailable,
+	ServerSilent:      http.StatusBadGateway,
 	RetryBudget:       http.StatusServiceUnavailable,
 	PlatformAway:      http.StatusServiceUnavailable,
 	OutcomeUnknown:    http.StatusBadGateway,
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// softGap is the silence after which a server is asked whether it lives.
-	softGap = 900 * time.Millisecond
+	// firstGap and softGap are the silences, before the first chunk and later, after
+	// which a server is asked whether it lives.
+	firstGap = 900 * time.Millisecond
+	softGap  = 500 * time.Millisecond
 	// hardGap is the silence after which a stream of a living server is given
 	// up; a long prompt's first token may take as long.
 	hardGap   = 20 * time.Second
@@ -55,15 +57,24 @@
 func (r *Runner) blame(ctx context.Context, x *run, s config.Server, err error) {
 	f := fault.From(err)
 	now := time.Now()
-	if f.Code() == fault.ServerBusy {
+	switch f.Code() {
+	case fault.ServerBusy:
 		r.loads.SetDown(s.Name(), now.Add(downAfterRefuse))
 		return
-	}
-	if f.Code() != fault.ServerFailed {
+	case fault.ServerSilent:
+		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
+	case fault.ServerFailed:
+		r.examine(ctx, x, s, f)
+	default:
 		return
 	}
 	clear(x.exclude)
 	x.exclude[s.Name()] = true
+}
+
+// examine asks a server whose connection broke whether it has died.
+func (r *Runner) examine(ctx context.Context, x *run, s config.Server, f *fault.Error) {
+	now := time.Now()
 	c, cancel := context.WithDeadline(ctx, now.Add(probeWait))
 	defer cancel()
 	switch r.engine.Probe(c, s) {
@@ -172,14 +183,23 @@
 			}
 			w.probe(ctx, func(c context.Context) Health { return r.engine.Probe(c, s) })
 		case h := <-w.result:
-			if h != Healthy {
-				return finish, fault.Wrap(errors.New("the server fell silent"), fault.ServerFailed, "generate", s.Name())
+			if h == Healthy {
+				w.rearm()
+				continue
 			}
-			w.rearm()
+			return finish, fault.Wrap(errors.New("the server fell silent"), codeOf(h), "generate", s.Name())
 		}
 	}
 }
 
+// codeOf returns the code of an attempt whose server doesn't answer a probe.
+func codeOf(h Health) fault.Code {
+	if h == Dead {
+		return fault.ServerFailed
+	}
+	return fault.ServerSilent
+}
+
 // take adds one chunk to the answer. Chunks without text only count tokens,
 // which are counted with the text that follows: text that was not sent is made
 // again by the next attempt.
@@ -216,7 +236,7 @@
 
 func newWatch() *watch {
 	now := time.Now()
-	return &watch{timer: time.NewTimer(softGap), last: now, deadline: now.Add(hardGap)}
+	return &watch{timer: time.NewTimer(firstGap), last: now, deadline: now.Add(hardGap)}
 }
 
 func (w *watch) heard(now time.Time) {
--- a/core/membership/homes.go
+++ b/core/membership/homes.go
@@ -84,6 +84,17 @@
 	return targets
 }
 
+// First returns the live node that does a task for all data centres: the first in
+// the rendezvous order of the task's name.
+func (t *Table) First(key string, now time.Time) string {
+	for _, n := range Rank(t.Nodes(), nodeName, key) {
+		if t.usable(n.Name, now) {
+			return n.Name
+		}
+	}
+	return t.self.Name
+}
+
 const heartbeatsPerDataCentre = 2
 
 // Owns tells whether the node is among the first count live nodes of its data
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -189,6 +189,20 @@
 	})
 }
 
+// Accepting returns the number of nodes that take requests as far as is known,
+// itself included.
+func (t *Table) Accepting(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, s := range t.all {
+		if t.alive(s, now) && !s.leaving {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 func (t *Table) choose(keep func(*state) bool) []Node {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -146,10 +146,10 @@
 		return nil, err
 	}
 	leave, err := h.backend.Enter(x.organisation)
-	if err != nil {
+	if err != nil && fault.From(err).RetryAt().IsZero() {
 		return nil, fault.From(err).WithRetry(time.Now().Add(time.Second))
 	}
-	return leave, nil
+	return leave, err
 }
 
 func (h *Handler) unknownPath(x *exchange) error {
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -27,9 +28,10 @@
 }
 
 // NewClient returns a client for the node whose listener for operators is at
-// base.
-func NewClient(base, secret string) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), secret: secret, client: &http.Client{}}
+// base. c tells whom to believe at an https URL; it may be nil.
+func NewClient(base, secret string, c *tls.Config) *Client {
+	t := &http.Transport{TLSClientConfig: c}
+	return &Client{base: strings.TrimSuffix(base, "/"), secret: secret, client: &http.Client{Transport: t}}
 }
 
 // Error is an error that the node reports.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -3,14 +3,15 @@
 //
 // # Usage
 //
-//	s, err := peer.NewServer(listener, secret, handler, traffic, refused)
+//	s, err := peer.NewServer(listener, secret, serverTLS, handler, traffic, refused)
 //	go s.Serve()
-//	c := peer.NewClient(nodes, secret, traffic)
+//	c := peer.NewClient(nodes, secret, clientTLS, traffic)
 //	reply, err := c.Find(ctx, "node-2", holder.FindRequest{ID: id})
 package peer
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
@@ -55,13 +56,15 @@
 type Client struct {
 	nodes   Nodes
 	secret  string
+	tls     *tls.Config
 	traffic *Traffic
 	links   *shard.Map[linkName, *link]
 }
 
-// NewClient returns a client without connections.
-func NewClient(n Nodes, secret string, t *Traffic) *Client {
-	return &Client{nodes: n, secret: secret, traffic: t, links: shard.New[linkName, *link]()}
+// NewClient returns a client without connections. Without c they are not
+// encrypted.
+func NewClient(n Nodes, secret string, c *tls.Config, t *Traffic) *Client {
+	return &Client{nodes: n, secret: secret, tls: c, traffic: t, links: shard.New[linkName, *link]()}
 }
 
 // link is one connection to a node, made when it is needed.
@@ -104,12 +107,16 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := greetServer(conn, c.secret, deadline); err != nil {
+	counted := c.traffic.count(conn)
+	if c.tls != nil {
+		counted = tls.Client(counted, c.tls)
+	}
+	if err := greetServer(counted, c.secret, deadline); err != nil {
 		_ = conn.Close()
 		return nil, errors.Wrap(err, "handshake")
 	}
 	l.address = address
-	l.client = rpc.NewClient(c.traffic.count(conn))
+	l.client = rpc.NewClient(counted)
 	return l.client, nil
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
@@ -67,6 +68,7 @@
 type Server struct {
 	listener net.Listener
 	secret   string
+	tls      *tls.Config
 	rpc      *rpc.Server
 	refused  func(from string, err error)
 	traffic  *Traffic
@@ -77,9 +79,9 @@
 }
 
 // NewServer returns a server. refused is told of connections that did not prove
-// themselves.
-func NewServer(l net.Listener, secret string, h Handler, t *Traffic, refused func(from string, err error)) (*Server, error) {
-	s := &Server{listener: l, secret: secret, rpc: rpc.NewServer(), refused: refused, traffic: t, open: make(map[net.Conn]bool)}
+// themselves. Without c the connections are not encrypted.
+func NewServer(l net.Listener, secret string, c *tls.Config, h Handler, t *Traffic, refused func(from string, err error)) (*Server, error) {
+	s := &Server{listener: l, secret: secret, tls: c, rpc: rpc.NewServer(), refused: refused, traffic: t, open: make(map[net.Conn]bool)}
 	err := s.rpc.RegisterName(serviceName, &methods{handler: h})
 	return s, errors.Wrap(err, "peer: register")
 }
@@ -101,12 +103,16 @@
 		return
 	}
 	defer s.remove(c)
-	if err := greetClient(c, s.secret); err != nil {
+	counted := s.traffic.count(c)
+	if s.tls != nil {
+		counted = tls.Server(counted, s.tls)
+	}
+	if err := greetClient(counted, s.secret); err != nil {
 		s.refused(c.RemoteAddr().String(), err)
 		_ = c.Close()
 		return
 	}
-	s.rpc.ServeConn(s.traffic.count(c))
+	s.rpc.ServeConn(counted)
 }
 
 func (s *Server) add(c net.Conn) bool {
--- a/io/platform/claims.go
+++ b/io/platform/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -33,10 +34,11 @@
 // NewClaims returns the claims kept in a platform's table.
 func NewClaims(c *Client) *Claims { return &Claims{client: c} }
 
+// pending is one write on its way into a group.
 type pending struct {
-	condition Condition
-	write     Write
-	done      chan written
+	conditions []Condition
+	write      Write
+	done       chan written
 }
 
 type written struct {
@@ -47,37 +49,50 @@
 
 // Insert implements claim.Store.
 func (c *Claims) Insert(ctx context.Context, key claim.Key, r claim.Row) (uint64, bool, error) {
-	return c.put(ctx, key, 0, r)
+	var absent []Condition
+	for _, day := range r.Day().Near() {
+		absent = append(absent, Condition{Table: claimTable, Key: rowKey(day, key)})
+	}
+	return c.put(ctx, key, absent, r)
 }
 
 // Replace implements claim.Store.
 func (c *Claims) Replace(ctx context.Context, key claim.Key, revision uint64, r claim.Row) (uint64, bool, error) {
-	return c.put(ctx, key, revision, r)
+	return c.put(ctx, key, []Condition{{Table: claimTable, Key: rowKey(r.Day(), key), Revision: revision}}, r)
 }
 
+// rowKey returns the key of a claim's row. Days sort before all else.
+func rowKey(day claim.Day, key claim.Key) string { return fmt.Sprintf("%06d/%s", day, key) }
+
 // Away implements claim.Store.
 func (c *Claims) Away() bool { return c.client.Away() }
 
 // Read implements claim.Store.
 func (c *Claims) Read(ctx context.Context, key claim.Key) (claim.Stored, bool, error) {
-	row, found, err := c.client.Get(ctx, claimTable, key.String())
-	if err != nil || !found {
-		return claim.Stored{}, false, err
+	for _, day := range claim.DayOf(time.Now().Unix()).Near() {
+		row, found, err := c.client.Get(ctx, claimTable, rowKey(day, key))
+		if err != nil {
+			return claim.Stored{}, false, err
+		}
+		if !found {
+			continue
+		}
+		s := claim.Stored{Revision: row.Revision}
+		err = json.Unmarshal(row.Value, &s.Row)
+		return s, err == nil, errors.Wrapf(err, "platform: claim %s", key)
 	}
-	s := claim.Stored{Revision: row.Revision}
-	err = json.Unmarshal(row.Value, &s.Row)
-	return s, err == nil, errors.Wrapf(err, "platform: claim %s", key)
+	return claim.Stored{}, false, nil
 }
 
-func (c *Claims) put(ctx context.Context, key claim.Key, revision uint64, r claim.Row) (uint64, bool, error) {
+func (c *Claims) put(ctx context.Context, key claim.Key, conditions []Condition, r claim.Row) (uint64, bool, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return 0, false, errors.Wrapf(err, "platform: claim %s", key)
 	}
 	p := &pending{
-		condition: Condition{Table: claimTable, Key: key.String(), Revision: revision},
-		write:     Write{Table: claimTable, Key: key.String(), Value: value},
-		done:      make(chan written, 1),
+		conditions: conditions,
+		write:      Write{Table: claimTable, Key: rowKey(r.Day(), key), Value: value},
+		done:       make(chan written, 1),
 	}
 	c.enqueue(p)
 	select {
@@ -128,17 +143,12 @@
 	return group
 }
 
-// commit writes a group. Those whose condition does not hold are answered, and
-// the others go again without them.
+// commit writes a group. Those whose conditions do not hold are answered, and the
+// others go again without them.
 func (c *Claims) commit(group []*pending) {
 	for len(group) > 0 {
-		t := Transaction{}
-		for _, p := range group {
-			t.Conditions = append(t.Conditions, p.condition)
-			t.Writes = append(t.Writes, p.write)
-		}
 		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(requestWait))
-		revision, err := c.client.Commit(ctx, t)
+		revision, err := c.client.Commit(ctx, transactionOf(group))
 		cancel()
 		var conflict *ConflictError
 		if !errors.As(err, &conflict) {
@@ -151,14 +161,30 @@
 	}
 }
 
+func transactionOf(group []*pending) Transaction {
+	t := Transaction{}
+	for _, p := range group {
+		t.Conditions = append(t.Conditions, p.conditions...)
+		t.Writes = append(t.Writes, p.write)
+	}
+	return t
+}
+
+// answerConflicts answers the writes whose conditions failed and returns the rest.
 func answerConflicts(group []*pending, conflict *ConflictError) []*pending {
 	failed := make(map[int]bool, len(conflict.Failed))
 	for _, i := range conflict.Failed {
 		failed[i] = true
 	}
 	var left []*pending
-	for i, p := range group {
-		if failed[i] || len(failed) == 0 {
+	at := 0
+	for _, p := range group {
+		lost := len(failed) == 0
+		for range p.conditions {
+			lost = lost || failed[at]
+			at++
+		}
+		if lost {
 			p.done <- written{}
 			continue
 		}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -47,11 +47,13 @@
 	Revision uint64 `json:"revision"`
 }
 
-// Write sets the value of a row.
+// Write sets the value of a row, or removes the row.
 type Write struct {
 	Table string          `json:"table"`
 	Key   string          `json:"key"`
 	Value json.RawMessage `json:"value"`
+	// Remove takes the row away.
+	Remove bool `json:"remove,omitempty"`
 }
 
 // Transaction is applied whole if all conditions hold.
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -11,6 +11,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -59,6 +60,8 @@
 	Organisation string // more lines for the organisations
 	Service      string // more lines for the model's service
 	Settings     string // more sections for the nodes
+	// TLS tells whom operators believe, when Settings has a section tls.
+	TLS *tls.Config
 }
 
 func (l Layout) withDefaults() Layout {
@@ -465,7 +468,7 @@
 
 // operators returns a client for a node's operators.
 func (n *Node) operators() *operator.Client {
-	return operator.NewClient(n.url(portOperators), operatorSecret)
+	return operator.NewClient(n.OperatorsURL(), operatorSecret, n.cluster.layout.TLS)
 }
 
 // URL returns the engine's own base URL, past its link.
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -100,7 +100,12 @@
 func (n *Node) URL() string { return n.url(portCallers) }
 
 // OperatorsURL returns the base URL for operators.
-func (n *Node) OperatorsURL() string { return n.url(portOperators) }
+func (n *Node) OperatorsURL() string {
+	if n.cluster.layout.TLS != nil {
+		return strings.Replace(n.url(portOperators), "http:", "https:", 1)
+	}
+	return n.url(portOperators)
+}
 
 // PeersAddress returns the address of the listener for other nodes.
 func (n *Node) PeersAddress() string { return n.cluster.address(n.host, portPeers) }
--- a/test/standin/platform/platform.go
+++ b/test/standin/platform/platform.go
@@ -45,6 +45,7 @@
 	p := &Platform{rows: make(map[string]client.Row), mux: http.NewServeMux()}
 	p.mux.HandleFunc("GET /v1/rows/{table}/{key...}", p.faulty(p.get))
 	p.mux.HandleFunc("GET /v1/rows/{table}", p.faulty(p.list))
+	p.mux.HandleFunc("GET /v1/keys/{table}", p.faulty(p.keys))
 	p.mux.HandleFunc("POST /v1/transactions", p.faulty(p.commit))
 	p.mux.HandleFunc("GET /v1/hosts", p.faulty(p.hosts))
 	p.mux.HandleFunc("POST /control/faults", p.setFaults)
@@ -84,6 +85,15 @@
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	rows := []client.Row{}
+	for _, k := range p.find(r) {
+		rows = append(rows, p.rows[k])
+	}
+	_ = json.NewEncoder(w).Encode(rows)
+}
+
+// find returns the keys that a request asks for, by falling key.
+func (p *Platform) find(r *http.Request) []string {
 	p.reads++
 	prefix := r.PathValue("table") + "/" + r.URL.Query().Get("prefix")
 	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
@@ -94,9 +104,19 @@
 		}
 	}
 	sort.Sort(sort.Reverse(sort.StringSlice(keys)))
-	rows := []client.Row{}
-	for _, k := range keys[:min(limit, len(keys))] {
-		rows = append(rows, p.rows[k])
+	return keys[:min(limit, len(keys))]
+}
+
+func (p *Platform) keys(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	type named struct {
+		Key      string `json:"key"`
+		Revision uint64 `json:"revision"`
+	}
+	rows := []named{}
+	for _, k := range p.find(r) {
+		rows = append(rows, named{Key: strings.TrimPrefix(k, r.PathValue("table")+"/"), Revision: p.rows[k].Revision})
 	}
 	_ = json.NewEncoder(w).Encode(rows)
 }
@@ -137,6 +157,10 @@
 	}
 	p.revision++
 	for _, x := range t.Writes {
+		if x.Remove {
+			delete(p.rows, x.Table+"/"+x.Key)
+			continue
+		}
 		p.rows[x.Table+"/"+x.Key] = client.Row{Revision: p.revision, Value: x.Value}
 	}
 	return p.revision, nil, lose
