--- a/cmd/node/alarm.go
+++ b/cmd/node/alarm.go
@@ -22,8 +22,8 @@
 	go n.alarm(peer.Alarm{Suspicions: []quarantine.Suspicion{s}})
 }
 
-// Condemned implements generation.Observer.
-func (n *Node) Condemned(f quarantine.Fingerprint) {
+// RequestQuarantined implements generation.Observer.
+func (n *Node) RequestQuarantined(f quarantine.Fingerprint) {
 	n.log.WithField("fingerprint", f.String()).Warn("request quarantined")
 	n.alarm(peer.Alarm{Quarantined: n.quarantine.Entries(time.Now())})
 }
--- a/cmd/node/backend.go
+++ b/cmd/node/backend.go
@@ -46,7 +46,7 @@
 
 // CallOnce implements caller.Backend.
 func (n *Node) CallOnce(ctx context.Context, c claim.Call) (claim.Response, error) {
-	return n.desk.Do(ctx, c)
+	return n.calls.Do(ctx, c)
 }
 
 // Forward implements caller.Backend.
--- a/cmd/node/config.go
+++ b/cmd/node/config.go
@@ -65,7 +65,7 @@
 		_, found := c.Organisation(o)
 		return found
 	})
-	n.spread()
+	n.heartbeatNow()
 	n.router.Wake()
 }
 
@@ -82,7 +82,7 @@
 		ctx, cancel := context.WithDeadline(n.ctx, now.Add(fetchWait))
 		defer cancel()
 		if err := n.pullConfig(ctx); err != nil && n.Config() == nil {
-			n.askEveryone(ctx)
+			n.askAllNodes(ctx)
 		}
 	}
 }
@@ -107,9 +107,9 @@
 	return nil
 }
 
-// askEveryone takes the highest revision that the reachable nodes have, for a
+// askAllNodes takes the highest revision that the reachable nodes have, for a
 // node that starts while the platform is away.
-func (n *Node) askEveryone(ctx context.Context) {
+func (n *Node) askAllNodes(ctx context.Context) {
 	var best peer.ConfigReply
 	from := ""
 	for _, r := range n.askConfigs(ctx) {
--- a/cmd/node/drain.go
+++ b/cmd/node/drain.go
@@ -20,7 +20,7 @@
 		n.state.Store(draining)
 		n.refuseFrom.Store(n.settings.DrainGrace(time.Now()).UnixMilli())
 		close(n.drainStart)
-		n.spread()
+		n.heartbeatNow()
 		n.log.Info("draining")
 	})
 }
@@ -45,13 +45,13 @@
 		}
 	}
 	// Outcomes that the platform has not taken yet would be lost with this node.
-	n.desk.Close(last)
+	n.calls.Close(last)
 	n.log.Info("drained")
 	return errDrained
 }
 
 func (n *Node) idle() bool {
-	return n.counter.Total() == 0 && n.desk.Running() == 0 && n.remote.Load() == 0
+	return n.counter.Total() == 0 && n.calls.Running() == 0 && n.remote.Load() == 0
 }
 
 func (n *Node) refuses(now time.Time) bool {
--- a/cmd/node/heartbeat.go
+++ b/cmd/node/heartbeat.go
@@ -11,8 +11,8 @@
 const (
 	heartbeatPeriod = time.Second
 	heartbeatWait   = 900 * time.Millisecond
-	// newsSpacing gathers the news of a moment into one round of heartbeats.
-	newsSpacing = 50 * time.Millisecond
+	// heartbeatSpacing gathers the news of a moment into one round of heartbeats.
+	heartbeatSpacing = 50 * time.Millisecond
 	// introduceEvery is how often a node tells another its place and address, which
 	// seldom change and are the larger part of a heartbeat.
 	introduceEvery = 30 * time.Second
@@ -46,10 +46,10 @@
 	delete(i.next, to)
 }
 
-// spread makes the next heartbeats go out at once.
-func (n *Node) spread() {
+// heartbeatNow makes the next heartbeats go out at once.
+func (n *Node) heartbeatNow() {
 	select {
-	case n.news <- struct{}{}:
+	case n.wakeHeartbeat <- struct{}{}:
 	default:
 	}
 }
@@ -63,8 +63,8 @@
 		case <-n.ctx.Done():
 			return n.ctx.Err()
 		case <-t.C:
-		case <-n.news:
-			time.Sleep(newsSpacing)
+		case <-n.wakeHeartbeat:
+			time.Sleep(heartbeatSpacing)
 		}
 	}
 }
@@ -125,7 +125,7 @@
 	fresh := n.loads.Note(h.Notices...)
 	fresh = n.quarantine.Merge(h.Quarantined) || fresh
 	if fresh {
-		n.spread()
+		n.heartbeatNow()
 	}
 	if len(h.Loads) > 0 {
 		n.router.Wake()
--- a/cmd/node/hosts.go
+++ b/cmd/node/hosts.go
@@ -50,6 +50,6 @@
 		notices = append(notices, balance.Notice{Server: x.Name, Source: balance.FromHostList, Leaving: x.Leaving, At: now.UnixMilli()})
 	}
 	if n.loads.Note(notices...) {
-		n.spread()
+		n.heartbeatNow()
 	}
 }
--- a/cmd/node/loads.go
+++ b/cmd/node/loads.go
@@ -49,7 +49,7 @@
 	n.loads.Report(r, time.Now())
 	n.reports.put(r)
 	if n.loads.Leaving(s.Name()) != was {
-		n.spread()
+		n.heartbeatNow()
 	}
 }
 
--- a/cmd/node/loops.go
+++ b/cmd/node/loops.go
@@ -9,31 +9,31 @@
 )
 
 const (
-	tendPeriod  = time.Second
-	sweepPeriod = 10 * time.Second
-	sweepWait   = 5 * time.Second
+	maintainPeriod = time.Second
+	sweepPeriod    = 10 * time.Second
+	sweepWait      = 5 * time.Second
 )
 
 func (n *Node) addLoops(g *run.Group) {
 	stop := func(error) { n.stop() }
-	n.learnAcquaintances()
+	n.addSeeds()
 	g.Add(n.loop(hostsPeriod, n.watchHosts()), stop)
 	g.Add(n.loop(watchPeriod, n.watchConfig()), stop)
 	g.Add(n.loop(loadPeriod, n.pollLoads), stop)
-	g.Add(n.loop(tendPeriod, n.tend), stop)
+	g.Add(n.loop(maintainPeriod, n.maintain), stop)
 	g.Add(n.loop(sweepPeriod, n.sweep), stop)
 	g.Add(n.heartbeats, stop)
 }
 
-func (n *Node) learnAcquaintances() {
-	for _, x := range n.settings.Acquaintances() {
+func (n *Node) addSeeds() {
+	for _, x := range n.settings.Seeds() {
 		n.nodes.Add(x, time.Now())
 	}
 }
 
-func (n *Node) tend(now time.Time) {
-	n.holder.Tend(now)
-	n.desk.Expire(now)
+func (n *Node) maintain(now time.Time) {
+	n.holder.Maintain(now)
+	n.calls.Expire(now)
 	n.quarantine.Expire(now)
 	n.measure()
 }
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -61,7 +61,7 @@
 	runner     *generation.Runner
 	copier     *replication.Copier
 	holder     *holder.Holder
-	desk       *claim.Desk
+	calls      *claim.Dispatcher
 	engine     *engine.Client
 	service    *service.Client
 	platform   *platform.Client
@@ -70,7 +70,7 @@
 	traffic    *peer.Traffic
 	peers      *peer.Client
 
-	news          chan struct{}
+	wakeHeartbeat chan struct{}
 	introductions introductions
 	fetching      sync.Mutex
 	reports       ownReports
@@ -102,7 +102,7 @@
 		settings: s, version: version, incarnation: uuid.NewString(), started: time.Now(), log: l, metrics: newMetrics(),
 		nodes: membership.New(s.Self()), loads: balance.New(), quarantine: quarantine.New(), counter: admit.NewCounter(), rates: admit.NewRates(),
 		engine: engine.New(), platform: platform.New(s.Platform(), s.Self().Name), traffic: &peer.Traffic{},
-		news: make(chan struct{}, 1), drainStart: make(chan struct{}), ctx: ctx, stop: stop,
+		wakeHeartbeat: make(chan struct{}, 1), drainStart: make(chan struct{}), ctx: ctx, stop: stop,
 	}
 	n.state.Store(starting)
 	n.configs = platform.NewConfigs(n.platform)
@@ -113,7 +113,7 @@
 	n.copier = replication.New(n.peers, n.nodes)
 	n.runner = generation.New(n.engine, n.copier, n.loads, n.router, n.quarantine, n)
 	n.holder = holder.New(n.nodes, n.peers, n.copier, n.produce)
-	n.desk = claim.New(s.Self().Name, n.incarnation, n.claims, n.peers, n.service)
+	n.calls = claim.New(s.Self().Name, n.incarnation, n.claims, n.peers, n.service)
 	return n
 }
 
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -65,7 +65,7 @@
 	s.Gauge("answers_unprotected").Update(float64(n.copier.Unprotected()))
 	s.Gauge("requests_running").Update(float64(n.counter.Total()))
 	s.Gauge("requests_waiting").Update(float64(n.router.Waiting()))
-	s.Gauge("calls_running").Update(float64(n.desk.Running()))
+	s.Gauge("calls_running").Update(float64(n.calls.Running()))
 	s.Gauge("quarantined").Update(float64(len(n.quarantine.Entries(time.Now()))))
 	s.Gauge("retries_denied").Update(float64(n.runner.Budget().Denied()))
 	s.Gauge("peer_sent_bytes").Update(float64(n.traffic.Sent()))
--- a/cmd/node/operators.go
+++ b/cmd/node/operators.go
@@ -45,7 +45,7 @@
 		Node: self.Name, DataCentre: self.DataCentre, Region: self.Region, Version: n.version, Started: n.started,
 		State: string(n.state.Load().(state)), Revision: n.revision(),
 		PlatformReached: n.platform.Reached(), PlatformReads: n.platform.Reads(), PlatformWrites: n.platform.Writes(),
-		Requests: n.counter.Total(), Waiting: n.router.Waiting(), Calls: n.desk.Running(),
+		Requests: n.counter.Total(), Waiting: n.router.Waiting(), Calls: n.calls.Running(),
 		Answers: n.holder.Counts(), Unprotected: n.copier.Unprotected(), Quarantined: len(n.quarantine.Entries(now)),
 		RetriesSpent: n.runner.Budget().Spent(), RetriesDenied: n.runner.Budget().Denied(),
 		PeerSentBytes: n.traffic.Sent(), PeerReceivedByte: n.traffic.Received(),
--- a/cmd/node/peers.go
+++ b/cmd/node/peers.go
@@ -63,8 +63,8 @@
 	return p.node.holder.AppendCopies(b)
 }
 
-func (p peerHandler) Word(q peer.CallQuestion) claim.Word {
+func (p peerHandler) CallStatus(q peer.CallQuestion) claim.Status {
 	ctx, cancel := context.WithDeadline(p.node.ctx, time.UnixMilli(q.Until))
 	defer cancel()
-	return p.node.desk.Word(ctx, q.Incarnation, q.Key, q.ClaimID)
+	return p.node.calls.Status(ctx, q.Incarnation, q.Key, q.ClaimID)
 }
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -37,24 +37,24 @@
 
 // Settings are the checked settings of one node.
 type Settings struct {
-	self          membership.Node
-	callers       string
-	operators     string
-	peers         string
-	platform      string
-	peerSecret    string
-	operatorKey   string
-	logLevel      string
-	bodyBytes     int
-	headerBytes   int
-	headerWait    time.Duration
-	idleWait      time.Duration
-	bodyWait      time.Duration
-	writeWait     time.Duration
-	drainWait     time.Duration
-	drainGrace    time.Duration
-	acquaintances []membership.Node
-	certificates  *certificates
+	self         membership.Node
+	callers      string
+	operators    string
+	peers        string
+	platform     string
+	peerSecret   string
+	operatorKey  string
+	logLevel     string
+	bodyBytes    int
+	headerBytes  int
+	headerWait   time.Duration
+	idleWait     time.Duration
+	bodyWait     time.Duration
+	writeWait    time.Duration
+	drainWait    time.Duration
+	drainGrace   time.Duration
+	seeds        []membership.Node
+	certificates *certificates
 }
 
 // Load reads and checks a file. The error is inifile.Problems unless the file
@@ -145,7 +145,7 @@
 		if x.Name() == "" {
 			x.Problem("", "has no name; write [peer NAME]")
 		}
-		s.acquaintances = append(s.acquaintances, membership.Node{
+		s.seeds = append(s.seeds, membership.Node{
 			Name:       x.Name(),
 			DataCentre: x.Required("data-centre"),
 			Region:     x.Required("region"),
@@ -204,9 +204,9 @@
 // requests.
 func (s *Settings) DrainDeadline(now time.Time) time.Time { return now.Add(s.drainWait) }
 
-// Acquaintances returns the nodes to ask while the platform's host list can't be
+// Seeds returns the nodes to ask while the platform's host list can't be
 // read.
-func (s *Settings) Acquaintances() []membership.Node { return s.acquaintances }
+func (s *Settings) Seeds() []membership.Node { return s.seeds }
 
 // BaseURL returns the URL of the listener for operators.
 func (s *Settings) BaseURL() string {
--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -21,8 +21,12 @@
 // maxQueue bounds the requests that wait for one service on a node.
 const maxQueue = 20000
 
-// intervalWeight is the weight of the newest interval between two starts.
-const intervalWeight = 0.1
+// rateMemory is the time over which starts are averaged.
+const rateMemory = 2 * time.Second
+
+// waitMargin is the part of the time until its deadline that a request may be
+// expected to wait; the rest is for what the expectation misses.
+const waitMargin = 0.75
 
 // Request is a request that wants to start.
 type Request struct {
@@ -48,13 +52,12 @@
 
 // Gate is the queue before one service.
 type Gate struct {
-	mu       sync.Mutex
-	urgent   []*waiter
-	queues   map[string]*queue
-	waiting  int
-	now      float64 // virtual time of the last start
-	interval time.Duration
-	started  time.Time
+	mu      sync.Mutex
+	urgent  []*waiter
+	queues  map[string]*queue
+	waiting int
+	now     float64 // virtual time of the last start
+	starts  startRate
 }
 
 // New returns a gate with an empty queue.
@@ -86,8 +89,9 @@
 	if (r.Urgent || g.waiting == 0) && r.Try() {
 		return nil, nil
 	}
-	wait := g.expectedWait(r.Organisation)
-	if !r.Urgent && (g.waiting >= maxQueue || now.Add(wait).After(r.Deadline)) {
+	wait := g.expectedWait(r.Organisation, now)
+	left := time.Duration(waitMargin * float64(r.Deadline.Sub(now)))
+	if !r.Urgent && (g.waiting >= maxQueue || wait > left) {
 		return nil, refuse(now.Add(max(wait, time.Second)))
 	}
 	w := &waiter{request: r, granted: make(chan struct{})}
@@ -117,7 +121,7 @@
 }
 
 // expectedWait guesses how long a new request of an organisation waits.
-func (g *Gate) expectedWait(organisation string) time.Duration {
+func (g *Gate) expectedWait(organisation string, now time.Time) time.Duration {
 	ahead := 0
 	if q := g.queues[organisation]; q != nil {
 		ahead = len(q.waiters)
@@ -128,7 +132,7 @@
 			active++
 		}
 	}
-	return time.Duration((ahead+1)*max(active, 1)) * g.interval
+	return time.Duration(float64((ahead+1)*max(active, 1)) * float64(g.starts.interval(now)))
 }
 
 func (g *Gate) giveUp(w *waiter) error {
@@ -140,7 +144,8 @@
 	default:
 	}
 	g.remove(w)
-	return refuse(time.Now().Add(max(g.expectedWait(w.request.Organisation), time.Second)))
+	now := time.Now()
+	return refuse(now.Add(max(g.expectedWait(w.request.Organisation, now), time.Second)))
 }
 
 func (g *Gate) remove(w *waiter) {
@@ -168,7 +173,7 @@
 	if g.waiting == 0 {
 		clear(g.queues)
 		g.now = 0
-		g.started = time.Time{}
+		g.starts = startRate{}
 	}
 }
 
@@ -178,7 +183,7 @@
 	defer g.mu.Unlock()
 	g.wakeUrgent()
 	for g.waiting > 0 && g.startNext() {
-		g.measure(time.Now())
+		g.starts.count(time.Now())
 	}
 	g.forgetIdle()
 }
@@ -235,14 +240,6 @@
 	close(w.granted)
 }
 
-func (g *Gate) measure(now time.Time) {
-	if !g.started.IsZero() {
-		d := now.Sub(g.started)
-		g.interval = time.Duration(intervalWeight*float64(d) + (1-intervalWeight)*float64(g.interval))
-	}
-	g.started = now
-}
-
 // Waiting returns the number of requests in the queue.
 func (g *Gate) Waiting() int {
 	g.mu.Lock()
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -182,3 +182,40 @@
 		}
 	})
 }
+
+// At three times the capacity, with slots that come free in bursts, nearly all
+// refusals are made at once and not at the deadline.
+func TestOverloadRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &pool{gate: admit.New()}
+		var mu sync.Mutex
+		served, early, late := 0, 0, 0
+		var work sync.WaitGroup
+		for i := range 3000 {
+			time.Sleep(10 * time.Millisecond)
+			if i%24 == 0 {
+				for range 8 {
+					p.give()
+				}
+			}
+			work.Go(func() {
+				start := time.Now()
+				err := p.gate.Acquire(context.Background(), p.request(fmt.Sprint("o", i%3), 1, 2*time.Second))
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					served++
+				case time.Since(start) == 0:
+					early++
+				default:
+					late++
+				}
+			})
+		}
+		work.Wait()
+		if served < 950 || late*20 > early {
+			t.Errorf("%d served, %d refused at once, %d at their deadline", served, early, late)
+		}
+	})
+}
--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -28,12 +28,12 @@
 	affinitySlackCount = 1
 )
 
-// crowd is the number of nodes from which on a request compares sampleInCrowd
-// servers instead of sampleAmongFew.
+// manyChoosers is the number of nodes from which on a request compares sampleOfMany
+// servers instead of sampleOfFew.
 const (
-	crowd          = 16
-	sampleInCrowd  = 2
-	sampleAmongFew = 3
+	manyChoosers = 16
+	sampleOfMany = 2
+	sampleOfFew  = 3
 )
 
 // Query describes a request that needs a server.
@@ -200,10 +200,10 @@
 // sampleSize is how many servers a request compares. Many nodes that compare many
 // servers by the same reports would all find the same one.
 func (q Query) sampleSize() int {
-	if q.Choosers > crowd {
-		return sampleInCrowd
+	if q.Choosers > manyChoosers {
+		return sampleOfMany
 	}
-	return sampleAmongFew
+	return sampleOfFew
 }
 
 // expected returns the load of each server in parts of its slots. What other nodes
--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -98,8 +98,8 @@
 	Away() bool
 }
 
-// Word is what a node says about a call that it claimed.
-type Word struct {
+// Status is what a node says about a call that it claimed.
+type Status struct {
 	Known   bool // it has claimed the call in its present incarnation
 	Outcome Outcome
 }
@@ -107,7 +107,7 @@
 // Peers asks another node about its claim, waiting for the end of a running call
 // until ctx is done.
 type Peers interface {
-	AskCall(ctx context.Context, node, incarnation string, key Key, claimID string) (Word, error)
+	AskCall(ctx context.Context, node, incarnation string, key Key, claimID string) (Status, error)
 }
 
 // Sender sends a call to a backend server, once. sent tells whether a byte may
--- a/core/claim/desk.go
+++ b/core/claim/dispatcher.go
@@ -39,8 +39,8 @@
 	until   time.Time
 }
 
-// Desk runs the calls of one node.
-type Desk struct {
+// Dispatcher runs the calls of one node.
+type Dispatcher struct {
 	node        string
 	incarnation string
 	store       Store
@@ -53,10 +53,10 @@
 	stop        context.CancelFunc
 }
 
-// New returns a desk. incarnation differs for each start of the process.
-func New(node, incarnation string, s Store, p Peers, x Sender) *Desk {
+// New returns the dispatcher of a node. incarnation differs for each start of the process.
+func New(node, incarnation string, s Store, p Peers, x Sender) *Dispatcher {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Desk{
+	return &Dispatcher{
 		node: node, incarnation: incarnation, store: s, peers: p, sender: x, ctx: ctx, stop: stop,
 		calls: shard.New[keyName, *entry](),
 		past:  shard.New[claimName, ended](),
@@ -64,7 +64,7 @@
 }
 
 // Close waits for the calls under way and their records until ctx is done.
-func (d *Desk) Close(ctx context.Context) {
+func (d *Dispatcher) Close(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
 		d.work.Wait()
@@ -78,7 +78,7 @@
 }
 
 // Running returns the number of calls without an outcome.
-func (d *Desk) Running() int {
+func (d *Dispatcher) Running() int {
 	n := 0
 	for _, e := range d.calls.Values() {
 		if !e.ended() {
@@ -109,7 +109,7 @@
 
 // Do runs a call, or waits for the one under way with the same key, or returns
 // the outcome of an earlier one. The call goes on when ctx ends.
-func (d *Desk) Do(ctx context.Context, c Call) (Response, error) {
+func (d *Dispatcher) Do(ctx context.Context, c Call) (Response, error) {
 	e := d.begin(c)
 	if e.call.BodyHash != c.BodyHash {
 		return Response{}, keyReused()
@@ -131,7 +131,7 @@
 
 // begin returns the call under way, or starts one. A call that ended without a
 // response may be started again: what is in the table decides.
-func (d *Desk) begin(c Call) *entry {
+func (d *Dispatcher) begin(c Call) *entry {
 	name := keyName(c.Key.String())
 	now := time.Now()
 	made := &entry{call: c, claimID: uuid.NewString(), created: now.Unix(), done: make(chan struct{}), until: now.Add(keeping)}
@@ -148,7 +148,7 @@
 	}
 }
 
-func (d *Desk) run(e *entry) {
+func (d *Dispatcher) run(e *entry) {
 	ctx, cancel := context.WithDeadline(d.ctx, e.call.Deadline)
 	defer cancel()
 	r, o := d.claim(ctx, e)
@@ -170,7 +170,7 @@
 	}
 }
 
-func (d *Desk) finish(e *entry, o Outcome) {
+func (d *Dispatcher) finish(e *entry, o Outcome) {
 	e.outcome = o
 	if o.State != Done {
 		d.past.Put(claimName(e.claimID), ended{outcome: o, from: time.Now().Add(abandonLead), until: e.until})
@@ -178,13 +178,13 @@
 	close(e.done)
 }
 
-func (d *Desk) row(e *entry, s State) Row {
+func (d *Dispatcher) row(e *entry, s State) Row {
 	return Row{ID: e.claimID, Node: d.node, Incarnation: d.incarnation, BodyHash: e.call.BodyHash, State: s, Created: e.created}
 }
 
 // send runs the claimed call. Before the first byte the deadline is looked at
 // again, as the node may have been paused.
-func (d *Desk) send(ctx context.Context, e *entry, revision uint64) Outcome {
+func (d *Dispatcher) send(ctx context.Context, e *entry, revision uint64) Outcome {
 	if time.Now().After(e.call.Deadline) || ctx.Err() != nil {
 		return Outcome{State: Abandoned, Failure: failure(fault.Newf(fault.Overloaded, "send", "", "the deadline passed before the call was sent"))}
 	}
@@ -201,13 +201,13 @@
 }
 
 // record writes the outcome to the claim, within a short time.
-func (d *Desk) record(e *entry, revision uint64, o Outcome) bool {
+func (d *Dispatcher) record(e *entry, revision uint64, o Outcome) bool {
 	ctx, cancel := context.WithDeadline(d.ctx, time.Now().Add(recordWait))
 	defer cancel()
 	return d.tryRecord(ctx, e, revision, o)
 }
 
-func (d *Desk) tryRecord(ctx context.Context, e *entry, revision uint64, o Outcome) bool {
+func (d *Dispatcher) tryRecord(ctx context.Context, e *entry, revision uint64, o Outcome) bool {
 	row := d.row(e, o.State)
 	row.Server = o.Server
 	row.Response = o.Response
@@ -230,7 +230,7 @@
 }
 
 // recordLater goes on until the platform takes the outcome.
-func (d *Desk) recordLater(e *entry, revision uint64, o Outcome) {
+func (d *Dispatcher) recordLater(e *entry, revision uint64, o Outcome) {
 	for d.ctx.Err() == nil {
 		if d.record(e, revision, o) {
 			return
@@ -240,16 +240,16 @@
 }
 
 // Expire forgets calls that ended long ago; the table has them.
-func (d *Desk) Expire(now time.Time) {
+func (d *Dispatcher) Expire(now time.Time) {
 	d.calls.DeleteIf(func(_ keyName, e *entry) bool { return e.ended() && now.After(e.until) })
 	d.past.DeleteIf(func(_ claimName, x ended) bool { return now.After(x.until) })
 }
 
-// Word answers another node's question about a call that this one claimed. It
+// Status answers another node's question about a call that this one claimed. It
 // waits for the end of the call until ctx is done.
-func (d *Desk) Word(ctx context.Context, incarnation string, key Key, claimID string) Word {
+func (d *Dispatcher) Status(ctx context.Context, incarnation string, key Key, claimID string) Status {
 	if incarnation != d.incarnation {
-		return Word{}
+		return Status{}
 	}
 	e, found := d.calls.Get(keyName(key.String()))
 	if found && e.claimID == claimID {
@@ -259,27 +259,27 @@
 			return stillRunning()
 		}
 		if e.outcome.State == Done {
-			return Word{Known: true, Outcome: e.outcome}
+			return Status{Known: true, Outcome: e.outcome}
 		}
 	}
-	return d.pastWord(ctx, claimName(claimID))
+	return d.pastStatus(ctx, claimName(claimID))
 }
 
-// pastWord tells of a claim that ended without a response, once its own caller
+// pastStatus tells of a claim that ended without a response, once its own caller
 // has been told.
-func (d *Desk) pastWord(ctx context.Context, id claimName) Word {
+func (d *Dispatcher) pastStatus(ctx context.Context, id claimName) Status {
 	x, found := d.past.Get(id)
 	if !found {
-		return Word{}
+		return Status{}
 	}
 	pause(ctx, time.Until(x.from))
 	if time.Now().Before(x.from) {
 		return stillRunning()
 	}
-	return Word{Known: true, Outcome: x.outcome}
+	return Status{Known: true, Outcome: x.outcome}
 }
 
-func stillRunning() Word { return Word{Known: true, Outcome: Outcome{State: Claimed}} }
+func stillRunning() Status { return Status{Known: true, Outcome: Outcome{State: Claimed}} }
 
 func pause(ctx context.Context, most time.Duration) {
 	t := time.NewTimer(most)
--- a/core/claim/model_test.go
+++ b/core/claim/model_test.go
@@ -111,7 +111,7 @@
 	world       *world
 	name        string
 	incarnation int
-	desk        *claim.Desk
+	calls       *claim.Dispatcher
 	dead        chan struct{}
 	paused      time.Time
 }
@@ -120,10 +120,10 @@
 	m.incarnation++
 	m.dead = make(chan struct{})
 	p := &process{member: m, dead: m.dead}
-	m.desk = claim.New(m.name, p.name(m.incarnation), p, p, p)
+	m.calls = claim.New(m.name, p.name(m.incarnation), p, p, p)
 }
 
-// process is one run of a node: the desk's store, peers and sender. Nothing that
+// process is one run of a node: the store, peers and sender of its calls. Nothing that
 // it does takes effect after its death, and nothing begins during a pause.
 type process struct {
 	member *member
@@ -207,27 +207,27 @@
 	return claim.Stored{Row: w.row, Revision: w.revision}, w.revision > 0, ctx.Err()
 }
 
-func (p *process) AskCall(ctx context.Context, node, incarnation string, key claim.Key, claimID string) (claim.Word, error) {
+func (p *process) AskCall(ctx context.Context, node, incarnation string, key claim.Key, claimID string) (claim.Status, error) {
 	if err := p.proceed(); err != nil {
-		return claim.Word{}, err
+		return claim.Status{}, err
 	}
 	for _, m := range p.member.world.nodes {
 		if m.name == node {
-			return m.word(ctx, incarnation, key, claimID)
+			return m.status(ctx, incarnation, key, claimID)
 		}
 	}
-	return claim.Word{}, errLost
+	return claim.Status{}, errLost
 }
 
-func (m *member) word(ctx context.Context, incarnation string, key claim.Key, claimID string) (claim.Word, error) {
+func (m *member) status(ctx context.Context, incarnation string, key claim.Key, claimID string) (claim.Status, error) {
 	m.world.mu.Lock()
-	d, paused := m.desk, time.Now().Before(m.paused)
+	d, paused := m.calls, time.Now().Before(m.paused)
 	m.world.mu.Unlock()
 	if paused {
 		<-ctx.Done()
-		return claim.Word{}, ctx.Err()
+		return claim.Status{}, ctx.Err()
 	}
-	return d.Word(ctx, incarnation, key, claimID), nil
+	return d.Status(ctx, incarnation, key, claimID), nil
 }
 
 func (p *process) Send(ctx context.Context, _ claim.Call, _ uint64) (claim.Response, string, bool, error) {
@@ -300,7 +300,7 @@
 // call is one caller's request. Its node's death ends it without an answer.
 func (w *world) call(m *member) {
 	w.mu.Lock()
-	d, dead := m.desk, m.dead
+	d, dead := m.calls, m.dead
 	w.mu.Unlock()
 	c := claim.Call{Key: claim.Key{Organisation: "o", Service: "s", Name: "k"}, BodyHash: 1, Deadline: time.Now().Add(8 * time.Second)}
 	r, err := d.Do(context.Background(), c)
@@ -345,7 +345,7 @@
 	for _, m := range w.nodes {
 		done, cancel := context.WithCancel(context.Background())
 		cancel()
-		m.desk.Close(done)
+		m.calls.Close(done)
 	}
 	time.Sleep(time.Minute)
 	return w.violations
@@ -363,7 +363,7 @@
 	case "crash":
 		w.mu.Lock()
 		close(m.dead)
-		old := m.desk
+		old := m.calls
 		m.start()
 		w.mu.Unlock()
 		done, cancel := context.WithCancel(context.Background())
--- a/core/claim/settle.go
+++ b/core/claim/settle.go
@@ -9,7 +9,7 @@
 
 // claim writes the claim. It returns the row's revision, or an outcome when this
 // node must not send the call.
-func (d *Desk) claim(ctx context.Context, e *entry) (uint64, *Outcome) {
+func (d *Dispatcher) claim(ctx context.Context, e *entry) (uint64, *Outcome) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(claimWait))
 	defer cancel()
 	var last error
@@ -52,7 +52,7 @@
 }
 
 // settle decides by the row of another claim.
-func (d *Desk) settle(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
+func (d *Dispatcher) settle(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
 	if s.Row.BodyHash != e.call.BodyHash && s.Row.State != Abandoned {
 		return 0, &Outcome{State: Abandoned, Failure: failure(keyReused())}
 	}
@@ -82,7 +82,7 @@
 }
 
 // takeOver makes an abandoned claim this node's.
-func (d *Desk) takeOver(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
+func (d *Dispatcher) takeOver(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(claimWait))
 	defer cancel()
 	e.created = s.Row.Created
@@ -108,35 +108,35 @@
 }
 
 // ask learns from the claiming node what became of the call.
-func (d *Desk) ask(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
+func (d *Dispatcher) ask(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
 	for ctx.Err() == nil {
-		w, err := d.word(ctx, e.call.Key, s.Row)
+		x, err := d.askStatus(ctx, e.call.Key, s.Row)
 		switch {
-		case err != nil || !w.Known:
+		case err != nil || !x.Known:
 			return d.reread(ctx, e, s)
-		case w.Outcome.State == Claimed:
+		case x.Outcome.State == Claimed:
 			continue
-		case w.Outcome.State == Abandoned:
+		case x.Outcome.State == Abandoned:
 			return d.takeOver(ctx, e, s)
 		default:
-			return 0, &w.Outcome
+			return 0, &x.Outcome
 		}
 	}
 	return 0, claimantGone(s.Row)
 }
 
-func (d *Desk) word(ctx context.Context, key Key, r Row) (Word, error) {
+func (d *Dispatcher) askStatus(ctx context.Context, key Key, r Row) (Status, error) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(askWait))
 	defer cancel()
 	if r.Node == d.node {
-		return d.Word(c, r.Incarnation, key, r.ID), nil
+		return d.Status(c, r.Incarnation, key, r.ID), nil
 	}
 	return d.peers.AskCall(c, r.Node, r.Incarnation, key, r.ID)
 }
 
 // reread looks once more whether the outcome has been recorded, when the
 // claiming node can't tell.
-func (d *Desk) reread(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
+func (d *Dispatcher) reread(ctx context.Context, e *entry, s Stored) (uint64, *Outcome) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(recordWait))
 	defer cancel()
 	now, found, err := d.store.Read(c, e.call.Key)
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// judgeWait is how long the other nodes have to tell what ran on a server that
+	// evaluateWait is how long the other nodes have to tell what ran on a server that
 	// died.
-	judgeWait = 250 * time.Millisecond
+	evaluateWait = 250 * time.Millisecond
 )
 
 type received struct {
@@ -40,13 +40,13 @@
 	}
 	r.observer.AttemptEnded(x.job, s.Name(), x.number, err)
 	if err != nil && ctx.Err() == nil {
-		r.blame(ctx, x, s, err)
+		r.handleFailure(ctx, x, s, err)
 	}
 	return finish, err
 }
 
-// blame finds out what became of a server on which an attempt failed.
-func (r *Runner) blame(ctx context.Context, x *run, s config.Server, err error) {
+// handleFailure finds out what became of a server on which an attempt failed.
+func (r *Runner) handleFailure(ctx context.Context, x *run, s config.Server, err error) {
 	f := fault.From(err)
 	now := time.Now()
 	switch f.Code() {
@@ -56,7 +56,7 @@
 	case fault.ServerSilent:
 		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
 	case fault.ServerFailed:
-		r.examine(ctx, x, s, f)
+		r.probeFailed(ctx, x, s, f)
 	default:
 		return
 	}
@@ -64,8 +64,8 @@
 	x.exclude[s.Name()] = true
 }
 
-// examine asks a server whose connection broke whether it has died.
-func (r *Runner) examine(ctx context.Context, x *run, s config.Server, f *fault.Error) {
+// probeFailed asks a server whose connection broke whether it has died.
+func (r *Runner) probeFailed(ctx context.Context, x *run, s config.Server, f *fault.Error) {
 	now := time.Now()
 	c, cancel := context.WithDeadline(ctx, now.Add(probeWait))
 	defer cancel()
@@ -76,10 +76,10 @@
 			return // It was dead before.
 		}
 		d := quarantine.Suspicion{Fingerprint: x.job.Fingerprint, Server: s.Name(), Tokens: x.made}
-		judge := r.quarantine.Died(d, now)
+		again := r.quarantine.Died(d, now)
 		r.observer.ServerDied(d)
-		if judge {
-			r.judge(ctx, x)
+		if again {
+			r.evaluate(ctx, x)
 		}
 	case Silent:
 		r.loads.SetDown(s.Name(), now.Add(downAfterDeath))
@@ -87,18 +87,18 @@
 	}
 }
 
-// judge waits for what other nodes know of the servers that died, and quarantines
+// evaluate waits for what other nodes know of the servers that died, and quarantines
 // the request if it is the cause. The other nodes know of it before the caller
 // does, so that a repeat through any of them is refused.
-func (r *Runner) judge(ctx context.Context, x *run) {
-	t := time.NewTimer(judgeWait)
+func (r *Runner) evaluate(ctx context.Context, x *run) {
+	t := time.NewTimer(evaluateWait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	if r.quarantine.Judge(x.job.Fingerprint, time.Now()) {
-		r.observer.Condemned(x.job.Fingerprint)
+	if r.quarantine.Evaluate(x.job.Fingerprint, time.Now()) {
+		r.observer.RequestQuarantined(x.job.Fingerprint)
 	}
 }
 
@@ -178,7 +178,7 @@
 	}
 }
 
-// endOf judges the end of a stream: it is whole once it has a finish reason,
+// endOf checks the end of a stream: it is whole once it has a finish reason,
 // whatever becomes of the connection then.
 func endOf(err error, finish answer.Finish, s config.Server) error {
 	if finish.Reason != "" {
--- a/core/generation/runner.go
+++ b/core/generation/runner.go
@@ -47,9 +47,9 @@
 	AttemptEnded(j Job, server string, number int, err error)
 	Resumed(j Job, server string, latency time.Duration)
 	ServerDied(s quarantine.Suspicion)
-	// Condemned is told of a request that is quarantined from now on. It returns
+	// RequestQuarantined is told of a request that is quarantined from now on. It returns
 	// when the reachable nodes know.
-	Condemned(f quarantine.Fingerprint)
+	RequestQuarantined(f quarantine.Fingerprint)
 	AnswerEnded(j Job, f answer.Finish)
 }
 
--- a/core/generation/runner_test.go
+++ b/core/generation/runner_test.go
@@ -64,7 +64,7 @@
 	w.resumed = append(w.resumed, d)
 }
 func (w *world) ServerDied(quarantine.Suspicion)               {}
-func (w *world) Condemned(quarantine.Fingerprint)              {}
+func (w *world) RequestQuarantined(quarantine.Fingerprint)     {}
 func (w *world) AnswerEnded(_ generation.Job, f answer.Finish) { w.finish = f }
 func (w *world) Notify(a *answer.Answer)                       {}
 func (w *world) Probe(ctx context.Context, s config.Server) generation.Health {
--- a/core/holder/holder.go
+++ b/core/holder/holder.go
@@ -183,7 +183,7 @@
 
 // Tend ends generations that nobody waits for and forgets old answers. It is
 // called now and then.
-func (h *Holder) Tend(now time.Time) {
+func (h *Holder) Maintain(now time.Time) {
 	for _, a := range h.answers.Values() {
 		holder, _ := a.Holder()
 		_, _, done := a.Progress()
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -2,15 +2,15 @@
 // them, and keeps them from further ones.
 //
 // Every request that ran on a server as it died is suspected. One that has been
-// there twice is judged, once the other nodes have had time to tell what ran on
-// the same servers: see List.Judge.
+// there twice is evaluated, once the other nodes have had time to tell what ran on
+// the same servers: see List.Evaluate.
 //
 // # Usage
 //
 //	l := quarantine.New()
 //	if l.Died(quarantine.Suspicion{Fingerprint: f, Server: "engine-3", Tokens: 2}, now) {
 //		// wait for the other nodes' suspicions, then
-//		guilty := l.Judge(f, now)
+//		isCause := l.Evaluate(f, now)
 //	}
 //	if l.Quarantined(f, now) { ... refuse ... }
 package quarantine
@@ -22,9 +22,9 @@
 )
 
 const (
-	// judgeAt is the number of deaths from which on a request is judged, and
+	// evaluateAt is the number of deaths from which on a request is evaluated, and
 	// deathLimit the one that condemns in any case.
-	judgeAt    = 2
+	evaluateAt = 2
 	deathLimit = 3
 	// earlyTokens is the most that an attempt that dies early has produced.
 	earlyTokens = 8
@@ -74,7 +74,7 @@
 }
 
 // Died notes that a server died while running a request, however often it is
-// told. It tells whether the request is to be judged.
+// told. It tells whether the request is to be evaluated.
 func (l *List) Died(x Suspicion, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -87,28 +87,28 @@
 		l.deaths[x.Server] = now
 		s.add(x.Server, x.Tokens, now)
 	}
-	return len(s.tokens) >= judgeAt
+	return len(s.tokens) >= evaluateAt
 }
 
-// Judge decides whether a request crashes servers, and quarantines it if so. It
+// Evaluate decides whether a request crashes servers, and quarantines it if so. It
 // does if a third server has died under it, or a second one after about as many
 // tokens as the first. It does too if the second one died early, unless another
 // request was on both servers and explains their deaths better. Deaths that were
 // part of a mass death don't count.
-func (l *List) Judge(f Fingerprint, now time.Time) bool {
+func (l *List) Evaluate(f Fingerprint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.suspects[f]
-	if s == nil || !l.guilty(f, l.counted(s)) {
+	if s == nil || !l.isCause(f, l.counted(s)) {
 		return now.Before(l.till[f])
 	}
 	l.till[f] = now.Add(retention)
 	return true
 }
 
-func (l *List) guilty(f Fingerprint, s *suspect) bool {
+func (l *List) isCause(f Fingerprint, s *suspect) bool {
 	switch {
-	case len(s.tokens) < judgeAt:
+	case len(s.tokens) < evaluateAt:
 		return false
 	case len(s.tokens) >= deathLimit || s.alike():
 		return true
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -14,10 +14,10 @@
 	at      time.Duration
 }
 
-func TestJudge(t *testing.T) {
+func TestEvaluate(t *testing.T) {
 	cases := map[string]struct {
-		deaths []death
-		guilty map[quarantine.Fingerprint]bool
+		deaths  []death
+		isCause map[quarantine.Fingerprint]bool
 	}{
 		"one death":                 {[]death{{1, "a", 0, 0}}, map[quarantine.Fingerprint]bool{1: false}},
 		"two early deaths":          {[]death{{1, "a", 0, 0}, {1, "b", 3, time.Second}}, map[quarantine.Fingerprint]bool{1: true}},
@@ -48,8 +48,8 @@
 				now = start.Add(d.at)
 				l.Died(quarantine.Suspicion{Fingerprint: d.request, Server: d.server, Tokens: d.tokens}, now)
 			}
-			for f, want := range x.guilty {
-				if got := l.Judge(f, now); got != want {
+			for f, want := range x.isCause {
+				if got := l.Evaluate(f, now); got != want {
 					t.Errorf("request %v: quarantined %v, not %v", f, got, want)
 				}
 			}
--- a/core/replication/copier.go
+++ b/core/replication/copier.go
@@ -1,8 +1,8 @@
 // Package replication copies answers to another node before their pieces are
 // released to callers.
 //
-// Each replica has one lane, on which one call at a time is under way; what
-// comes meanwhile goes with the next call. An answer whose replica fails gets
+// Each replica has one sender, which has one call at a time under way; what comes
+// meanwhile goes with the next call. An answer whose replica fails gets
 // another one with the whole text. With none in reach its pieces go out
 // unprotected, and a replica is looked for again and again.
 //
@@ -50,19 +50,19 @@
 	Replicas(id string, now time.Time) []membership.Node
 }
 
-type laneName string
+type senderName string
 
 type answerID string
 
 // Copier copies the answers that a node holds.
 type Copier struct {
-	link   Link
-	nodes  Nodes
-	copies *shard.Map[answerID, *placement]
-	lanes  *shard.Map[laneName, *lane]
-	ctx    context.Context
-	stop   context.CancelFunc
-	work   sync.WaitGroup
+	link    Link
+	nodes   Nodes
+	copies  *shard.Map[answerID, *placement]
+	senders *shard.Map[senderName, *sender]
+	ctx     context.Context
+	stop    context.CancelFunc
+	work    sync.WaitGroup
 }
 
 // New returns a copier. Close ends its goroutines.
@@ -70,8 +70,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Copier{
 		link: l, nodes: n, ctx: ctx, stop: stop,
-		copies: shard.New[answerID, *placement](),
-		lanes:  shard.New[laneName, *lane](),
+		copies:  shard.New[answerID, *placement](),
+		senders: shard.New[senderName, *sender](),
 	}
 }
 
@@ -188,7 +188,7 @@
 	p.mu.Unlock()
 	switch {
 	case target != "":
-		c.lane(target).add(p)
+		c.sender(target).add(p)
 	case !moving:
 		release(a)
 	}
@@ -219,8 +219,8 @@
 	}
 }
 
-func (c *Copier) lane(node string) *lane {
-	l, found := c.lanes.GetOrPut(laneName(node), func() *lane { return newLane(c, node) })
+func (c *Copier) sender(node string) *sender {
+	l, found := c.senders.GetOrPut(senderName(node), func() *sender { return newSender(c, node) })
 	if !found {
 		c.work.Go(l.run)
 	}
--- a/core/replication/lane.go
+++ b/core/replication/sender.go
@@ -8,8 +8,8 @@
 	"cicadabeam/core/answer"
 )
 
-// lane sends the copies for one replica.
-type lane struct {
+// sender sends the copies for one replica.
+type sender struct {
 	copier *Copier
 	node   string
 	wake   chan struct{}
@@ -18,11 +18,11 @@
 	dirty map[*placement]bool
 }
 
-func newLane(c *Copier, node string) *lane {
-	return &lane{copier: c, node: node, wake: make(chan struct{}, 1), dirty: make(map[*placement]bool)}
+func newSender(c *Copier, node string) *sender {
+	return &sender{copier: c, node: node, wake: make(chan struct{}, 1), dirty: make(map[*placement]bool)}
 }
 
-func (l *lane) add(p *placement) {
+func (l *sender) add(p *placement) {
 	l.mu.Lock()
 	l.dirty[p] = true
 	l.mu.Unlock()
@@ -32,7 +32,7 @@
 	}
 }
 
-func (l *lane) run() {
+func (l *sender) run() {
 	for {
 		select {
 		case <-l.copier.ctx.Done():
@@ -43,7 +43,7 @@
 	}
 }
 
-func (l *lane) take() []*placement {
+func (l *sender) take() []*placement {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	all := make([]*placement, 0, len(l.dirty))
@@ -55,7 +55,7 @@
 }
 
 // flush sends one call with what is new in all waiting answers.
-func (l *lane) flush() {
+func (l *sender) flush() {
 	var sent []*placement
 	var batches []answer.Batch
 	for _, p := range l.take() {
@@ -81,13 +81,13 @@
 	}
 }
 
-func (l *lane) serves(p *placement) bool {
+func (l *sender) serves(p *placement) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.target == l.node
 }
 
-func (l *lane) settle(p *placement, b answer.Batch, r Result) {
+func (l *sender) settle(p *placement, b answer.Batch, r Result) {
 	switch r.Status {
 	case answer.Applied:
 		p.answer.Acknowledge(b)
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -8,6 +8,7 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -17,8 +18,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"context"
-
 	"cicadabeam/core/answer"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/completion"
@@ -175,54 +174,66 @@
 }
 
 func (h *Handler) complete(x *exchange) error {
-	body, err := h.readBody(x)
+	r, err := h.answerRequest(x)
 	if err != nil {
 		return err
 	}
-	q, err := completion.Parse(x.r.URL.Path, body)
+	if h.backend.Quarantined(r.Fingerprint) {
+		return fault.Newf(fault.Quarantined, "admit", "", "this request crashed the backend servers that ran it")
+	}
+	leave, err := h.enter(x)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	x.w.Header().Set("X-Answer-Id", r.Header.ID)
+	reader, err := h.backend.Start(x.r.Context(), r)
 	if err != nil {
 		return err
 	}
+	defer reader.Close()
+	return h.write(x, reader, r.Request)
+}
+
+// answerRequest reads and checks a request for an answer.
+func (h *Handler) answerRequest(x *exchange) (holder.Request, error) {
+	body, err := h.readBody(x)
+	if err != nil {
+		return holder.Request{}, err
+	}
+	q, err := completion.Parse(x.r.URL.Path, body)
+	if err != nil {
+		return holder.Request{}, err
+	}
 	s, found := x.config.ServiceOfModel(q.Model())
 	if !found || !x.organisation.MayUse(s.Name()) {
-		return fault.Newf(fault.NotFound, "route", "", "there is no model %q for this organisation", q.Model())
+		return holder.Request{}, fault.Newf(fault.NotFound, "route", "", "there is no model %q for this organisation", q.Model())
 	}
 	x.event.Service = s.Name()
-	f := Fingerprint(x.organisation.Name(), s.Name(), body)
-	if h.backend.Quarantined(f) {
-		return fault.Newf(fault.Quarantined, "admit", "", "this request crashed the backend servers that ran it")
-	}
 	mark, err := lastEvent(x.r)
 	if err != nil {
-		return err
-	}
-	leave, err := h.enter(x)
-	if err != nil {
-		return err
+		return holder.Request{}, err
 	}
-	defer leave()
 	key := x.r.Header.Get("Idempotency-Key")
 	if err := checkKey(key); err != nil {
-		return err
+		return holder.Request{}, err
 	}
+	return holder.Request{
+		Header: answerHeader(x.organisation.Name(), s.Name(), q.Path(), key, body), Request: q, Service: s, Organisation: x.organisation,
+		Fingerprint: Fingerprint(x.organisation.Name(), s.Name(), body), Mark: mark,
+	}, nil
+}
+
+// answerHeader names an answer. Without a caller's key it gets one of its own.
+func answerHeader(organisation, service, path, key string, body []byte) answer.Header {
 	keyed := key != ""
 	if !keyed {
 		key = uuid.NewString()
 	}
-	id := answerID(x.organisation.Name(), s.Name(), key)
-	x.w.Header().Set("X-Answer-Id", id)
-	reader, err := h.backend.Start(x.r.Context(), holder.Request{
-		Header: answer.Header{
-			ID: id, Organisation: x.organisation.Name(), Service: s.Name(), Path: q.Path(), Body: body,
-			BodyHash: xxhash.Sum64(body), Keyed: keyed, Created: time.Now().Unix(),
-		},
-		Request: q, Service: s, Organisation: x.organisation, Fingerprint: f, Mark: mark,
-	})
-	if err != nil {
-		return err
+	return answer.Header{
+		ID: answerID(organisation, service, key), Organisation: organisation, Service: service, Path: path, Body: body,
+		BodyHash: xxhash.Sum64(body), Keyed: keyed, Created: time.Now().Unix(),
 	}
-	defer reader.Close()
-	return h.write(x, reader, q)
 }
 
 // resume goes on with an answer that was begun before, on any node.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -216,12 +216,12 @@
 }
 
 // AskCall implements claim.Peers.
-func (c *Client) AskCall(ctx context.Context, node, incarnation string, key claim.Key, claimID string) (claim.Word, error) {
+func (c *Client) AskCall(ctx context.Context, node, incarnation string, key claim.Key, claimID string) (claim.Status, error) {
 	// The answering node waits less than ctx allows, for the way back.
-	until := time.Now().Add(wordWait)
-	var w claim.Word
-	err := c.call(ctx, control, node, "Word", CallQuestion{Key: key, Incarnation: incarnation, ClaimID: claimID, Until: until.UnixMilli()}, &w)
+	until := time.Now().Add(callStatusWait)
+	var w claim.Status
+	err := c.call(ctx, control, node, "CallStatus", CallQuestion{Key: key, Incarnation: incarnation, ClaimID: claimID, Until: until.UnixMilli()}, &w)
 	return w, err
 }
 
-const wordWait = 500 * time.Millisecond
+const callStatusWait = 500 * time.Millisecond
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -72,5 +72,5 @@
 	TakeOver(r holder.TakeOverRequest) holder.TakeOverReply
 	OpenCopy(s answer.Snapshot) replication.Result
 	AppendCopies(b []answer.Batch) []replication.Result
-	Word(q CallQuestion) claim.Word
+	CallStatus(q CallQuestion) claim.Status
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -59,8 +59,8 @@
 	return nil
 }
 
-func (m *methods) Word(q CallQuestion, r *claim.Word) error {
-	*r = m.handler.Word(q)
+func (m *methods) CallStatus(q CallQuestion, r *claim.Status) error {
+	*r = m.handler.CallStatus(q)
 	return nil
 }
 
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -159,19 +159,33 @@
 
 // Profile writes a profile of the node's processor time to a file.
 func (n *Node) Profile(path string, seconds int) error {
-	r, err := http.NewRequest(http.MethodGet, fmt.Sprintf("%s/debug/pprof/profile?seconds=%d", n.OperatorsURL(), seconds), nil)
+	b, err := n.get(fmt.Sprintf("/debug/pprof/profile?seconds=%d", seconds))
 	if err != nil {
 		return err
 	}
+	return os.WriteFile(path, b, 0o600)
+}
+
+// Metrics returns the node's metrics as text, "" if it can't be asked.
+func (n *Node) Metrics() string {
+	b, err := n.get("/metrics")
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
+
+// get asks the listener for operators.
+func (n *Node) get(path string) ([]byte, error) {
+	r, err := http.NewRequest(http.MethodGet, n.OperatorsURL()+path, nil)
+	if err != nil {
+		return nil, err
+	}
 	r.Header.Set("Authorization", "Bearer "+operatorSecret)
 	response, err := callers.Do(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	b, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(path, b, 0o600)
+	return io.ReadAll(response.Body)
 }
--- a/test/integration/command_test.go
+++ b/test/integration/command_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -92,3 +93,38 @@
 	expect(t, tool(t, 3, "check", "--settings", file), "[node] name: is missing", "is no known section")
 	expect(t, tool(t, 3, "serve", "--settings", file), "[node] name: is missing")
 }
+
+// Metrics are named as docs/OPERATIONS.md says, and SIGHUP reads the log level anew.
+func TestMetricsAndReload(t *testing.T) {
+	t.Parallel()
+	c := start(t, cluster.Layout{EnginesEach: 1})
+	n := c.Node(0)
+	checkWhole(t, c, n.Ask(testContext(t), cluster.Prompt{Text: "tokens=20"}), 20)
+	names := []string{`cicadabeam_requests{outcome="ok"} 1`, "cicadabeam_first_token_seconds_bucket", "cicadabeam_configuration_revision 1", "cicadabeam_answers_unprotected", "cicadabeam_peer_sent_bytes"}
+	await(t, "all metrics", func() bool {
+		text := n.Metrics()
+		for _, name := range names {
+			if !contains(text, name) {
+				return false
+			}
+		}
+		return true
+	})
+	settings, err := os.ReadFile(n.Settings())
+	must(t, err)
+	must(t, os.WriteFile(n.Settings(), bytes.Replace(settings, []byte("level = debug"), []byte("level = loud"), 1), 0o600))
+	n.Signal(syscall.SIGHUP)
+	awaitLog(t, n, "settings not reloaded")
+	must(t, os.WriteFile(n.Settings(), bytes.Replace(settings, []byte("level = debug"), []byte("level = info"), 1), 0o600))
+	n.Signal(syscall.SIGHUP)
+	awaitLog(t, n, "settings reloaded")
+	checkWhole(t, c, n.Ask(testContext(t), cluster.Prompt{Text: "tokens=20"}), 20)
+}
+
+func awaitLog(t *testing.T, n *cluster.Node, line string) {
+	t.Helper()
+	await(t, line, func() bool {
+		b, err := os.ReadFile(n.Output())
+		return err == nil && contains(string(b), line)
+	})
+}
