--- a/test/integration/command_test.go
+++ b/test/integration/command_test.go
@@ -128,3 +128,12 @@
 		return err == nil && contains(string(b), line)
 	})
 }
+
+// The examples in docs pass the check.
+func TestExamples(t *testing.T) {
+	t.Parallel()
+	const examples = "../../docs/examples/"
+	for _, q := range []string{"local.ini", "ndox-jamm.ini", "forjas-castaneda.ini"} {
+		expect(t, tool(t, 0, "check", "--settings", examples+"node.ini", "--questionnaire", examples+q), "ok")
+	}
+}
