Let the test report read go test's output

A tool that starts go test needs os/exec; reading its JSON needs none. A run of no test, and a package that began and did not end, count as failures.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 	$(BIN)/demo --bin $(BIN)
 
 test:
-	go run cicadabeam/tools/runtests --known KNOWN-RED.txt
+	go build -o $(BIN)/ cicadabeam/tools/runtests
+	go test -json -count=1 -timeout=30m -parallel=6 work | $(BIN)/runtests --known KNOWN-RED.txt
 
 lint:
 	@test -z "$$(gofmt -l core io cmd test tools)" || { gofmt -l core io cmd test tools; echo "gofmt: the files above are not formatted"; exit 1; }
--- a/tools/runtests/main.go
+++ b/tools/runtests/main.go
@@ -1,5 +1,5 @@
-// Command runtests runs all tests of the workspace. It passes over just those
-// failures that a file lists, and prints them.
+// Command runtests reads the output of go test -json and tells how the tests
+// ended. It passes over just those failures that a file lists, and prints them.
 package main
 
 import (
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -35,6 +34,7 @@
 	failed  []string
 	broken  []string // packages that failed outside their tests
 	red     []string
+	open    map[string]bool // packages that have begun and not ended
 }
 
 func main() {
@@ -47,8 +47,8 @@
 		fmt.Fprintln(os.Stderr, "runtests:", err)
 		os.Exit(2)
 	}
-	r := &results{known: known, outputs: make(map[string]*strings.Builder)}
-	if err := r.run(); err != nil {
+	r := &results{known: known, outputs: make(map[string]*strings.Builder), open: make(map[string]bool)}
+	if err := r.read(os.Stdin); err != nil {
 		fmt.Fprintln(os.Stderr, "runtests:", err)
 		os.Exit(2)
 	}
@@ -70,25 +70,6 @@
 	return known, nil
 }
 
-func (r *results) run() error {
-	c := exec.Command("go", "test", "-json", "-count=1", "-timeout=30m", "-parallel=6", "work")
-	c.Stderr = os.Stderr
-	out, err := c.StdoutPipe()
-	if err != nil {
-		return err
-	}
-	if err := c.Start(); err != nil {
-		return err
-	}
-	if err := r.read(out); err != nil {
-		return err
-	}
-	if err := c.Wait(); err != nil && len(r.failed)+len(r.broken)+len(r.red) == 0 {
-		return err
-	}
-	return nil
-}
-
 func (r *results) read(out io.Reader) error {
 	s := bufio.NewScanner(out)
 	s.Buffer(nil, 64<<20)
@@ -105,6 +86,7 @@
 
 func (r *results) take(e event) {
 	name := strings.TrimSpace(e.Package + " " + e.Test)
+	r.follow(e)
 	switch e.Action {
 	case "output", "build-output":
 		r.output(name, e)
@@ -118,6 +100,19 @@
 	}
 }
 
+// follow notes which packages have begun and not ended.
+func (r *results) follow(e event) {
+	if e.Test != "" || e.Package == "" {
+		return
+	}
+	switch e.Action {
+	case "start":
+		r.open[e.Package] = true
+	case "pass", "fail", "skip":
+		delete(r.open, e.Package)
+	}
+}
+
 func (r *results) output(name string, e event) {
 	if e.Action == "build-output" {
 		fmt.Print(e.Output)
@@ -159,6 +154,9 @@
 }
 
 func (r *results) report() int {
+	for name := range r.open {
+		r.broken = append(r.broken, name+" (did not end)")
+	}
 	for _, name := range append(r.failed, r.broken...) {
 		fmt.Println("--- FAIL:", name)
 		if o := r.outputs[name]; o != nil {
@@ -169,7 +167,7 @@
 		fmt.Println("known red:", name)
 	}
 	fmt.Printf("%d passed, %d failed\n", r.passed, len(r.failed)+len(r.broken))
-	if len(r.failed)+len(r.broken) > 0 {
+	if len(r.failed)+len(r.broken) > 0 || r.passed == 0 {
 		return 1
 	}
 	return 0
