--- a/core/answer/answer.go
+++ b/core/answer/answer.go
@@ -118,16 +118,22 @@
 // FromSnapshot returns an answer that has all of s released, held by holder.
 func FromSnapshot(s Snapshot) *Answer {
 	a := New(s.Header, s.Holder, s.Epoch)
-	for _, p := range s.Batch.Pieces {
-		a.transcript.append(p)
+	a.takeCopy(s.Batch, 0)
+	return a
+}
+
+// takeCopy adds what a batch has from its piece skip on, and the rest of it. What a
+// copy has is released.
+func (a *Answer) takeCopy(b Batch, skip int) {
+	for i := skip; i < len(b.Pieces); i++ {
+		a.transcript.append(b.Pieces[i])
 	}
-	a.usage = s.Batch.Usage
-	a.finish = s.Batch.Finish
+	a.usage = b.Usage
+	a.finish = b.Finish
 	a.copied = a.transcript.len()
 	a.released = a.copied
 	a.finishCopied = a.finish.Done()
 	a.finishOut = a.finish.Done()
-	return a
 }
 
 // Header returns what stays the same.
@@ -252,19 +258,20 @@
 	if b.Epoch > a.epoch || b.From > n {
 		return Gap
 	}
-	for i := n - b.From; i < len(b.Pieces); i++ {
-		a.transcript.append(b.Pieces[i])
+	if a.surpasses(b) {
+		return Applied
 	}
-	a.usage = b.Usage
-	a.finish = b.Finish
-	a.copied = a.transcript.len()
-	a.released = a.copied
-	a.finishCopied = a.finish.Done()
-	a.finishOut = a.finish.Done()
+	a.takeCopy(b, n-b.From)
 	a.signal()
 	return Applied
 }
 
+// surpasses tells whether a batch of the present epoch brings nothing: it was held
+// up on its way, and the copy has more.
+func (a *Answer) surpasses(b Batch) bool {
+	return a.finish.Done() || b.end() < a.transcript.len()
+}
+
 // Adopt replaces what the replica has by the whole answer of a holder. It
 // refuses a holder of a lower epoch, and another holder of the same epoch.
 func (a *Answer) Adopt(s Snapshot) Status {
@@ -273,18 +280,13 @@
 	if s.Epoch < a.epoch || (s.Epoch == a.epoch && s.Holder != a.holder) {
 		return Stale
 	}
+	if s.Epoch == a.epoch && a.surpasses(s.Batch) {
+		return Applied
+	}
 	a.holder = s.Holder
 	a.epoch = s.Epoch
 	a.transcript = transcript{}
-	for _, p := range s.Batch.Pieces {
-		a.transcript.append(p)
-	}
-	a.usage = s.Batch.Usage
-	a.finish = s.Batch.Finish
-	a.copied = a.transcript.len()
-	a.released = a.copied
-	a.finishCopied = a.finish.Done()
-	a.finishOut = a.finish.Done()
+	a.takeCopy(s.Batch, 0)
 	a.signal()
 	return Applied
 }
--- a/core/answer/model_test.go
+++ b/core/answer/model_test.go
@@ -36,10 +36,19 @@
 	from   int
 }
 
-// copying is a batch on its way; it may arrive late, twice or never.
+// copying is a batch or the whole answer on its way; it may arrive late, twice or
+// never.
 type copying struct {
-	holder *nodeState
-	batch  answer.Batch
+	holder   *nodeState
+	batch    answer.Batch
+	snapshot *answer.Snapshot
+}
+
+func (c copying) deliver(to *answer.Answer) answer.Status {
+	if c.snapshot != nil {
+		return to.Adopt(*c.snapshot)
+	}
+	return to.Apply(c.batch)
 }
 
 // machine is one answer with one replica and the holders that follow one another.
@@ -47,6 +56,7 @@
 	replica *answer.Answer
 	holders []*nodeState
 	flying  []copying
+	ended   uint64 // epoch under which the replica had the end, 0 for none
 }
 
 func newMachine() *machine {
@@ -71,6 +81,15 @@
 	}
 }
 
+// open sends the whole answer, as to a new replica.
+func (m *machine) open(t *rapid.T) {
+	h := m.pick(t)
+	s := h.answer.Snapshot()
+	if s.Epoch == h.epoch {
+		m.flying = append(m.flying, copying{holder: h, batch: s.Batch, snapshot: &s})
+	}
+}
+
 // arrive delivers a batch and, perhaps, its acknowledgement.
 func (m *machine) arrive(t *rapid.T) {
 	if len(m.flying) == 0 {
@@ -81,7 +100,7 @@
 	if !rapid.Bool().Draw(t, "again") {
 		m.flying = append(m.flying[:i:i], m.flying[i+1:]...)
 	}
-	status := m.replica.Apply(c.batch)
+	status := c.deliver(m.replica)
 	if rapid.Bool().Draw(t, "answer lost") {
 		return
 	}
@@ -113,6 +132,12 @@
 // check: what any holder has released is a beginning of what the newest one goes
 // on from, and a reader's mark always names what it was given.
 func (m *machine) check(t *rapid.T) {
+	_, epoch := m.replica.Holder()
+	if _, _, done := m.replica.Progress(); done {
+		m.ended = epoch
+	} else if m.ended == epoch {
+		t.Fatalf("the replica had the end under epoch %d and has it no more", epoch)
+	}
 	newest := m.holders[len(m.holders)-1].answer.Text()
 	for _, h := range m.holders[:len(m.holders)-1] {
 		if released := text(h.answer); !strings.HasPrefix(newest, released) {
@@ -137,7 +162,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		m := newMachine()
 		r.Repeat(map[string]func(*rapid.T){
-			"push": m.push, "push again": m.push, "send": m.send, "arrive": m.arrive, "arrive again": m.arrive,
+			"push": m.push, "push again": m.push, "send": m.send, "open": m.open, "arrive": m.arrive, "arrive again": m.arrive,
 			"promote": m.promote, "end": m.end, "": m.check,
 		})
 	})
--- a/core/claim/settle.go
+++ b/core/claim/settle.go
@@ -77,8 +77,8 @@
 }
 
 func lost(r Row) *Outcome {
-	f := fault.Newf(fault.OutcomeUnknown, "repeat", r.Server, "the call was sent and its outcome is not known; it is never sent again").WithRan(fault.Unknown)
-	return &Outcome{State: Lost, Server: r.Server, Failure: failure(f)}
+	f := fault.Newf(fault.OutcomeUnknown, "repeat", r.Server, "the call was sent and its outcome is not known; it is never sent again")
+	return &Outcome{State: Lost, Server: r.Server, Failure: failure(f.WithRan(fault.Unknown))}
 }
 
 // takeOver makes an abandoned claim this node's.
@@ -147,6 +147,6 @@
 }
 
 func claimantGone(r Row) *Outcome {
-	f := fault.Newf(fault.OutcomeUnknown, "repeat", r.Node, "the node that claimed the call can't be asked").WithRan(fault.Unknown).WithRetry(time.Now().Add(retryAfter))
-	return &Outcome{State: Lost, Failure: failure(f)}
+	f := fault.Newf(fault.OutcomeUnknown, "repeat", r.Node, "the node that claimed the call can't be asked")
+	return &Outcome{State: Lost, Failure: failure(f.WithRan(fault.Unknown).WithRetry(time.Now().Add(retryAfter)))}
 }
--- a/core/holder/holder.go
+++ b/core/holder/holder.go
@@ -181,7 +181,7 @@
 	}
 }
 
-// Tend ends generations that nobody waits for and forgets old answers. It is
+// Maintain ends generations that nobody waits for and drops old answers. It is
 // called now and then.
 func (h *Holder) Maintain(now time.Time) {
 	for _, a := range h.answers.Values() {
--- a/core/holder/reader.go
+++ b/core/holder/reader.go
@@ -214,7 +214,8 @@
 		}
 	}
 	if time.Since(x.missed) > lostWait {
-		return answer.View{}, fault.Newf(fault.NotFound, "find-answer", x.place.holder, "the nodes that had the answer %s are gone", x.header.ID).WithRan(fault.Unknown).WithRetry(time.Now().Add(time.Second))
+		f := fault.Newf(fault.NotFound, "find-answer", x.place.holder, "the nodes that had the answer %s are gone", x.header.ID)
+		return answer.View{}, f.WithRan(fault.Unknown).WithRetry(time.Now().Add(time.Second))
 	}
 	wait(ctx, nil, retryWait)
 	return answer.View{}, nil
@@ -223,7 +224,9 @@
 func (x *Reader) recoverWith(ctx context.Context, node string) (answer.View, bool, error) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(pingWait+remoteReadSlack))
 	defer cancel()
-	t, err := x.holder.link.TakeOver(c, node, TakeOverRequest{ID: x.header.ID, Organisation: x.header.Organisation, Epoch: x.place.epoch, Holder: x.holder.self()})
+	t, err := x.holder.link.TakeOver(c, node, TakeOverRequest{
+		ID: x.header.ID, Organisation: x.header.Organisation, Epoch: x.place.epoch, Holder: x.holder.self(),
+	})
 	if err != nil {
 		return answer.View{}, false, nil
 	}
