Don't quarantine the requests of two or three servers that die at once

One other death within 300 ms makes a mass death now, and an early second death counts only if the first was not at about the same time. Ruled out: lost suspicions, the balance of suspects. Before: TestRackDies with 2 and 3 servers and three cases of TestEvaluate failed.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -32,7 +32,7 @@
 	alikeTokens = 4
 	// massDeathOthers is the number of other servers whose death within
 	// massDeathWindow makes a death part of a mass death.
-	massDeathOthers = 2
+	massDeathOthers = 1
 	massDeathWindow = 300 * time.Millisecond
 	retention       = 30 * time.Minute
 )
@@ -92,9 +92,9 @@
 
 // Evaluate decides whether a request crashes servers, and quarantines it if so. It
 // does if a third server has died under it, or a second one after about as many
-// tokens as the first. It does too if the second one died early, unless another
-// request was on both servers and explains their deaths better. Deaths that were
-// part of a mass death don't count.
+// tokens as the first. It does too if the second one died early, unless both died
+// at once or another request was on both and explains their deaths better. Deaths
+// that were part of a mass death don't count.
 func (l *List) Evaluate(f Fingerprint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -113,10 +113,21 @@
 	case len(s.tokens) >= deathLimit || s.alike():
 		return true
 	default:
-		return s.tokens[s.last] <= earlyTokens && !l.explained(f, s)
+		return s.tokens[s.last] <= earlyTokens && !l.atOnce(s) && !l.explained(f, s)
 	}
 }
 
+// atOnce tells whether the last server died at about the same time as another: a
+// request that was sent on from the one to the other had no time to crash it.
+func (l *List) atOnce(s *suspect) bool {
+	for _, server := range s.order {
+		if server != s.last && l.deaths[s.last].Sub(l.deaths[server]) <= massDeathWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // explained tells whether another request was on all the servers that died under
 // s, and looks more like their cause.
 func (l *List) explained(f Fingerprint, s *suspect) bool {
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -34,6 +34,18 @@
 			[]death{{1, "a", 50, 0}, {1, "b", 0, 20 * time.Millisecond}, {2, "c", 50, 0}, {3, "d", 50, 0}},
 			map[quarantine.Fingerprint]bool{1: false, 2: false, 3: false},
 		},
+		"rack of three dies": {
+			[]death{{1, "a", 95, 0}, {2, "c", 95, 0}, {1, "b", 0, 2 * time.Millisecond}},
+			map[quarantine.Fingerprint]bool{1: false, 2: false},
+		},
+		"rack of three dies under a fresh request": {
+			[]death{{1, "a", 1, 0}, {2, "c", 95, 0}, {1, "b", 0, 2 * time.Millisecond}},
+			map[quarantine.Fingerprint]bool{1: false},
+		},
+		"two servers die at once": {
+			[]death{{1, "a", 95, 0}, {1, "b", 0, 2 * time.Millisecond}},
+			map[quarantine.Fingerprint]bool{1: false},
+		},
 		"rack dies, then another": {
 			[]death{{1, "a", 50, 0}, {2, "c", 50, 0}, {3, "d", 50, 0}, {1, "e", 4, 2 * time.Second}},
 			map[quarantine.Fingerprint]bool{1: false},
