Move a request out of an engine's own queue when another server is free

Cause: with 3 of 8 engines dead and 94% of a data centre's slots needed, nodes that don't know of one another's refugees overfilled an engine; its queue held them until an answer ended. Ruled out: the retry budget, quarantine, waiting in the nodes' queues.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -135,6 +135,27 @@
 	return false
 }
 
+// Free tells whether any server that may get the request is thought to have a
+// free slot.
+func (t *Table) Free(q Query) bool {
+	for _, servers := range t.usable(q) {
+		for _, s := range servers {
+			if t.relative(s, q.Now) < 1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Queues tells whether a server's last report says that requests wait there.
+func (t *Table) Queues(name string) bool {
+	l := t.load(name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.report.Waiting > 0
+}
+
 // usable sorts the servers that may get new work by their distance.
 func (t *Table) usable(q Query) [tierCount][]config.Server {
 	var tiers [tierCount][]config.Server
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -169,6 +169,9 @@
 			}
 			w.probe(ctx, func(c context.Context) Health { return r.engine.Probe(c, s) })
 		case h := <-w.result:
+			if h == Healthy && !w.started && r.router.Better(r.routeRequest(x), s.Name()) {
+				return finish, fault.Wrap(errors.New("the request waits in the server's queue"), fault.ServerBusy, "generate", s.Name())
+			}
 			if h == Healthy {
 				w.rearm()
 				continue
--- a/core/generation/runner.go
+++ b/core/generation/runner.go
@@ -181,6 +181,11 @@
 
 // reserve waits for a server.
 func (r *Runner) reserve(ctx context.Context, x *run) (*route.Lease, error) {
+	return r.router.Reserve(ctx, r.routeRequest(x))
+}
+
+// routeRequest describes the request to the router.
+func (r *Runner) routeRequest(x *run) route.Request {
 	pieces, _, _ := x.job.Answer.Progress()
 	q := route.Request{
 		Service:      x.job.Service,
@@ -193,7 +198,7 @@
 	if q.Suspect {
 		q.Prefix = x.job.Fingerprint.String()
 	}
-	return r.router.Reserve(ctx, q)
+	return q
 }
 
 // exclude names the server of the failed attempt and those that died under the
--- a/core/generation/watch.go
+++ b/core/generation/watch.go
@@ -21,6 +21,7 @@
 type watch struct {
 	timer    *time.Timer
 	last     time.Time
+	started  bool // a chunk has come
 	deadline time.Time
 	result   chan Health
 	cancel   context.CancelFunc
@@ -33,6 +34,7 @@
 
 func (w *watch) heard(now time.Time) {
 	w.abandon()
+	w.started = true
 	w.last = now
 	w.deadline = now.Add(hardGap)
 	w.timer.Reset(softGap)
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -106,6 +106,20 @@
 	return l, nil
 }
 
+// Better tells whether a request that waits in a server's own queue would start
+// sooner elsewhere.
+func (r *Router) Better(q Request, server string) bool {
+	if !r.loads.Queues(server) {
+		return false
+	}
+	others := map[string]bool{server: true}
+	for name := range q.Exclude {
+		others[name] = true
+	}
+	q.Exclude = others
+	return r.loads.Free(r.query(q))
+}
+
 func (r *Router) query(q Request) balance.Query {
 	return balance.Query{
 		Candidates: r.site.Config().Servers(q.Service.Name()),
--- a/test/integration/crowd_test.go
+++ b/test/integration/crowd_test.go
@@ -232,3 +232,24 @@
 		return true
 	})
 }
+
+// Three of eight engines die at once under answers that the others have room for,
+// though one data centre barely. Output goes on within the bound for everyone.
+func TestThirdOfServersDies(t *testing.T) {
+	t.Parallel()
+	c := start(t, cluster.Layout{DataCentres: 2, NodesEach: 2, EnginesEach: 4, Slots: 32, TokenMS: 20})
+	answers := make([]*cluster.Transcript, 120)
+	var work sync.WaitGroup
+	for i := range answers {
+		work.Go(func() { answers[i] = c.Node(i%4).Ask(testContext(t), cluster.Prompt{Text: "tokens=300"}) })
+	}
+	time.Sleep(2 * time.Second)
+	for _, i := range []int{0, 3, 6} {
+		c.Engine(i).Kill()
+	}
+	work.Wait()
+	for _, x := range answers {
+		checkWhole(t, c, x, 300)
+		checkResumed(t, x)
+	}
+}
