--- a/cmd/command/commands.go
+++ b/cmd/command/commands.go
@@ -60,6 +60,7 @@
 
 var commands = []*Cmd{
 	CmdServe,
+	CmdEntry,
 	CmdCheck,
 	CmdApply,
 	CmdShow,
--- /dev/null
+++ b/cmd/entry/follow.go
@@ -0,0 +1,115 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/io/relay"
+	"cicadabeam/platform"
+)
+
+const (
+	// feedWait is how long a question for changes waits at the store. It bounds the
+	// age of the proof that nothing has changed.
+	feedWait = time.Second
+	// feedGrace is how much later its answer may come.
+	feedGrace = time.Second
+	// rowsWait bounds the reading of a whole table.
+	rowsWait = 3 * time.Second
+	// pauses after a failure, drawn between these.
+	failPauseLeast = 100 * time.Millisecond
+	failPauseMost  = 300 * time.Millisecond
+)
+
+// view is what the store said about a table: all of it, or what has changed.
+type view struct {
+	whole bool
+	page  platform.Page
+	sent  time.Duration // uptime at which the question was sent
+}
+
+// follower keeps up with a table of the store.
+type follower struct {
+	table    string
+	store    *platform.Store
+	uptime   func() time.Duration
+	recorder relay.Recorder
+	take     func(v view)
+	// returned is when the store answered again after a failure.
+	returned time.Time
+	failing  bool
+	since    uint64
+	loaded   bool
+}
+
+func (f *follower) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		v, err := f.ask(ctx)
+		if err == nil {
+			f.answered()
+			f.take(v)
+			continue
+		}
+		if errors.Is(err, platform.ErrHistoryLost) {
+			f.recorder.Record("history lost", relay.Fields{"table": f.table, "since": f.since})
+			f.loaded = false
+			continue
+		}
+		f.failed(ctx, err)
+	}
+	return ctx.Err()
+}
+
+func (f *follower) ask(ctx context.Context) (view, error) {
+	v := view{whole: !f.loaded, sent: f.uptime()}
+	wait := rowsWait
+	if f.loaded {
+		wait = feedWait + feedGrace
+	}
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(wait))
+	defer cancel()
+	var err error
+	if f.loaded {
+		v.page, err = f.store.Changes(ctx, f.table, f.since, feedWait)
+	} else {
+		v.page, err = f.store.Rows(ctx, f.table)
+	}
+	if err != nil {
+		return v, err
+	}
+	f.since = max(f.since, v.page.Version)
+	f.loaded = true
+	return v, nil
+}
+
+func (f *follower) answered() {
+	if f.failing {
+		f.failing = false
+		f.returned = time.Now()
+		f.recorder.Record("store regained", relay.Fields{"table": f.table})
+	}
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if !f.failing {
+		f.failing = true
+		f.recorder.Record("store lost", relay.Fields{"table": f.table, "error": err.Error()})
+	}
+	f.store.Reset()
+	pause(ctx, failPauseLeast+rand.N(failPauseMost-failPauseLeast))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/cmd/entry/metrics.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	metricsPrefix = "cicadabeam"
+	reportPeriod  = 2 * time.Second
+)
+
+var latencyBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second,
+}
+
+// metrics counts decisions and how long they took, by their names.
+type metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter prometheus.Reporter
+	mu       sync.Mutex
+	counters map[string]tally.Counter
+	times    map[string]tally.Histogram
+}
+
+func newMetrics() *metrics {
+	r := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: metricsPrefix, CachedReporter: r, Separator: prometheus.DefaultSeparator, OmitCardinalityMetrics: true,
+	}, reportPeriod)
+	return &metrics{scope: scope, closer: closer, reporter: r, counters: make(map[string]tally.Counter), times: make(map[string]tally.Histogram)}
+}
+
+func (m *metrics) close() { _ = m.closer.Close() }
+
+func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+
+func metricName(event string) string { return strings.ReplaceAll(event, " ", "_") }
+
+func (m *metrics) count(event string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, found := m.counters[event]
+	if !found {
+		c = m.scope.Tagged(map[string]string{"event": metricName(event)}).Counter("decisions")
+		m.counters[event] = c
+	}
+	c.Inc(1)
+}
+
+func (m *metrics) took(event string, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	h, found := m.times[event]
+	if !found {
+		h = m.scope.Tagged(map[string]string{"event": metricName(event)}).Histogram("seconds", latencyBuckets)
+		m.times[event] = h
+	}
+	h.RecordDuration(d)
+}
+
+func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,242 @@
+// Package fleet knows the backend servers and chooses one for a request, by the
+// time in which each is expected to answer: distance, work under way there, prompts
+// yet to be read, and how often it failed lately.
+//
+// # Usage
+//
+//	f := fleet.New(place)
+//	f.Set(fleet.Server{ID: "s1", Service: "orders", ...})
+//	m := f.Reserve(fleet.Query{Service: "orders", Now: now})
+//	defer m.Release()
+//	m.Succeeded(now, elapsed)
+package fleet
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Server is a backend server as it registered itself.
+type Server struct {
+	ID         string
+	Service    string
+	Address    string // IP number and port
+	DataCentre string
+	Slots      int
+	Leaving    bool
+	StartedMS  int64 // Unix time in milliseconds, 0 if unknown
+}
+
+// Place tells how far data centres are from this node's.
+type Place struct {
+	DataCentre string
+	Regions    map[string]string // region by data centre
+}
+
+// Distances stand for the time on the way and the price of the bytes.
+const (
+	regionDistance = 15 * time.Millisecond
+	remoteDistance = 120 * time.Millisecond
+)
+
+func (p Place) region(dataCentre string) string { return p.Regions[dataCentre] }
+
+// SameRegion tells whether two data centres are in one region.
+func (p Place) SameRegion(a, b string) bool { return p.region(a) == p.region(b) }
+
+func (p Place) distance(dataCentre string) time.Duration {
+	switch {
+	case dataCentre == p.DataCentre:
+		return 0
+	case p.SameRegion(dataCentre, p.DataCentre):
+		return regionDistance
+	default:
+		return remoteDistance
+	}
+}
+
+// Fleet is the set of servers known.
+type Fleet struct {
+	place Place
+
+	mu       sync.RWMutex
+	members  map[string]*Member
+	services map[string][]*Member
+}
+
+// New returns an empty fleet.
+func New(p Place) *Fleet {
+	return &Fleet{place: p, members: make(map[string]*Member), services: make(map[string][]*Member)}
+}
+
+// Set adds a server or takes its new state. It tells whether anything about it is new.
+func (f *Fleet) Set(s Server) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.members[s.ID]
+	if m != nil && m.identity() == (identity{s.Service, s.Address, s.StartedMS}) {
+		return m.update(s)
+	}
+	if m != nil {
+		f.drop(m)
+	}
+	m = &Member{server: s}
+	f.members[s.ID] = m
+	f.services[s.Service] = append(f.services[s.Service], m)
+	return true
+}
+
+// Gone notes that a server's entry is missing; it gets no work from at on, unless
+// the entry comes back.
+func (f *Fleet) Gone(id string, at time.Time) bool {
+	f.mu.RLock()
+	m := f.members[id]
+	f.mu.RUnlock()
+	return m != nil && m.gone(at)
+}
+
+// IDs returns the ids of all servers.
+func (f *Fleet) IDs() []string {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	all := make([]string, 0, len(f.members))
+	for id := range f.members {
+		all = append(all, id)
+	}
+	return all
+}
+
+// Expire forgets servers that are gone and have no work of this node's.
+func (f *Fleet) Expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, m := range f.members {
+		if m.expired(now) {
+			f.drop(m)
+			delete(f.members, id)
+		}
+	}
+}
+
+func (f *Fleet) drop(m *Member) {
+	all := f.services[m.service()]
+	kept := make([]*Member, 0, len(all))
+	for _, x := range all {
+		if x != m {
+			kept = append(kept, x)
+		}
+	}
+	f.services[m.service()] = kept
+}
+
+// Query describes a request that needs a server.
+type Query struct {
+	Service string
+	// Tokens is the length of the prompt that the server has to read, 0 for plain
+	// requests. Memory is what the whole run may need, Capacity what a server has.
+	Tokens   int
+	Memory   int
+	Capacity int
+	// Connections is the number that this node may have to one server.
+	Connections int
+	// Exclude names servers that the request has failed on.
+	Exclude map[string]bool
+	// Avoid names a data centre to stay away from where others can serve.
+	Avoid string
+	Now   time.Time
+}
+
+// Reserve chooses a server and counts the request there until Release. It returns
+// nil if there is none.
+func (f *Fleet) Reserve(q Query) *Member {
+	for _, c := range f.ranked(q) {
+		if c.member.reserve(q) {
+			return c.member
+		}
+	}
+	return nil
+}
+
+// Backup chooses a server that can keep a copy of a run's memory: in another data
+// centre of the same region if there is one, with the least in use.
+func (f *Fleet) Backup(q Query, runs *Member) *Member {
+	q.Avoid = runs.DataCentre()
+	q.Exclude = with(q.Exclude, runs.ID())
+	best := f.ranked(q)
+	for _, c := range best {
+		if c.member.DataCentre() != q.Avoid && f.place.SameRegion(c.member.DataCentre(), q.Avoid) {
+			return c.member
+		}
+	}
+	for _, c := range best {
+		if c.member.DataCentre() != q.Avoid {
+			return c.member
+		}
+	}
+	if len(best) == 0 {
+		return nil
+	}
+	return best[0].member
+}
+
+func with(set map[string]bool, id string) map[string]bool {
+	all := make(map[string]bool, len(set)+1)
+	for x := range set {
+		all[x] = true
+	}
+	all[id] = true
+	return all
+}
+
+// Find returns a server that may get work.
+func (f *Fleet) Find(id string, now time.Time) *Member {
+	f.mu.RLock()
+	m := f.members[id]
+	f.mu.RUnlock()
+	if m == nil || !m.usable(now) {
+		return nil
+	}
+	return m
+}
+
+// Usable returns the number of servers of a service that may get work, and how
+// many of their slots this node believes taken.
+func (f *Fleet) Usable(service string, now time.Time) (servers int) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, m := range f.services[service] {
+		if m.usable(now) {
+			servers++
+		}
+	}
+	return servers
+}
+
+type candidate struct {
+	member *Member
+	cost   time.Duration
+}
+
+// ranked returns the servers that may get the request, the best first. Those that
+// were unreachable a moment ago come last.
+func (f *Fleet) ranked(q Query) []candidate {
+	f.mu.RLock()
+	all := f.services[q.Service]
+	f.mu.RUnlock()
+	found := make([]candidate, 0, len(all))
+	for _, m := range all {
+		if q.Exclude[m.ID()] || !m.usable(q.Now) {
+			continue
+		}
+		c := m.cost(q) + f.place.distance(m.DataCentre())
+		if q.Avoid != "" && m.DataCentre() == q.Avoid {
+			c += avoidCost
+		}
+		found = append(found, candidate{m, c})
+	}
+	rand.Shuffle(len(found), func(a, b int) { found[a], found[b] = found[b], found[a] })
+	sort.SliceStable(found, func(a, b int) bool { return found[a].cost < found[b].cost })
+	return found
+}
--- /dev/null
+++ b/io/relay/handler.go
@@ -0,0 +1,377 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadabeam/core/catalog"
+	"cicadabeam/core/fault"
+	"cicadabeam/core/fleet"
+	"cicadabeam/core/freshness"
+	"cicadabeam/core/repeat"
+	"cicadabeam/io/http1"
+)
+
+// Bounds are the times that the relay keeps to.
+type Bounds struct {
+	// Apply is within which a configuration must be in force: a node whose proof is
+	// older doesn't say that a route or key doesn't exist.
+	Apply time.Duration
+	// Revoke is within which a key that was taken away must not be served, 0 if that
+	// isn't strict.
+	Revoke time.Duration
+	Repeat repeat.Bound
+}
+
+// revokeMargin is by how much earlier a node stops serving keys: the granularity of
+// clocks.
+const revokeMargin = 100 * time.Millisecond
+
+// Parts is what a handler works with.
+type Parts struct {
+	Dialect  Dialect
+	Holder   *freshness.Holder
+	Fleet    *fleet.Fleet
+	Pool     *http1.Pool
+	Recorder Recorder
+	Bounds   Bounds
+	// Uptime is a clock that goes on while the host is suspended.
+	Uptime func() time.Duration
+	// Nodes is the number of nodes that share bounds.
+	Nodes func() int
+}
+
+// Handler answers callers.
+type Handler struct {
+	Parts
+	draining atomic.Bool
+	running  atomic.Int64
+	mu       sync.Mutex
+	budgets  map[string]*repeat.Budget
+}
+
+// New returns a handler.
+func New(p Parts) *Handler {
+	return &Handler{Parts: p, budgets: make(map[string]*repeat.Budget)}
+}
+
+// Drain makes answers end their connections.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// Running returns the number of requests under way.
+func (h *Handler) Running() int64 { return h.running.Load() }
+
+func (h *Handler) budget(service string) *repeat.Budget {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := h.budgets[service]
+	if b == nil {
+		b = repeat.New(h.Bounds.Repeat)
+		h.budgets[service] = b
+	}
+	return b
+}
+
+// exchange is one request of a caller and what became of it.
+type exchange struct {
+	h            *Handler
+	w            http.ResponseWriter
+	r            *http.Request
+	ctx          context.Context
+	call         Call
+	catalog      *catalog.Catalog
+	route        catalog.Route
+	service      catalog.Service
+	organisation catalog.Organisation
+	header       http.Header
+	body         []byte
+	arrived      time.Time
+	deadline     time.Time
+	tried        map[string]bool
+	attempts     int  // servers that the request was sent to, but for those that were others
+	arrivals     int  // times that it reached a server
+	mayHaveRun   bool // a server may have begun to work on it
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), call: h.Dialect.Call(r.Header), tried: make(map[string]bool)}
+	if err := x.admit(); err != nil {
+		x.refuse(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.ctx = ctx
+	if err := x.read(); err != nil {
+		x.refuse(err)
+		return
+	}
+	h.budget(x.service.Name).First(x.arrived)
+	if x.route.Kind.Streams() {
+		x.stream()
+		return
+	}
+	x.plain()
+}
+
+// The times after which a caller is told to come back.
+const (
+	retryUnready = 500 * time.Millisecond
+	retryStale   = 400 * time.Millisecond
+	retryServer  = 300 * time.Millisecond
+)
+
+func notRun(code fault.Code, step, text string, retry time.Duration) *fault.Error {
+	return fault.Newf(code, step, "", "%s", text).WithRetry(time.Now().Add(retry))
+}
+
+// admit finds route and organisation, and refuses what this node can't decide.
+func (x *exchange) admit() *fault.Error {
+	c, age := x.h.Holder.View(x.h.Uptime())
+	if c == nil {
+		return notRun(fault.NotReady, "admit", "no configuration is known yet", retryUnready)
+	}
+	x.catalog = c
+	stale := age >= x.h.Bounds.Apply
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		path = x.r.URL.EscapedPath()
+	}
+	route, found := c.Match(host(x.r.Host), path)
+	if !found {
+		if stale {
+			return notRun(fault.NotReady, "route", "the configuration may be out of date", retryStale)
+		}
+		return fault.Newf(fault.NotFound, "route", "", "no route leads to this host and path")
+	}
+	x.route = route
+	if err := x.authorise(stale, age); err != nil {
+		return err
+	}
+	name := route.Pick(rand.Float64())
+	service, found := c.Service(name)
+	if !found {
+		service = catalog.Service{Name: name}
+	}
+	x.service = service
+	wait := route.Timeout
+	if x.call.Wait > 0 && (wait == 0 || x.call.Wait < wait) {
+		wait = x.call.Wait
+	}
+	if wait == 0 {
+		wait = defaultWait
+	}
+	x.deadline = x.arrived.Add(wait)
+	return nil
+}
+
+// defaultWait bounds requests of which neither caller nor route says how long.
+const defaultWait = time.Minute
+
+func host(h string) string {
+	name, _, _ := strings.Cut(h, ":")
+	return name
+}
+
+func (x *exchange) authorise(stale bool, age time.Duration) *fault.Error {
+	if !x.catalog.Keyed() || x.route.Public {
+		return nil
+	}
+	o, found := x.catalog.Organisation(x.call.Key)
+	if !found && stale {
+		return notRun(fault.NotReady, "authorise", "the keys may be out of date", retryStale)
+	}
+	if !found {
+		return fault.Newf(fault.Unauthorized, "authorise", "", "the key is unknown")
+	}
+	if bound := x.h.Bounds.Revoke; bound > 0 && age >= bound-revokeMargin {
+		x.h.Recorder.Record("key unproven", Fields{"request": x.call.ID, "age_ms": ms(age), "revision": x.catalog.Revision()})
+		return notRun(fault.NotReady, "authorise", "it can't be proved that the key is still valid", retryStale)
+	}
+	x.organisation = o
+	return nil
+}
+
+// read takes the whole body.
+func (x *exchange) read() *fault.Error {
+	limit := x.catalog.Limits().BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return fault.Newf(fault.TooLarge, "read", "", "the body has more than %d bytes", limit)
+	}
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
+	b, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	if err != nil {
+		return fault.Newf(fault.BadRequest, "read", "", "the body can't be read: %v", err)
+	}
+	if int64(len(b)) > limit {
+		return fault.Newf(fault.TooLarge, "read", "", "the body has more than %d bytes", limit)
+	}
+	x.body = b
+	x.header = x.h.Dialect.Forward(x.r.Header, x.catalog.Keyed())
+	return nil
+}
+
+// defaultBodyBytes bounds bodies where the configuration doesn't.
+const defaultBodyBytes = 4 << 20
+
+// request makes what goes to one server. It returns false when no time is left.
+func (x *exchange) request(m *fleet.Member, s Send) (*http1.Request, bool) {
+	left := time.Until(x.deadline)
+	if left <= 0 {
+		return nil, false
+	}
+	s.Left = left
+	s.ServerID = m.ID()
+	s.Organisation = x.organisation.Name
+	header := x.header.Clone()
+	x.h.Dialect.Mark(header, s)
+	return &http1.Request{Method: x.r.Method, Target: x.target(), Host: x.r.Host, Header: header, Body: x.body}, true
+}
+
+func (x *exchange) target() string {
+	if strings.HasPrefix(x.r.RequestURI, "/") {
+		return x.r.RequestURI
+	}
+	return x.r.URL.RequestURI()
+}
+
+// connections is this node's share of the connections that a server takes.
+func (x *exchange) connections() int {
+	if x.service.Connections == 0 {
+		return 0
+	}
+	return max(2, x.service.Connections*3/4/max(x.h.Nodes(), 1))
+}
+
+func (x *exchange) query() fleet.Query {
+	q := fleet.Query{Service: x.service.Name, Exclude: x.tried, Connections: x.connections(), Now: time.Now()}
+	if e := x.service.Engine; e != nil && x.call.PromptTokens > 0 {
+		q.Tokens = x.call.PromptTokens
+		q.Memory = x.call.PromptTokens + x.call.OutputTokens
+		q.Capacity = e.MemoryTokens
+	}
+	return q
+}
+
+// mayRepeat tells whether the request may go to one more server after it may have
+// reached one.
+func (x *exchange) mayRepeat() bool {
+	if x.arrivals == 0 {
+		return true
+	}
+	if x.attempts >= max(x.route.Attempts, 1) || x.ctx.Err() != nil {
+		return false
+	}
+	allowed := x.h.budget(x.service.Name).Repeat(time.Now(), x.h.Nodes())
+	if !allowed {
+		x.h.Recorder.Record("repeat denied", Fields{"request": x.call.ID, "service": x.service.Name, "attempts": x.attempts})
+	}
+	return allowed
+}
+
+// refuse ends a request with an answer of the system's own.
+func (x *exchange) refuse(err *fault.Error) {
+	status := err.Status()
+	x.h.Recorder.Record("refused", Fields{
+		"request": x.call.ID, "route": x.route.Name, "kind": x.route.Kind.String(), "status": status, "code": err.Code(), "step": err.Step(),
+		"peer": err.Peer(), "ran": err.Ran(), "reason": err.Message(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)),
+	})
+	header := x.w.Header()
+	if at := err.RetryAt(); !at.IsZero() && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		header.Set("Retry-After", seconds(time.Until(at)))
+	}
+	if x.h.draining.Load() {
+		header.Set("Connection", "close")
+	}
+	header.Set("Content-Type", "application/json")
+	b, encodeErr := json.Marshal(refusal{Code: string(err.Code()), Message: err.Message(), Step: err.Step(), Ran: string(err.Ran())})
+	if encodeErr != nil {
+		b = []byte("{}")
+	}
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(b)
+}
+
+// refusal is the body of an answer of the system's own.
+type refusal struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	Step    string `json:"step"`
+	Ran     string `json:"ran"`
+}
+
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(max(d, 50*time.Millisecond).Seconds(), 'f', 2, 64)
+}
+
+func ms(d time.Duration) int64 { return d.Milliseconds() }
+
+// callerLeft tells whether the caller has closed its connection.
+func (x *exchange) callerLeft() bool { return errors.Is(x.r.Context().Err(), context.Canceled) }
+
+// giveUp answers a request that no server answered.
+func (x *exchange) giveUp(step, reason string) {
+	switch {
+	case x.callerLeft():
+		x.h.Recorder.Record("caller left", Fields{"request": x.call.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts})
+		panic(http.ErrAbortHandler)
+	case !x.mayHaveRun:
+		x.refuse(notRun(fault.NoServer, step, reason, retryServer))
+	case time.Now().After(x.deadline.Add(-time.Millisecond)):
+		x.refuse(fault.Newf(fault.ServerSilent, step, "", "%s", reason).WithRan(fault.Unknown).WithStatus(http.StatusGatewayTimeout))
+	default:
+		x.refuse(fault.Newf(fault.ServerFailed, step, "", "%s", reason).WithRan(fault.Unknown))
+	}
+}
+
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+// EndToEnd returns a copy of the headers that are meant for the other end.
+func EndToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	named := make(map[string]bool)
+	for _, v := range h.Values("Connection") {
+		for _, name := range strings.Split(v, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range h {
+		if !hopByHop[name] && !named[name] {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// answerHeaders copies a server's headers to the caller's answer.
+func (x *exchange) answerHeaders(r *http.Response) {
+	header := x.w.Header()
+	for name, values := range EndToEnd(r.Header) {
+		header[name] = values
+	}
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil // else net/http guesses one
+	}
+	if x.h.draining.Load() {
+		header.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/io/relay/plain.go
@@ -0,0 +1,365 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/catalog"
+	"cicadabeam/core/fault"
+	"cicadabeam/core/fleet"
+	"cicadabeam/io/http1"
+)
+
+// heldBytes is how much of an answer is read before the first of it goes to the
+// caller, so that one that breaks off can be had from another server.
+const heldBytes = 256 << 10
+
+// outcome tells what one attempt came to.
+type outcome int
+
+const (
+	notOffered outcome = iota // no byte left
+	refused                   // the server says that it did not run the request
+	moved                     // another server has the address; not run
+	broken                    // bytes may have left, and no whole answer came
+	answered
+)
+
+// String names the outcome in logs.
+func (o outcome) String() string {
+	return [...]string{"not-offered", "refused", "moved", "broken", "answered"}[o]
+}
+
+// attempt is what came of sending a request to one server.
+type attempt struct {
+	member   *fleet.Member
+	outcome  outcome
+	response *http.Response
+	body     []byte
+	more     *http1.Conn // the rest of a long answer is read from here
+	err      error
+	// unreachable tells that no connection could be made or that it ended early.
+	unreachable bool
+}
+
+func (a *attempt) status() int {
+	if a.response == nil {
+		return 0
+	}
+	return a.response.StatusCode
+}
+
+// plain passes a request on whose answer is not a stream.
+func (x *exchange) plain() {
+	results := make(chan *attempt, maxParallel)
+	ctx, cancel := x.sendContext()
+	defer cancel()
+	flying := 0
+	defer func() { go discard(results, flying) }()
+	if x.launch(ctx, results) {
+		flying++
+	}
+	hedge := x.hedgeTimer()
+	defer hedge.Stop()
+	var last *attempt
+	for flying > 0 {
+		select {
+		case a := <-results:
+			flying--
+			if x.final(a) {
+				x.deliver(a)
+				return
+			}
+			if last == nil || a.outcome >= last.outcome {
+				last = a
+			}
+			if x.again() && x.launch(ctx, results) {
+				flying++
+			}
+		case <-hedge.C:
+			if x.attempts > 0 && x.hedgeAllowed() && x.launch(ctx, results) {
+				flying++
+			}
+		case <-x.ctx.Done():
+			x.giveUp("answer", "no server answered in time")
+			return
+		}
+	}
+	x.end(last)
+}
+
+// maxParallel bounds the attempts whose results are awaited.
+const maxParallel = 16
+
+// sendContext lets a request that may run only once go on when its caller leaves:
+// it can't be taken back.
+func (x *exchange) sendContext() (context.Context, context.CancelFunc) {
+	if x.route.Kind == catalog.AtMostOnce {
+		return context.WithoutCancel(x.ctx), func() {}
+	}
+	return context.WithCancel(x.ctx)
+}
+
+// discard ends the attempts whose answers are no longer needed.
+func discard(results <-chan *attempt, flying int) {
+	for range flying {
+		if a := <-results; a.more != nil {
+			a.more.Close()
+		}
+	}
+}
+
+// hedgePart is the part of a goal after which an idempotent request goes to a second
+// server while the first is still silent.
+const hedgePart = 0.5
+
+func (x *exchange) hedgeTimer() *time.Timer {
+	if !x.route.Kind.Repeatable() || x.route.Goal == 0 {
+		t := time.NewTimer(time.Hour)
+		t.Stop()
+		return t
+	}
+	return time.NewTimer(time.Duration(hedgePart * float64(x.route.Goal)))
+}
+
+// hedgeAllowed tells whether a second server may be asked while the first is silent.
+func (x *exchange) hedgeAllowed() bool {
+	return x.attempts < x.route.Attempts && x.h.budget(x.service.Name).Repeat(time.Now(), x.h.Nodes())
+}
+
+// launch sends the request to one more server, if there is one.
+func (x *exchange) launch(ctx context.Context, results chan<- *attempt) bool {
+	q := x.query()
+	m := x.h.Fleet.Reserve(q)
+	if m == nil && len(x.tried) > 0 && !x.mayHaveRun {
+		q.Exclude = nil
+		m = x.h.Fleet.Reserve(q)
+	}
+	if m == nil {
+		return false
+	}
+	x.tried[m.ID()] = true
+	x.attempts++
+	go func() {
+		defer m.Release(q, false)
+		results <- x.try(ctx, m)
+	}()
+	return true
+}
+
+// try sends the request to a server and reads its answer.
+func (x *exchange) try(ctx context.Context, m *fleet.Member) *attempt {
+	started := time.Now()
+	a := &attempt{member: m}
+	x.converse(ctx, a)
+	x.judge(a, time.Since(started))
+	return a
+}
+
+func (x *exchange) converse(ctx context.Context, a *attempt) {
+	choice := http1.Reuse
+	c, err := x.h.Pool.Get(ctx, a.member.Address(), choice)
+	if err != nil {
+		a.err = err
+		a.unreachable = true
+		return
+	}
+	if !a.member.Usable(time.Now()) {
+		x.h.Pool.Put(c)
+		a.err = errors.Newf("server %s leaves", a.member.ID())
+		return
+	}
+	request, ok := x.request(a.member, Send{LastEvent: x.call.LastEvent})
+	if !ok {
+		x.h.Pool.Put(c)
+		a.err = errors.New("no time is left")
+		return
+	}
+	stop := context.AfterFunc(ctx, c.Interrupt)
+	defer stop()
+	a.outcome = broken
+	a.unreachable = true
+	if a.err = c.Send(request, x.deadline); a.err != nil {
+		c.Close()
+		return
+	}
+	a.response, a.err = c.Head(x.r.Method, x.call.ID, x.h.Dialect.RequestID, x.deadline)
+	if a.err != nil {
+		c.Close()
+		return
+	}
+	x.readAnswer(a, c)
+}
+
+// readAnswer reads an answer, or the beginning of a long one.
+func (x *exchange) readAnswer(a *attempt, c *http1.Conn) {
+	a.body, a.err = io.ReadAll(io.LimitReader(a.response.Body, heldBytes+1))
+	if a.err != nil {
+		c.Close()
+		return
+	}
+	a.outcome = answered
+	if len(a.body) > heldBytes {
+		a.more = c
+		return
+	}
+	x.h.Pool.Put(c)
+}
+
+// judge decides what an attempt came to, and what it says about the server.
+func (x *exchange) judge(a *attempt, elapsed time.Duration) {
+	now := time.Now()
+	switch {
+	case a.outcome == answered:
+		x.judgeReply(a, elapsed, now)
+	case x.callerLeft(), !a.unreachable:
+	case errors.Is(a.err, os.ErrDeadlineExceeded) && a.outcome == broken:
+		x.judgeSilence(a, elapsed, now)
+	default:
+		a.member.Unreachable(now)
+	}
+	f := Fields{"request": x.call.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "status": a.status(), "ms": ms(elapsed)}
+	if a.err != nil {
+		f["error"] = a.err.Error()
+	}
+	x.h.Recorder.Record("attempt", f)
+}
+
+// judgeSilence notes a server that was silent till the deadline, or till another one
+// had answered.
+func (x *exchange) judgeSilence(a *attempt, elapsed time.Duration, now time.Time) {
+	if elapsed >= time.Duration(hedgePart*float64(x.route.Goal)) {
+		a.member.Failed(now)
+	}
+}
+
+func (x *exchange) judgeReply(a *attempt, elapsed time.Duration, now time.Time) {
+	r := x.h.Dialect.Reply(a.response)
+	if r.HasLoad {
+		a.member.Loaded(r.Load, now)
+	}
+	switch {
+	case r.Moved:
+		a.outcome = moved
+		a.member.Replaced()
+		x.h.Pool.Forget(a.member.Address())
+	case r.NotRun:
+		a.outcome = refused
+		a.member.Failed(now)
+	case !r.Signed, ambiguous(a.status()):
+		a.outcome = broken
+		a.err = errors.Newf("the answer has status %d and isn't the server's own", a.status())
+		a.member.Failed(now)
+	case a.status() >= http.StatusInternalServerError:
+		a.member.Failed(now)
+	default:
+		a.member.Succeeded(elapsed, now)
+	}
+}
+
+// ambiguous tells whether a status would promise a caller that the request did not
+// run.
+func ambiguous(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable ||
+		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
+}
+
+// final tells whether an attempt's answer goes to the caller.
+func (x *exchange) final(a *attempt) bool {
+	switch a.outcome {
+	case notOffered:
+		x.attempts--
+		return false
+	case moved:
+		x.attempts--
+		x.arrivals++
+		return false
+	case refused:
+		x.arrivals++
+		return false
+	case broken:
+		x.arrivals++
+		x.mayHaveRun = true
+		return false
+	default:
+		x.arrivals++
+		x.mayHaveRun = true
+		retry := a.status() >= http.StatusInternalServerError && x.route.Kind.Repeatable()
+		return !retry
+	}
+}
+
+// again tells whether one more server is to be tried after an attempt.
+func (x *exchange) again() bool {
+	if len(x.tried) >= maxParallel || x.ctx.Err() != nil {
+		return false
+	}
+	if x.mayHaveRun && !x.route.Kind.Repeatable() {
+		return false
+	}
+	return x.mayRepeat()
+}
+
+// end answers after the last attempt.
+func (x *exchange) end(last *attempt) {
+	switch {
+	case last == nil:
+		x.giveUp("choose", "no server can take the request")
+	case last.outcome == answered:
+		x.deliver(last)
+	case last.outcome == refused && !x.mayHaveRun:
+		x.refuse(notRun(fault.ServerBusy, "send", "the servers refused the request", retryServer))
+	case last.err != nil:
+		x.giveUp("send", last.err.Error())
+	default:
+		x.giveUp("send", "the servers failed")
+	}
+}
+
+// deliver passes a server's answer on.
+func (x *exchange) deliver(a *attempt) {
+	x.answerHeaders(a.response)
+	x.h.Recorder.Record("answered", Fields{
+		"request": x.call.ID, "route": x.route.Name, "server": a.member.ID(), "status": a.status(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)),
+	})
+	if a.more == nil {
+		if bodyAllowed(a.status()) && x.r.Method != http.MethodHead {
+			x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		}
+		x.w.WriteHeader(a.status())
+		_, _ = x.w.Write(a.body)
+		return
+	}
+	x.deliverLong(a)
+}
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// deliverLong passes on an answer that is still being read. One that breaks off
+// ends the caller's connection.
+func (x *exchange) deliverLong(a *attempt) {
+	stop := context.AfterFunc(x.ctx, a.more.Interrupt)
+	defer stop()
+	if n := a.response.ContentLength; n >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	x.w.WriteHeader(a.status())
+	_, err := x.w.Write(a.body)
+	if err == nil {
+		_, err = io.Copy(x.w, a.response.Body)
+	}
+	if err != nil {
+		a.more.Close()
+		x.h.Recorder.Record("broken off", Fields{"request": x.call.ID, "server": a.member.ID(), "error": err.Error()})
+		panic(http.ErrAbortHandler)
+	}
+	x.h.Pool.Put(a.more)
+}
--- /dev/null
+++ b/io/relay/stream.go
@@ -0,0 +1,392 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/fault"
+	"cicadabeam/core/fleet"
+	"cicadabeam/io/http1"
+	"cicadabeam/io/sse"
+)
+
+const (
+	// copyQuiet is the silence after which a stream goes on from a copy of its memory
+	// at another server: events come every 30 to 210 ms, and pauses up to 700 ms are
+	// in time.
+	copyQuiet = 400 * time.Millisecond
+	// rereadQuiet is the silence after which it goes on where its prompt has to be
+	// read again.
+	rereadQuiet = 1500 * time.Millisecond
+	// copyWait bounds the time in which a server with a copy of a run that had
+	// begun sends the next event.
+	copyWait = 600 * time.Millisecond
+	// callerWait bounds one write to a caller.
+	callerWait = 10 * time.Second
+	// refusalPause is waited before a stream that all servers refused is tried again.
+	refusalPause = 50 * time.Millisecond
+)
+
+// stream is the state of one stream of events.
+type stream struct {
+	*exchange
+	last    int64     // the last event that the caller has
+	begun   bool      // the caller has the head of the answer
+	copyAt  string    // id of the server that keeps a copy of the memory of the run that was lost
+	lostAt  time.Time // when it was lost
+	resumes int
+}
+
+// leg is one run of a stream on one server.
+type leg struct {
+	member  *fleet.Member
+	query   fleet.Query
+	conn    *http1.Conn
+	copied  bool // it goes on from a copy
+	backup  *fleet.Member
+	started time.Time
+	begun   bool
+	outcome outcome
+	err     error
+	signed  *http.Response
+}
+
+// stream passes a stream of events on.
+func (x *exchange) stream() {
+	s := &stream{exchange: x, last: x.call.LastEvent}
+	for {
+		l := s.next()
+		if l == nil {
+			s.fail("choose", "no server can take the request")
+			return
+		}
+		s.run(l)
+		if l.outcome == answered {
+			return
+		}
+		if !s.goOn(l) {
+			return
+		}
+	}
+}
+
+// next reserves the server for the next leg: the one with the copy first.
+func (s *stream) next() *leg {
+	q := s.query()
+	if s.copyAt != "" {
+		m := s.h.Fleet.Find(s.copyAt, q.Now)
+		if m != nil && m.Take(q) {
+			return &leg{member: m, query: q, copied: true}
+		}
+		s.copyAt = ""
+	}
+	m := s.h.Fleet.Reserve(q)
+	if m == nil && len(s.tried) > 0 {
+		q.Exclude = nil
+		m = s.h.Fleet.Reserve(q)
+	}
+	if m == nil {
+		return nil
+	}
+	return &leg{member: m, query: q}
+}
+
+// run sends the request to the leg's server and passes on what comes.
+func (s *stream) run(l *leg) {
+	l.started = time.Now()
+	s.tried[l.member.ID()] = true
+	defer func() { l.member.Release(l.query, l.begun) }()
+	s.converse(l)
+	s.note(l)
+}
+
+func (s *stream) converse(l *leg) {
+	c, err := s.h.Pool.Get(s.ctx, l.member.Address(), http1.Reuse)
+	if err != nil {
+		l.err = err
+		l.member.Unreachable(time.Now())
+		return
+	}
+	l.conn = c
+	send := Send{LastEvent: s.last}
+	if l.copied {
+		send.CopyAt, send.CopyOf = l.member.Address(), s.call.ID
+	}
+	if e := s.service.Engine; e != nil && e.Backups && s.route.Kind.Repeatable() {
+		if l.backup = s.h.Fleet.Backup(s.query(), l.member); l.backup != nil {
+			send.BackupAt = l.backup.Address()
+		}
+	}
+	request, ok := s.request(l.member, send)
+	if !ok || !l.member.Usable(time.Now()) {
+		s.h.Pool.Put(c)
+		l.err = errors.New("the server leaves or no time is left")
+		return
+	}
+	stop := context.AfterFunc(s.ctx, c.Interrupt)
+	defer stop()
+	l.outcome = broken
+	s.attempts++
+	s.arrivals++
+	if l.err = c.Send(request, s.deadline); l.err != nil {
+		s.lost(l)
+		return
+	}
+	s.receive(l)
+}
+
+// lost notes that a connection ended under a leg.
+func (s *stream) lost(l *leg) {
+	l.conn.Close()
+	if s.ctx.Err() == nil {
+		l.member.Unreachable(time.Now())
+	}
+}
+
+// receive reads the answer of a leg.
+func (s *stream) receive(l *leg) {
+	r, err := l.conn.Head(s.r.Method, s.call.ID, s.h.Dialect.RequestID, s.headDeadline(l))
+	if err != nil {
+		l.err = err
+		s.lost(l)
+		return
+	}
+	reply := s.h.Dialect.Reply(r)
+	now := time.Now()
+	if reply.HasLoad {
+		l.member.Loaded(reply.Load, now)
+	}
+	if r.StatusCode >= 200 && r.StatusCode < 300 && reply.Signed {
+		l.signed = r
+		s.events(l, r)
+		return
+	}
+	s.rejected(l, r, reply, now)
+}
+
+// headDeadline is until when the head of an answer is awaited.
+func (s *stream) headDeadline(l *leg) time.Time {
+	if l.copied && s.begun {
+		return earliest(s.deadline, time.Now().Add(copyWait))
+	}
+	return s.deadline
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// rejected takes an answer that is no stream of events.
+func (s *stream) rejected(l *leg, r *http.Response, reply Reply, now time.Time) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, heldBytes))
+	if err != nil || len(body) == heldBytes {
+		l.conn.Close()
+	} else {
+		s.h.Pool.Put(l.conn)
+	}
+	l.err = errors.Newf("status %d", r.StatusCode)
+	switch {
+	case reply.Moved:
+		l.outcome = moved
+		s.attempts--
+		l.member.Replaced()
+		s.h.Pool.Forget(l.member.Address())
+	case reply.NotRun:
+		l.outcome = refused
+		s.attempts--
+		if !l.copied {
+			l.member.Failed(now)
+		}
+	case reply.Signed && err == nil && !s.begun && !ambiguous(r.StatusCode) && !s.worthRepeating(r.StatusCode):
+		l.outcome = answered
+		s.deliver(&attempt{member: l.member, response: r, body: body})
+	default:
+		l.member.Failed(now)
+	}
+}
+
+// worthRepeating tells whether another server may do better after a failure.
+func (s *stream) worthRepeating(status int) bool {
+	return status >= http.StatusInternalServerError && s.route.Kind.Repeatable() && s.attempts < s.route.Attempts
+}
+
+// events passes the events of a leg on until the answer's end.
+func (s *stream) events(l *leg, r *http.Response) {
+	events := sse.NewReader(r.Body)
+	for {
+		if !events.Buffered() {
+			l.conn.SetReadDeadline(earliest(s.deadline, time.Now().Add(s.quiet(l))))
+		}
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			s.finish(l)
+			return
+		}
+		if err != nil {
+			l.err = err
+			s.lost(l)
+			return
+		}
+		if !s.begin(l) {
+			return
+		}
+		if e.ID >= 0 && e.ID <= s.last {
+			continue
+		}
+		if e.ID >= 0 && s.last > 0 && e.ID > s.last+1 {
+			l.err = errors.Newf("event %d came after event %d", e.ID, s.last)
+			l.conn.Close()
+			l.member.Failed(time.Now())
+			return
+		}
+		if !s.pass(l, e, events.Buffered()) {
+			return
+		}
+	}
+}
+
+// quiet is how long a leg may be silent between events.
+func (s *stream) quiet(l *leg) time.Duration {
+	if l.backup != nil && s.route.Kind.Repeatable() && s.h.Fleet.Find(l.backup.ID(), time.Now()) != nil {
+		return copyQuiet
+	}
+	return rereadQuiet
+}
+
+// begin notes that a leg runs, and gives the caller the head of the answer.
+func (s *stream) begin(l *leg) bool {
+	now := time.Now()
+	if !l.begun {
+		l.begun = true
+		s.mayHaveRun = true
+		l.member.Begun(l.query, now.Sub(l.started))
+		if s.resumes > 0 {
+			s.h.Recorder.Record("resumed", Fields{"request": s.call.ID, "server": l.member.ID(), "from_copy": l.copied, "after": s.last, "ms": ms(now.Sub(s.lostAt))})
+		}
+	}
+	if s.begun {
+		return true
+	}
+	s.begun = true
+	s.answerHeaders(l.signed)
+	s.w.WriteHeader(l.signed.StatusCode)
+	return true
+}
+
+// pass gives the caller an event. more tells that the next one is there already.
+func (s *stream) pass(l *leg, e sse.Event, more bool) bool {
+	control := http.NewResponseController(s.w)
+	_, err := s.w.Write(e.Bytes)
+	if err == nil && !more {
+		_ = control.SetWriteDeadline(time.Now().Add(callerWait))
+		err = control.Flush()
+	}
+	if err != nil {
+		l.err = err
+		l.conn.Close()
+		return false
+	}
+	if e.ID >= 0 {
+		s.last = e.ID
+	}
+	return true
+}
+
+// finish ends a stream whose last event has come.
+func (s *stream) finish(l *leg) {
+	s.h.Pool.Put(l.conn)
+	if !s.begin(l) {
+		return
+	}
+	l.outcome = answered
+	l.member.Succeeded(time.Since(l.started), time.Now())
+	s.h.Recorder.Record("answered", Fields{
+		"request": s.call.ID, "route": s.route.Name, "server": l.member.ID(), "status": l.signed.StatusCode, "attempts": s.attempts, "last": s.last,
+		"ms": ms(time.Since(s.arrived)), "resumes": s.resumes,
+	})
+}
+
+func (s *stream) note(l *leg) {
+	f := Fields{
+		"request": s.call.ID, "server": l.member.ID(), "address": l.member.Address(), "outcome": l.outcome.String(), "from_copy": l.copied, "last": s.last,
+		"ms": ms(time.Since(l.started)),
+	}
+	if l.backup != nil {
+		f["backup"] = l.backup.ID()
+	}
+	if l.err != nil {
+		f["error"] = l.err.Error()
+	}
+	s.h.Recorder.Record("leg", f)
+}
+
+// goOn decides whether a stream goes on at another server after a leg that did not
+// end it, and ends it if not.
+func (s *stream) goOn(l *leg) bool {
+	if s.ctx.Err() != nil || s.callerLeft() {
+		s.fail("answer", "no server answered in time")
+		return false
+	}
+	if l.outcome == broken {
+		s.mayHaveRun = s.mayHaveRun || l.err != nil
+		if s.lostAt.IsZero() || l.begun {
+			s.lostAt = time.Now()
+		}
+		s.resumes++
+		s.copyAt = ""
+		if l.backup != nil {
+			s.copyAt = l.backup.ID()
+		}
+	} else if l.copied {
+		s.copyAt = ""
+	}
+	switch {
+	case l.outcome == broken && !s.route.Kind.Repeatable():
+		s.fail("answer", describe(l.err))
+		return false
+	case len(s.tried) >= maxParallel, s.attempts >= max(s.route.Attempts, 1):
+		s.fail("answer", describe(l.err))
+		return false
+	case s.arrivals > 0 && !s.h.budget(s.service.Name).Repeat(time.Now(), s.h.Nodes()):
+		s.h.Recorder.Record("repeat denied", Fields{"request": s.call.ID, "service": s.service.Name, "attempts": s.attempts})
+		s.fail("answer", describe(l.err))
+		return false
+	}
+	if l.outcome == refused && !l.copied {
+		time.Sleep(refusalPause)
+	}
+	return true
+}
+
+func describe(err error) string {
+	switch {
+	case err == nil:
+		return "the server failed"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "the server is silent"
+	default:
+		return err.Error()
+	}
+}
+
+// fail ends a stream that no server ended. Once the caller has a part of it, its
+// connection is cut, so that the part can't be taken for the whole.
+func (s *stream) fail(step, reason string) {
+	if !s.begun {
+		s.giveUp(step, reason)
+		return
+	}
+	s.h.Recorder.Record("broken off", Fields{
+		"request": s.call.ID, "step": step, "reason": reason, "last": s.last, "attempts": s.attempts, "ms": ms(time.Since(s.arrived)),
+		"code": fault.ServerFailed,
+	})
+	panic(http.ErrAbortHandler)
+}
