Take the newest of several configurations in one answer; never refuse what may run

Ruled out: the proof's age (the log shows the wrong revision installed right after 'store regained'). Now: the last row counts; core/offer makes sending and refusing exclude each other.

--- a/cmd/entry/beliefs.go
+++ b/cmd/entry/beliefs.go
@@ -13,11 +13,14 @@
 
 // takeConfiguration takes what the store says about the configuration.
 func (n *Node) takeConfiguration(v view) {
-	for _, r := range v.page.Rows {
-		if r.Key != platform.ConfigKey || r.Deleted {
-			continue
+	var newest []byte
+	for _, r := range v.page.Rows { // in order; a row stands there once for each of its changes
+		if r.Key == platform.ConfigKey && !r.Deleted {
+			newest = r.Value
 		}
-		n.install(r.Value, v.sent, "store")
+	}
+	if newest != nil {
+		n.install(newest, v.sent, "store")
 		return
 	}
 	if c := n.holder.Catalog(); c != nil && !n.undecoded.Load() {
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -17,6 +17,7 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/offer"
 	"cicadabeam/core/repeat"
 	"cicadabeam/io/http1"
 )
@@ -99,7 +100,7 @@
 	tried        map[string]bool
 	attempts     int  // servers that the request was sent to, but for those that were others
 	arrivals     int  // times that it reached a server
-	mayHaveRun   bool // a server may have begun to work on it
+	offers       offer.Offers
 }
 
 // ServeHTTP implements http.Handler.
@@ -331,7 +332,7 @@
 	case x.callerLeft():
 		x.h.Recorder.Record("caller left", Fields{"request": x.call.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts})
 		panic(http.ErrAbortHandler)
-	case !x.mayHaveRun:
+	case !x.offers.Close():
 		x.refuse(notRun(fault.NoServer, step, reason, retryServer))
 	case time.Now().After(x.deadline.Add(-time.Millisecond)):
 		x.refuse(fault.Newf(fault.ServerSilent, step, "", "%s", reason).WithRan(fault.Unknown).WithStatus(http.StatusGatewayTimeout))
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -137,7 +137,7 @@
 func (x *exchange) launch(ctx context.Context, results chan<- *attempt) bool {
 	q := x.query()
 	m := x.h.Fleet.Reserve(q)
-	if m == nil && len(x.tried) > 0 && !x.mayHaveRun {
+	if m == nil && len(x.tried) > 0 && !x.offers.MayRun() {
 		q.Exclude = nil
 		m = x.h.Fleet.Reserve(q)
 	}
@@ -183,6 +183,11 @@
 	}
 	stop := context.AfterFunc(ctx, c.Interrupt)
 	defer stop()
+	if !x.offers.Begin() {
+		x.h.Pool.Put(c)
+		a.err = errors.New("the request was answered before it could be sent")
+		return
+	}
 	a.outcome = broken
 	a.unreachable = true
 	if a.err = c.Send(request, x.deadline); a.err != nil {
@@ -279,17 +284,17 @@
 	case moved:
 		x.attempts--
 		x.arrivals++
+		x.offers.Settle()
 		return false
 	case refused:
 		x.arrivals++
+		x.offers.Settle()
 		return false
 	case broken:
 		x.arrivals++
-		x.mayHaveRun = true
 		return false
 	default:
 		x.arrivals++
-		x.mayHaveRun = true
 		retry := a.status() >= http.StatusInternalServerError && x.route.Kind.Repeatable()
 		return !retry
 	}
@@ -300,7 +305,7 @@
 	if len(x.tried) >= maxParallel || x.ctx.Err() != nil {
 		return false
 	}
-	if x.mayHaveRun && !x.route.Kind.Repeatable() {
+	if x.offers.MayRun() && !x.route.Kind.Repeatable() {
 		return false
 	}
 	return x.mayRepeat()
@@ -313,7 +318,7 @@
 		x.giveUp("choose", "no server can take the request")
 	case last.outcome == answered:
 		x.deliver(last)
-	case last.outcome == refused && !x.mayHaveRun:
+	case last.outcome == refused && !x.offers.Close():
 		x.refuse(notRun(fault.ServerBusy, "send", "the servers refused the request", retryServer))
 	case last.err != nil:
 		x.giveUp("send", last.err.Error())
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -130,6 +130,7 @@
 	}
 	stop := context.AfterFunc(s.ctx, c.Interrupt)
 	defer stop()
+	s.offers.Begin()
 	l.outcome = broken
 	s.attempts++
 	s.arrivals++
@@ -197,11 +198,13 @@
 	case reply.Moved:
 		l.outcome = moved
 		s.attempts--
+		s.offers.Settle()
 		l.member.Replaced()
 		s.h.Pool.Forget(l.member.Address())
 	case reply.NotRun:
 		l.outcome = refused
 		s.attempts--
+		s.offers.Settle()
 		if !l.copied {
 			l.member.Failed(now)
 		}
@@ -266,7 +269,6 @@
 	now := time.Now()
 	if !l.begun {
 		l.begun = true
-		s.mayHaveRun = true
 		l.member.Begun(l.query, now.Sub(l.started))
 		if s.resumes > 0 {
 			s.h.Recorder.Record("resumed", Fields{"request": s.call.ID, "server": l.member.ID(), "from_copy": l.copied, "after": s.last, "ms": ms(now.Sub(s.lostAt))})
@@ -336,7 +338,6 @@
 		return false
 	}
 	if l.outcome == broken {
-		s.mayHaveRun = s.mayHaveRun || l.err != nil
 		if s.lostAt.IsZero() || l.begun {
 			s.lostAt = time.Now()
 		}
