Nodes tell each other work, repeats and facts; probe silent servers; avoid outages

Cause: with knowledge of its own requests only, nodes put up to 10 runs on one engine and none on others, so answers took 7 to 23 s and were hit by the next outage; each node's fixed share of the repeats ran out while others' lay idle; every node asked the store for itself; a run lost before its first event was noticed after 3 s (keep-alive). Ruled out: memory and slots of engines (no run was refused for them), speed of the nodes (0.01 of a core). Now: io/neighbour (net/rpc), core/fleet work/outage, core/repeat shared, freshness.StoreClock, one reader of the store for each data centre, probes by a connection while a first event is late or a neighbour is lost, a drain that refuses what can't end.

--- a/cmd/entry/beliefs.go
+++ b/cmd/entry/beliefs.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"sync"
 	"time"
 
+	"cicadabeam/core/fleet"
+	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
 	"cicadabeam/platform"
 )
@@ -20,16 +23,16 @@
 		}
 	}
 	if newest != nil {
-		n.install(newest, v.sent, "store")
+		n.install(newest, v.as, "store")
 		return
 	}
 	if c := n.holder.Catalog(); c != nil && !n.undecoded.Load() {
-		n.holder.Confirm(c.Revision(), v.sent)
+		n.holder.Confirm(c.Revision(), v.as)
 	}
 }
 
-// install takes a configuration that was the newest at some time after sent.
-func (n *Node) install(value []byte, sent time.Duration, from string) {
+// install takes a configuration that was the newest at the uptime as or later.
+func (n *Node) install(value []byte, as time.Duration, from string) {
 	c, err := platform.DecodeConfiguration(value)
 	if err != nil {
 		n.undecoded.Store(true)
@@ -37,9 +40,10 @@
 		return
 	}
 	n.undecoded.Store(false)
-	newer := n.holder.Prove(c, sent)
+	newer := n.holder.Prove(c, as)
 	if newer {
 		n.raw.Store(&rawConfiguration{revision: c.Revision(), value: value})
+		n.tell()
 	}
 	n.recorder.Record("configuration", relay.Fields{"revision": c.Revision(), "newer": newer, "from": from})
 }
@@ -49,8 +53,38 @@
 	value    []byte
 }
 
+// registry notes how new the servers known are.
+type registry struct {
+	mu      sync.Mutex
+	known   bool
+	version uint64
+	as      time.Duration
+}
+
+// prove notes that the servers are those of a version of the store at the uptime
+// as or later. It tells whether the version is newer.
+func (r *registry) prove(version uint64, as time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newer := !r.known || version > r.version
+	if !r.known || as > r.as {
+		r.as = as
+	}
+	r.known = true
+	r.version = max(r.version, version)
+	return newer
+}
+
+func (r *registry) fact(now time.Duration) neighbour.Fact {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return neighbour.Fact{Known: r.known, Version: r.version, Age: now - r.as}
+}
+
 // takeServers takes what the store says about the backend servers.
 func (n *Node) takeServers(v view) {
+	n.beliefs.Lock()
+	defer n.beliefs.Unlock()
 	now := time.Now()
 	gone := now
 	if back := n.servers.returned.Add(returnWait); !n.servers.returned.IsZero() && back.After(now) {
@@ -68,8 +102,9 @@
 			}
 		}
 	}
-	n.serversVersion.Store(v.page.Version)
-	n.serversKnown.Store(true)
+	if n.registry.prove(v.page.Version, v.as) {
+		n.tell()
+	}
 }
 
 func (n *Node) takeServer(r platform.Row, now, gone time.Time) {
@@ -83,8 +118,14 @@
 		n.loseServer(r.Key, now)
 		return
 	}
+	n.setServer(s, r.Version, "store")
+}
+
+func (n *Node) setServer(s fleet.Server, version uint64, from string) {
 	if n.fleet.Set(s) {
-		n.recorder.Record("server", relay.Fields{"server": s.ID, "service": s.Service, "address": s.Address, "leaving": s.Leaving, "version": r.Version})
+		n.recorder.Record("server", relay.Fields{
+			"server": s.ID, "service": s.Service, "address": s.Address, "leaving": s.Leaving, "version": version, "from": from,
+		})
 	}
 }
 
--- a/cmd/entry/drain.go
+++ b/cmd/entry/drain.go
@@ -16,7 +16,11 @@
 	// asks each second and takes two answers.
 	balancerWait = 3200 * time.Millisecond
 	// gracePart is the part of the time allowed that a stop may take.
-	gracePart   = 0.92
+	gracePart = 0.92
+	// streamsWait is how long new streams are taken, and callsPart for which part of
+	// the time allowed other requests are.
+	streamsWait = 3 * time.Second
+	callsPart   = 0.7
 	drainPeriod = 20 * time.Millisecond
 )
 
@@ -24,7 +28,8 @@
 func (n *Node) Drain() {
 	n.drainOnce.Do(func() {
 		n.draining.Store(true)
-		n.handler.Drain()
+		now := time.Now()
+		n.handler.Drain(now.Add(streamsWait), now.Add(time.Duration(callsPart*float64(n.settings.grace))))
 		n.recorder.Record("draining", relay.Fields{"running": n.handler.Running()})
 		close(n.drain)
 	})
--- a/cmd/entry/follow.go
+++ b/cmd/entry/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/freshness"
 	"cicadabeam/io/relay"
 	"cicadabeam/platform"
 )
@@ -28,7 +29,7 @@
 type view struct {
 	whole bool
 	page  platform.Page
-	sent  time.Duration // uptime at which the question was sent
+	as    time.Duration // uptime at which it was so, or later
 }
 
 // follower keeps up with a table of the store.
@@ -40,17 +41,33 @@
 	take     func(v view)
 	// returned is when the store answered again after a failure.
 	returned time.Time
-	failing  bool
-	since    uint64
-	loaded   bool
+	// active tells whether this node is to ask the store at all.
+	active func() bool
+	// gather is waited after an answer with changes, so that the next one has more.
+	gather  time.Duration
+	clock   *freshness.StoreClock
+	failing bool
+	since   uint64
+	loaded  bool
 }
 
+// restPeriod is how often a follower that rests looks whether it is to go on.
+const restPeriod = 100 * time.Millisecond
+
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !f.active() {
+			f.loaded = false
+			pause(ctx, restPeriod)
+			continue
+		}
 		v, err := f.ask(ctx)
 		if err == nil {
 			f.answered()
 			f.take(v)
+			if len(v.page.Rows) > 0 {
+				pause(ctx, f.gather)
+			}
 			continue
 		}
 		if errors.Is(err, platform.ErrHistoryLost) {
@@ -64,7 +81,8 @@
 }
 
 func (f *follower) ask(ctx context.Context) (view, error) {
-	v := view{whole: !f.loaded, sent: f.uptime()}
+	v := view{whole: !f.loaded}
+	sent := f.uptime()
 	wait := rowsWait
 	if f.loaded {
 		wait = feedWait + feedGrace
@@ -80,6 +98,7 @@
 	if err != nil {
 		return v, err
 	}
+	v.as = f.clock.At(v.page.NowMs, sent, f.uptime())
 	f.since = max(f.since, v.page.Version)
 	f.loaded = true
 	return v, nil
--- /dev/null
+++ b/cmd/entry/neighbours.go
@@ -0,0 +1,355 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+
+	"cicadabeam/core/freshness"
+	"cicadabeam/io/neighbour"
+	"cicadabeam/io/relay"
+)
+
+const (
+	// exchangePeriod is between two exchanges with a node where there are few, and
+	// exchangeEach is added for each node beyond fewNodes.
+	exchangePeriod = 200 * time.Millisecond
+	exchangeEach   = 25 * time.Millisecond
+	fewNodes       = 8
+	exchangeWait   = 400 * time.Millisecond
+	fetchWait      = time.Second
+	// liveWithin is within which a node must have been heard of to be counted on.
+	liveWithin = time.Second
+	// readAfter is the age of what other nodes tell from which on a node asks the
+	// store itself, and readOn how long it then goes on.
+	readAfter = 1800 * time.Millisecond
+	readOn    = 3 * time.Second
+	// remoteNodes is the number of nodes of each other data centre that a node talks
+	// to where there are many.
+	remoteNodes = 2
+	manyNodes   = 24
+)
+
+// peer is another node.
+type peer struct {
+	host    entryHost
+	client  *neighbour.Client
+	news    neighbour.News
+	heard   time.Time
+	live    bool
+	talking bool
+	told    time.Time
+}
+
+// peers holds the other nodes.
+type peers struct {
+	mu       sync.Mutex
+	all      map[string]*peer
+	wake     chan struct{}
+	readTill time.Time
+	fetching map[string]bool
+}
+
+func (p *peers) init() {
+	p.all = make(map[string]*peer)
+	p.wake = make(chan struct{}, 1)
+	p.fetching = make(map[string]bool)
+}
+
+func (n *Node) addNeighbours(g *run.Group) error {
+	l, err := net.Listen("tcp", n.settings.neighbours)
+	if err != nil {
+		return errors.Wrap(err, "listen for neighbours")
+	}
+	g.Add(func() error { return neighbour.Serve(l, n) }, func(error) { _ = l.Close() })
+	return nil
+}
+
+// tell makes the next exchange go out at once.
+func (n *Node) tell() {
+	select {
+	case n.peers.wake <- struct{}{}:
+	default:
+	}
+}
+
+// exchange tells the other nodes the news, again and again.
+func (n *Node) exchange(ctx context.Context) error {
+	for ctx.Err() == nil {
+		t := time.NewTimer(n.exchangePeriod())
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-n.peers.wake:
+		}
+		t.Stop()
+		n.tellAll(time.Now())
+	}
+	return ctx.Err()
+}
+
+func (n *Node) exchangePeriod() time.Duration {
+	return exchangePeriod + time.Duration(max(0, n.nodes.count()-fewNodes))*exchangeEach
+}
+
+// tellAll begins an exchange with each node that this one calls: of two nodes the
+// one whose name comes first calls, or the other if it hasn't been heard of.
+func (n *Node) tellAll(now time.Time) {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	n.peers.update(n.nodes.others(n.settings.name, n.settings.place.DataCentre))
+	for _, p := range n.peers.all {
+		calls := n.settings.name < p.host.Name || now.Sub(p.heard) > liveWithin
+		if p.talking || !calls {
+			continue
+		}
+		p.talking = true
+		go n.talk(p, p.client)
+	}
+}
+
+// update makes the peers those of a list.
+func (p *peers) update(hosts []entryHost) {
+	named := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		named[h.Name] = true
+		x := p.all[h.Name]
+		if x != nil && x.host == h {
+			continue
+		}
+		if x != nil {
+			x.client.Close()
+		}
+		p.all[h.Name] = &peer{host: h, client: neighbour.NewClient(h.Address)}
+	}
+	for name, x := range p.all {
+		if !named[name] {
+			x.client.Close()
+			delete(p.all, name)
+		}
+	}
+}
+
+func (n *Node) talk(p *peer, c *neighbour.Client) {
+	sent := uptime()
+	theirs, err := c.Exchange(n.news(), time.Now().Add(exchangeWait))
+	n.peers.mu.Lock()
+	p.talking = false
+	n.peers.mu.Unlock()
+	if err == nil {
+		n.heard(theirs, sent)
+	}
+}
+
+// news is what this node tells others.
+func (n *Node) news() neighbour.News {
+	now := time.Now()
+	up := uptime()
+	x := neighbour.News{
+		From: n.settings.name, Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
+		Configuration: n.configurationFact(up), Servers: n.registry.fact(up),
+	}
+	return x
+}
+
+func (n *Node) configurationFact(up time.Duration) neighbour.Fact {
+	c, age := n.holder.View(up)
+	if c == nil || age == freshness.Unproven {
+		return neighbour.Fact{}
+	}
+	return neighbour.Fact{Known: true, Version: c.Revision(), Age: age}
+}
+
+// Exchange implements neighbour.Handler.
+func (n *Node) Exchange(x neighbour.News) neighbour.News {
+	// What the caller says was so when it sent it; how long that took isn't known.
+	n.heard(x, unknownSent)
+	return n.news()
+}
+
+// unknownSent marks news of which it isn't known when they were asked for, so that
+// they prove nothing.
+const unknownSent = time.Duration(math.MinInt64)
+
+// heard takes another node's news, that were asked for at the uptime sent.
+func (n *Node) heard(x neighbour.News, sent time.Duration) {
+	now := time.Now()
+	n.fleet.Heard(x.From, x.Work, now)
+	n.handler.Heard(x.From, x.Usage, now)
+	n.peers.mu.Lock()
+	p := n.peers.all[x.From]
+	joined := p != nil && now.Sub(p.heard) > liveWithin
+	if p != nil {
+		p.news, p.heard = x, now
+	}
+	n.peers.mu.Unlock()
+	if p == nil {
+		return
+	}
+	if joined {
+		n.recorder.Record("node heard", relay.Fields{"peer": x.From, "revision": x.Configuration.Version})
+	}
+	n.takeFacts(p, x, sent)
+}
+
+// takeFacts compares what another node knows with what this one does.
+func (n *Node) takeFacts(p *peer, x neighbour.News, sent time.Duration) {
+	up := uptime()
+	mine, servers := n.configurationFact(up), n.registry.fact(up)
+	if x.Configuration.Known && x.Configuration.Version > mine.Version {
+		go n.fetch(p, "configuration", n.fetchConfiguration)
+	} else if x.Configuration.Known && sent != unknownSent {
+		n.holder.Confirm(x.Configuration.Version, sent-x.Configuration.Age)
+	}
+	near := p.host.DataCentre == n.settings.place.DataCentre || servers.Age > readAfter
+	switch {
+	case !x.Servers.Known || !near:
+	case x.Servers.Version > servers.Version && !n.reads():
+		go n.fetch(p, "servers", n.fetchServers)
+	case x.Servers.Version == servers.Version && sent != unknownSent:
+		n.registry.prove(servers.Version, sent-x.Servers.Age)
+	}
+}
+
+// fetch gets something from another node, once at a time.
+func (n *Node) fetch(p *peer, what string, get func(p *peer) error) {
+	n.peers.mu.Lock()
+	busy := n.peers.fetching[what]
+	n.peers.fetching[what] = true
+	n.peers.mu.Unlock()
+	if busy {
+		return
+	}
+	err := get(p)
+	n.peers.mu.Lock()
+	n.peers.fetching[what] = false
+	n.peers.mu.Unlock()
+	if err != nil {
+		n.recorder.Record("not fetched", relay.Fields{"what": what, "peer": p.host.Name, "error": err.Error()})
+	}
+}
+
+func (n *Node) fetchConfiguration(p *peer) error {
+	sent := uptime()
+	x, err := p.client.Configuration(time.Now().Add(fetchWait))
+	if err != nil || !x.Fact.Known {
+		return err
+	}
+	n.install(x.Value, sent-x.Fact.Age, p.host.Name)
+	return nil
+}
+
+func (n *Node) fetchServers(p *peer) error {
+	sent := uptime()
+	x, err := p.client.Servers(time.Now().Add(fetchWait))
+	if err != nil || !x.Fact.Known {
+		return err
+	}
+	n.takeChanges(x, sent-x.Fact.Age, p.host.Name)
+	return nil
+}
+
+// Configuration implements neighbour.Handler.
+func (n *Node) Configuration() neighbour.Configuration {
+	raw := n.raw.Load()
+	f := n.configurationFact(uptime())
+	if raw == nil || !f.Known || raw.revision != f.Version {
+		return neighbour.Configuration{}
+	}
+	return neighbour.Configuration{Fact: f, Value: raw.value}
+}
+
+// Servers implements neighbour.Handler.
+func (n *Node) Servers() neighbour.Servers {
+	// The fact comes first: what is newer than it does no harm.
+	x := neighbour.Servers{Fact: n.registry.fact(uptime())}
+	now := time.Now()
+	for _, s := range n.fleet.Registered() {
+		c := neighbour.Change{Server: s.Server}
+		if !s.GoneAt.IsZero() {
+			c.Gone, c.In = true, max(0, s.GoneAt.Sub(now))
+		}
+		x.Changes = append(x.Changes, c)
+	}
+	return x
+}
+
+// takeChanges takes the servers that another node knows, if they are newer.
+func (n *Node) takeChanges(x neighbour.Servers, as time.Duration, from string) {
+	n.beliefs.Lock()
+	defer n.beliefs.Unlock()
+	if f := n.registry.fact(0); f.Known && x.Fact.Version <= f.Version {
+		return
+	}
+	now := time.Now()
+	named := make(map[string]bool, len(x.Changes))
+	for _, c := range x.Changes {
+		named[c.Server.ID] = true
+		if c.Gone {
+			n.loseServer(c.Server.ID, now.Add(c.In))
+			continue
+		}
+		n.setServer(c.Server, x.Fact.Version, from)
+	}
+	for _, id := range n.fleet.IDs() {
+		if !named[id] {
+			n.loseServer(id, now)
+		}
+	}
+	n.registry.prove(x.Fact.Version, as)
+}
+
+// reads tells whether this node asks the store: the first live one of each data
+// centre does, and each one that others don't tell enough.
+func (n *Node) reads() bool {
+	now := time.Now()
+	up := uptime()
+	configuration, servers := n.configurationFact(up), n.registry.fact(up)
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	if !configuration.Known || !servers.Known || configuration.Age > readAfter || servers.Age > readAfter {
+		n.peers.readTill = now.Add(readOn)
+	}
+	if now.Before(n.peers.readTill) || n.draining.Load() {
+		return true
+	}
+	for _, p := range n.peers.all {
+		if p.host.DataCentre == n.settings.place.DataCentre && p.host.Name < n.settings.name && now.Sub(p.heard) < liveWithin && !p.news.Leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// others returns the nodes that a node talks to: all where there are few, else
+// those of its own data centre and some of each other one.
+func (d *directory) others(self, dataCentre string) []entryHost {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make([]string, 0, len(d.hosts))
+	for name := range d.hosts {
+		if name != self {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	taken := make(map[string]int)
+	var all []entryHost
+	for _, name := range names {
+		h := d.hosts[name]
+		if h.DataCentre != dataCentre && len(names) > manyNodes {
+			if taken[h.DataCentre] >= remoteNodes {
+				continue
+			}
+			taken[h.DataCentre]++
+		}
+		all = append(all, h)
+	}
+	return all
+}
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -56,14 +56,15 @@
 	handler  *relay.Handler
 	servers  *follower
 
-	raw            atomic.Pointer[rawConfiguration]
-	undecoded      atomic.Bool // the newest configuration can't be read
-	serversVersion atomic.Uint64
-	serversKnown   atomic.Bool
-	draining       atomic.Bool
-	drain          chan struct{}
-	drainOnce      sync.Once
-	nodes          directory
+	raw       atomic.Pointer[rawConfiguration]
+	undecoded atomic.Bool // the newest configuration can't be read
+	beliefs   sync.Mutex  // held while what is known of servers changes
+	registry  registry
+	draining  atomic.Bool
+	drain     chan struct{}
+	drainOnce sync.Once
+	nodes     directory
+	peers     peers
 }
 
 // New returns a node that listens nowhere yet. It logs to out.
@@ -78,11 +79,16 @@
 		Uptime: uptime, Nodes: n.nodes.count,
 	})
 	n.servers = n.follower(platform.ServersTable, n.takeServers)
+	n.servers.gather = serversGather
+	n.peers.init()
 	return n
 }
 
+// serversGather gathers changes of servers, of which many come at a time.
+const serversGather = 100 * time.Millisecond
+
 func (n *Node) follower(table string, take func(view)) *follower {
-	return &follower{table: table, store: n.store, uptime: uptime, recorder: n.recorder, take: take}
+	return &follower{table: table, store: n.store, uptime: uptime, recorder: n.recorder, take: take, active: n.reads, clock: &freshness.StoreClock{}}
 }
 
 // uptime reads a clock that goes on while the host is suspended.
@@ -129,6 +135,10 @@
 	g.Add(func() error { return n.servers.run(ctx) }, halt)
 	g.Add(func() error { return n.registerNode(ctx) }, halt)
 	g.Add(func() error { return n.tidy(ctx) }, halt)
+	g.Add(func() error { return n.exchange(ctx) }, halt)
+	if err := n.addNeighbours(&g); err != nil {
+		return err
+	}
 	if err := n.addHTTP(ctx, &g, n.settings.callers, n.handler); err != nil {
 		return err
 	}
@@ -170,7 +180,7 @@
 // servers, can prove that keys are valid, and doesn't stop.
 func (n *Node) ready() bool {
 	c, age := n.holder.View(uptime())
-	if c == nil || !n.serversKnown.Load() || n.draining.Load() {
+	if c == nil || !n.registry.fact(0).Known || n.draining.Load() {
 		return false
 	}
 	return n.settings.bounds.Revoke == 0 || !c.Keyed() || age < n.settings.bounds.Revoke
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -64,6 +65,9 @@
 	mu       sync.RWMutex
 	members  map[string]*Member
 	services map[string][]*Member
+	outages  outages
+
+	lastHeard atomic.Int64 // when another node told of its work, in Unix nanoseconds
 }
 
 // New returns an empty fleet.
@@ -108,6 +112,23 @@
 	return all
 }
 
+// Registration is a server and, if its entry is missing, when it is gone.
+type Registration struct {
+	Server Server
+	GoneAt time.Time
+}
+
+// Registered returns all servers known.
+func (f *Fleet) Registered() []Registration {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	all := make([]Registration, 0, len(f.members))
+	for _, m := range f.members {
+		all = append(all, m.registration())
+	}
+	return all
+}
+
 // Expire forgets servers that are gone and have no work of this node's.
 func (f *Fleet) Expire(now time.Time) {
 	f.mu.Lock()
@@ -146,6 +167,8 @@
 	// Avoid names a data centre to stay away from where others can serve.
 	Avoid string
 	Now   time.Time
+
+	informed bool // other nodes' words are at hand
 }
 
 // Reserve chooses a server and counts the request there until Release. It returns
@@ -214,6 +237,19 @@
 	return servers
 }
 
+// outagesOf returns the data centres that are in an outage.
+func (f *Fleet) outagesOf(service string, all []*Member, now time.Time) map[string]bool {
+	members := make(map[string]int)
+	for _, m := range all {
+		members[m.DataCentre()]++
+	}
+	out := make(map[string]bool, len(members))
+	for dataCentre, n := range members {
+		out[dataCentre] = f.outage(outageKey{service, dataCentre}, n, now)
+	}
+	return out
+}
+
 type candidate struct {
 	member *Member
 	cost   time.Duration
@@ -226,11 +262,16 @@
 	all := f.services[q.Service]
 	f.mu.RUnlock()
 	found := make([]candidate, 0, len(all))
+	q.informed = f.informed(q.Now)
+	out := f.outagesOf(q.Service, all, q.Now)
 	for _, m := range all {
 		if q.Exclude[m.ID()] || !m.usable(q.Now) {
 			continue
 		}
 		c := m.cost(q) + f.place.distance(m.DataCentre())
+		if out[m.DataCentre()] && !m.alive(q.Now) {
+			c += outageCost
+		}
 		if q.Avoid != "" && m.DataCentre() == q.Avoid {
 			c += avoidCost
 		}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -26,8 +26,13 @@
 	// fullCost is what an engine whose memory is taken is put back by.
 	fullCost   = 5 * time.Second
 	memoryUsed = 0.9
-	// runCost is by how much a run slows down the others on its engine.
-	runCost = 10 * time.Millisecond
+	// runCost is for each run on an engine, as it gets hardly a token while a prompt
+	// is read there.
+	runCost = 250 * time.Millisecond
+	// Servers whose costs differ by less are alike, so that nodes that choose at the
+	// same time don't all choose the same one.
+	engineGrain = 100 * time.Millisecond
+	plainGrain  = 4 * time.Millisecond
 	// downFirst is how long an unreachable server gets no work; it doubles up to
 	// downMost while the server stays unreachable.
 	downFirst = 250 * time.Millisecond
@@ -60,12 +65,13 @@
 	failedAt time.Time
 	downTill time.Time
 	downs    int
-	diedAt   time.Time
-	work     time.Duration
+	heardAt  time.Time     // when it last sent anything
+	answers  time.Duration // the time in which it answers on average
 	rate     float64
 	load     Load
 	loadOwn  int
 	loadAt   time.Time
+	nodes    map[string]heardWork
 }
 
 func (m *Member) identity() identity {
@@ -95,6 +101,12 @@
 	return changed
 }
 
+func (m *Member) registration() Registration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Registration{Server: m.server, GoneAt: m.goneAt}
+}
+
 func (m *Member) gone(at time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -143,24 +155,32 @@
 	return c + m.plainCost(q)
 }
 
-// others estimates the requests of other nodes on the server: its last word, and
-// the older that is the less of it.
-func (m *Member) others(now time.Time) float64 {
+// others is the work of other nodes on the server: what they told, or else the
+// server's last word, and the older that is the less of it.
+func (m *Member) others(q Query) Work {
+	if q.informed {
+		return m.told(q.Now)
+	}
 	if m.loadAt.IsZero() {
-		return 0
+		return Work{}
+	}
+	trust := math.Exp(-float64(q.Now.Sub(m.loadAt)) / float64(loadTrust))
+	running := max(0, float64(m.load.Running+m.load.Waiting-m.loadOwn)) * trust
+	return Work{
+		Running: int(math.Round(running)), Memory: int(running * float64(q.Memory)),
+		Prompts: int(trust * float64(m.load.Waiting*q.Tokens)),
 	}
-	trust := math.Exp(-float64(now.Sub(m.loadAt)) / float64(loadTrust))
-	return max(0, float64(m.load.Running+m.load.Waiting-m.loadOwn)) * trust
 }
 
 func (m *Member) plainCost(q Query) time.Duration {
-	work := m.work
+	work := m.answers
 	if work == 0 {
 		work = firstWork
 	}
 	slots := float64(max(m.server.Slots, 1))
-	busy := (float64(m.running) + m.others(q.Now)) / slots
-	return time.Duration(float64(work) * (1 + busy/4 + max(0, busy-0.8)*2))
+	busy := float64(m.running+m.others(q).Running) / slots
+	c := time.Duration(float64(work) * (1 + busy/4 + max(0, busy-0.8)*2))
+	return c.Round(plainGrain)
 }
 
 func (m *Member) engineCost(q Query) time.Duration {
@@ -168,17 +188,17 @@
 	if rate == 0 {
 		rate = readRate
 	}
-	others := m.others(q.Now)
-	waiting := float64(m.prompts) + float64(max(m.load.Waiting, 0))*float64(q.Tokens)*math.Exp(-float64(q.Now.Sub(m.loadAt))/float64(loadTrust))
-	c := time.Duration((waiting + float64(q.Tokens)) / rate * float64(time.Millisecond))
-	c += time.Duration((float64(m.running) + others) * float64(runCost))
-	if float64(m.memory+q.Memory)+others*float64(q.Memory) > memoryUsed*float64(q.Capacity) {
+	others := m.others(q)
+	running := m.running + others.Running
+	c := time.Duration(float64(m.prompts+others.Prompts+q.Tokens) / rate * float64(time.Millisecond))
+	c += time.Duration(running) * runCost
+	if float64(m.memory+others.Memory+q.Memory) > memoryUsed*float64(q.Capacity) {
 		c += fullCost
 	}
-	if m.server.Slots > 0 && float64(m.running)+others >= float64(m.server.Slots) {
+	if m.server.Slots > 0 && running >= m.server.Slots {
 		c += fullCost
 	}
-	return c
+	return c.Round(engineGrain)
 }
 
 // failing is the recent share of failures.
@@ -227,6 +247,20 @@
 	m.prompts -= q.Tokens
 }
 
+// Heard notes that the server sent something.
+func (m *Member) Heard(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heardAt = now
+}
+
+// alive tells whether the server sent something a moment ago.
+func (m *Member) alive(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.heardAt.IsZero() && now.Sub(m.heardAt) < aliveWindow
+}
+
 // Loaded takes the server's word about its load.
 func (m *Member) Loaded(l Load, now time.Time) {
 	m.mu.Lock()
@@ -234,6 +268,7 @@
 	m.load = l
 	m.loadOwn = m.running
 	m.loadAt = now
+	m.heardAt = now
 }
 
 // Succeeded notes an answer.
@@ -243,10 +278,10 @@
 	m.note(0, now)
 	m.downTill = time.Time{}
 	m.downs = 0
-	if m.work == 0 {
-		m.work = elapsed
+	if m.answers == 0 {
+		m.answers = elapsed
 	}
-	m.work += time.Duration(workWeight * float64(elapsed-m.work))
+	m.answers += time.Duration(workWeight * float64(elapsed-m.answers))
 }
 
 // Failed notes a failure: an error, a refusal, an answer that broke off.
@@ -262,11 +297,10 @@
 	m.failedAt = now
 }
 
-// Unreachable notes that no connection could be made or that it ended under a
-// request.
-func (m *Member) Unreachable(now time.Time) {
+func (m *Member) unreachable(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.heardAt = time.Time{}
 	m.note(1, now)
 	if now.Before(m.downTill) {
 		return
@@ -287,3 +321,6 @@
 	q.Connections = 0
 	return m.reserve(q)
 }
+
+// Expected is the time in which the server is expected to begin to answer.
+func (m *Member) Expected(q Query) time.Duration { return m.cost(q) }
--- /dev/null
+++ b/core/fleet/outage.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// outageWindow is in which time servers of a data centre have to be lost to be
+	// taken for an outage of it, and outageLeast and outagePart how many.
+	outageWindow = time.Second
+	outageLeast  = 2
+	outagePart   = 0.25
+	// outageCost puts the servers of a data centre in an outage behind those of
+	// others, but for those that were heard of within aliveWindow.
+	outageCost  = 20 * time.Second
+	aliveWindow = 250 * time.Millisecond
+)
+
+// outages notes which servers were lost lately, by data centre and service.
+type outages struct {
+	mu   sync.Mutex
+	lost map[outageKey]map[string]time.Time
+}
+
+type outageKey struct{ service, dataCentre string }
+
+// add notes a lost server.
+func (o *outages) add(k outageKey, id string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.lost == nil {
+		o.lost = make(map[outageKey]map[string]time.Time)
+	}
+	all := o.lost[k]
+	if all == nil {
+		all = make(map[string]time.Time)
+		o.lost[k] = all
+	}
+	all[id] = now
+}
+
+// count returns how many servers were lost within the window.
+func (o *outages) count(k outageKey, now time.Time) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := 0
+	for id, at := range o.lost[k] {
+		if now.Sub(at) > outageWindow {
+			delete(o.lost[k], id)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// outage tells whether so many of a data centre's servers were lost at once that the
+// others there are likely lost too.
+func (f *Fleet) outage(k outageKey, members int, now time.Time) bool {
+	n := f.outages.count(k, now)
+	return n >= outageLeast && float64(n) >= outagePart*float64(members)
+}
+
+// Lost notes that a server could not be reached, or that its connection ended under
+// a request.
+func (f *Fleet) Lost(m *Member, now time.Time) {
+	m.unreachable(now)
+	f.outages.add(outageKey{m.service(), m.DataCentre()}, m.ID(), now)
+}
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -72,6 +72,9 @@
 
 // Put takes a connection whose answer was read whole.
 func (p *Pool) Put(c *Conn) {
+	if c.usable.IsZero() {
+		c.usable = time.Now().Add(idleWait) // it has carried no request yet
+	}
 	if c.broken || !c.sent() || c.reader.Buffered() > 0 || !time.Now().Before(c.usable) {
 		c.Close()
 		return
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -54,19 +54,47 @@
 // Handler answers callers.
 type Handler struct {
 	Parts
-	draining atomic.Bool
+	draining atomic.Pointer[drain]
 	running  atomic.Int64
+	waits    *waits
 	mu       sync.Mutex
 	budgets  map[string]*repeat.Budget
 }
 
 // New returns a handler.
 func New(p Parts) *Handler {
-	return &Handler{Parts: p, budgets: make(map[string]*repeat.Budget)}
+	h := &Handler{Parts: p, budgets: make(map[string]*repeat.Budget)}
+	h.waits = newWaits(h)
+	return h
 }
 
-// Drain makes answers end their connections.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// drain is until when a node that stops takes new requests.
+type drain struct {
+	streams time.Time
+	calls   time.Time
+}
+
+// Drain makes answers end their connections, and refuses streams and other requests
+// from the given times on, as they could not end before the process does.
+func (h *Handler) Drain(streams, calls time.Time) {
+	h.draining.Store(&drain{streams: streams, calls: calls})
+}
+
+// stopping refuses a request that comes too late for a node that stops.
+func (x *exchange) stopping() *fault.Error {
+	d := x.h.draining.Load()
+	if d == nil {
+		return nil
+	}
+	till := d.calls
+	if x.route.Kind.Streams() {
+		till = d.streams
+	}
+	if x.arrived.Before(till) {
+		return nil
+	}
+	return notRun(fault.Draining, "admit", "this entry host stops", retryServer)
+}
 
 // Running returns the number of requests under way.
 func (h *Handler) Running() int64 { return h.running.Load() }
@@ -82,6 +110,31 @@
 	return b
 }
 
+// Usage returns what this node counted towards the bound on repeats, by service.
+func (h *Handler) Usage(now time.Time) map[string]repeat.Usage {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	all := make(map[string]repeat.Usage, len(h.budgets))
+	for service, b := range h.budgets {
+		if u := b.Usage(now); u != (repeat.Usage{}) {
+			all[service] = u
+		}
+	}
+	return all
+}
+
+// Heard takes another node's usage. Services that it doesn't name it hasn't used.
+func (h *Handler) Heard(node string, usage map[string]repeat.Usage, now time.Time) {
+	for service := range usage {
+		h.budget(service)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, b := range h.budgets {
+		b.Heard(node, usage[service], now)
+	}
+}
+
 // exchange is one request of a caller and what became of it.
 type exchange struct {
 	h            *Handler
@@ -98,8 +151,8 @@
 	arrived      time.Time
 	deadline     time.Time
 	tried        map[string]bool
-	attempts     int  // servers that the request was sent to, but for those that were others
-	arrivals     int  // times that it reached a server
+	attempts     int // servers that the request was sent to, but for those that were others
+	arrivals     int // times that it reached a server
 	offers       offer.Offers
 }
 
@@ -158,6 +211,9 @@
 		return fault.Newf(fault.NotFound, "route", "", "no route leads to this host and path")
 	}
 	x.route = route
+	if err := x.stopping(); err != nil {
+		return err
+	}
 	if err := x.authorise(stale, age); err != nil {
 		return err
 	}
@@ -297,7 +353,7 @@
 	if at := err.RetryAt(); !at.IsZero() && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		header.Set("Retry-After", seconds(time.Until(at)))
 	}
-	if x.h.draining.Load() {
+	if x.h.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
 	header.Set("Content-Type", "application/json")
@@ -372,7 +428,7 @@
 	if header.Get("Content-Type") == "" {
 		header["Content-Type"] = nil // else net/http guesses one
 	}
-	if x.h.draining.Load() {
+	if x.h.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
 }
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -227,7 +227,7 @@
 	case errors.Is(a.err, os.ErrDeadlineExceeded) && a.outcome == broken:
 		x.judgeSilence(a, elapsed, now)
 	default:
-		a.member.Unreachable(now)
+		x.h.lost(a.member, now)
 	}
 	f := Fields{"request": x.call.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "status": a.status(), "ms": ms(elapsed)}
 	if a.err != nil {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -109,7 +109,7 @@
 	c, err := s.h.Pool.Get(s.ctx, l.member.Address(), http1.Reuse)
 	if err != nil {
 		l.err = err
-		l.member.Unreachable(time.Now())
+		s.h.lost(l.member, time.Now())
 		return
 	}
 	l.conn = c
@@ -138,6 +138,7 @@
 		s.lost(l)
 		return
 	}
+	defer s.h.waits.watch(l)()
 	s.receive(l)
 }
 
@@ -145,7 +146,7 @@
 func (s *stream) lost(l *leg) {
 	l.conn.Close()
 	if s.ctx.Err() == nil {
-		l.member.Unreachable(time.Now())
+		s.h.lost(l.member, time.Now())
 	}
 }
 
@@ -238,9 +239,7 @@
 			s.lost(l)
 			return
 		}
-		if !s.begin(l) {
-			return
-		}
+		s.begin(l)
 		if e.ID >= 0 && e.ID <= s.last {
 			continue
 		}
@@ -265,22 +264,23 @@
 }
 
 // begin notes that a leg runs, and gives the caller the head of the answer.
-func (s *stream) begin(l *leg) bool {
+func (s *stream) begin(l *leg) {
 	now := time.Now()
+	l.member.Heard(now)
 	if !l.begun {
 		l.begun = true
+		s.h.waits.forget(l)
 		l.member.Begun(l.query, now.Sub(l.started))
 		if s.resumes > 0 {
 			s.h.Recorder.Record("resumed", Fields{"request": s.call.ID, "server": l.member.ID(), "from_copy": l.copied, "after": s.last, "ms": ms(now.Sub(s.lostAt))})
 		}
 	}
 	if s.begun {
-		return true
+		return
 	}
 	s.begun = true
 	s.answerHeaders(l.signed)
 	s.w.WriteHeader(l.signed.StatusCode)
-	return true
 }
 
 // pass gives the caller an event. more tells that the next one is there already.
@@ -305,9 +305,7 @@
 // finish ends a stream whose last event has come.
 func (s *stream) finish(l *leg) {
 	s.h.Pool.Put(l.conn)
-	if !s.begin(l) {
-		return
-	}
+	s.begin(l)
 	l.outcome = answered
 	l.member.Succeeded(time.Since(l.started), time.Now())
 	s.h.Recorder.Record("answered", Fields{
@@ -343,7 +341,7 @@
 		}
 		s.resumes++
 		s.copyAt = ""
-		if l.backup != nil {
+		if l.backup != nil && (l.begun || l.copied) {
 			s.copyAt = l.backup.ID()
 		}
 	} else if l.copied {
