--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -18,14 +18,15 @@
 
 const (
 	// exchangePeriod is between two exchanges with a node where there are few, and
-	// exchangeEach is added for each node beyond fewNodes.
+	// exchangeEach is added for each node beyond fewNodes, up to exchangeMost.
 	exchangePeriod = 200 * time.Millisecond
-	exchangeEach   = 25 * time.Millisecond
+	exchangeEach   = 10 * time.Millisecond
+	exchangeMost   = 600 * time.Millisecond
 	fewNodes       = 8
 	exchangeWait   = 400 * time.Millisecond
 	fetchWait      = time.Second
 	// liveWithin is within which a node must have been heard of to be counted on.
-	liveWithin = time.Second
+	liveWithin = 1500 * time.Millisecond
 	// readAfter is the age of what other nodes tell from which on a node asks the
 	// store itself, and readOn how long it then goes on.
 	readAfter = 1800 * time.Millisecond
@@ -95,17 +96,20 @@
 }
 
 func (n *Node) exchangePeriod() time.Duration {
-	return exchangePeriod + time.Duration(max(0, n.nodes.count()-fewNodes))*exchangeEach
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	return min(exchangePeriod+time.Duration(max(0, len(n.peers.all)-fewNodes))*exchangeEach, exchangeMost)
 }
 
 // tellAll begins an exchange with each node that this one calls: of two nodes the
-// one whose name comes first calls, or the other if it hasn't been heard of.
+// one whose name comes last calls, or the other if it hasn't been heard of. The one
+// that calls can tell how old the other's proofs are, and the first reads the store.
 func (n *Node) tellAll(now time.Time) {
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
 	n.peers.update(n.nodes.others(n.settings.name, n.settings.place.DataCentre))
 	for _, p := range n.peers.all {
-		calls := n.settings.name < p.host.Name || now.Sub(p.heard) > liveWithin
+		calls := n.settings.name > p.host.Name || now.Sub(p.heard) > liveWithin
 		if p.talking || !calls {
 			continue
 		}
