--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -203,7 +203,7 @@
 func (c *Cluster) Link(from, to string) *Link { return c.links[from+">"+to] }
 
 func (c *Cluster) startPlatform() error {
-	c.platform = newProcess("platform", filepath.Join(c.bin, "standin"), c.file("platform.out"), "--kind", "platform", "--listen", c.address(hostPlatform, portServer))
+	c.platform = NewProcess("platform", filepath.Join(c.bin, "standin"), c.file("platform.out"), "--kind", "platform", "--listen", c.address(hostPlatform, portServer))
 	if err := c.platform.Start(); err != nil {
 		return err
 	}
@@ -296,7 +296,7 @@
 	address := c.address(host, portServer)
 	args := append([]string{"--kind", kind, "--name", name, "--listen", address, "--log", c.file(name + ".log")}, more...)
 	return &server{
-		Process: newProcess(name, filepath.Join(c.bin, "standin"), c.file(name+".out"), args...),
+		Process: NewProcess(name, filepath.Join(c.bin, "standin"), c.file(name+".out"), args...),
 		address: address, dataCentre: dataCentre(dc), log: c.file(name + ".log"),
 	}
 }
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -30,7 +30,7 @@
 		name := fmt.Sprintf("node-%d", i+1)
 		settings := c.file(name + ".ini")
 		c.nodes = append(c.nodes, &Node{
-			Process: newProcess(name, filepath.Join(c.bin, "cicadabeam"), c.file(name+".out"), "serve", "--settings", settings),
+			Process: NewProcess(name, filepath.Join(c.bin, "cicadabeam"), c.file(name+".out"), "serve", "--settings", settings),
 			cluster: c, host: hostNodes + i, dataCentre: dataCentre(dc), region: c.region(dc), settings: settings,
 		})
 	}
--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -25,7 +25,8 @@
 	exited chan struct{}
 }
 
-func newProcess(name, path, output string, args ...string) *Process {
+// NewProcess returns a process that is not started.
+func NewProcess(name, path, output string, args ...string) *Process {
 	return &Process{name: name, path: path, output: output, args: args}
 }
 
