Send a prompt that comes again to the server that read it

Now: nodes tell each other which server reads a prompt; equal servers are ranked by the prompt, alike on all nodes.

--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -27,6 +27,8 @@
 	fewNodes      = 8
 	exchangeWait  = 400 * time.Millisecond
 	fetchWait     = time.Second
+	// promptsTold is how long it is told which server read a prompt.
+	promptsTold = 800 * time.Millisecond
 	// liveWithin is within which a node must have been heard of to be counted on.
 	liveWithin = 1500 * time.Millisecond
 	// readAfter is the age of what other nodes tell from which on a node asks the
@@ -163,7 +165,7 @@
 	up := uptime()
 	x := neighbour.News{
 		From: n.settings.name, Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
-		Configuration: n.configurationFact(up), Servers: n.registry.fact(up),
+		Configuration: n.configurationFact(up), Servers: n.registry.fact(up), Prompts: n.prompts.Since(now.Add(-promptsTold)),
 	}
 	return x
 }
@@ -192,6 +194,9 @@
 	now := time.Now()
 	n.fleet.Heard(x.From, x.Work, now)
 	n.handler.Heard(x.From, x.Usage, now)
+	for prompt, server := range x.Prompts {
+		n.prompts.Heard(prompt, server, now)
+	}
 	n.peers.mu.Lock()
 	p := n.peers.all[x.From]
 	joined := p != nil && now.Sub(p.heard) > liveWithin
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -51,6 +51,7 @@
 	recorder *recorder
 	holder   *freshness.Holder
 	fleet    *fleet.Fleet
+	prompts  *fleet.Prompts
 	pool     *http1.Pool
 	store    *platform.Store
 	handler  *relay.Handler
@@ -70,12 +71,12 @@
 // New returns a node that listens nowhere yet. It logs to out.
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
-		settings: s, journal: newJournal(out), metrics: newMetrics(), holder: freshness.New(), fleet: fleet.New(s.place), pool: http1.NewPool(),
+		settings: s, journal: newJournal(out), metrics: newMetrics(), holder: freshness.New(), fleet: fleet.New(s.place), prompts: fleet.NewPrompts(), pool: http1.NewPool(),
 		store: platform.NewStore(s.platform), drain: make(chan struct{}),
 	}
 	n.recorder = &recorder{log: newLogger(n.journal, s.logLevel, s.name), metrics: n.metrics}
 	n.handler = relay.New(relay.Parts{
-		Dialect: platform.Dialect{}, Holder: n.holder, Fleet: n.fleet, Pool: n.pool, Recorder: n.recorder, Bounds: s.bounds,
+		Dialect: platform.Dialect{}, Holder: n.holder, Fleet: n.fleet, Prompts: n.prompts, Pool: n.pool, Recorder: n.recorder, Bounds: s.bounds,
 		Uptime: uptime, Nodes: n.nodes.count, Placed: n.tell,
 	})
 	n.servers = n.follower(platform.ServersTable, n.takeServers)
@@ -199,6 +200,7 @@
 		now := time.Now()
 		n.pool.Expire(now)
 		n.fleet.Expire(now)
+		n.prompts.Expire(now)
 		n.metrics.gauge("running", float64(n.handler.Running()))
 		n.metrics.gauge("store_calls", float64(n.store.Calls()))
 		n.metrics.gauge("server_connections", float64(n.pool.Opened()))
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -160,6 +160,11 @@
 	Tokens   int
 	Memory   int
 	Capacity int
+	// Prompt names the prompt, ReadBy the server that read it lately, if known, and
+	// ComesAgain that the caller had a part of the answer before.
+	Prompt     string
+	ReadBy     string
+	ComesAgain bool
 	// Connections is the number that this node may have to one server.
 	Connections int
 	// Exclude names servers that the request has failed on.
@@ -253,6 +258,7 @@
 type candidate struct {
 	member *Member
 	cost   time.Duration
+	rank   uint64
 }
 
 // ranked returns the servers that may get the request, the best first. Those that
@@ -275,9 +281,42 @@
 		if q.Avoid != "" && m.DataCentre() == q.Avoid {
 			c += avoidCost
 		}
-		found = append(found, candidate{m, c})
+		found = append(found, candidate{m, c, q.rank(m.ID())})
 	}
-	rand.Shuffle(len(found), func(a, b int) { found[a], found[b] = found[b], found[a] })
-	sort.SliceStable(found, func(a, b int) bool { return found[a].cost < found[b].cost })
+	if q.ComesAgain && q.ReadBy == "" {
+		q.levelNear(found)
+	}
+	sort.Slice(found, func(a, b int) bool {
+		if found[a].cost != found[b].cost {
+			return found[a].cost < found[b].cost
+		}
+		return found[a].rank < found[b].rank
+	})
 	return found
 }
+
+// rank orders servers that cost the same: by the prompt, so that it comes to the same
+// server again, or else at random.
+func (q Query) rank(id string) uint64 {
+	if q.Prompt == "" {
+		return rand.Uint64()
+	}
+	return rank(q.Prompt, id)
+}
+
+// levelNear makes the servers alike that are little worse than the best: the first
+// by rank among them has likely read the prompt.
+func (q Query) levelNear(all []candidate) {
+	if len(all) == 0 {
+		return
+	}
+	best := all[0].cost
+	for _, c := range all {
+		best = min(best, c.cost)
+	}
+	for i := range all {
+		if all[i].cost <= best+returnSlack {
+			all[i].cost = best
+		}
+	}
+}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -29,6 +29,9 @@
 	// runCost is for each run on an engine, as it gets hardly a token while a prompt
 	// is read there.
 	runCost = 250 * time.Millisecond
+	// readSaved is how many times over the reading counts that a server is spared which
+	// has read the prompt before: once for the time and once for the work in vain.
+	readSaved = 2
 	// Servers whose costs differ by less are alike, so that nodes that choose at the
 	// same time don't all choose the same one.
 	engineGrain = 100 * time.Millisecond
@@ -190,7 +193,11 @@
 	}
 	others := m.others(q)
 	running := m.running + others.Running
-	c := time.Duration(float64(m.prompts+others.Prompts+q.Tokens) / rate * float64(time.Millisecond))
+	tokens := m.prompts + others.Prompts + q.Tokens
+	if q.ReadBy == m.server.ID {
+		tokens -= readSaved * q.Tokens
+	}
+	c := time.Duration(float64(tokens) / rate * float64(time.Millisecond))
 	c += time.Duration(running) * runCost
 	if float64(m.memory+others.Memory+q.Memory) > memoryUsed*float64(q.Capacity) {
 		c += fullCost
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -45,6 +45,7 @@
 	Servers       Fact
 	Work          map[string]fleet.Work   // by server
 	Usage         map[string]repeat.Usage // by service
+	Prompts       map[string]string       // the servers that read prompts lately, by prompt
 }
 
 // Configuration carries a configuration as the operator wrote it.
--- a/io/relay/dialect.go
+++ b/io/relay/dialect.go
@@ -22,6 +22,7 @@
 	ID           string
 	Wait         time.Duration // how long the caller waits, 0 if it doesn't say
 	Key          string
+	Prompt       string // names the whole prompt, "" if it isn't known
 	PromptTokens int
 	OutputTokens int
 	LastEvent    int64 // of a stream that is resumed, 0 otherwise
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -42,6 +42,7 @@
 	Dialect  Dialect
 	Holder   *freshness.Holder
 	Fleet    *fleet.Fleet
+	Prompts  *fleet.Prompts
 	Pool     *http1.Pool
 	Recorder Recorder
 	Bounds   Bounds
@@ -325,6 +326,9 @@
 		q.Tokens = x.call.PromptTokens
 		q.Memory = x.call.PromptTokens + x.call.OutputTokens
 		q.Capacity = e.MemoryTokens
+		q.Prompt = x.call.Prompt
+		q.ReadBy = x.h.Prompts.Server(x.call.Prompt, q.Now)
+		q.ComesAgain = x.call.LastEvent > 0
 	}
 	return q
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -135,6 +135,7 @@
 	l.started = time.Now()
 	s.legs++
 	s.tried[l.member.ID()] = true
+	s.h.Prompts.Note(s.call.Prompt, l.member.ID(), l.started)
 	s.h.Placed()
 	defer func() { l.member.Release(l.query, l.begun) }()
 	s.converse(l)
--- a/test/relay/relay_test.go
+++ b/test/relay/relay_test.go
@@ -82,7 +82,7 @@
 	b := &bench{t: t, holder: freshness.New(), uptime: time.Hour}
 	b.fleet = fleet.New(fleet.Place{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north"}})
 	b.handler = relay.New(relay.Parts{
-		Dialect: platform.Dialect{}, Holder: b.holder, Fleet: b.fleet, Pool: http1.NewPool(), Recorder: b,
+		Dialect: platform.Dialect{}, Holder: b.holder, Fleet: b.fleet, Prompts: fleet.NewPrompts(), Pool: http1.NewPool(), Recorder: b,
 		Bounds: relay.Bounds{Apply: 2500 * time.Millisecond, Revoke: 5 * time.Second, Repeat: repeat.Bound{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime: func() time.Duration { b.mu.Lock(); defer b.mu.Unlock(); return b.uptime },
 		Nodes:  func() int { return 1 }, Placed: func() {},
