Quarantine requests that crash the servers that run them

Cause: a request that kills each server would reach five in one stream, and any number as its caller comes again. Now: a connection that ends under a request has its server asked for a new one; if it is gone, and alone, the request is suspected; after three such deaths, of which nodes tell each other, it is refused (422). Failed first: TestRequestThatCrashesServers passed a fourth server; found on the way: a server that stayed away counted as lost again with each attempt, so that it made an outage of one.

--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -165,7 +165,7 @@
 	up := uptime()
 	x := neighbour.News{
 		From: n.settings.name, Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
-		Configuration: n.configurationFact(up), Servers: n.registry.fact(up), Prompts: n.prompts.Since(now.Add(-promptsTold)),
+		Deaths: n.handler.Deaths(now), Configuration: n.configurationFact(up), Servers: n.registry.fact(up), Prompts: n.prompts.Since(now.Add(-promptsTold)),
 	}
 	return x
 }
@@ -194,6 +194,7 @@
 	now := time.Now()
 	n.fleet.Heard(x.From, x.Work, now)
 	n.handler.Heard(x.From, x.Usage, now)
+	n.handler.HeardDeaths(x.Deaths, now)
 	for prompt, server := range x.Prompts {
 		n.prompts.Heard(prompt, server, now)
 	}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -259,6 +259,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heardAt = now
+	m.downs = 0
 }
 
 // alive tells whether the server sent something a moment ago.
@@ -304,16 +305,18 @@
 	m.failedAt = now
 }
 
-func (m *Member) unreachable(now time.Time) {
+// unreachable tells whether the server could be reached until now.
+func (m *Member) unreachable(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.heardAt = time.Time{}
 	m.note(1, now)
 	if now.Before(m.downTill) {
-		return
+		return false
 	}
 	m.downTill = now.Add(min(downFirst<<min(m.downs, 8), downMost))
 	m.downs++
+	return m.downs == 1
 }
 
 // Replaced notes that another server has the address. This one is gone for good.
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -62,9 +62,17 @@
 	return n >= outageLeast && float64(n) >= outagePart*float64(members)
 }
 
+// AloneLost tells whether a server was lost while the others of its data centre stayed:
+// its loss may have to do with what it ran.
+func (f *Fleet) AloneLost(m *Member, now time.Time) bool {
+	return f.outages.count(outageKey{m.service(), m.DataCentre()}, now) <= 1
+}
+
 // Lost notes that a server could not be reached, or that its connection ended under
-// a request.
+// a request. One that stays away is lost once.
 func (f *Fleet) Lost(m *Member, now time.Time) {
-	m.unreachable(now)
+	if !m.unreachable(now) {
+		return
+	}
 	f.outages.add(outageKey{m.service(), m.DataCentre()}, m.ID(), now)
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -62,11 +62,16 @@
 	suspects map[Fingerprint]*suspect
 	till     map[Fingerprint]time.Time
 	deaths   map[string]time.Time
+	least    int
 }
 
 // New returns an empty list.
-func New() *List {
+func New() *List { return NewAt(evaluateAt) }
+
+// NewAt returns an empty list that evaluates a request from its least-th death on.
+func NewAt(least int) *List {
 	return &List{
+		least:    least,
 		suspects: make(map[Fingerprint]*suspect),
 		till:     make(map[Fingerprint]time.Time),
 		deaths:   make(map[string]time.Time),
@@ -87,7 +92,7 @@
 		l.deaths[x.Server] = now
 		s.add(x.Server, x.Tokens, now)
 	}
-	return len(s.tokens) >= evaluateAt
+	return len(s.tokens) >= l.least
 }
 
 // Evaluate decides whether a request crashes servers, and quarantines it if so. It
@@ -108,7 +113,7 @@
 
 func (l *List) isCause(f Fingerprint, s *suspect) bool {
 	switch {
-	case len(s.tokens) < evaluateAt:
+	case len(s.tokens) < l.least:
 		return false
 	case len(s.tokens) >= deathLimit || s.alike():
 		return true
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"cicadabeam/core/fleet"
+	"cicadabeam/core/quarantine"
 	"cicadabeam/core/repeat"
 )
 
@@ -46,6 +47,7 @@
 	Work          map[string]fleet.Work   // by server
 	Usage         map[string]repeat.Usage // by service
 	Prompts       map[string]string       // the servers that read prompts lately, by prompt
+	Deaths        []quarantine.Suspicion  // the servers that died lately, with what they ran
 }
 
 // Configuration carries a configuration as the operator wrote it.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -61,6 +61,7 @@
 	draining atomic.Pointer[drain]
 	running  atomic.Int64
 	waits    *waits
+	deaths   *deaths
 	mu       sync.Mutex
 	budgets  map[string]*repeat.Budget
 }
@@ -69,6 +70,7 @@
 func New(p Parts) *Handler {
 	h := &Handler{Parts: p, budgets: make(map[string]*repeat.Budget)}
 	h.waits = newWaits(h)
+	h.deaths = newDeaths(h)
 	return h
 }
 
@@ -176,6 +178,10 @@
 		x.refuse(err)
 		return
 	}
+	if h.deaths.quarantined(x) {
+		x.refuse(fault.Newf(fault.Quarantined, "admit", "", "the request has crashed the servers that ran it"))
+		return
+	}
 	h.budget(x.service.Name).First(x.arrived)
 	if x.route.Kind.Streams() {
 		x.stream()
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -224,6 +224,9 @@
 		x.judgeSilence(a, elapsed, now)
 	default:
 		x.h.lost(a.member, now)
+		if a.outcome == broken {
+			x.h.deaths.ended(x, a.member, 0, a.err)
+		}
 	}
 	f := Fields{"request": x.call.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "status": a.status(), "ms": ms(elapsed)}
 	if a.err != nil {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -184,6 +184,7 @@
 	l.conn.Close()
 	if s.ctx.Err() == nil {
 		s.h.lost(l.member, time.Now())
+		s.h.deaths.ended(s.exchange, l.member, int(s.last), l.err)
 	}
 }
 
@@ -385,6 +386,9 @@
 		s.copyAt = ""
 	}
 	switch {
+	case l.outcome == broken && s.h.deaths.quarantined(s.exchange):
+		s.fail("answer", "the request has crashed the servers that ran it")
+		return false
 	case l.outcome == broken && !s.route.Kind.Repeatable():
 		s.fail("answer", describe(l.err))
 		return false
--- a/test/relay/relay_test.go
+++ b/test/relay/relay_test.go
@@ -676,3 +676,44 @@
 		t.Errorf("a long answer has %d bytes, %v", len(got.body), got.err)
 	}
 }
+
+// A request that crashes each server that runs it doesn't reach a fourth one. Others
+// that ran there are served.
+func TestRequestThatCrashesServers(t *testing.T) {
+	b := newBench(t)
+	for i := range 3 {
+		s := b.server("buy", "a", backend.Answer(200, "ok"))
+		s.Script(s.Die())
+		b.expect(b.do(http.MethodPost, "/buy/poison", nil), 502, "")
+		time.Sleep(1500 * time.Millisecond) // so that the deaths are apart
+		if i < 2 {
+			b.expect(b.do(http.MethodPost, "/buy/poison-not", nil), 503, "")
+		}
+	}
+	s := b.server("buy", "a", backend.Answer(200, "ok"))
+	got := b.do(http.MethodPost, "/buy/poison", nil)
+	b.expect(got, 422, "")
+	b.expectRuns(s, 0)
+	b.expect(b.do(http.MethodPost, "/buy/1", nil), 200, "ok")
+}
+
+// Servers of a data centre that die at once are no sign against what they ran.
+func TestOutageConvictsNobody(t *testing.T) {
+	b := newBench(t)
+	for range 4 {
+		one, two := b.server("report", "a", backend.Answer(200, "")), b.server("report", "a", backend.Answer(200, ""))
+		die := func(c *backend.Conn, r *http.Request, body []byte) bool {
+			two.Close()
+			return one.Die()(c, r, body)
+		}
+		one.Script(die)
+		two.Script(func(c *backend.Conn, r *http.Request, body []byte) bool {
+			one.Close()
+			return two.Die()(c, r, body)
+		})
+		b.do(http.MethodPost, "/report/1", prompt)
+		time.Sleep(1200 * time.Millisecond)
+	}
+	b.server("report", "a", backend.Stream(3, 0, 0, nil))
+	b.expect(b.do(http.MethodPost, "/report/1", prompt), 200, events(1, 3))
+}
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -183,6 +183,21 @@
 // Drop closes the connection without an answer.
 func Drop() Step { return func(*Conn, *http.Request, []byte) bool { return false } }
 
+// Die ends the whole server while it runs the request.
+func (s *Server) Die() Step {
+	return func(*Conn, *http.Request, []byte) bool {
+		s.Close()
+		return false
+	}
+}
+
+// Script replaces the steps.
+func (s *Server) Script(steps ...Step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps = steps
+}
+
 // Silent never answers. The connection stays open until the caller closes it.
 func Silent() Step {
 	return func(c *Conn, _ *http.Request, _ []byte) bool {
