One client of the platform: the product's records go through its published protocol

The invented table protocol and its stand-in are gone. core/records keeps configurations, audit trail, claims and entry hosts in a transactional table; platform.Table implements it by the store's rows. Nodes register themselves, as the platform lists no entry hosts; servers' leaving is read from their entries. The tests' stand-in of the store serves both commands and keeps its faults (down, slow, lost answers, lag, what each reader sees). The kill comes at the same token as before; nothing is loosened.

--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,9 @@
 	go test -json -count=1 -timeout=30m -parallel=6 work | $(BIN)/runtests --known KNOWN-RED.txt
 
 lint:
-	@test -z "$$(gofmt -l core io cmd test tools)" || { gofmt -l core io cmd test tools; echo "gofmt: the files above are not formatted"; exit 1; }
+	@test -z "$$(gofmt -l core io platform cmd test tools)" || { gofmt -l core io platform cmd test tools; echo "gofmt: the files above are not formatted"; exit 1; }
 	go vet work
-	go tool staticcheck ./core/... ./io/... ./cmd/... ./test/... ./tools/...
+	go tool staticcheck ./core/... ./io/... ./platform/... ./cmd/... ./test/... ./tools/...
 
 bench: build
 	$(BIN)/bench relay
@@ -31,6 +31,8 @@
 	cd core && go test ./config -run none -fuzz FuzzParse -fuzztime 30s
 	cd core && go test ./completion -run none -fuzz FuzzParse -fuzztime 30s
 	cd io && go test ./engine -run none -fuzz FuzzStream -fuzztime 30s
+	cd io && go test ./sse -run none -fuzz FuzzReader -fuzztime 30s
+	cd platform && go test . -run none -fuzz FuzzDecodeServer -fuzztime 30s
 	cd cmd && go test ./settings -run none -fuzz FuzzParse -fuzztime 30s
 
 clean:
--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
+	"cicadabeam/core/records"
 	"cicadabeam/io/relay"
-	"cicadabeam/platform"
 )
 
 const (
-	// nodesTable is the system's own table of entry hosts.
-	nodesTable = "nodes"
-	// nodesPeriod is how often it is read, and nodesFirst how soon after the start.
+	// nodesPeriod is how often the entry hosts are read, and nodesFirst how soon after the start.
 	nodesPeriod = 8 * time.Second
 	nodesFirst  = time.Second
 	nodesWait   = 2 * time.Second
@@ -21,17 +18,10 @@
 	nodesAssumed = 16
 )
 
-// entryHost is a node as it registers itself.
-type entryHost struct {
-	Name       string `json:"name"`
-	Address    string `json:"address"` // of the neighbours' listener
-	DataCentre string `json:"data_centre"`
-}
-
 // directory holds the entry hosts known.
 type directory struct {
 	mu    sync.Mutex
-	hosts map[string]entryHost
+	hosts map[string]records.EntryHost
 }
 
 func (d *directory) count() int {
@@ -43,7 +33,7 @@
 	return len(d.hosts)
 }
 
-func (d *directory) set(hosts map[string]entryHost) {
+func (d *directory) set(hosts map[string]records.EntryHost) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.hosts = hosts
@@ -66,14 +56,11 @@
 }
 
 func (n *Node) writeNode(ctx context.Context) bool {
-	self := entryHost{Name: n.settings.name, Address: n.settings.neighbours, DataCentre: n.settings.place.DataCentre}
-	value, err := json.Marshal(self)
-	if err == nil {
-		ctx, cancel := context.WithDeadline(ctx, time.Now().Add(nodesWait))
-		defer cancel()
-		err = n.store.Commit(ctx, platform.Transaction{Writes: []platform.RowValue{{Table: nodesTable, Key: self.Name, Value: value}}})
-	}
-	if err != nil {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(nodesWait))
+	defer cancel()
+	place := n.settings.place
+	self := records.EntryHost{Name: n.settings.name, Address: n.settings.neighbours, DataCentre: place.DataCentre, Region: place.Regions[place.DataCentre]}
+	if err := n.hosts.Register(ctx, self); err != nil {
 		n.recorder.Record("not registered", relay.Fields{"error": err.Error()})
 		return false
 	}
@@ -84,16 +71,13 @@
 func (n *Node) readNodes(ctx context.Context) bool {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(nodesWait))
 	defer cancel()
-	p, err := n.store.Rows(ctx, nodesTable)
+	all, err := n.hosts.List(ctx)
 	if err != nil {
 		return false
 	}
-	hosts := make(map[string]entryHost, len(p.Rows))
-	for _, r := range p.Rows {
-		var h entryHost
-		if json.Unmarshal(r.Value, &h) == nil && h.Name == r.Key {
-			hosts[h.Name] = h
-		}
+	hosts := make(map[string]records.EntryHost, len(all))
+	for _, h := range all {
+		hosts[h.Name] = h
 	}
 	n.nodes.set(hosts)
 	return len(hosts) > 0
--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/records"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
 )
@@ -43,13 +44,11 @@
 
 // peer is another node.
 type peer struct {
-	host    entryHost
+	host    records.EntryHost
 	client  *neighbour.Client
 	news    neighbour.News
 	heard   time.Time
-	live    bool
 	talking bool
-	told    time.Time
 }
 
 // peers holds the other nodes.
@@ -127,7 +126,7 @@
 }
 
 // update makes the peers those of a list.
-func (p *peers) update(hosts []entryHost) {
+func (p *peers) update(hosts []records.EntryHost) {
 	named := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		named[h.Name] = true
@@ -345,7 +344,7 @@
 
 // others returns the nodes that a node talks to: all where there are few, else
 // those of its own data centre and some of each other one.
-func (d *directory) others(self, dataCentre string) []entryHost {
+func (d *directory) others(self, dataCentre string) []records.EntryHost {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	names := make([]string, 0, len(d.hosts))
@@ -356,7 +355,7 @@
 	}
 	sort.Strings(names)
 	taken := make(map[string]int)
-	var all []entryHost
+	var all []records.EntryHost
 	for _, name := range names {
 		h := d.hosts[name]
 		if h.DataCentre != dataCentre && len(names) > manyNodes {
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -26,6 +26,7 @@
 
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/records"
 	"cicadabeam/io/http1"
 	"cicadabeam/io/relay"
 	"cicadabeam/platform"
@@ -64,6 +65,7 @@
 	draining  atomic.Bool
 	drain     chan struct{}
 	drainOnce sync.Once
+	hosts     *records.Hosts
 	nodes     directory
 	peers     peers
 }
@@ -72,8 +74,9 @@
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
 		settings: s, journal: newJournal(out), metrics: newMetrics(), holder: freshness.New(), fleet: fleet.New(s.place), prompts: fleet.NewPrompts(), pool: http1.NewPool(),
-		store: platform.NewStore(s.platform), drain: make(chan struct{}),
+		store: platform.NewStore(s.platform, s.name), drain: make(chan struct{}),
 	}
+	n.hosts = records.NewHosts(platform.NewTable(n.store))
 	n.recorder = &recorder{log: newLogger(n.journal, s.logLevel, s.name), metrics: n.metrics}
 	n.handler = relay.New(relay.Parts{
 		Dialect: platform.Dialect{}, Holder: n.holder, Fleet: n.fleet, Prompts: n.prompts, Pool: n.pool, Recorder: n.recorder, Bounds: s.bounds,
--- a/cmd/node/config.go
+++ b/cmd/node/config.go
@@ -8,8 +8,8 @@
 
 	"cicadabeam/core/config"
 	"cicadabeam/core/membership"
+	"cicadabeam/core/records"
 	"cicadabeam/io/peer"
-	"cicadabeam/io/platform"
 )
 
 const (
@@ -152,7 +152,7 @@
 }
 
 func (n *Node) installText(r peer.ConfigReply, from string) {
-	text, err := platform.Unpack(r.Text)
+	text, err := records.Unpack(r.Text)
 	if err == nil {
 		var c *config.Config
 		if c, err = config.Parse("questionnaire", text); err == nil {
--- a/cmd/node/hosts.go
+++ b/cmd/node/hosts.go
@@ -8,7 +8,7 @@
 
 	"cicadabeam/core/balance"
 	"cicadabeam/core/membership"
-	"cicadabeam/io/platform"
+	"cicadabeam/core/records"
 )
 
 const (
@@ -30,26 +30,52 @@
 		}
 		ctx, cancel := context.WithDeadline(n.ctx, now.Add(hostsWait))
 		defer cancel()
-		h, err := n.platform.Hosts(ctx)
-		if err != nil {
+		if err := n.readHosts(ctx, now); err != nil {
 			n.log.WithFields(log.Fields{"step": "read-hosts", "peer": "platform", "error": err.Error()}).Debug("host list not read")
-			return
 		}
-		n.takeHosts(h, now)
 	}
 }
 
-func (n *Node) takeHosts(h platform.Hosts, now time.Time) {
-	nodes := make([]membership.Node, 0, len(h.EntryHosts))
-	for _, x := range h.EntryHosts {
+func (n *Node) readHosts(ctx context.Context, now time.Time) error {
+	hosts, err := n.hosts.List(ctx)
+	if err != nil {
+		return err
+	}
+	servers, err := n.platform.LeavingServers(ctx)
+	if err != nil {
+		return err
+	}
+	n.takeHosts(hosts, servers, now)
+	return nil
+}
+
+func (n *Node) takeHosts(hosts []records.EntryHost, servers map[string]bool, now time.Time) {
+	nodes := make([]membership.Node, 0, len(hosts))
+	for _, x := range hosts {
 		nodes = append(nodes, membership.Node{Name: x.Name, DataCentre: x.DataCentre, Region: x.Region, Address: x.Address, Leaving: x.Leaving})
 	}
 	n.nodes.SetListed(nodes, now)
 	var notices []balance.Notice
-	for _, x := range h.BackendServers {
-		notices = append(notices, balance.Notice{Server: x.Name, Source: balance.FromHostList, Leaving: x.Leaving, At: now.UnixMilli()})
+	for name, leaving := range servers {
+		notices = append(notices, balance.Notice{Server: name, Source: balance.FromHostList, Leaving: leaving, At: now.UnixMilli()})
 	}
 	if n.loads.Note(notices...) {
 		n.heartbeatNow()
 	}
 }
+
+// register writes this node's row until it stands.
+func (n *Node) register(now time.Time) {
+	if n.registered.Load() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(n.ctx, now.Add(hostsWait))
+	defer cancel()
+	self := n.nodes.Self()
+	err := n.hosts.Register(ctx, records.EntryHost{Name: self.Name, DataCentre: self.DataCentre, Region: self.Region, Address: self.Address})
+	if err != nil {
+		n.log.WithFields(log.Fields{"step": "register", "peer": "platform", "error": err.Error()}).Debug("not registered")
+		return
+	}
+	n.registered.Store(true)
+}
--- a/cmd/node/loops.go
+++ b/cmd/node/loops.go
@@ -17,6 +17,7 @@
 func (n *Node) addLoops(g *run.Group) {
 	stop := func(error) { n.stop() }
 	n.addSeeds()
+	g.Add(n.loop(hostsPeriod, n.register), stop)
 	g.Add(n.loop(hostsPeriod, n.watchHosts()), stop)
 	g.Add(n.loop(watchPeriod, n.watchConfig()), stop)
 	g.Add(n.loop(loadPeriod, n.pollLoads), stop)
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -32,14 +32,15 @@
 	"cicadabeam/core/holder"
 	"cicadabeam/core/membership"
 	"cicadabeam/core/quarantine"
+	"cicadabeam/core/records"
 	"cicadabeam/core/replication"
 	"cicadabeam/core/route"
 	"cicadabeam/io/caller"
 	"cicadabeam/io/engine"
 	"cicadabeam/io/operator"
 	"cicadabeam/io/peer"
-	"cicadabeam/io/platform"
 	"cicadabeam/io/service"
+	"cicadabeam/platform"
 )
 
 // Node is one entry host.
@@ -64,9 +65,10 @@
 	calls      *claim.Dispatcher
 	engine     *engine.Client
 	service    *service.Client
-	platform   *platform.Client
-	configs    *platform.Configs
-	claims     *platform.Claims
+	platform   *platform.Table
+	hosts      *records.Hosts
+	configs    *records.Configs
+	claims     *records.Claims
 	traffic    *peer.Traffic
 	peers      *peer.Client
 
@@ -75,6 +77,7 @@
 	fetching      sync.Mutex
 	reports       ownReports
 
+	registered atomic.Bool
 	state      atomic.Value // of state
 	drainStart chan struct{}
 	drainOnce  sync.Once
@@ -101,12 +104,13 @@
 	n := &Node{
 		settings: s, version: version, incarnation: uuid.NewString(), started: time.Now(), log: l, metrics: newMetrics(),
 		nodes: membership.New(s.Self()), loads: balance.New(), quarantine: quarantine.New(), counter: admit.NewCounter(), rates: admit.NewRates(),
-		engine: engine.New(), platform: platform.New(s.Platform(), s.Self().Name), traffic: &peer.Traffic{},
+		engine: engine.New(), platform: platform.NewTable(platform.NewStore(s.Platform(), s.Self().Name)), traffic: &peer.Traffic{},
 		wakeHeartbeat: make(chan struct{}, 1), drainStart: make(chan struct{}), ctx: ctx, stop: stop,
 	}
 	n.state.Store(starting)
-	n.configs = platform.NewConfigs(n.platform)
-	n.claims = platform.NewClaims(n.platform)
+	n.hosts = records.NewHosts(n.platform)
+	n.configs = records.NewConfigs(n.platform)
+	n.claims = records.NewClaims(n.platform)
 	n.peers = peer.NewClient(n.nodes, s.PeerSecret(), s.PeerClientTLS(), n.traffic)
 	n.router = route.New(n.loads, n)
 	n.service = service.New(n)
--- a/cmd/node/operators.go
+++ b/cmd/node/operators.go
@@ -9,18 +9,18 @@
 
 	"cicadabeam/core/balance"
 	"cicadabeam/core/config"
+	"cicadabeam/core/records"
 	"cicadabeam/io/operator"
-	"cicadabeam/io/platform"
 )
 
 // Apply implements operator.Backend.
-func (n *Node) Apply(ctx context.Context, next *config.Config, base uint64, by, note string) (platform.Audit, error) {
+func (n *Node) Apply(ctx context.Context, next *config.Config, base uint64, by, note string) (records.Audit, error) {
 	var old []byte
 	if c := n.Config(); c != nil {
 		old = c.Text()
 	}
 	changes := config.Diff(old, next.Text())
-	a, err := n.configs.Apply(ctx, next, base, platform.Audit{By: by, Node: n.nodes.Self().Name, Note: note}, changes)
+	a, err := n.configs.Apply(ctx, next, base, records.Audit{By: by, Node: n.nodes.Self().Name, Note: note}, changes)
 	if err != nil {
 		n.log.WithFields(log.Fields{"step": "apply", "by": by, "base": base, "error": err.Error()}).Warn("configuration refused")
 		return a, err
@@ -31,7 +31,7 @@
 }
 
 // Trail implements operator.Backend.
-func (n *Node) Trail(ctx context.Context, limit int) ([]platform.Audit, error) {
+func (n *Node) Trail(ctx context.Context, limit int) ([]records.Audit, error) {
 	return n.configs.Trail(ctx, limit)
 }
 
--- a/cmd/node/peers.go
+++ b/cmd/node/peers.go
@@ -9,9 +9,9 @@
 	"cicadabeam/core/answer"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/holder"
+	"cicadabeam/core/records"
 	"cicadabeam/core/replication"
 	"cicadabeam/io/peer"
-	"cicadabeam/io/platform"
 )
 
 const takeOverWait = time.Second
@@ -22,7 +22,7 @@
 	if c == nil {
 		return peer.ConfigReply{}
 	}
-	packed, err := platform.Pack(c.Text())
+	packed, err := records.Pack(c.Text())
 	if err != nil {
 		n.log.WithFields(log.Fields{"step": "pack-configuration", "error": err.Error()}).Error("configuration not packed")
 		return peer.ConfigReply{}
--- a/io/platform/claims.go
+++ b/core/records/claims.go
@@ -1,10 +1,9 @@
-package platform
+package records
 
 import (
 	"context"
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -19,20 +18,18 @@
 	maxGroup   = 64
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // Claims keeps the claims of calls in the platform's table. Writes that arrive
 // while a transaction is under way go together with the next one.
 type Claims struct {
-	client *Client
+	table Table
 
 	mu      sync.Mutex
 	waiting []*pending
 	busy    bool
 }
 
-// NewClaims returns the claims kept in a platform's table.
-func NewClaims(c *Client) *Claims { return &Claims{client: c} }
+// NewClaims returns the claims kept in a table.
+func NewClaims(t Table) *Claims { return &Claims{table: t} }
 
 // pending is one write on its way into a group.
 type pending struct {
@@ -65,12 +62,12 @@
 func rowKey(day claim.Day, key claim.Key) string { return fmt.Sprintf("%06d/%s", day, key) }
 
 // Away implements claim.Store.
-func (c *Claims) Away() bool { return c.client.Away() }
+func (c *Claims) Away() bool { return c.table.Away() }
 
 // Read implements claim.Store.
 func (c *Claims) Read(ctx context.Context, key claim.Key) (claim.Stored, bool, error) {
 	for _, day := range claim.DayOf(time.Now().Unix()).Near() {
-		row, found, err := c.client.Get(ctx, claimTable, rowKey(day, key))
+		row, found, err := c.table.Get(ctx, claimTable, rowKey(day, key))
 		if err != nil {
 			return claim.Stored{}, false, err
 		}
@@ -79,7 +76,7 @@
 		}
 		s := claim.Stored{Revision: row.Revision}
 		err = json.Unmarshal(row.Value, &s.Row)
-		return s, err == nil, errors.Wrapf(err, "platform: claim %s", key)
+		return s, err == nil, errors.Wrapf(err, "records: claim %s", key)
 	}
 	return claim.Stored{}, false, nil
 }
@@ -87,7 +84,7 @@
 func (c *Claims) put(ctx context.Context, key claim.Key, conditions []Condition, r claim.Row) (uint64, bool, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
-		return 0, false, errors.Wrapf(err, "platform: claim %s", key)
+		return 0, false, errors.Wrapf(err, "records: claim %s", key)
 	}
 	p := &pending{
 		conditions: conditions,
@@ -99,7 +96,7 @@
 	case w := <-p.done:
 		return w.revision, w.ok, w.err
 	case <-ctx.Done():
-		return 0, false, fault.Wrap(ctx.Err(), fault.PlatformAway, "write-claim", c.client.base)
+		return 0, false, fault.Wrap(ctx.Err(), fault.PlatformAway, "write-claim", c.table.Name())
 	}
 }
 
@@ -148,7 +145,7 @@
 func (c *Claims) commit(group []*pending) {
 	for len(group) > 0 {
 		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(requestWait))
-		revision, err := c.client.Commit(ctx, transactionOf(group))
+		revision, err := c.table.Commit(ctx, transactionOf(group))
 		cancel()
 		var conflict *ConflictError
 		if !errors.As(err, &conflict) {
--- a/io/platform/configs.go
+++ b/core/records/configs.go
@@ -1,4 +1,4 @@
-package platform
+package records
 
 import (
 	"bytes"
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,11 +61,11 @@
 
 // Configs keeps the configuration and its audit trail in the platform's table.
 type Configs struct {
-	client *Client
+	table Table
 }
 
-// NewConfigs returns the configurations kept in a platform's table.
-func NewConfigs(c *Client) *Configs { return &Configs{client: c} }
+// NewConfigs returns the configurations kept in a table.
+func NewConfigs(t Table) *Configs { return &Configs{table: t} }
 
 // Head returns the newest revision, 0 when there is no configuration yet.
 func (c *Configs) Head(ctx context.Context) (Head, error) {
@@ -73,24 +74,24 @@
 }
 
 func (c *Configs) head(ctx context.Context) (Head, uint64, error) {
-	row, found, err := c.client.Get(ctx, configTable, headKey)
+	row, found, err := c.table.Get(ctx, configTable, headKey)
 	if err != nil || !found {
 		return Head{}, 0, err
 	}
 	var h Head
 	err = json.Unmarshal(row.Value, &h)
-	return h, row.Revision, errors.Wrap(err, "platform: configuration head")
+	return h, row.Revision, errors.Wrap(err, "records: configuration head")
 }
 
 // Load returns the newest configuration; nil when there is none yet.
 func (c *Configs) Load(ctx context.Context) (*config.Config, error) {
-	row, found, err := c.client.Get(ctx, configTable, bodyKey)
+	row, found, err := c.table.Get(ctx, configTable, bodyKey)
 	if err != nil || !found {
 		return nil, err
 	}
 	var b body
 	if err := json.Unmarshal(row.Value, &b); err != nil {
-		return nil, errors.Wrap(err, "platform: configuration")
+		return nil, errors.Wrap(err, "records: configuration")
 	}
 	text, err := Unpack(b.Text)
 	if err != nil {
@@ -98,7 +99,7 @@
 	}
 	parsed, err := config.Parse("questionnaire", text)
 	if err != nil {
-		return nil, errors.Wrap(err, "platform: configuration")
+		return nil, errors.Wrap(err, "records: configuration")
 	}
 	return parsed.WithRevision(b.Revision), nil
 }
@@ -122,7 +123,7 @@
 	if err != nil {
 		return Audit{}, err
 	}
-	_, err = c.client.Commit(ctx, t)
+	_, err = c.table.Commit(ctx, t)
 	var conflict *ConflictError
 	switch {
 	case err == nil:
@@ -150,7 +151,7 @@
 	} {
 		value, err := json.Marshal(w.value)
 		if err != nil {
-			return Transaction{}, errors.Wrap(err, "platform: encode "+w.table)
+			return Transaction{}, errors.Wrap(err, "records: encode "+w.table)
 		}
 		t.Writes = append(t.Writes, Write{Table: w.table, Key: w.key, Value: value})
 	}
@@ -162,7 +163,7 @@
 func (c *Configs) readBack(ctx context.Context, t Transaction, a Audit, cause error) (Audit, error) {
 	deadline := time.Now().Add(settleWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		_, err := c.client.Commit(ctx, t)
+		_, err := c.table.Commit(ctx, t)
 		if err == nil {
 			return a, nil
 		}
@@ -196,7 +197,7 @@
 
 // Audit returns the entry of one revision.
 func (c *Configs) Audit(ctx context.Context, revision uint64) (Audit, error) {
-	row, found, err := c.client.Get(ctx, auditTable, auditKey(revision))
+	row, found, err := c.table.Get(ctx, auditTable, auditKey(revision))
 	if err != nil {
 		return Audit{}, err
 	}
@@ -205,20 +206,21 @@
 	}
 	var a Audit
 	err = json.Unmarshal(row.Value, &a)
-	return a, errors.Wrap(err, "platform: audit")
+	return a, errors.Wrap(err, "records: audit")
 }
 
 // Trail returns the newest entries of the audit trail, newest first.
 func (c *Configs) Trail(ctx context.Context, limit int) ([]Audit, error) {
-	values, err := c.client.List(ctx, auditTable, "", limit)
+	rows, err := c.table.List(ctx, auditTable, "")
 	if err != nil {
 		return nil, err
 	}
-	all := make([]Audit, 0, len(values))
-	for _, v := range values {
+	slices.Reverse(rows)
+	all := make([]Audit, 0, min(limit, len(rows)))
+	for _, r := range rows[:min(limit, len(rows))] {
 		var a Audit
-		if err := json.Unmarshal(v, &a); err != nil {
-			return nil, errors.Wrap(err, "platform: audit")
+		if err := json.Unmarshal(r.Value, &a); err != nil {
+			return nil, errors.Wrap(err, "records: audit")
 		}
 		all = append(all, a)
 	}
--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"time"
 
@@ -76,6 +77,12 @@
 	return b.String()
 }
 
+var tokenForm = regexp.MustCompile(` t\d+\.[0-9a-f]+`)
+
+// Tokens returns the number of the engines' tokens in the answer so far. Several may
+// have come in one event.
+func (t *Transcript) Tokens() int { return len(tokenForm.FindAllString(t.Text(), -1)) }
+
 // LastEvent returns the id of the last event with text.
 func (t *Transcript) LastEvent() string {
 	if len(t.Pieces) == 0 {
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -21,11 +21,11 @@
 	"sync/atomic"
 
 	"cicadabeam/core/config"
+	"cicadabeam/core/records"
 	"cicadabeam/io/operator"
-	client "cicadabeam/io/platform"
 	"cicadabeam/test/standin/application"
 	"cicadabeam/test/standin/engine"
-	"cicadabeam/test/standin/platform"
+	"cicadabeam/test/standin/store"
 )
 
 const (
@@ -207,31 +207,31 @@
 	if err := c.platform.Start(); err != nil {
 		return err
 	}
-	return awaitHTTP("http://" + c.address(hostPlatform, portServer) + "/v1/hosts")
+	return awaitHTTP("http://" + c.address(hostPlatform, portServer) + "/control/health")
 }
 
 // Platform returns the process of the platform's stand-in.
 func (c *Cluster) Platform() *Process { return c.platform }
 
 // SetPlatform makes the platform fail in a way.
-func (c *Cluster) SetPlatform(f platform.Faults) error {
+func (c *Cluster) SetPlatform(f store.Faults) error {
 	return post("http://"+c.address(hostPlatform, portServer)+"/control/faults", f)
 }
 
 // PublishHosts makes the platform list all nodes and servers, each node seeing the
 // others behind its links.
 func (c *Cluster) PublishHosts(leavingServers ...string) error {
-	views := map[string]client.Hosts{"": c.hosts("", leavingServers)}
+	views := map[string]store.Listed{"": c.hosts("", leavingServers)}
 	for _, n := range c.nodes {
 		views[n.Name()] = c.hosts(n.Name(), leavingServers)
 	}
 	return post("http://"+c.address(hostPlatform, portServer)+"/control/hosts", views)
 }
 
-func (c *Cluster) hosts(reader string, leaving []string) client.Hosts {
-	var h client.Hosts
+func (c *Cluster) hosts(reader string, leaving []string) store.Listed {
+	h := store.Listed{Servers: make(map[string]bool)}
 	for _, n := range c.nodes {
-		x := client.EntryHost{Name: n.Name(), DataCentre: n.dataCentre, Region: n.region, Address: c.address(n.host, portPeers)}
+		x := records.EntryHost{Name: n.Name(), DataCentre: n.dataCentre, Region: n.region, Address: c.address(n.host, portPeers)}
 		if l := c.Link(reader, n.Name()); l != nil {
 			x.Address = l.Address()
 		}
@@ -239,7 +239,7 @@
 	}
 	gone := strings.Join(leaving, " ") + " "
 	for _, s := range c.serverNames() {
-		h.BackendServers = append(h.BackendServers, client.BackendServer{Name: s, Leaving: strings.Contains(gone, s+" ")})
+		h.Servers[s] = strings.Contains(gone, s+" ")
 	}
 	return h
 }
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
+	"cicadabeam/core/records"
 	"cicadabeam/io/operator"
-	"cicadabeam/io/platform"
 )
 
 // Node is an entry host.
@@ -132,12 +132,12 @@
 func (n *Node) Status() (operator.Status, error) { return n.operators().Status(context.Background()) }
 
 // Apply makes a questionnaire the configuration.
-func (n *Node) Apply(questionnaire string, base uint64, by string) (platform.Audit, error) {
+func (n *Node) Apply(questionnaire string, base uint64, by string) (records.Audit, error) {
 	return n.operators().Apply(context.Background(), []byte(questionnaire), base, by, "")
 }
 
 // Audit returns the newest entries of the audit trail.
-func (n *Node) Audit(limit int) ([]platform.Audit, error) {
+func (n *Node) Audit(limit int) ([]records.Audit, error) {
 	return n.operators().Audit(context.Background(), limit)
 }
 
--- a/test/cmd/standin/main.go
+++ b/test/cmd/standin/main.go
@@ -11,7 +11,7 @@
 
 	"cicadabeam/test/standin/application"
 	"cicadabeam/test/standin/engine"
-	"cicadabeam/test/standin/platform"
+	"cicadabeam/test/standin/store"
 )
 
 type options struct {
@@ -53,6 +53,6 @@
 	case "application":
 		return application.New(o.Name, log)
 	default:
-		return platform.New()
+		return store.New().Handler()
 	}
 }
--- a/test/integration/calls_test.go
+++ b/test/integration/calls_test.go
@@ -12,7 +12,7 @@
 	"cicadabeam/test/check"
 	"cicadabeam/test/cluster"
 	"cicadabeam/test/standin/application"
-	"cicadabeam/test/standin/platform"
+	"cicadabeam/test/standin/store"
 )
 
 // buyer repeats one purchase until it has an answer, as a caller would, and keeps
@@ -155,7 +155,7 @@
 			return true
 		}
 	}
-	slow := func(c *cluster.Cluster) error { return c.SetPlatform(platform.Faults{DelayMS: 300}) }
+	slow := func(c *cluster.Cluster) error { return c.SetPlatform(store.Faults{DelayMS: 300}) }
 	return []holderFailure{
 		{name: "while-claiming", set: slow, ready: after(150 * time.Millisecond)},
 		{name: "before-the-run", set: func(c *cluster.Cluster) error { return setApps(c, application.Faults{BeforeMS: 600}) }, ready: after(300 * time.Millisecond)},
@@ -196,7 +196,7 @@
 	for i := range 6 {
 		b.buy(ctx, c.Node(1+i%3))
 	}
-	must(t, c.SetPlatform(platform.Faults{}))
+	must(t, c.SetPlatform(store.Faults{}))
 	must(t, setApps(c, application.Faults{}))
 	if frozen {
 		c.Node(0).Thaw()
@@ -217,7 +217,7 @@
 // while purchases go on.
 func TestPlatformFailsUnderCalls(t *testing.T) {
 	t.Parallel()
-	faults := map[string]platform.Faults{
+	faults := map[string]store.Faults{
 		"down":          {Down: true},
 		"slow":          {DelayMS: 400},
 		"lost-answers":  {LoseAnswers: 5},
@@ -237,7 +237,7 @@
 				}
 			}
 			work.Wait()
-			must(t, c.SetPlatform(platform.Faults{}))
+			must(t, c.SetPlatform(store.Faults{}))
 			for _, b := range buyers {
 				for _, n := range c.Nodes() {
 					b.buy(testContext(t), n)
@@ -256,7 +256,7 @@
 func TestPlatformDownRefusesCalls(t *testing.T) {
 	t.Parallel()
 	c := start(t, callLayout)
-	must(t, c.SetPlatform(platform.Faults{Down: true}))
+	must(t, c.SetPlatform(store.Faults{Down: true}))
 	b := &buyer{key: "outage"}
 	r := b.buy(testContext(t), c.Node(0))
 	if r.Failure.Attempt != fault.NotRun {
--- a/test/integration/config_test.go
+++ b/test/integration/config_test.go
@@ -13,7 +13,7 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/io/operator"
 	"cicadabeam/test/cluster"
-	"cicadabeam/test/standin/platform"
+	"cicadabeam/test/standin/store"
 )
 
 // forceBound is how long an accepted configuration may take to be in force
@@ -94,7 +94,7 @@
 func TestApplyAnswerLost(t *testing.T) {
 	t.Parallel()
 	c := start(t, cluster.Layout{NodesEach: 2, EnginesEach: 1})
-	must(t, c.SetPlatform(platform.Faults{LoseAnswers: 2}))
+	must(t, c.SetPlatform(store.Faults{LoseAnswers: 2}))
 	a, err := c.Node(0).Apply(withModel(c, "lost"), 1, "operator")
 	must(t, err)
 	if a.Revision != 2 {
@@ -116,7 +116,7 @@
 	_, err := c.Node(0).Apply(withModel(c, "newer"), 1, "operator")
 	must(t, err)
 	inForce(t, 2, c.Nodes()...)
-	must(t, c.SetPlatform(platform.Faults{Down: true}))
+	must(t, c.SetPlatform(store.Faults{Down: true}))
 	c.Node(3).Kill()
 	must(t, c.Node(3).Restart())
 	if r := c.Node(3).Revision(); r != 2 {
--- a/test/integration/engine_failure_test.go
+++ b/test/integration/engine_failure_test.go
@@ -28,13 +28,13 @@
 }
 
 // watchFailing reads an answer and calls fail with its engine once it has at
-// pieces.
+// tokens.
 func watchFailing(t *testing.T, c *cluster.Cluster, at int, fail func(e *cluster.Engine)) *cluster.Transcript {
 	t.Helper()
 	key := "key-" + t.Name()
 	failed := false
 	return c.Node(0).Watch(testContext(t), cluster.Prompt{Text: "tokens=150", Key: key}, func(x *cluster.Transcript) {
-		if len(x.Pieces) < at || failed {
+		if x.Tokens() < at || failed {
 			return
 		}
 		failed = true
@@ -59,7 +59,7 @@
 	at := []int{30, 100}
 	kills := 0
 	x := c.Node(0).Watch(testContext(t), cluster.Prompt{Text: "tokens=150", Key: "twice"}, func(x *cluster.Transcript) {
-		if kills < len(at) && len(x.Pieces) >= at[kills] {
+		if kills < len(at) && x.Tokens() >= at[kills] {
 			kills++
 			serverOf(t, c, "twice").Kill()
 		}
--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -16,7 +16,7 @@
 	"cicadabeam/test/cluster"
 	"cicadabeam/test/standin/application"
 	"cicadabeam/test/standin/engine"
-	"cicadabeam/test/standin/platform"
+	"cicadabeam/test/standin/store"
 )
 
 // leaveBound is how long a leaving server may get new work.
@@ -121,7 +121,7 @@
 		"own-word":  func(c *cluster.Cluster) error { return c.Engine(0).Set(engine.Faults{Leaving: true}) },
 		"host-list": func(c *cluster.Cluster) error { return c.PublishHosts("engine-1") },
 		"own-word-list-lags": func(c *cluster.Cluster) error {
-			if err := c.SetPlatform(platform.Faults{HostLagMS: 60000}); err != nil {
+			if err := c.SetPlatform(store.Faults{HostLagMS: 60000}); err != nil {
 				return err
 			}
 			if err := c.PublishHosts("engine-1"); err != nil {
@@ -130,7 +130,7 @@
 			return c.Engine(0).Set(engine.Faults{Leaving: true})
 		},
 		"own-word-platform-away": func(c *cluster.Cluster) error {
-			if err := c.SetPlatform(platform.Faults{Down: true}); err != nil {
+			if err := c.SetPlatform(store.Faults{Down: true}); err != nil {
 				return err
 			}
 			return c.Engine(0).Set(engine.Faults{Leaving: true})
@@ -268,14 +268,14 @@
 	var work sync.WaitGroup
 	work.Go(func() { b.buy(testContext(t), c.Node(0)) })
 	await(t, "the purchase has run", func() bool { return runsOf(t, c, b.key) == 1 })
-	must(t, c.SetPlatform(platform.Faults{Down: true}))
+	must(t, c.SetPlatform(store.Faults{Down: true}))
 	c.Node(0).Terminate()
 	work.Wait()
 	if len(b.bodys) != 1 {
 		t.Fatalf("%+v", b.last)
 	}
 	time.Sleep(2 * time.Second)
-	must(t, c.SetPlatform(platform.Faults{}))
+	must(t, c.SetPlatform(store.Faults{}))
 	<-c.Node(0).Exited()
 	for _, n := range c.Nodes()[1:] {
 		if r := b.buy(testContext(t), n); r.Status != http.StatusOK {
--- a/test/integration/node_failure_test.go
+++ b/test/integration/node_failure_test.go
@@ -65,7 +65,7 @@
 	var impatience *time.Timer
 	failed := false
 	x := n.Watch(ctx, p, func(x *cluster.Transcript) {
-		if len(x.Pieces) < at {
+		if x.Tokens() < at {
 			return
 		}
 		if !failed {
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -69,23 +69,35 @@
 	version uint64
 	mode    Mode
 	delay   time.Duration
+	lose    int // answers of the next so many transactions
+	lag     time.Duration
+	views   []view
+	reads   int
+	writes  int
 	fronts  []*Front
 	changed chan struct{}
 	calls   int
 }
 
+// New returns an empty store that listens nowhere.
+func New() *Store {
+	s := &Store{started: time.Now(), rows: make(map[string]map[string]row), changed: make(chan struct{})}
+	m := http.NewServeMux()
+	m.HandleFunc("GET /v1/rows-get", s.get)
+	m.HandleFunc("GET /v1/rows-feed", s.feed)
+	m.HandleFunc("POST /v1/rows-tx", s.commit)
+	s.server = &http.Server{Handler: s.guard(m)}
+	return s
+}
+
 // Start listens at an address.
 func Start(address string) (*Store, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{listener: l, started: time.Now(), rows: make(map[string]map[string]row), changed: make(chan struct{})}
-	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/rows-get", s.get)
-	m.HandleFunc("GET /v1/rows-feed", s.feed)
-	m.HandleFunc("POST /v1/rows-tx", s.commit)
-	s.server = &http.Server{Handler: s.guard(m)}
+	s := New()
+	s.listener = l
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
@@ -268,8 +280,14 @@
 		limit = 500
 	}
 	s.mu.Lock()
+	s.reads++
 	p := page{Ver: s.version, Rows: []row{}}
+	listed, found := s.listed(q.Get("Table"), r.UserAgent())
+	p.Rows = append(p.Rows, listed...)
 	for key, x := range s.rows[q.Get("Table")] {
+		if found {
+			break
+		}
 		if key >= q.Get("From") && (q.Get("To") == "" || key < q.Get("To")) {
 			p.Rows = append(p.Rows, x)
 		}
@@ -327,12 +345,18 @@
 		return
 	}
 	s.mu.Lock()
+	s.writes++
+	lose := s.lose > 0
+	s.lose = max(0, s.lose-1)
 	current, holds := s.check(t)
 	if holds {
 		s.apply(t)
 	}
 	v := s.version
 	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
 	if !holds {
 		s.answer(w, http.StatusPreconditionFailed, page{Rows: current, Ver: v})
 		return
@@ -340,8 +364,7 @@
 	s.answer(w, http.StatusOK, page{Ver: v})
 }
 
-// check returns the rows of the conditions, and whether they hold. Tables of the
-// operator and the servers can't be written.
+// check returns the rows of the conditions, and whether they hold.
 func (s *Store) check(t transaction) ([]row, bool) {
 	holds := true
 	current := []row{}
--- a/test/standin/store/store_test.go
+++ b/test/standin/store/store_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
 
+	"cicadabeam/core/records"
 	"cicadabeam/platform"
 	"cicadabeam/test/standin/store"
 )
@@ -20,7 +22,7 @@
 	t.Cleanup(s.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
-	return s, platform.NewStore(s.Address()), ctx
+	return s, platform.NewStore(s.Address(), "test"), ctx
 }
 
 func TestRowsInPages(t *testing.T) {
@@ -63,17 +65,19 @@
 	tx := platform.Transaction{
 		Conditions: []platform.RowVersion{{Table: "nodes", Key: "a", Version: 0}},
 		Writes:     []platform.RowValue{{Table: "nodes", Key: "a", Value: []byte("1")}},
+		Removals:   []platform.RowValue{},
 	}
-	if err := c.Commit(ctx, tx); err != nil {
+	if _, err := c.Commit(ctx, tx); err != nil {
 		t.Fatal(err)
 	}
-	if err := c.Commit(ctx, tx); !errors.Is(err, platform.ErrConflict) {
+	var conflict *platform.ConflictError
+	if _, err := c.Commit(ctx, tx); !errors.As(err, &conflict) || len(conflict.Rows) != 1 || conflict.Rows[0].Version != 1 {
 		t.Errorf("a condition that doesn't hold: %v", err)
 	}
 	s.Fail(store.Losing)
-	lost := platform.Transaction{Writes: []platform.RowValue{{Table: "nodes", Key: "b", Value: []byte("2")}}}
-	err := c.Commit(ctx, lost)
-	if err == nil || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict) {
+	lost := platform.Transaction{Conditions: []platform.RowVersion{}, Writes: []platform.RowValue{{Table: "nodes", Key: "b", Value: []byte("2")}}, Removals: []platform.RowValue{}}
+	_, err := c.Commit(ctx, lost)
+	if err == nil || errors.Is(err, platform.ErrUnavailable) || errors.As(err, &conflict) {
 		t.Errorf("a lost answer: %v", err)
 	}
 	if k := s.Keys("nodes"); len(k) != 2 {
@@ -104,3 +108,49 @@
 		t.Errorf("after the outage: %v", err)
 	}
 }
+
+// The product's own records: single rows, rows by prefix, and which conditions fail.
+func TestTable(t *testing.T) {
+	s, c, ctx := start(t)
+	table := platform.NewTable(c)
+	write := func(conditions []records.Condition, keys ...string) error {
+		x := records.Transaction{Conditions: conditions}
+		for _, k := range keys {
+			x.Writes = append(x.Writes, records.Write{Table: "claims", Key: k, Value: []byte(k)})
+		}
+		_, err := table.Commit(ctx, x)
+		return err
+	}
+	if err := write(nil, "a/1", "a/2", "b/1"); err != nil {
+		t.Fatal(err)
+	}
+	row, found, err := table.Get(ctx, "claims", "a/2")
+	if err != nil || !found || string(row.Value) != "a/2" || row.Revision != 1 {
+		t.Errorf("%+v, %v, %v", row, found, err)
+	}
+	if _, found, err := table.Get(ctx, "claims", "a/"); found || err != nil {
+		t.Errorf("a prefix names a row: %v, %v", found, err)
+	}
+	if rows, err := table.List(ctx, "claims", "a/"); err != nil || len(rows) != 2 || rows[0].Key != "a/1" {
+		t.Errorf("%v, %v", rows, err)
+	}
+	err = write([]records.Condition{
+		{Table: "claims", Key: "a/1", Revision: 1}, {Table: "claims", Key: "a/2", Revision: 0}, {Table: "claims", Key: "c", Revision: 0}, {Table: "claims", Key: "d", Revision: 1},
+	}, "e")
+	var conflict *records.ConflictError
+	if !errors.As(err, &conflict) || !slices.Equal(conflict.Failed, []int{1, 3}) {
+		t.Errorf("the conditions fail as %v, %+v", err, conflict)
+	}
+	s.Fail(store.Busy)
+	for began := time.Now(); time.Since(began) < 1500*time.Millisecond; time.Sleep(100 * time.Millisecond) {
+		_, _, _ = table.Get(ctx, "claims", "a/1")
+	}
+	if !table.Away() {
+		t.Error("the store isn't away")
+	}
+	s.Fail(store.Well)
+	_, _, _ = table.Get(ctx, "claims", "a/1")
+	if table.Away() || table.Reached().IsZero() {
+		t.Error("the store is still away")
+	}
+}
