Explain a request from the logs of all nodes

cicadabeam explain ID [FILE...] puts a request's lines in order, says what happened in a sentence, and shows what the node believed of the servers it tried, the store and the configuration.

--- /dev/null
+++ b/cmd/command/cmd_explain.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/explain"
+)
+
+// CmdExplain tells from logs what became of a request.
+var CmdExplain = &Cmd{
+	name:        "explain",
+	description: "tell from logs what became of a request",
+	long:        "Puts the lines of one request, from the logs of all nodes, in order and says what happened, with what the node believed. Without files, or with -, it reads standard input.",
+	action:      func() action { return &explainRequest{} },
+}
+
+type explainRequest struct {
+	Arguments struct {
+		Request string   `positional-arg-name:"REQUEST" required:"true" description:"the request's id"`
+		Files   []string `positional-arg-name:"FILE" description:"logs of entry hosts"`
+	} `positional-args:"true"`
+}
+
+// Run implements action.
+func (x *explainRequest) Run(e *Env) error {
+	s := explain.New(x.Arguments.Request)
+	files := x.Arguments.Files
+	if len(files) == 0 {
+		files = []string{"-"}
+	}
+	for _, name := range files {
+		if err := readLog(s, name); err != nil {
+			return err
+		}
+	}
+	if !s.Found() {
+		return exitWith(ExitFailure, errors.Newf("no line is about request %s", x.Arguments.Request))
+	}
+	return s.Write(e.out)
+}
+
+func readLog(s *explain.Story, name string) error {
+	if name == "-" {
+		return s.Read(os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open a log")
+	}
+	defer func() { _ = f.Close() }()
+	return s.Read(f)
+}
--- a/cmd/command/commands.go
+++ b/cmd/command/commands.go
@@ -67,6 +67,7 @@
 	CmdDiff,
 	CmdAudit,
 	CmdStatus,
+	CmdExplain,
 	CmdKey,
 	CmdMan,
 	CmdVersion,
