Gateways hand on what whole data centres have under way

Cause: with more than 24 nodes each heard only two of each other data centre, so that it knew little of the engines there, and bounded its repeats by its own share; all nodes called the same two. Now: nodes talk within their data centre, two gateways of each with those of the others; they put together and hand on work and usage every half second; nodes learn of each other through news and read the list every 30 s.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -11,7 +11,7 @@
 
 const (
 	// nodesPeriod is how often the entry hosts are read, and nodesFirst how soon after the start.
-	nodesPeriod = 8 * time.Second
+	nodesPeriod = 30 * time.Second
 	nodesFirst  = time.Second
 	nodesWait   = 2 * time.Second
 	// nodesAssumed is the number of nodes taken for granted before any is known.
@@ -55,11 +55,16 @@
 	return ctx.Err()
 }
 
+// self is this node as it registers itself.
+func (n *Node) self() records.EntryHost {
+	place := n.settings.place
+	return records.EntryHost{Name: n.settings.name, Address: n.settings.neighbours, DataCentre: place.DataCentre, Region: place.Regions[place.DataCentre]}
+}
+
 func (n *Node) writeNode(ctx context.Context) bool {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(nodesWait))
 	defer cancel()
-	place := n.settings.place
-	self := records.EntryHost{Name: n.settings.name, Address: n.settings.neighbours, DataCentre: place.DataCentre, Region: place.Regions[place.DataCentre]}
+	self := n.self()
 	if err := n.hosts.Register(ctx, self); err != nil {
 		n.recorder.Record("not registered", relay.Fields{"error": err.Error()})
 		return false
--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -4,7 +4,6 @@
 	"context"
 	"math"
 	"net"
-	"sort"
 	"sync"
 	"time"
 
@@ -21,7 +20,7 @@
 	// exchangePeriod is between two exchanges with a node where there are few, and
 	// exchangeEach is added for each node beyond fewNodes, up to exchangeMost.
 	exchangePeriod = 200 * time.Millisecond
-	exchangeEach   = 10 * time.Millisecond
+	exchangeEach   = 30 * time.Millisecond
 	exchangeMost   = 600 * time.Millisecond
 	// exchangeLeast is between two exchanges, however urgent the news.
 	exchangeLeast = 20 * time.Millisecond
@@ -35,11 +34,7 @@
 	// readAfter is the age of what other nodes tell from which on a node asks the
 	// store itself, and readOn how long it then goes on.
 	readAfter = 1800 * time.Millisecond
-	readOn    = 3 * time.Second
-	// remoteNodes is the number of nodes of each other data centre that a node talks
-	// to where there are many.
-	remoteNodes = 2
-	manyNodes   = 24
+	readOn    = time.Second
 )
 
 // peer is another node.
@@ -48,6 +43,7 @@
 	client  *neighbour.Client
 	news    neighbour.News
 	heard   time.Time
+	since   time.Time // when it became one that this node talks to
 	talking bool
 }
 
@@ -58,12 +54,16 @@
 	wake     chan struct{}
 	readTill time.Time
 	fetching map[string]bool
+	handed   map[string]handed    // by data centre
+	handedTo map[string]time.Time // by node
 }
 
 func (p *peers) init() {
 	p.all = make(map[string]*peer)
 	p.wake = make(chan struct{}, 1)
 	p.fetching = make(map[string]bool)
+	p.handed = make(map[string]handed)
+	p.handedTo = make(map[string]time.Time)
 }
 
 func (n *Node) addNeighbours(g *run.Group) error {
@@ -114,7 +114,7 @@
 func (n *Node) tellAll(now time.Time, urgent bool) {
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	n.peers.update(n.nodes.others(n.settings.name, n.settings.place.DataCentre))
+	n.peers.update(n.talksTo(now), now)
 	for _, p := range n.peers.all {
 		calls := urgent || n.settings.name > p.host.Name || now.Sub(p.heard) > liveWithin
 		if p.talking || !calls {
@@ -126,7 +126,7 @@
 }
 
 // update makes the peers those of a list.
-func (p *peers) update(hosts []records.EntryHost) {
+func (p *peers) update(hosts []records.EntryHost, now time.Time) {
 	named := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		named[h.Name] = true
@@ -137,7 +137,7 @@
 		if x != nil {
 			x.client.Close()
 		}
-		p.all[h.Name] = &peer{host: h, client: neighbour.NewClient(h.Address)}
+		p.all[h.Name] = &peer{host: h, client: neighbour.NewClient(h.Address), since: now}
 	}
 	for name, x := range p.all {
 		if !named[name] {
@@ -149,7 +149,7 @@
 
 func (n *Node) talk(p *peer, c *neighbour.Client) {
 	sent := uptime()
-	theirs, err := c.Exchange(n.news(), time.Now().Add(exchangeWait))
+	theirs, err := c.Exchange(n.news(p.host.Name, p.host.DataCentre), time.Now().Add(exchangeWait))
 	n.peers.mu.Lock()
 	p.talking = false
 	n.peers.mu.Unlock()
@@ -158,12 +158,12 @@
 	}
 }
 
-// news is what this node tells others.
-func (n *Node) news() neighbour.News {
+// news is what this node tells another one.
+func (n *Node) news(name, dataCentre string) neighbour.News {
 	now := time.Now()
 	up := uptime()
 	x := neighbour.News{
-		From: n.settings.name, Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
+		Host: n.self(), Handed: n.handFor(name, dataCentre, now), Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
 		Deaths: n.handler.Deaths(now), Configuration: n.configurationFact(up), Servers: n.registry.fact(up), Prompts: n.prompts.Since(now.Add(-promptsTold)),
 	}
 	return x
@@ -181,7 +181,7 @@
 func (n *Node) Exchange(x neighbour.News) neighbour.News {
 	// What the caller says was so when it sent it; how long that took isn't known.
 	n.heard(x, unknownSent)
-	return n.news()
+	return n.news(x.Host.Name, x.Host.DataCentre)
 }
 
 // unknownSent marks news of which it isn't known when they were asked for, so that
@@ -191,14 +191,18 @@
 // heard takes another node's news, that were asked for at the uptime sent.
 func (n *Node) heard(x neighbour.News, sent time.Duration) {
 	now := time.Now()
-	n.fleet.Heard(x.From, x.Work, now)
-	n.handler.Heard(x.From, x.Usage, now)
+	n.nodes.add(x.Host)
+	n.takeHanded(x.Handed, now)
+	if !n.many() || x.Host.DataCentre == n.settings.place.DataCentre {
+		n.fleet.Heard(x.Host.Name, x.Work, now)
+		n.handler.Heard(x.Host.Name, x.Usage, 1, now)
+	}
 	n.handler.HeardDeaths(x.Deaths, now)
 	for prompt, server := range x.Prompts {
 		n.prompts.Heard(prompt, server, now)
 	}
 	n.peers.mu.Lock()
-	p := n.peers.all[x.From]
+	p := n.peers.all[x.Host.Name]
 	joined := p != nil && now.Sub(p.heard) > liveWithin
 	if p != nil {
 		p.news, p.heard = x, now
@@ -208,7 +212,7 @@
 		return
 	}
 	if joined {
-		n.recorder.Record("node heard", relay.Fields{"peer": x.From, "revision": x.Configuration.Version})
+		n.recorder.Record("node heard", relay.Fields{"peer": x.Host.Name, "revision": x.Configuration.Version})
 	}
 	n.takeFacts(p, x, sent)
 }
@@ -341,30 +345,3 @@
 	}
 	return true
 }
-
-// others returns the nodes that a node talks to: all where there are few, else
-// those of its own data centre and some of each other one.
-func (d *directory) others(self, dataCentre string) []records.EntryHost {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	names := make([]string, 0, len(d.hosts))
-	for name := range d.hosts {
-		if name != self {
-			names = append(names, name)
-		}
-	}
-	sort.Strings(names)
-	taken := make(map[string]int)
-	var all []records.EntryHost
-	for _, name := range names {
-		h := d.hosts[name]
-		if h.DataCentre != dataCentre && len(names) > manyNodes {
-			if taken[h.DataCentre] >= remoteNodes {
-				continue
-			}
-			taken[h.DataCentre]++
-		}
-		all = append(all, h)
-	}
-	return all
-}
--- a/core/repeat/repeat.go
+++ b/core/repeat/repeat.go
@@ -11,7 +11,7 @@
 //	b := repeat.New(repeat.Bound{Ratio: 0.8, Extra: 150, Window: 10 * time.Second})
 //	b.First(now)                              // each request's first arrival
 //	if !b.Repeat(now, nodes) { ... }          // before each further one
-//	b.Heard("node-2", usage, now)             // what another node has used
+//	b.Heard("node-2", usage, 1, now)          // what another node has used
 package repeat
 
 import (
@@ -57,6 +57,7 @@
 
 type word struct {
 	usage Usage
+	nodes int // that it speaks for
 	at    time.Time
 	spent int64 // this node's repeats so far, of which the other knows
 }
@@ -109,11 +110,12 @@
 	return u
 }
 
-// Heard takes the word of another node.
-func (b *Budget) Heard(node string, u Usage, now time.Time) {
+// Heard takes the word of another node, or of one that speaks for several, as of a
+// time.
+func (b *Budget) Heard(from string, u Usage, nodes int, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others[node] = word{usage: u, at: now, spent: b.spent}
+	b.others[from] = word{usage: u, nodes: nodes, at: at, spent: b.spent}
 }
 
 // Repeat counts a repeat if the bound allows it. nodes is the number of nodes that
@@ -141,12 +143,15 @@
 
 // informed tells whether the usage of all other nodes is known.
 func (b *Budget) informed(now time.Time, nodes int) bool {
+	known := 1
 	for name, w := range b.others {
 		if now.Sub(w.at) > heardWithin {
 			delete(b.others, name)
+			continue
 		}
+		known += w.nodes
 	}
-	return len(b.others)+1 >= nodes
+	return known >= nodes
 }
 
 // aloneAllows keeps to this node's share of the fixed number and its own requests.
@@ -177,7 +182,7 @@
 func (b *Budget) untold() int {
 	n := int64(0)
 	for _, w := range b.others {
-		n += b.spent - w.spent
+		n += int64(w.nodes) * (b.spent - w.spent)
 	}
 	return int(n)
 }
--- a/core/repeat/repeat_test.go
+++ b/core/repeat/repeat_test.go
@@ -35,7 +35,7 @@
 		u := from.Usage(f.now)
 		for j, to := range f.budgets {
 			if i != j && !(cut && (i == 0) != (j == 0)) {
-				to.Heard(strconv.Itoa(i), u, f.now)
+				to.Heard(strconv.Itoa(i), u, 1, f.now)
 			}
 		}
 	}
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -21,6 +21,7 @@
 
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/quarantine"
+	"cicadabeam/core/records"
 	"cicadabeam/core/repeat"
 )
 
@@ -40,7 +41,7 @@
 
 // News is what nodes tell each other regularly.
 type News struct {
-	From          string
+	Host          records.EntryHost
 	Leaving       bool
 	Configuration Fact
 	Servers       Fact
@@ -48,6 +49,16 @@
 	Usage         map[string]repeat.Usage // by service
 	Prompts       map[string]string       // the servers that read prompts lately, by prompt
 	Deaths        []quarantine.Suspicion  // the servers that died lately, with what they ran
+	Handed        map[string]Handed       // what whole data centres have under way, handed on
+}
+
+// Handed is what the nodes of a data centre have under way, put together by one of
+// them, for the nodes of others.
+type Handed struct {
+	Nodes int
+	Age   time.Duration
+	Work  map[string]fleet.Work   // by server
+	Usage map[string]repeat.Usage // by service
 }
 
 // Configuration carries a configuration as the operator wrote it.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -129,15 +129,16 @@
 	return all
 }
 
-// Heard takes another node's usage. Services that it doesn't name it hasn't used.
-func (h *Handler) Heard(node string, usage map[string]repeat.Usage, now time.Time) {
+// Heard takes the usage of another node, or of several that it speaks for, as of a
+// time. Services that it doesn't name haven't been used.
+func (h *Handler) Heard(from string, usage map[string]repeat.Usage, nodes int, at time.Time) {
 	for service := range usage {
 		h.budget(service)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, b := range h.budgets {
-		b.Heard(node, usage[service], now)
+		b.Heard(from, usage[service], nodes, at)
 	}
 }
 
