--- a/cmd/command/cmd_check.go
+++ b/cmd/command/cmd_check.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fatih/color"
 
+	"cicadabeam/cmd/entry"
 	"cicadabeam/cmd/settings"
 	"cicadabeam/core/config"
 )
@@ -21,13 +22,26 @@
 
 type check struct {
 	Settings      string `long:"settings" value-name:"FILE" description:"a node's settings"`
+	Entry         string `long:"entry" value-name:"FILE" description:"the settings of an entry host on the users' platform"`
 	Questionnaire string `long:"questionnaire" value-name:"FILE" description:"a questionnaire"`
+	Args          struct {
+		Questionnaire string `positional-arg-name:"QUESTIONNAIRE" description:"a questionnaire, as apply and diff take it"`
+	} `positional-args:"true"`
 }
 
 // Run implements action.
 func (c *check) Run(e *Env) error {
-	if c.Settings == "" && c.Questionnaire == "" {
-		return exitWith(ExitUsage, errors.New("give --settings or --questionnaire"))
+	if c.Questionnaire == "" {
+		c.Questionnaire = c.Args.Questionnaire
+	}
+	if c.Settings == "" && c.Questionnaire == "" && c.Entry == "" {
+		return exitWith(ExitUsage, errors.New("give --settings, --entry or a questionnaire"))
+	}
+	if c.Entry != "" {
+		if _, err := entry.Load(c.Entry); err != nil {
+			return exitWith(ExitProblems, err)
+		}
+		c.fine(e, c.Entry, "")
 	}
 	if c.Settings != "" {
 		if _, err := settings.Load(c.Settings); err != nil {
--- a/cmd/command/cmd_status.go
+++ b/cmd/command/cmd_status.go
@@ -7,6 +7,7 @@
 
 	"github.com/fatih/color"
 
+	"cicadabeam/core/balance"
 	"cicadabeam/io/operator"
 )
 
@@ -74,13 +75,28 @@
 		switch {
 		case s.Down:
 			word = color.RedString("down")
+		case s.ReportAge < 0:
+			word = color.YellowString("unknown")
+		case s.ReportAge > staleReport:
+			word = color.YellowString("silent")
 		case s.Leaving:
 			word = color.YellowString("leaving")
 		}
-		_, _ = fmt.Fprintf(e.out, "  %-24s %-10s own %d, reported %d running %d waiting, report %.1f s old\n", s.Server, word, s.Own, s.Running, s.Waiting, s.ReportAge)
+		_, _ = fmt.Fprintf(e.out, "  %-24s %-10s own %d, %s\n", s.Server, word, s.Own, lastWord(s))
 	}
 }
 
+// staleReport is the age in seconds from which on a server's last word says nothing
+// about whether it is up.
+const staleReport = 5
+
+func lastWord(s balance.Status) string {
+	if s.ReportAge < 0 {
+		return "never reached"
+	}
+	return fmt.Sprintf("reported %d running %d waiting, %.1f s ago", s.Running, s.Waiting, s.ReportAge)
+}
+
 func ago(t time.Time) string {
 	if t.IsZero() {
 		return "never"
--- a/core/claim/dispatcher.go
+++ b/core/claim/dispatcher.go
@@ -7,6 +7,8 @@
 
 	"github.com/google/uuid"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadabeam/core/fault"
 	"cicadabeam/core/shard"
 )
@@ -117,7 +119,11 @@
 	select {
 	case <-e.done:
 	case <-ctx.Done():
-		return Response{}, fault.Wrap(ctx.Err(), fault.OutcomeUnknown, "wait-call", "").WithRetry(time.Now().Add(retryAfter))
+		code := fault.OutcomeUnknown
+		if errors.Is(ctx.Err(), context.Canceled) {
+			code = fault.CallerLeft
+		}
+		return Response{}, fault.Wrap(ctx.Err(), code, "wait-call", "").WithRetry(time.Now().Add(retryAfter))
 	}
 	if e.outcome.Failure != nil {
 		return Response{}, e.outcome.Failure.Err()
--- a/core/completion/request.go
+++ b/core/completion/request.go
@@ -73,7 +73,7 @@
 	}
 	var k known
 	if err := json.Unmarshal(body, &k); err != nil {
-		return nil, fault.Newf(fault.BadRequest, step, "", "%v", err)
+		return nil, wrongShape(err)
 	}
 	if err := check(path, k); err != nil {
 		return nil, err
--- a/core/completion/request_test.go
+++ b/core/completion/request_test.go
@@ -14,7 +14,7 @@
 		`[]`:                                  "not a JSON object",
 		`{"messages":[{"content":"x"}]}`:      "model is missing",
 		`{"model":"m"}`:                       "messages is missing",
-		`{"model":"m","messages":"x"}`:        "cannot unmarshal",
+		`{"model":"m","messages":"x"}`:        "messages must be a list, not string",
 		`{"model":"m","messages":[{}],"n":2}`: "n and best_of",
 		`{"model":"m","messages":[{}],"logprobs":true}`:                          "logprobs",
 		`{"model":"m","messages":[{}],"tools":[{}]}`:                             "tools",
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -51,6 +51,7 @@
 	RetryBudget       Code = "retry_budget_spent"
 	PlatformAway      Code = "platform_unavailable"
 	OutcomeUnknown    Code = "outcome_unknown"
+	CallerLeft        Code = "caller_left"
 	Draining          Code = "draining"
 	NotReady          Code = "not_ready"
 	Superseded        Code = "superseded"
@@ -79,6 +80,7 @@
 	RetryBudget:       http.StatusServiceUnavailable,
 	PlatformAway:      http.StatusServiceUnavailable,
 	OutcomeUnknown:    http.StatusBadGateway,
+	CallerLeft:        http.StatusBadGateway, // nobody reads it
 	Draining:          http.StatusServiceUnavailable,
 	NotReady:          http.StatusServiceUnavailable,
 	Superseded:        http.StatusConflict,
--- a/core/inifile/document.go
+++ b/core/inifile/document.go
@@ -18,6 +18,7 @@
 	"sort"
 	"strings"
 
+	"github.com/agnivade/levenshtein"
 	"gopkg.in/ini.v1"
 )
 
@@ -138,10 +139,27 @@
 			allowed = append(allowed, name)
 		}
 		sort.Strings(allowed)
-		d.add(s.Name(), k.Name(), "is no known key; allowed are "+strings.Join(allowed, ", "))
+		d.add(s.Name(), k.Name(), "is no known key"+nearest(k.Name(), allowed)+"; allowed are "+strings.Join(allowed, ", "))
 	}
 }
 
+// nearDistance is the number of letters by which a key that was meant may differ.
+const nearDistance = 3
+
+// nearest suggests the allowed key that was likely meant.
+func nearest(key string, allowed []string) string {
+	best, distance := "", nearDistance+1
+	for _, name := range allowed {
+		if x := levenshtein.ComputeDistance(key, name); x < distance {
+			best, distance = name, x
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return " (" + best + " is meant?)"
+}
+
 func (d *Document) add(section, key, text string) {
 	line := d.lines.find(section, key)
 	d.problems = append(d.problems, Problem{file: d.name, line: line, section: section, key: key, text: text})
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -47,6 +48,9 @@
 	if errors.As(err, &f) {
 		return err
 	}
+	if errors.Is(err, context.Canceled) {
+		return fault.Wrap(err, fault.CallerLeft, "read-answer", "")
+	}
 	return fault.Wrap(err, fault.OutcomeUnknown, "read-answer", "")
 }
 
--- /dev/null
+++ b/io/caller/stream_test.go
@@ -0,0 +1,20 @@
+package caller
+
+import (
+	"context"
+	"testing"
+
+	"cicadabeam/core/fault"
+)
+
+func TestCallerWhoLeftHasCodeOfItsOwn(t *testing.T) {
+	for err, want := range map[error]fault.Code{
+		context.Canceled:                            fault.CallerLeft,
+		context.DeadlineExceeded:                    fault.OutcomeUnknown,
+		fault.New(fault.NoServer, "route", "llm-1"): fault.NoServer,
+	} {
+		if got := fault.From(afterStart(err)).Code(); got != want {
+			t.Errorf("%v has code %s, not %s", err, got, want)
+		}
+	}
+}
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -550,7 +550,7 @@
 	if !errors.As(err, &exit) || exit.ExitCode() != 3 {
 		t.Errorf("the process ends with %v", err)
 	}
-	for _, want := range []string{"data-center", "data-centre: is missing", "grace: is \"soon\"", "address: is \"nowhere\"", "callers: is \"\""} {
+	for _, want := range []string{"data-center: is no known key (data-centre is meant?)", "data-centre: is missing", "grace: is \"soon\"", "address: is \"nowhere\"", "callers: is \"\""} {
 		if !strings.Contains(string(b), want) {
 			t.Errorf("%q is missing in:\n%s", want, b)
 		}
--- a/test/integration/command_test.go
+++ b/test/integration/command_test.go
@@ -90,6 +90,7 @@
 	file := filepath.Join(t.TempDir(), "bad.ini")
 	must(t, os.WriteFile(file, []byte("[server a]\nslots = many\n[organisation b]\nkeys = x\n"), 0o600))
 	expect(t, tool(t, 3, "check", "--questionnaire", file), "bad.ini:2: [server a] slots", "[server a] address", "bad.ini:4: [organisation b] keys: is no known key")
+	expect(t, tool(t, 3, "check", file), "bad.ini:2: [server a] slots")
 	expect(t, tool(t, 3, "check", "--settings", file), "[node] name: is missing", "is no known section")
 	expect(t, tool(t, 3, "serve", "--settings", file), "[node] name: is missing")
 }
