--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -229,19 +229,6 @@
 	return m
 }
 
-// Usable returns the number of servers of a service that may get work, and how
-// many of their slots this node believes taken.
-func (f *Fleet) Usable(service string, now time.Time) (servers int) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	for _, m := range f.services[service] {
-		if m.usable(now) {
-			servers++
-		}
-	}
-	return servers
-}
-
 // outagesOf returns the data centres that are in an outage.
 func (f *Fleet) outagesOf(service string, all []*Member, now time.Time) map[string]bool {
 	members := make(map[string]int)
--- a/core/repeat/repeat.go
+++ b/core/repeat/repeat.go
@@ -69,7 +69,6 @@
 	slices [slices]slice
 	others map[string]word
 	spent  int64
-	denied int64
 }
 
 // New returns an empty budget.
@@ -127,13 +126,11 @@
 	switch {
 	case b.informed(now, nodes):
 		if !b.sharedAllows(now) {
-			b.denied++
 			return false
 		}
 	case b.aloneAllows(now, max(nodes, 1)):
 		s.alone++
 	default:
-		b.denied++
 		return false
 	}
 	s.usage.Repeats++
@@ -186,10 +183,3 @@
 	}
 	return int(n)
 }
-
-// Denied returns the number of repeats that were not allowed.
-func (b *Budget) Denied() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.denied
-}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -82,9 +82,6 @@
 	return failed
 }
 
-// Reused tells whether the connection has carried a request before.
-func (c *Conn) Reused() bool { return c.reused }
-
 // Close ends the connection.
 func (c *Conn) Close() {
 	c.broken = true
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -159,8 +159,7 @@
 }
 
 func (x *exchange) converse(ctx context.Context, a *attempt) {
-	choice := http1.Reuse
-	c, err := x.h.Pool.Get(ctx, a.member.Address(), choice)
+	c, err := x.h.Pool.Get(ctx, a.member.Address(), http1.Reuse)
 	if err != nil {
 		a.err = err
 		a.unreachable = true
