--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 BIN := bin
 
-.PHONY: build demo test lint bench model fuzz clean
+.PHONY: build demo test lint bench experiment model fuzz clean
 
 build:
 	go build -o $(BIN)/ cicadabeam/cmd/cicadabeam cicadabeam/test/cmd/standin cicadabeam/tools/demo cicadabeam/tools/bench
@@ -24,6 +24,10 @@
 	$(BIN)/bench overload
 	$(BIN)/bench choose
 
+experiment:
+	go run cicadabeam/tools/experiment --load kiosks --a all --b choose
+	go run cicadabeam/tools/experiment --load forge --a all --b none
+
 model:
 	cd core && MODEL=1 go test -count=1 ./claim -rapid.checks=200000
 
--- a/cmd/entry/journal.go
+++ b/cmd/entry/journal.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
+	"golang.org/x/time/rate"
 
 	"cicadabeam/io/relay"
 )
@@ -77,10 +78,50 @@
 	}
 }
 
+const (
+	// linesPerSecond and linesBurst bound the lines of one kind of event. Under any
+	// load that the system is made for a node writes fewer; what is more is counted.
+	linesPerSecond = 400
+	linesBurst     = 2000
+	// droppedPeriod is how often the dropped lines are told.
+	droppedPeriod = time.Second
+)
+
 // recorder turns decisions into lines and counts them.
 type recorder struct {
 	log     log.Interface
 	metrics *metrics
+	mu      sync.Mutex
+	limits  map[string]*rate.Limiter
+	dropped map[string]int
+	told    time.Time
+}
+
+func newRecorder(l log.Interface, m *metrics) *recorder {
+	return &recorder{log: l, metrics: m, limits: make(map[string]*rate.Limiter), dropped: make(map[string]int)}
+}
+
+// allowed tells whether a line of a kind may be written, and returns the kinds whose
+// lines were dropped, now and then.
+func (r *recorder) allowed(event string, now time.Time) (bool, map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.limits[event]
+	if l == nil {
+		l = rate.NewLimiter(linesPerSecond, linesBurst)
+		r.limits[event] = l
+	}
+	ok := l.AllowN(now, 1)
+	if !ok {
+		r.dropped[event]++
+	}
+	if len(r.dropped) == 0 || now.Sub(r.told) < droppedPeriod {
+		return ok, nil
+	}
+	told := r.dropped
+	r.dropped = make(map[string]int)
+	r.told = now
+	return ok, told
 }
 
 func newLogger(j *journal, level, node string) log.Interface {
@@ -94,5 +135,11 @@
 	if ms, found := f["ms"].(int64); found {
 		r.metrics.took(event, time.Duration(ms)*time.Millisecond)
 	}
-	r.log.WithFields(log.Fields(f)).Info(event)
+	ok, dropped := r.allowed(event, time.Now())
+	for kind, n := range dropped {
+		r.log.WithFields(log.Fields{"event": kind, "count": n}).Warn("lines dropped")
+	}
+	if ok {
+		r.log.WithFields(log.Fields(f)).Info(event)
+	}
 }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -77,7 +77,7 @@
 		store: platform.NewStore(s.platform, s.name), drain: make(chan struct{}),
 	}
 	n.hosts = records.NewHosts(platform.NewTable(n.store))
-	n.recorder = &recorder{log: newLogger(n.journal, s.logLevel, s.name), metrics: n.metrics}
+	n.recorder = newRecorder(newLogger(n.journal, s.logLevel, s.name), n.metrics)
 	n.handler = relay.New(relay.Parts{
 		Dialect: platform.Dialect{}, Holder: n.holder, Fleet: n.fleet, Prompts: n.prompts, Pool: n.pool, Recorder: n.recorder, Bounds: s.bounds,
 		Uptime: uptime, Nodes: n.nodes.count, Placed: n.tell,
--- a/test/relay/relay_test.go
+++ b/test/relay/relay_test.go
@@ -27,7 +27,7 @@
 
 // bench is a relay before scripted servers.
 type bench struct {
-	t       *testing.T
+	t       testing.TB
 	holder  *freshness.Holder
 	fleet   *fleet.Fleet
 	handler *relay.Handler
@@ -77,7 +77,7 @@
 	})
 }
 
-func newBench(t *testing.T) *bench {
+func newBench(t testing.TB) *bench {
 	t.Helper()
 	b := &bench{t: t, holder: freshness.New(), uptime: time.Hour}
 	b.fleet = fleet.New(fleet.Place{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north"}})
--- /dev/null
+++ b/tools/experiment/main.go
@@ -0,0 +1,61 @@
+// Command experiment plays a named load against two policies side by side, in virtual
+// time, and prints what callers get.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"cicadabeam/test/model"
+)
+
+type options struct {
+	Load  string `long:"load" default:"kiosks" choice:"kiosks" choice:"forge" choice:"calm" description:"what callers ask for and what fails"`
+	A     string `long:"a" default:"all" description:"first policy: all, or parts of tell+copies+choose+outages"`
+	B     string `long:"b" default:"choose" description:"second policy"`
+	Seeds int    `long:"seeds" default:"3"`
+}
+
+var loads = map[string]model.Load{
+	"kiosks": {
+		Nodes: 7, DataCentres: 3, EnginesEach: 12, Slots: 12, Memory: 88000, Rate: 9.4, Prompt: 8000, Output: 910, Length: 40 * time.Second,
+		Deaths: 6500 * time.Millisecond, Down: 1200 * time.Millisecond, Goal: 4500 * time.Millisecond, Gap: 700 * time.Millisecond,
+	},
+	"forge": {
+		Nodes: 7, DataCentres: 3, EnginesEach: 6, Slots: 48, Memory: 88000, Rate: 4.7, Prompt: 8000, Output: 910, Length: 40 * time.Second,
+		Deaths: 6500 * time.Millisecond, Down: 1200 * time.Millisecond, Goal: 4500 * time.Millisecond, Gap: 700 * time.Millisecond,
+	},
+	"calm": {
+		Nodes: 7, DataCentres: 3, EnginesEach: 12, Slots: 12, Memory: 88000, Rate: 9.4, Prompt: 8000, Output: 910, Length: 40 * time.Second,
+		Goal: 4500 * time.Millisecond, Gap: 700 * time.Millisecond,
+	},
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	a, errA := model.ParsePolicy(o.A)
+	b, errB := model.ParsePolicy(o.B)
+	if errA != nil || errB != nil {
+		fmt.Fprintln(os.Stderr, "experiment:", errA, errB)
+		os.Exit(2)
+	}
+	fmt.Printf("%-6s %-28s %6s %6s %7s %6s %8s %12s %26s %18s\n", "seed", "policy", "asked", "served", "in time", "late", "refused", "read in vain", "first p50/p95/p99 ms", "pause p95/p99 ms")
+	for seed := 1; seed <= o.Seeds; seed++ {
+		l := loads[o.Load]
+		l.Seed = uint64(seed)
+		show(seed, o.A, model.Play(l, a))
+		show(seed, o.B, model.Play(l, b))
+	}
+}
+
+func show(seed int, policy string, r model.Result) {
+	first := fmt.Sprintf("%d/%d/%d", r.First.ValueAtQuantile(50), r.First.ValueAtQuantile(95), r.First.ValueAtQuantile(99))
+	pause := fmt.Sprintf("%d/%d", r.Pause.ValueAtQuantile(95), r.Pause.ValueAtQuantile(99))
+	fmt.Printf("%-6d %-28s %6d %6d %7d %6d %8d %12d %26s %18s\n", seed, policy, r.Asked, r.Served, r.OnTime, r.Late, r.Refused, r.ReadInVain, first, pause)
+}
