--- /dev/null
+++ b/test/entry/stop_test.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cicadabeam/test/standin/backend"
+	"cicadabeam/test/standin/store"
+)
+
+func TestStopFinishesWork(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	s.server("s1", "orders", backend.After(1500*time.Millisecond, backend.Answer(200, "ok")))
+	s.server("s2", "llm", backend.Stream(40, 0, 50*time.Millisecond, nil))
+	n := s.nodes[0]
+	results := make(chan int, 2)
+	s.await("servers are known", testWait, func() bool { status, _ := n.do("/r1/", ""); return status == 200 })
+	for _, path := range []string{"/buy/1", "/report/1"} {
+		go func() { status, _ := n.do(path, "key-1"); results <- status }()
+	}
+	time.Sleep(200 * time.Millisecond)
+	stopped := time.Now()
+	n.Terminate()
+	s.await("not ready", time.Second, func() bool { return !n.ready() })
+	for range 2 {
+		if status := <-results; status != 200 {
+			t.Errorf("a request under way ended with %d", status)
+		}
+	}
+	if status, _ := n.do("/r1/", ""); status != 200 {
+		t.Errorf("a request that came before the balancer knew gives %d", status)
+	}
+	select {
+	case <-n.Exited():
+	case <-time.After(graceBound - time.Since(stopped)):
+		t.Fatal("the process did not end in time")
+	}
+	if n.ExitCode() != 0 {
+		t.Errorf("the exit code is %d", n.ExitCode())
+	}
+}
+
+func TestStopCutsWhatCannotEnd(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	s.server("s1", "llm", backend.Stream(10000, 0, 20*time.Millisecond, nil))
+	n := s.nodes[0]
+	s.await("the server is known", testWait, func() bool {
+		c, err := net.Dial("tcp", n.callers)
+		if err != nil {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+	time.Sleep(time.Second)
+	done := make(chan int, 1)
+	go func() { status, _ := n.do("/report/1", "key-1"); done <- status }()
+	time.Sleep(200 * time.Millisecond)
+	n.Terminate()
+	select {
+	case <-n.Exited():
+	case <-time.After(graceBound):
+		t.Fatal("the process did not end in time")
+	}
+	if status := <-done; status != 0 {
+		t.Errorf("a stream that was cut looks whole: %d", status)
+	}
+}
+
+func TestRestartWithoutStore(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	s.server("s1", "orders", backend.Answer(200, "ok"))
+	n := s.nodes[0]
+	s.awaitStatus(n, "/r1/", "", 200, testWait)
+	s.store.Fail(store.Silent)
+	n.Kill()
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	s.await("answers", testWait, func() bool { status, _ := n.do("/r1/", ""); return status != 0 })
+	for _, path := range []string{"/r1/", "/buy/1", "/nowhere/"} {
+		if status, _ := n.do(path, "key-1"); status != 503 {
+			t.Errorf("a node that knows nothing says %d to %s", status, path)
+		}
+	}
+	if n.ready() {
+		t.Error("a node that knows nothing is ready")
+	}
+	s.store.Fail(store.Well)
+	s.awaitStatus(n, "/buy/1", "key-1", 200, 12*time.Second)
+}
+
+func TestBlockedOutput(t *testing.T) {
+	s := start(t, 1)
+	s.server("s1", "orders", backend.Answer(200, "ok"))
+	n := s.nodes[0]
+	n.Kill()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = reader.Close() }()
+	c := exec.Command(binary, "entry", "--settings", n.settings)
+	c.Stdout = writer
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = writer.Close()
+	defer func() { _ = c.Process.Signal(syscall.SIGKILL); _ = c.Wait() }()
+	s.awaitStatus(n, "/r1/", "", 200, testWait)
+	for range 1500 { // some hundred kilobytes of lines, and a pipe holds 64
+		began := time.Now()
+		if status, _ := n.do("/buy/1", "key-1"); status != 200 || time.Since(began) > time.Second {
+			t.Fatalf("status %d after %v", status, time.Since(began))
+		}
+	}
+}
+
+func TestSettingsThatAreWrong(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.ini")
+	if err := os.WriteFile(path, []byte("[node]\nname = a\ndata-center = x\n[bounds]\ngrace = soon\n[platform]\naddress = nowhere\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b, err := exec.Command(binary, "entry", "--settings", path).CombinedOutput()
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) || exit.ExitCode() != 3 {
+		t.Errorf("the process ends with %v", err)
+	}
+	for _, want := range []string{"data-center: is no known key (data-centre is meant?)", "data-centre: is missing", "grace: is \"soon\"", "address: is \"nowhere\"", "callers: is \"\""} {
+		if !strings.Contains(string(b), want) {
+			t.Errorf("%q is missing in:\n%s", want, b)
+		}
+	}
+}
+
+func TestHangupKeepsServing(t *testing.T) {
+	s := start(t, 1)
+	s.server("s1", "orders", backend.Answer(200, "ok"))
+	n := s.nodes[0]
+	s.awaitStatus(n, "/r1/", "", 200, testWait)
+	if err := os.WriteFile(n.settings, []byte("[node]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.Signal(syscall.SIGHUP)
+	time.Sleep(300 * time.Millisecond)
+	s.awaitStatus(n, "/buy/1", "key-1", 200, time.Second)
+	b, err := os.ReadFile(n.Output())
+	if err != nil || !strings.Contains(string(b), `message="settings rejected"`) {
+		t.Errorf("the rejected settings aren't logged, %v", err)
+	}
+}
--- /dev/null
+++ b/test/relay/stream_test.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadabeam/test/standin/backend"
+)
+
+func TestCallerWhoLeavesEndsTheWork(t *testing.T) {
+	for name, path := range map[string]string{"read": "/read/1", "stream": "/report/1"} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			left := make(chan struct{})
+			step := func(c *backend.Conn, _ *http.Request, _ []byte) bool {
+				<-c.AwaitClose()
+				close(left)
+				return false
+			}
+			b.server(strings.Split(path, "/")[1], "a", step)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() { time.Sleep(60 * time.Millisecond); cancel() }()
+			perform(b.request(http.MethodPost, path, prompt).WithContext(ctx))
+			select {
+			case <-left:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the server still works half a second after the caller has left")
+			}
+		})
+	}
+}
+
+func events(from, to int) string {
+	var s strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&s, "id: %d\ndata: piece-%d\n\n", i, i)
+	}
+	return s.String()
+}
+
+func TestStreamGoesOnAfterLoss(t *testing.T) {
+	const last = 20
+	ends := map[string]backend.Step{
+		"closed": backend.Drop(), "silent": backend.Silent(), "cut within an event": backend.Raw("20\r\nid: 9\nda", false),
+		"garbage": backend.Raw("no chunk at all\r\n", false),
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			first := b.server("report", "a", backend.Stream(last, 8, 5*time.Millisecond, end))
+			second := b.server("report", "b", backend.Stream(last, 0, 5*time.Millisecond, nil))
+			started := time.Now()
+			got := b.do(http.MethodPost, "/report/1", prompt)
+			b.expect(got, 200, events(1, last))
+			if got.header.Get("X-Server-Signature") != "signed" {
+				t.Error("the first server's headers are missing")
+			}
+			if d := time.Since(started); d > time.Second {
+				t.Errorf("the stream took %v", d)
+			}
+			backup, copied := first.Requests()[0].Header.Get("X-Kv-Backup"), second.Requests()[0].Header
+			if backup != second.Address() {
+				t.Errorf("the copy is kept at %q", backup)
+			}
+			if from := copied.Get("Kv-From"); from != second.Address()+"/"+copied.Get("X-Request-Id") || copied.Get("Last-Event-Id") != "8" {
+				t.Errorf("the stream goes on from %q after event %q", from, copied.Get("Last-Event-Id"))
+			}
+		})
+	}
+}
+
+func TestStreamGoesOnWithoutCopy(t *testing.T) {
+	b := newBench(t)
+	b.server("report", "a", backend.Stream(10, 4, 0, backend.Drop()))
+	second := b.server("report", "b", backend.Refuse(), backend.Stream(10, 0, 0, nil))
+	b.expect(b.do(http.MethodPost, "/report/1", prompt), 200, events(1, 10))
+	if n := len(second.Requests()); n != 2 || second.Requests()[1].Header.Get("Kv-From") != "" {
+		t.Errorf("%d requests reached the second server", n)
+	}
+}
+
+func TestStreamThatRepeatsOrSkipsEvents(t *testing.T) {
+	b := newBench(t)
+	repeats := func(c *backend.Conn, r *http.Request, body []byte) bool {
+		r.Header.Set("Last-Event-Id", "2") // from event 3 again, though the caller has 5
+		return backend.Stream(10, 0, 0, nil)(c, r, body)
+	}
+	b.server("report", "a", backend.Stream(10, 5, 0, backend.Drop()))
+	b.server("report", "b", repeats)
+	b.expect(b.do(http.MethodPost, "/report/1", prompt), 200, events(1, 10))
+
+	b = newBench(t)
+	skips := func(c *backend.Conn, r *http.Request, body []byte) bool {
+		r.Header.Set("Last-Event-Id", "7")
+		return backend.Stream(10, 0, 0, nil)(c, r, body)
+	}
+	b.server("report", "a", backend.Stream(10, 5, 0, backend.Drop()))
+	b.server("report", "b", skips)
+	if got := b.do(http.MethodPost, "/report/1", prompt); got.err == nil {
+		t.Errorf("a stream that lacks events looks whole: %q", got.body)
+	}
+}
+
+func TestPlainStreamIsNotRunAgain(t *testing.T) {
+	b := newBench(t)
+	b.server("once", "a", backend.Stream(10, 5, 0, backend.Drop()))
+	second := b.server("once", "b", backend.Stream(10, 0, 0, nil))
+	got := b.do(http.MethodPost, "/once/1", prompt)
+	if got.err == nil || got.body != events(1, 5) {
+		t.Errorf("the stream ends as %q, %v", got.body, got.err)
+	}
+	b.expectRuns(second, 0)
+}
+
+func TestStreamIsResumedByCaller(t *testing.T) {
+	b := newBench(t)
+	b.server("report", "a", backend.Stream(10, 0, 0, nil))
+	got := b.do(http.MethodPost, "/report/1", func(r *http.Request) { prompt(r); r.Header.Set("Last-Event-Id", "6") })
+	b.expect(got, 200, events(7, 10))
+}
+
+func TestSilentEngineBeforeFirstEvent(t *testing.T) {
+	b := newBench(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { // takes one connection and no further ones
+		c, err := l.Accept()
+		if err == nil {
+			_ = l.Close()
+			time.Sleep(10 * time.Second)
+			_ = c.Close()
+		}
+	}()
+	b.register("gone", "report", "a", l.Addr().String())
+	b.server("report", "b", backend.After(0, backend.Stream(5, 0, 0, nil)))
+	started := time.Now()
+	got := b.do(http.MethodPost, "/report/1", func(r *http.Request) { r.Header.Set("X-Token-Usage", "800,90") })
+	b.expect(got, 200, events(1, 5))
+	if d := time.Since(started); d > 1500*time.Millisecond {
+		t.Errorf("the stream took %v", d)
+	}
+}
