--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -6,9 +6,10 @@
 //
 //	f := fleet.New(place)
 //	f.Set(fleet.Server{ID: "s1", Service: "orders", ...})
-//	m := f.Reserve(fleet.Query{Service: "orders", Now: now})
-//	defer m.Release()
-//	m.Succeeded(now, elapsed)
+//	q := fleet.Query{Service: "orders", Now: now}
+//	m := f.Reserve(q)
+//	defer m.Release(q, false)
+//	m.Succeeded(elapsed, now)
 package fleet
 
 import (
