--- a/cmd/entry/follow.go
+++ b/cmd/entry/follow.go
@@ -39,6 +39,7 @@
 	uptime   func() time.Duration
 	recorder relay.Recorder
 	take     func(v view)
+	took     func(event string, d time.Duration) // measures the calls
 	// returned is when the store answered again after a failure.
 	returned time.Time
 	// active tells whether this node is to ask the store at all.
@@ -90,11 +91,13 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(wait))
 	defer cancel()
 	var err error
+	began := time.Now()
 	if f.loaded {
 		v.page, err = f.store.Changes(ctx, f.table, f.since, feedWait)
 	} else {
 		v.page, err = f.store.Rows(ctx, f.table)
 	}
+	f.took("store "+f.table, time.Since(began))
 	if err != nil {
 		return v, err
 	}
--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -149,10 +149,12 @@
 
 func (n *Node) talk(p *peer, c *neighbour.Client) {
 	sent := uptime()
+	began := time.Now()
 	theirs, err := c.Exchange(n.news(p.host.Name, p.host.DataCentre), time.Now().Add(exchangeWait))
 	n.peers.mu.Lock()
 	p.talking = false
 	n.peers.mu.Unlock()
+	n.metrics.took("neighbour", time.Since(began))
 	if err == nil {
 		n.heard(theirs, sent)
 	}
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -92,7 +92,7 @@
 const serversGather = 100 * time.Millisecond
 
 func (n *Node) follower(table string, take func(view)) *follower {
-	return &follower{table: table, store: n.store, uptime: uptime, recorder: n.recorder, take: take, active: n.reads, clock: &freshness.StoreClock{}}
+	return &follower{table: table, store: n.store, uptime: uptime, recorder: n.recorder, take: take, took: n.metrics.took, active: n.reads, clock: &freshness.StoreClock{}}
 }
 
 // uptime reads a clock that goes on while the host is suspended.
