A stream whose deadline passes between two servers must not look whole

Cause: when the deadline passed in the pause before a further server was asked, goOn returned false without ending the stream; the handler returned, and net/http closed the part that the caller had as a whole answer. Ruled out: the stop (it only happened to run then). Test: TestDeadlineBetweenLegsLooksBroken, which failed each time before ('the stream ends as ...', <nil>). The stand-in's refusal echoes the request's id now, as servers do; without it it was passed over on a kept connection and the test missed the pause.

--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -367,7 +367,8 @@
 }
 
 // goOn decides whether a stream goes on at another server after a leg that did not
-// end it, and ends it if not.
+// end it. Before it returns false it has ended the stream: a handler that just returns
+// makes the part that the caller has look whole.
 func (s *stream) goOn(l *leg) bool {
 	if s.ctx.Err() != nil || s.callerLeft() {
 		s.fail("answer", "no server answered in time")
@@ -401,7 +402,10 @@
 		return false
 	}
 	if l.outcome == refused && !l.copied || l.outcome == notOffered && s.legs > len(s.tried) {
-		return s.pause(refusalPause) == nil
+		if s.pause(refusalPause) != nil {
+			s.fail("answer", "no server answered in time")
+			return false
+		}
 	}
 	return true
 }
--- a/test/relay/stream_test.go
+++ b/test/relay/stream_test.go
@@ -147,3 +147,14 @@
 		t.Errorf("the stream took %v", d)
 	}
 }
+
+// The deadline passes while a stream pauses before it asks the servers again: its
+// caller must not take the part that it has for the whole.
+func TestDeadlineBetweenLegsLooksBroken(t *testing.T) {
+	b := newBench(t)
+	b.server("report", "a", backend.Stream(10, 3, 0, backend.Drop()), backend.Refuse())
+	got := b.do(http.MethodPost, "/report/1", func(r *http.Request) { prompt(r); r.Header.Set("X-Deadline-Ms", "320") })
+	if got.err == nil || got.body != events(1, 3) {
+		t.Errorf("the stream ends as %q, %v", got.body, got.err)
+	}
+}
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -166,8 +166,8 @@
 
 // Refuse says that the request did not run.
 func Refuse() Step {
-	return func(c *Conn, _ *http.Request, _ []byte) bool {
-		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	return func(c *Conn, r *http.Request, _ []byte) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Request-Id"))
 		return err == nil
 	}
 }
