--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -201,7 +201,7 @@
 	}
 	r.Host = "test.example"
 	r.Header.Set("X-Request-Id", fmt.Sprintf("id-%d", time.Now().UnixNano()))
-	r.Header.Set("X-Deadline-Ms", "4000")
+	r.Header.Set("X-Deadline-Ms", "20000")
 	r.Header.Set("X-Token-Usage", "800,90")
 	r.Header.Set("Authorization", "Bearer "+key)
 	c := http.Client{Timeout: testWait}
