--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -91,7 +91,8 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	ip := fmt.Sprintf("127.77.%d.%d", lastHost.Add(1), 10+i)
+	// The process id keeps two runs on one machine apart.
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%150, lastHost.Add(1), 10+i)
 	n := &node{callers: ip + ":8740", readiness: ip + ":8749", front: f}
 	n.settings = filepath.Join(s.t.TempDir(), "entry.ini")
 	text := fmt.Sprintf(`[node]
