An address belongs to the server that started last; outages last until servers are back

Cause: engines of a data centre that crash together start again at their addresses under new ids, and the entries of the old ids stay for up to 3.6 s.

Tests: core/fleet TestAddressBelongsToNewestServer, TestOutageLastsUntilServersAreBack, both seen to fail before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -88,11 +88,28 @@
 		f.drop(m)
 	}
 	m = &Member{server: s}
+	f.supersede(m)
 	f.members[s.ID] = m
 	f.services[s.Service] = append(f.services[s.Service], m)
 	return true
 }
 
+// supersede marks the servers replaced that had a new one's address before it. The
+// entry of a server that crashed stays for some heartbeats after the next one has
+// registered at its address.
+func (f *Fleet) supersede(newest *Member) {
+	for _, m := range f.members {
+		if m.server.Address != newest.server.Address || m.server.StartedMS == 0 || newest.server.StartedMS == 0 {
+			continue
+		}
+		if m.server.StartedMS < newest.server.StartedMS {
+			m.Replaced()
+		} else {
+			newest.Replaced()
+		}
+	}
+}
+
 // Gone notes that a server's entry is missing; it gets no work from at on, unless
 // the entry comes back.
 func (f *Fleet) Gone(id string, at time.Time) bool {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -127,6 +127,48 @@
 	}
 }
 
+// A server that crashed starts again under a new id at its address. The entry of the
+// one before lasts for some heartbeats more; each request that goes there is refused.
+func TestAddressBelongsToNewestServer(t *testing.T) {
+	older := fleet.Server{ID: "before", Service: "orders", Address: "10.0.0.1:80", DataCentre: "a", Slots: 6, StartedMS: 1000}
+	newer := older
+	newer.ID, newer.StartedMS = "after", 2000
+	for name, order := range map[string][]fleet.Server{"older first": {older, newer}, "newer first": {newer, older}} {
+		f := fleet.New(place)
+		for _, s := range order {
+			f.Set(s)
+		}
+		if f.Find("before", start) != nil || f.Find("after", start) == nil {
+			t.Errorf("%s: the server that crashed is found, or the one after it isn't", name)
+		}
+	}
+	f := fleet.New(place)
+	unknown := older
+	unknown.StartedMS = 0
+	f.Set(unknown)
+	f.Set(newer)
+	if f.Find("before", start) == nil {
+		t.Error("a server of which it isn't known when it started is taken for gone")
+	}
+}
+
+// Servers that crashed together take 1.2 s and more to come back. Those that nothing
+// was heard of are not tried meanwhile, one after the other.
+func TestOutageLastsUntilServersAreBack(t *testing.T) {
+	f := fleet.New(place)
+	add(f, 12, "llm", "a", 12)
+	add(f, 12, "llm", "b", 12)
+	for i := range 3 {
+		f.Lost(f.Find(fmt.Sprintf("llm-a-%d", i), start), start)
+	}
+	for ms := 0; ms <= 1800; ms += 100 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if m := f.Reserve(prompt(now)); m.DataCentre() == "a" {
+			t.Fatalf("%s gets work %d ms after its neighbours crashed", m.ID(), ms)
+		}
+	}
+}
+
 func TestBackupIsElsewhere(t *testing.T) {
 	f := fleet.New(place)
 	add(f, 3, "llm", "a", 12)
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -11,6 +11,10 @@
 	outageWindow = time.Second
 	outageLeast  = 2
 	outagePart   = 0.25
+	// outageKept is how long after the last such loss the servers there that were not
+	// heard of are stayed away from: those that crashed take 1.2 s and more to come
+	// back, and each of them that is tried costs a request up to 400 ms.
+	outageKept = 2 * time.Second
 	// outageCost puts the servers of a data centre in an outage behind those of
 	// others, but for those that were heard of within aliveWindow.
 	outageCost  = 20 * time.Second
@@ -19,8 +23,9 @@
 
 // outages notes which servers were lost lately, by data centre and service.
 type outages struct {
-	mu   sync.Mutex
-	lost map[outageKey]map[string]time.Time
+	mu    sync.Mutex
+	lost  map[outageKey]map[string]time.Time
+	until map[outageKey]time.Time
 }
 
 type outageKey struct{ service, dataCentre string }
@@ -59,7 +64,20 @@
 // others there are likely lost too.
 func (f *Fleet) outage(k outageKey, members int, now time.Time) bool {
 	n := f.outages.count(k, now)
-	return n >= outageLeast && float64(n) >= outagePart*float64(members)
+	return f.outages.lasts(k, n >= outageLeast && float64(n) >= outagePart*float64(members), now)
+}
+
+// lasts notes that there is an outage, and tells whether there was one a moment ago.
+func (o *outages) lasts(k outageKey, is bool, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.until == nil {
+		o.until = make(map[outageKey]time.Time)
+	}
+	if is {
+		o.until[k] = now.Add(outageKept)
+	}
+	return now.Before(o.until[k])
 }
 
 // AloneLost tells whether a server was lost while the others of its data centre stayed:
