Nodes tell each other which servers they lost; fewer calls to the store; requests wait for a start

After all nodes were killed, requests of the first 100 ms got 503, which is the last try of callers who were cut.

--- a/cmd/entry/beliefs.go
+++ b/cmd/entry/beliefs.go
@@ -45,9 +45,17 @@
 		n.raw.Store(&rawConfiguration{revision: c.Revision(), value: value})
 		n.tell()
 	}
+	n.noteKnown()
 	n.recorder.Record("configuration", relay.Fields{"revision": c.Revision(), "newer": newer, "from": from})
 }
 
+// noteKnown notes that configuration and servers are known, if they are.
+func (n *Node) noteKnown() {
+	if n.holder.Catalog() != nil && n.registry.fact(0).Known {
+		n.knownOnce.Do(func() { close(n.known) })
+	}
+}
+
 type rawConfiguration struct {
 	revision uint64
 	value    []byte
@@ -105,6 +113,7 @@
 	if n.registry.prove(v.page.Version, v.as) {
 		n.tell()
 	}
+	n.noteKnown()
 }
 
 func (n *Node) takeServer(r platform.Row, now, gone time.Time) {
--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// nodesPeriod is how often the entry hosts are read, and nodesFirst how soon after the start.
-	nodesPeriod = 30 * time.Second
+	// nodesFirst is how soon after the start the entry hosts are read for the second
+	// time, when all that started together have registered, and nodesPeriod how often
+	// from then on, for each nodesPart of them: they hear of new ones from these.
 	nodesFirst  = time.Second
+	nodesPeriod = 30 * time.Second
+	nodesPart   = 8
 	nodesWait   = 2 * time.Second
 	// nodesAssumed is the number of nodes taken for granted before any is known.
 	nodesAssumed = 16
@@ -33,6 +36,13 @@
 	return len(d.hosts)
 }
 
+// known is the number of nodes known, 0 before any is.
+func (d *directory) known() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.hosts)
+}
+
 func (d *directory) set(hosts map[string]records.EntryHost) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -41,15 +51,19 @@
 
 // registerNode writes this node's row and reads those of the others.
 func (n *Node) registerNode(ctx context.Context) error {
-	registered := false
+	registered := n.writeNode(ctx)
+	n.readNodes(ctx)
+	n.meet(time.Now())
+	n.tell()
+	n.looked.Store(true)
 	wait := nodesFirst
 	for ctx.Err() == nil {
+		pause(ctx, wait)
 		if !registered {
 			registered = n.writeNode(ctx)
 		}
-		pause(ctx, wait)
 		if n.readNodes(ctx) {
-			wait = nodesPeriod
+			wait = nodesPeriod * time.Duration(max(1, n.nodes.known()/nodesPart))
 		}
 	}
 	return ctx.Err()
--- a/cmd/entry/follow.go
+++ b/cmd/entry/follow.go
@@ -20,9 +20,12 @@
 	feedGrace = time.Second
 	// rowsWait bounds the reading of a whole table.
 	rowsWait = 3 * time.Second
-	// pauses after a failure, drawn between these.
+	// pauses after a failure, drawn between these. They are for a few nodes; where more
+	// ask, each asks less often, up to failFewer times, as one answer serves all.
 	failPauseLeast = 100 * time.Millisecond
 	failPauseMost  = 300 * time.Millisecond
+	failNodes      = 8
+	failFewer      = 4
 )
 
 // view is what the store said about a table: all of it, or what has changed.
@@ -44,6 +47,8 @@
 	returned time.Time
 	// active tells whether this node is to ask the store at all.
 	active func() bool
+	// nodes is the number of nodes that know of each other.
+	nodes func() int
 	// gather is waited after an answer with changes, so that the next one has more.
 	gather  time.Duration
 	clock   *freshness.StoreClock
@@ -55,14 +60,18 @@
 // restPeriod is how often a follower that rests looks whether it is to go on.
 const restPeriod = 100 * time.Millisecond
 
+// run asks once at the start in any case: after all nodes were lost, none can tell
+// the others anything.
 func (f *follower) run(ctx context.Context) error {
+	asked := false
 	for ctx.Err() == nil {
-		if !f.active() {
+		if asked && !f.active() {
 			f.loaded = false
 			pause(ctx, restPeriod)
 			continue
 		}
 		v, err := f.ask(ctx)
+		asked = true
 		if err == nil {
 			f.answered()
 			f.take(v)
@@ -124,7 +133,8 @@
 		f.recorder.Record("store lost", relay.Fields{"table": f.table, "error": err.Error()})
 	}
 	f.store.Reset()
-	pause(ctx, failPauseLeast+rand.N(failPauseMost-failPauseLeast))
+	fewer := min(max(1, f.nodes()/failNodes), failFewer)
+	pause(ctx, time.Duration(fewer)*(failPauseLeast+rand.N(failPauseMost-failPauseLeast)))
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/cmd/entry/handing.go
+++ b/cmd/entry/handing.go
@@ -19,6 +19,9 @@
 	manyNodes = 24
 	// handedPause is between two times that a node is told.
 	handedPause = 500 * time.Millisecond
+	// lossPause is between two times that a node is told while servers get lost: a
+	// data centre's outage is over after little more than a second.
+	lossPause = 60 * time.Millisecond
 	// handedWithin is how old what is handed on may be.
 	handedWithin = 3 * time.Second
 	// silentAfter is after how long without a word another gateway is taken, and
@@ -93,7 +96,11 @@
 	}
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	if now.Sub(n.peers.handedTo[name]) < handedPause {
+	wait := handedPause
+	if n.losing(now) {
+		wait = lossPause
+	}
+	if now.Sub(n.peers.handedTo[name]) < wait {
 		return nil
 	}
 	n.peers.handedTo[name] = now
@@ -112,9 +119,22 @@
 	return all
 }
 
+// losing tells whether this node or one that it talks to has just lost servers.
+func (n *Node) losing(now time.Time) bool {
+	if len(n.fleet.Losses(now)) > 0 {
+		return true
+	}
+	for _, p := range n.peers.all {
+		if len(p.news.Lost) > 0 && now.Sub(p.heard) < liveWithin {
+			return true
+		}
+	}
+	return false
+}
+
 // ownDataCentre puts together what the nodes of this data centre have under way.
 func (n *Node) ownDataCentre(now time.Time) neighbour.Handed {
-	x := neighbour.Handed{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.Usage(now)}
+	x := neighbour.Handed{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.Usage(now), Lost: n.fleet.Losses(now)}
 	for _, p := range n.peers.all {
 		if p.host.DataCentre != n.settings.place.DataCentre || now.Sub(p.heard) > liveWithin {
 			continue
@@ -122,6 +142,7 @@
 		x.Nodes++
 		addWork(x.Work, p.news.Work)
 		addUsage(x.Usage, p.news.Usage)
+		addLosses(x.Lost, p.news.Lost, now.Sub(p.heard))
 	}
 	return x
 }
@@ -145,6 +166,15 @@
 	}
 }
 
+// addLosses adds what a node told of lost servers some time ago.
+func addLosses(sum, more map[string]time.Duration, ago time.Duration) {
+	for id, age := range more {
+		if s, known := sum[id]; !known || age+ago < s {
+			sum[id] = age + ago
+		}
+	}
+}
+
 // takeHanded takes what a node hands on.
 func (n *Node) takeHanded(all map[string]neighbour.Handed, now time.Time) {
 	for name, x := range all {
@@ -161,6 +191,7 @@
 		if newer {
 			n.fleet.Heard("data centre "+name, x.Work, at)
 			n.handler.Heard("data centre "+name, x.Usage, x.Nodes, at)
+			n.handler.HeardLost(x.Lost, at)
 		}
 	}
 }
--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -31,10 +31,16 @@
 	promptsTold = 800 * time.Millisecond
 	// liveWithin is within which a node must have been heard of to be counted on.
 	liveWithin = 1500 * time.Millisecond
-	// readAfter is the age of what other nodes tell from which on a node asks the
-	// store itself, and readOn how long it then goes on.
+	// readAfter is the age of what other nodes tell from which on the second node of
+	// a data centre asks the store itself. Each further one waits readEach longer, as
+	// all of them at once would be thousands of calls in a minute's outage. readOn is
+	// how long it then goes on.
 	readAfter = 1800 * time.Millisecond
+	readEach  = 250 * time.Millisecond
 	readOn    = time.Second
+	// lookWait is how long after its start a node waits for the list of the others
+	// before it asks the store a second time.
+	lookWait = 300 * time.Millisecond
 )
 
 // peer is another node.
@@ -112,9 +118,9 @@
 // that calls can tell how old the other's proofs are, and the first reads the store.
 // Urgent news go to all.
 func (n *Node) tellAll(now time.Time, urgent bool) {
+	n.meet(now)
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	n.peers.update(n.talksTo(now), now)
 	for _, p := range n.peers.all {
 		calls := urgent || n.settings.name > p.host.Name || now.Sub(p.heard) > liveWithin
 		if p.talking || !calls {
@@ -125,6 +131,13 @@
 	}
 }
 
+// meet makes the peers those nodes that this one is to talk to.
+func (n *Node) meet(now time.Time) {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	n.peers.update(n.talksTo(now), now)
+}
+
 // update makes the peers those of a list.
 func (p *peers) update(hosts []records.EntryHost, now time.Time) {
 	named := make(map[string]bool, len(hosts))
@@ -167,6 +180,7 @@
 	x := neighbour.News{
 		Host: n.self(), Handed: n.handFor(name, dataCentre, now), Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
 		Deaths: n.handler.Deaths(now), Configuration: n.configurationFact(up), Servers: n.registry.fact(up), Prompts: n.prompts.Since(now.Add(-promptsTold)),
+		Lost: n.fleet.Losses(now),
 	}
 	return x
 }
@@ -200,6 +214,7 @@
 		n.handler.Heard(x.Host.Name, x.Usage, 1, now)
 	}
 	n.handler.HeardDeaths(x.Deaths, now)
+	n.handler.HeardLost(x.Lost, now)
 	for prompt, server := range x.Prompts {
 		n.prompts.Heard(prompt, server, now)
 	}
@@ -324,26 +339,53 @@
 		}
 	}
 	n.registry.prove(x.Fact.Version, as)
+	n.noteKnown()
 }
 
 // reads tells whether this node asks the store: the first live one of each data
-// centre does, and each one that others don't tell enough.
+// centre does, and the others, one after the other, when they aren't told enough.
 func (n *Node) reads() bool {
 	now := time.Now()
 	up := uptime()
-	configuration, servers := n.configurationFact(up), n.registry.fact(up)
+	if !n.looked.Load() && up-n.started < lookWait {
+		return false
+	}
+	age := n.beliefAge(up)
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	if !configuration.Known || !servers.Known || configuration.Age > readAfter || servers.Age > readAfter {
+	before := n.readersBefore(now)
+	if age > readAfter+time.Duration(before-1)*readEach {
 		n.peers.readTill = now.Add(readOn)
 	}
-	if now.Before(n.peers.readTill) || n.draining.Load() {
-		return true
-	}
+	return before == 0 || now.Before(n.peers.readTill) || n.draining.Load()
+}
+
+// readersBefore counts the live nodes of this data centre that ask the store before
+// this one does. Where there are many, those that were just read of count as live, as
+// all that start together would ask else.
+func (n *Node) readersBefore(now time.Time) int {
+	before := 0
 	for _, p := range n.peers.all {
-		if p.host.DataCentre == n.settings.place.DataCentre && p.host.Name < n.settings.name && now.Sub(p.heard) < liveWithin && !p.news.Leaving {
-			return false
+		if p.host.DataCentre != n.settings.place.DataCentre || p.host.Name > n.settings.name || p.news.Leaving {
+			continue
+		}
+		if now.Sub(p.heard) < liveWithin || n.many() && now.Sub(p.since) < liveWithin {
+			before++
 		}
 	}
-	return true
+	return before
+}
+
+// beliefAge is how long ago what this node believes was proved. Before the operator
+// has written a configuration, that of the servers counts.
+func (n *Node) beliefAge(up time.Duration) time.Duration {
+	configuration, servers := n.configurationFact(up), n.registry.fact(up)
+	switch {
+	case !servers.Known:
+		return up - n.started
+	case configuration.Known:
+		return max(configuration.Age, servers.Age)
+	default:
+		return servers.Age
+	}
 }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -58,11 +58,16 @@
 	handler  *relay.Handler
 	servers  *follower
 
+	started time.Duration // by the uptime
+
 	raw       atomic.Pointer[rawConfiguration]
 	undecoded atomic.Bool // the newest configuration can't be read
 	beliefs   sync.Mutex  // held while what is known of servers changes
 	registry  registry
 	draining  atomic.Bool
+	looked    atomic.Bool   // the entry hosts were read, or could not be
+	known     chan struct{} // closed once configuration and servers are known
+	knownOnce sync.Once
 	drain     chan struct{}
 	drainOnce sync.Once
 	hosts     *records.Hosts
@@ -74,13 +79,13 @@
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
 		settings: s, journal: newJournal(out), metrics: newMetrics(), holder: freshness.New(), fleet: fleet.New(s.place), prompts: fleet.NewPrompts(), pool: http1.NewPool(),
-		store: platform.NewStore(s.platform, s.name), drain: make(chan struct{}),
+		store: platform.NewStore(s.platform, s.name), started: uptime(), known: make(chan struct{}), drain: make(chan struct{}),
 	}
 	n.hosts = records.NewHosts(platform.NewTable(n.store))
 	n.recorder = newRecorder(newLogger(n.journal, s.logLevel, s.name), n.metrics)
 	n.handler = relay.New(relay.Parts{
 		Dialect: platform.Dialect{}, Holder: n.holder, Fleet: n.fleet, Prompts: n.prompts, Pool: n.pool, Recorder: n.recorder, Bounds: s.bounds,
-		Uptime: uptime, Nodes: n.nodes.count, Placed: n.tell,
+		Uptime: uptime, Nodes: n.nodes.count, Urgent: n.tell, Known: n.known,
 	})
 	n.servers = n.follower(platform.ServersTable, n.takeServers)
 	n.servers.gather = serversGather
@@ -89,10 +94,10 @@
 }
 
 // serversGather gathers changes of servers, of which many come at a time.
-const serversGather = 100 * time.Millisecond
+const serversGather = 250 * time.Millisecond
 
 func (n *Node) follower(table string, take func(view)) *follower {
-	return &follower{table: table, store: n.store, uptime: uptime, recorder: n.recorder, take: take, took: n.metrics.took, active: n.reads, clock: &freshness.StoreClock{}}
+	return &follower{table: table, store: n.store, uptime: uptime, recorder: n.recorder, take: take, took: n.metrics.took, active: n.reads, nodes: n.nodes.known, clock: &freshness.StoreClock{}}
 }
 
 // uptime reads a clock that goes on while the host is suspended.
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -262,6 +262,13 @@
 	m.downs = 0
 }
 
+// heardSince tells whether the server sent something after a time.
+func (m *Member) heardSince(t time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heardAt.After(t)
+}
+
 // alive tells whether the server sent something a moment ago.
 func (m *Member) alive(now time.Time) bool {
 	m.mu.Lock()
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -45,11 +45,12 @@
 	Leaving       bool
 	Configuration Fact
 	Servers       Fact
-	Work          map[string]fleet.Work   // by server
-	Usage         map[string]repeat.Usage // by service
-	Prompts       map[string]string       // the servers that read prompts lately, by prompt
-	Deaths        []quarantine.Suspicion  // the servers that died lately, with what they ran
-	Handed        map[string]Handed       // what whole data centres have under way, handed on
+	Work          map[string]fleet.Work    // by server
+	Usage         map[string]repeat.Usage  // by service
+	Prompts       map[string]string        // the servers that read prompts lately, by prompt
+	Deaths        []quarantine.Suspicion   // the servers that died lately, with what they ran
+	Lost          map[string]time.Duration // how long ago the node lost servers, by server
+	Handed        map[string]Handed        // what whole data centres have under way, handed on
 }
 
 // Handed is what the nodes of a data centre have under way, put together by one of
@@ -57,8 +58,9 @@
 type Handed struct {
 	Nodes int
 	Age   time.Duration
-	Work  map[string]fleet.Work   // by server
-	Usage map[string]repeat.Usage // by service
+	Work  map[string]fleet.Work    // by server
+	Usage map[string]repeat.Usage  // by service
+	Lost  map[string]time.Duration // how long before the handing they lost servers, by server
 }
 
 // Configuration carries a configuration as the operator wrote it.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -50,14 +50,17 @@
 	Uptime func() time.Duration
 	// Nodes is the number of nodes that share bounds.
 	Nodes func() int
-	// Placed is called when a run was placed on an engine, of which other nodes
-	// should hear before they place theirs.
-	Placed func()
+	// Urgent is called when other nodes should hear the news at once: a run was placed
+	// on an engine, or a server was lost.
+	Urgent func()
+	// Known is closed once configuration and servers are known for the first time.
+	Known <-chan struct{}
 }
 
 // Handler answers callers.
 type Handler struct {
 	Parts
+	started  time.Time
 	draining atomic.Pointer[drain]
 	running  atomic.Int64
 	waits    *waits
@@ -68,7 +71,7 @@
 
 // New returns a handler.
 func New(p Parts) *Handler {
-	h := &Handler{Parts: p, budgets: make(map[string]*repeat.Budget)}
+	h := &Handler{Parts: p, started: time.Now(), budgets: make(map[string]*repeat.Budget)}
 	h.waits = newWaits(h)
 	h.deaths = newDeaths(h)
 	return h
@@ -168,6 +171,7 @@
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), call: h.Dialect.Call(r.Header), tried: make(map[string]bool)}
+	x.awaitStart()
 	if err := x.admit(); err != nil {
 		x.refuse(err)
 		return
@@ -191,6 +195,25 @@
 	x.plain()
 }
 
+// startWait is how long after its start a node lets requests wait for its first
+// answers from the store, which come within some ten milliseconds.
+const startWait = 300 * time.Millisecond
+
+// awaitStart waits while a node that has just started reads configuration and servers.
+func (x *exchange) awaitStart() {
+	left := startWait - x.arrived.Sub(x.h.started)
+	if left <= 0 {
+		return
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-x.h.Known:
+	case <-t.C:
+	case <-x.r.Context().Done():
+	}
+}
+
 // The times after which a caller is told to come back.
 const (
 	retryUnready = 500 * time.Millisecond
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -136,7 +136,7 @@
 	s.legs++
 	s.tried[l.member.ID()] = true
 	s.h.Prompts.Note(s.call.Prompt, l.member.ID(), l.started)
-	s.h.Placed()
+	s.h.Urgent()
 	defer func() { l.member.Release(l.query, l.begun) }()
 	s.converse(l)
 	s.note(l)
--- a/io/relay/waits.go
+++ b/io/relay/waits.go
@@ -103,7 +103,9 @@
 		return
 	}
 	w.h.Recorder.Record("server silent", Fields{"server": m.ID(), "address": m.Address(), "error": err.Error()})
-	w.h.Fleet.Lost(m, time.Now())
+	if w.h.Fleet.Lost(m, time.Now()) {
+		w.h.Urgent()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for l := range w.legs {
@@ -116,6 +118,20 @@
 // lost notes a server that could not be reached or whose connection ended, and
 // doubts its neighbours.
 func (h *Handler) lost(m *fleet.Member, now time.Time) {
-	h.Fleet.Lost(m, now)
+	if h.Fleet.Lost(m, now) {
+		h.Urgent()
+	}
 	h.waits.doubt(m)
 }
+
+// HeardLost takes the servers that another node has lost, and doubts their
+// neighbours.
+func (h *Handler) HeardLost(losses map[string]time.Duration, now time.Time) {
+	doubted := make(map[string]bool)
+	for _, m := range h.Fleet.HeardLost(losses, now) {
+		if !doubted[m.DataCentre()] {
+			doubted[m.DataCentre()] = true
+			h.waits.doubt(m)
+		}
+	}
+}
--- a/test/entry/belief_test.go
+++ b/test/entry/belief_test.go
@@ -141,6 +141,25 @@
 	}
 }
 
+// A node that has just started reads what it needs before it refuses anything.
+func TestRequestsWaitForTheStart(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	s.server("s1", "orders", backend.Answer(200, "ok"))
+	n := s.nodes[0]
+	s.awaitStatus(n, "/buy/1", "key-1", 200, testWait)
+	s.store.Delay(100 * time.Millisecond)
+	n.Kill()
+	if err := n.Start(); err != nil {
+		t.Fatal(err)
+	}
+	status := 0
+	s.await("an answer", testWait, func() bool { status, _ = n.do("/buy/1", "key-1"); return status != 0 })
+	if status != 200 {
+		t.Errorf("the first request after a start gives %d", status)
+	}
+}
+
 func TestLeavingServerGetsNoWork(t *testing.T) {
 	for name, leave := range map[string]func(s *system, address string){
 		"draining": func(s *system, address string) { s.register("s1", "orders", address, "draining") },
--- a/test/relay/relay_test.go
+++ b/test/relay/relay_test.go
@@ -82,7 +82,7 @@
 		Dialect: platform.Dialect{}, Holder: b.holder, Fleet: b.fleet, Prompts: fleet.NewPrompts(), Pool: http1.NewPool(), Recorder: b,
 		Bounds: relay.Bounds{Apply: 2500 * time.Millisecond, Revoke: 5 * time.Second, Repeat: repeat.Bound{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime: func() time.Duration { b.mu.Lock(); defer b.mu.Unlock(); return b.uptime },
-		Nodes:  func() int { return 1 }, Placed: func() {},
+		Nodes:  func() int { return 1 }, Urgent: func() {}, Known: closed(),
 	})
 	b.front = httptest.NewServer(b.handler)
 	t.Cleanup(func() {
@@ -167,3 +167,9 @@
 		b.t.Errorf("%d requests reached the server, not %d", got, n)
 	}
 }
+
+func closed() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
--- a/test/relay/stream_test.go
+++ b/test/relay/stream_test.go
@@ -124,13 +124,15 @@
 	b.expect(got, 200, events(7, 10))
 }
 
-func TestSilentEngineBeforeFirstEvent(t *testing.T) {
-	b := newBench(t)
+// silent registers a server that takes one connection, says nothing, and takes no
+// further ones.
+func (b *bench) silent(id string) {
+	b.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		b.t.Fatal(err)
 	}
-	go func() { // takes one connection and no further ones
+	go func() {
 		c, err := l.Accept()
 		if err == nil {
 			_ = l.Close()
@@ -138,7 +140,27 @@
 			_ = c.Close()
 		}
 	}()
-	b.register("gone", "report", "a", l.Addr().String())
+	b.register(id, "report", "a", l.Addr().String())
+}
+
+// Another node tells that it lost the server that a stream waits for, long before
+// the prompt would have been read.
+func TestServerThatOthersLostIsDoubted(t *testing.T) {
+	b := newBench(t)
+	b.silent("gone")
+	b.server("report", "b", backend.Stream(5, 0, 0, nil))
+	started := time.Now()
+	time.AfterFunc(200*time.Millisecond, func() { b.handler.HeardLost(map[string]time.Duration{"gone": 0}, time.Now()) })
+	got := b.do(http.MethodPost, "/report/1", prompt)
+	b.expect(got, 200, events(1, 5))
+	if d := time.Since(started); d > time.Second {
+		t.Errorf("the stream took %v", d)
+	}
+}
+
+func TestSilentEngineBeforeFirstEvent(t *testing.T) {
+	b := newBench(t)
+	b.silent("gone")
 	b.server("report", "b", backend.After(0, backend.Stream(5, 0, 0, nil)))
 	started := time.Now()
 	got := b.do(http.MethodPost, "/report/1", func(r *http.Request) { r.Header.Set("X-Token-Usage", "800,90") })
