Find prompts again after nodes were lost: engines tell what they keep, neighbours what was read

A single node that starts anew heard only of the last 0.8 s. Now: each engine is asked once, by two nodes of its data centre after their start, which prompts it keeps (one question each, priced as a probe); nodes that have just started are told all prompts of 30 s; resumed streams wait for that for up to 0.7 s after the start.

--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -29,6 +29,8 @@
 	fetchWait     = time.Second
 	// promptsTold is how long it is told which server read a prompt.
 	promptsTold = 800 * time.Millisecond
+	// youngFor is how long after its start a node is told of all prompts.
+	youngFor = time.Second
 	// liveWithin is within which a node must have been heard of to be counted on.
 	liveWithin = 1500 * time.Millisecond
 	// readAfter is the age of what other nodes tell from which on the second node of
@@ -177,14 +179,26 @@
 func (n *Node) news(name, dataCentre string) neighbour.News {
 	now := time.Now()
 	up := uptime()
+	promptsFrom := now.Add(-promptsTold)
+	if n.tellsAll(name, now) {
+		promptsFrom = time.Time{}
+	}
 	x := neighbour.News{
-		Host: n.self(), Handed: n.handFor(name, dataCentre, now), Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
-		Deaths: n.handler.Deaths(now), Configuration: n.configurationFact(up), Servers: n.registry.fact(up), Prompts: n.prompts.Since(now.Add(-promptsTold)),
+		Host: n.self(), Young: up-n.started < youngFor, Handed: n.handFor(name, dataCentre, now), Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.Usage(now),
+		Deaths: n.handler.Deaths(now), Configuration: n.configurationFact(up), Servers: n.registry.fact(up), Prompts: n.prompts.Since(promptsFrom),
 		Lost: n.fleet.Losses(now),
 	}
 	return x
 }
 
+// tellsAll tells whether a node is to hear of all prompts: it has just started.
+func (n *Node) tellsAll(name string, now time.Time) bool {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	p := n.peers.all[name]
+	return p != nil && p.news.Young && now.Sub(p.heard) < liveWithin
+}
+
 func (n *Node) configurationFact(up time.Duration) neighbour.Fact {
 	c, age := n.holder.View(up)
 	if c == nil || age == freshness.Unproven {
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -145,6 +145,7 @@
 	g.Add(func() error { return n.registerNode(ctx) }, halt)
 	g.Add(func() error { return n.tidy(ctx) }, halt)
 	g.Add(func() error { return n.exchange(ctx) }, halt)
+	g.Add(func() error { return n.findPrompts(ctx) }, halt)
 	if err := n.addNeighbours(&g); err != nil {
 		return err
 	}
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -153,6 +153,15 @@
 	return s, found
 }
 
+// Services returns all services.
+func (c *Catalog) Services() []Service {
+	all := make([]Service, 0, len(c.services))
+	for _, s := range c.services {
+		all = append(all, s)
+	}
+	return all
+}
+
 // Organisation returns the holder of a key.
 func (c *Catalog) Organisation(key string) (Organisation, bool) {
 	o, found := c.keys[key]
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -119,6 +119,20 @@
 	return m != nil && m.gone(at)
 }
 
+// Of returns the servers of a service in a data centre that may get work.
+func (f *Fleet) Of(service, dataCentre string, now time.Time) []*Member {
+	f.mu.RLock()
+	all := f.services[service]
+	f.mu.RUnlock()
+	var found []*Member
+	for _, m := range all {
+		if m.DataCentre() == dataCentre && m.usable(now) {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
 // IDs returns the ids of all servers.
 func (f *Fleet) IDs() []string {
 	f.mu.RLock()
--- a/core/fleet/prompts.go
+++ b/core/fleet/prompts.go
@@ -39,6 +39,14 @@
 	p.note(prompt, readAt{server: server, at: now, own: true})
 }
 
+// Found remembers that a server keeps a prompt, as it told this node, unless
+// something is known of the prompt.
+func (p *Prompts) Found(prompt, server string, now time.Time) {
+	if p.Server(prompt, now) == "" {
+		p.note(prompt, readAt{server: server, at: now, own: true})
+	}
+}
+
 // Heard remembers that a server reads a prompt, as another node told.
 func (p *Prompts) Heard(prompt, server string, now time.Time) {
 	p.note(prompt, readAt{server: server, at: now})
--- a/core/membership/rank.go
+++ b/core/membership/rank.go
@@ -41,3 +41,14 @@
 	}
 	return ranked
 }
+
+// Among tells whether a name is among the first n of names in the rendezvous order of
+// key.
+func Among(names []string, key, name string, n int) bool {
+	for i, x := range Rank(names, func(s string) string { return s }, key) {
+		if x == name {
+			return i < n
+		}
+	}
+	return false
+}
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -43,6 +43,7 @@
 type News struct {
 	Host          records.EntryHost
 	Leaving       bool
+	Young         bool // the node has just started and knows little
 	Configuration Fact
 	Servers       Fact
 	Work          map[string]fleet.Work    // by server
--- a/io/relay/dialect.go
+++ b/io/relay/dialect.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cicadabeam/core/fleet"
+	"cicadabeam/io/http1"
 )
 
 // Call is what a caller says about its request.
@@ -61,6 +62,9 @@
 	Reply(r *http.Response) Reply
 	// RequestID returns the id of the request that an answer belongs to.
 	RequestID(h http.Header) string
+	// HeldRequest asks an engine which prompts it keeps, and Held reads its answer.
+	HeldRequest() *http1.Request
+	Held(body []byte) ([]string, error)
 }
 
 // Fields are the inputs and the outcome of a decision.
--- /dev/null
+++ b/io/relay/held.go
@@ -0,0 +1,78 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/fleet"
+	"cicadabeam/io/http1"
+)
+
+const (
+	// heldWait bounds the question to an engine which prompts it keeps.
+	heldWait = 400 * time.Millisecond
+	// heldAnswer bounds its answer.
+	heldAnswer = 1 << 20
+	// returnWait is how long after a node's start a stream that is resumed waits until
+	// it is known which engine keeps its prompt: reading it again takes a second.
+	returnWait  = 700 * time.Millisecond
+	returnPause = 10 * time.Millisecond
+)
+
+// AskHeld asks an engine which prompts it keeps in its memory, and notes them.
+func (h *Handler) AskHeld(ctx context.Context, m *fleet.Member) error {
+	deadline := time.Now().Add(heldWait)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	c, err := h.Pool.Get(ctx, m.Address(), http1.Reuse)
+	if err != nil {
+		return err
+	}
+	prompts, err := h.held(c, deadline)
+	if err != nil {
+		c.Close()
+		return errors.Wrapf(err, "ask %s for its prompts", m.ID())
+	}
+	h.Pool.Put(c)
+	now := time.Now()
+	m.Heard(now)
+	for _, p := range prompts {
+		h.Prompts.Found(p, m.ID(), now)
+	}
+	h.Recorder.Record("prompts found", Fields{"server": m.ID(), "prompts": len(prompts)})
+	return nil
+}
+
+func (h *Handler) held(c *http1.Conn, deadline time.Time) ([]string, error) {
+	if err := c.Send(h.Dialect.HeldRequest(), deadline); err != nil {
+		return nil, err
+	}
+	r, err := c.Head(http.MethodGet, "", func(http.Header) string { return "" }, deadline)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, heldAnswer))
+	if err != nil {
+		return nil, errors.Wrap(err, "read")
+	}
+	if r.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %d", r.StatusCode)
+	}
+	return h.Dialect.Held(body)
+}
+
+// awaitPrompt waits, shortly after the node's start, until it is known which engine
+// keeps the prompt of a stream that is resumed.
+func (x *exchange) awaitPrompt() {
+	if x.call.LastEvent == 0 || x.call.Prompt == "" {
+		return
+	}
+	end := x.h.started.Add(returnWait)
+	for time.Now().Before(end) && x.ctx.Err() == nil && x.h.Prompts.Server(x.call.Prompt, time.Now()) == "" {
+		time.Sleep(returnPause)
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -65,6 +65,7 @@
 
 // stream passes a stream of events on.
 func (x *exchange) stream() {
+	x.awaitPrompt()
 	s := &stream{exchange: x, last: x.call.LastEvent}
 	for {
 		l := s.next()
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -195,7 +195,7 @@
 }
 
 // do sends a request to a node. The status is 0 if there is no answer.
-func (n *node) do(path, key string) (int, http.Header) {
+func (n *node) do(path, key string, change ...func(r *http.Request)) (int, http.Header) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+n.callers+path, http.NoBody)
 	if err != nil {
 		return 0, nil
@@ -205,6 +205,9 @@
 	r.Header.Set("X-Deadline-Ms", "20000")
 	r.Header.Set("X-Token-Usage", "800,90")
 	r.Header.Set("Authorization", "Bearer "+key)
+	for _, f := range change {
+		f(r)
+	}
 	c := http.Client{Timeout: testWait}
 	defer c.CloseIdleConnections()
 	response, err := c.Do(r)
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -214,6 +215,21 @@
 	}
 }
 
+// Keeping answers the question which prompts an engine keeps, and all else by a step.
+func Keeping(prompts []string, s Step) Step {
+	held := make([][]any, 0, len(prompts))
+	for _, p := range prompts {
+		held = append(held, []any{"", p, 8000, "m"})
+	}
+	body, _ := json.Marshal(map[string]any{"epoch": 1, "Next": 1, "held": held, "born": 5})
+	return func(c *Conn, r *http.Request, b []byte) bool {
+		if r.URL.Path == "/v1/kv-list" {
+			return Answer(http.StatusOK, string(body))(c, r, b)
+		}
+		return s(c, r, b)
+	}
+}
+
 // Then writes more bytes after a step.
 func Then(s Step, text string) Step {
 	return func(c *Conn, r *http.Request, body []byte) bool {
