--- a/test/entry/belief_test.go
+++ b/test/entry/belief_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -141,6 +142,17 @@
 	}
 }
 
+// A node whose row is gone registers again: another one took it for lost.
+func TestNodeRegistersAgain(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	row := func() bool { return slices.Contains(s.store.Keys("nodes"), "node-0") }
+	s.await("registered", testWait, row)
+	time.Sleep(1500 * time.Millisecond) // the nodes were read twice
+	s.store.Remove("nodes", "node-0")
+	s.await("registered again", 40*time.Second, row)
+}
+
 // A node that has just started reads what it needs before it refuses anything.
 func TestRequestsWaitForTheStart(t *testing.T) {
 	t.Parallel()
