--- a/test/entry/belief_test.go
+++ b/test/entry/belief_test.go
@@ -87,7 +87,7 @@
 			if status != 503 || header.Get("Retry-After") == "" {
 				t.Errorf("without proof the status is %d, Retry-After %q", status, header.Get("Retry-After"))
 			}
-			s.await("not ready without proof", time.Second, func() bool { return !s.nodes[0].ready() })
+			s.await("not ready without proof", time.Second, func() bool { return !s.nodes[0].Ready() })
 		})
 	}
 }
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -8,23 +8,21 @@
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"cicadabeam/test/cluster"
+	"cicadabeam/test/entryhost"
 	"cicadabeam/test/standin/backend"
 	"cicadabeam/test/standin/store"
 )
 
 // The bounds that the nodes are told, as in the deployments.
 const (
-	applyBound  = 2500 * time.Millisecond
-	revokeBound = 5 * time.Second
-	drainBound  = 2500 * time.Millisecond
-	graceBound  = 8 * time.Second
+	applyBound  = entryhost.Apply
+	revokeBound = entryhost.Revoke
+	drainBound  = entryhost.Drain
+	graceBound  = entryhost.Grace
 	testWait    = 15 * time.Second
 )
 
@@ -39,10 +37,7 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "cicadabeam")
-	build := exec.Command("go", "build", "-o", binary, "cicadabeam/cmd/cicadabeam")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	if binary, err = entryhost.Build(dir); err != nil {
 		fmt.Fprintln(os.Stderr, "build:", err)
 		return 1
 	}
@@ -57,15 +52,10 @@
 }
 
 type node struct {
-	*cluster.Process
-	callers   string
-	readiness string
-	settings  string
-	front     *store.Front
+	*entryhost.Host
+	front *store.Front
 }
 
-var lastHost atomic.Int32
-
 // start starts nodes in data centres a, b, a, b and so on.
 func start(t *testing.T, nodes int) *system {
 	t.Helper()
@@ -80,7 +70,7 @@
 		s.nodes = append(s.nodes, s.node(i))
 	}
 	for _, n := range s.nodes {
-		s.await(n.Name()+" is ready", testWait, n.ready)
+		s.await(n.Name()+" is ready", testWait, n.Ready)
 	}
 	return s
 }
@@ -91,37 +81,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	// The process id keeps two runs on one machine apart.
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%150, lastHost.Add(1), 10+i)
-	n := &node{callers: ip + ":8740", readiness: ip + ":8749", front: f}
-	n.settings = filepath.Join(s.t.TempDir(), "entry.ini")
-	text := fmt.Sprintf(`[node]
-name = node-%d
-data-centre = %s
-[listen]
-callers = %s
-readiness = %s
-neighbours = %s:8720
-metrics = %s:8721
-[platform]
-address = %s
-[bounds]
-apply = 2500ms
-strict-revocation = yes
-revoke = 5000ms
-grace = 8s
-repeat-ratio = 0.8
-repeat-window = 10s
-repeat-extra = 150
-[data-centre a]
-region = north
-[data-centre b]
-region = north
-`, i, []string{"a", "b"}[i%2], n.callers, n.readiness, ip, ip, f.Address())
-	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
+	h, err := entryhost.New(binary, s.t.TempDir(), fmt.Sprintf("node-%d", i), []string{"a", "b"}[i%2], f.Address())
+	if err != nil {
 		s.t.Fatal(err)
 	}
-	n.Process = cluster.NewProcess(fmt.Sprintf("node-%d", i), binary, filepath.Join(s.t.TempDir(), "output"), "entry", "--settings", n.settings)
+	n := &node{Host: h, front: f}
 	if err := n.Start(); err != nil {
 		s.t.Fatal(err)
 	}
@@ -135,16 +99,6 @@
 	return n
 }
 
-func (n *node) ready() bool {
-	c := http.Client{Timeout: time.Second}
-	r, err := c.Get("http://" + n.readiness + "/v1/readyz")
-	if err != nil {
-		return false
-	}
-	_ = r.Body.Close()
-	return r.StatusCode == http.StatusOK
-}
-
 func (s *system) await(what string, most time.Duration, holds func() bool) {
 	s.t.Helper()
 	if !cluster.Await(most, holds) {
@@ -196,7 +150,7 @@
 
 // do sends a request to a node. The status is 0 if there is no answer.
 func (n *node) do(path, key string, change ...func(r *http.Request)) (int, http.Header) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+n.callers+path, http.NoBody)
+	r, err := http.NewRequest(http.MethodPost, "http://"+n.Callers()+path, http.NoBody)
 	if err != nil {
 		return 0, nil
 	}
--- a/test/entry/prompts_test.go
+++ b/test/entry/prompts_test.go
@@ -56,7 +56,7 @@
 	n := s.nodes[0]
 	s.awaitStatus(n, "/report/1", "key-1", 200, testWait)
 	n.restart(t)
-	s.await("ready", testWait, n.ready)
+	s.await("ready", testWait, n.Ready)
 	for i, e := range engines {
 		before := streams(e)
 		if status, _ := n.do("/report/1", "key-1", resumed(name(i))); status != 200 {
@@ -86,7 +86,7 @@
 	}
 	time.Sleep(1500 * time.Millisecond) // longer than the prompts are told to all
 	starts.restart(t)
-	s.await("ready", testWait, starts.ready)
+	s.await("ready", testWait, starts.Ready)
 	time.Sleep(500 * time.Millisecond)
 	before := streams(readsAll)
 	for i := range prompts {
--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -29,7 +29,7 @@
 	time.Sleep(200 * time.Millisecond)
 	stopped := time.Now()
 	n.Terminate()
-	s.await("not ready", time.Second, func() bool { return !n.ready() })
+	s.await("not ready", time.Second, func() bool { return !n.Ready() })
 	for range 2 {
 		if status := <-results; status != 200 {
 			t.Errorf("a request under way ended with %d", status)
@@ -54,7 +54,7 @@
 	s.server("s1", "llm", backend.Stream(10000, 0, 20*time.Millisecond, nil))
 	n := s.nodes[0]
 	s.await("the server is known", testWait, func() bool {
-		c, err := net.Dial("tcp", n.callers)
+		c, err := net.Dial("tcp", n.Callers())
 		if err != nil {
 			return false
 		}
@@ -93,7 +93,7 @@
 			t.Errorf("a node that knows nothing says %d to %s", status, path)
 		}
 	}
-	if n.ready() {
+	if n.Ready() {
 		t.Error("a node that knows nothing is ready")
 	}
 	s.store.Fail(store.Well)
@@ -110,7 +110,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = reader.Close() }()
-	c := exec.Command(binary, "entry", "--settings", n.settings)
+	c := exec.Command(binary, "entry", "--settings", n.Settings())
 	c.Stdout = writer
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
@@ -148,7 +148,7 @@
 	s.server("s1", "orders", backend.Answer(200, "ok"))
 	n := s.nodes[0]
 	s.awaitStatus(n, "/r1/", "", 200, testWait)
-	if err := os.WriteFile(n.settings, []byte("[node]\n"), 0o600); err != nil {
+	if err := os.WriteFile(n.Settings(), []byte("[node]\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	n.Signal(syscall.SIGHUP)
--- /dev/null
+++ b/test/entryhost/host.go
@@ -0,0 +1,103 @@
+// Package entryhost runs entry hosts as processes, each at an IP number of its own, as
+// on the users' platform.
+//
+// # Usage
+//
+//	binary, err := entryhost.Build(dir)
+//	h, err := entryhost.New(binary, dir, "node-0", "a", store.Address())
+//	err = h.Start()
+//	h.Ready()
+package entryhost
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"cicadabeam/test/cluster"
+)
+
+// The bounds that hosts are told, as in the deployments.
+const (
+	Apply  = 2500 * time.Millisecond
+	Revoke = 5 * time.Second
+	Drain  = 2500 * time.Millisecond
+	Grace  = 8 * time.Second
+)
+
+// Host is an entry host.
+type Host struct {
+	*cluster.Process
+	callers   string
+	readiness string
+	settings  string
+}
+
+var lastHost atomic.Int32
+
+// Build builds the program and returns its path.
+func Build(dir string) (string, error) {
+	binary := filepath.Join(dir, "cicadabeam")
+	build := exec.Command("go", "build", "-o", binary, "cicadabeam/cmd/cicadabeam")
+	build.Stderr = os.Stderr
+	return binary, build.Run()
+}
+
+// New writes the settings of a host that is not started. dir takes them and what the
+// host prints.
+func New(binary, dir, name, dataCentre, store string) (*Host, error) {
+	// The process id keeps two runs on one machine apart.
+	n := lastHost.Add(1)
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%150, n/200, 10+n%200)
+	h := &Host{callers: ip + ":8740", readiness: ip + ":8749", settings: filepath.Join(dir, name+".ini")}
+	text := fmt.Sprintf(`[node]
+name = %s
+data-centre = %s
+[listen]
+callers = %s
+readiness = %s
+neighbours = %s:8720
+metrics = %s:8721
+[platform]
+address = %s
+[bounds]
+apply = %s
+strict-revocation = yes
+revoke = %s
+grace = %s
+repeat-ratio = 0.8
+repeat-window = 10s
+repeat-extra = 150
+[data-centre a]
+region = north
+[data-centre b]
+region = north
+`, name, dataCentre, h.callers, h.readiness, ip, ip, store, Apply, Revoke, Grace)
+	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	h.Process = cluster.NewProcess(name, binary, filepath.Join(dir, name+".log"), "entry", "--settings", h.settings)
+	return h, nil
+}
+
+// Callers returns the address for callers.
+func (h *Host) Callers() string { return h.callers }
+
+// Settings returns the path of the settings.
+func (h *Host) Settings() string { return h.settings }
+
+// Ready asks the host whether it is ready.
+func (h *Host) Ready() bool {
+	c := http.Client{Timeout: time.Second}
+	defer c.CloseIdleConnections()
+	r, err := c.Get("http://" + h.readiness + "/v1/readyz")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
