--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 BIN := bin
+SEEDS := 1000-1009
 
-.PHONY: build demo test lint bench experiment model fuzz clean
+.PHONY: build demo test lint bench experiment soak model fuzz clean
 
 build:
 	go build -o $(BIN)/ cicadabeam/cmd/cicadabeam cicadabeam/test/cmd/standin cicadabeam/tools/demo cicadabeam/tools/bench
@@ -28,6 +29,9 @@
 	go run cicadabeam/tools/experiment --load kiosks --a all --b choose
 	go run cicadabeam/tools/experiment --load forge --a all --b none
 
+soak:
+	cd test && SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=20 go test -count=1 -parallel 4 -timeout 60m ./soak -v
+
 model:
 	cd core && MODEL=1 go test -count=1 ./claim -rapid.checks=200000
 
