Notice streams whose answer was lost while their server lives

Now: a wait ends when another server is known to have the address, and when an engine that is asked for its runs, long after a first event is late, has made events of the run or does nothing at all. A run whose answer was lost goes on from its copy.

--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -53,6 +53,8 @@
 	heard   time.Time
 	since   time.Time // when it became one that this node talks to
 	talking bool
+	lost    bool  // it was noted that nothing is heard of it
+	failure error // of the last exchange
 }
 
 // peers holds the other nodes.
@@ -124,6 +126,7 @@
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
 	for _, p := range n.peers.all {
+		n.noteLost(p, now)
 		calls := urgent || n.settings.name > p.host.Name || now.Sub(p.heard) > liveWithin
 		if p.talking || !calls {
 			continue
@@ -133,6 +136,19 @@
 	}
 }
 
+// noteLost notes once that nothing is heard of a node any more.
+func (n *Node) noteLost(p *peer, now time.Time) {
+	if p.lost || p.heard.IsZero() || now.Sub(p.heard) <= liveWithin {
+		return
+	}
+	p.lost = true
+	f := relay.Fields{"peer": p.host.Name, "silent_ms": now.Sub(p.heard).Milliseconds()}
+	if p.failure != nil {
+		f["error"] = p.failure.Error()
+	}
+	n.recorder.Record("node lost", f)
+}
+
 // meet makes the peers those nodes that this one is to talk to.
 func (n *Node) meet(now time.Time) {
 	n.peers.mu.Lock()
@@ -168,6 +184,7 @@
 	theirs, err := c.Exchange(n.news(p.host.Name, p.host.DataCentre), time.Now().Add(exchangeWait))
 	n.peers.mu.Lock()
 	p.talking = false
+	p.failure = err
 	n.peers.mu.Unlock()
 	n.metrics.took("neighbour", time.Since(began))
 	if err == nil {
@@ -236,7 +253,7 @@
 	p := n.peers.all[x.Host.Name]
 	joined := p != nil && now.Sub(p.heard) > liveWithin
 	if p != nil {
-		p.news, p.heard = x, now
+		p.news, p.heard, p.lost = x, now, false
 	}
 	n.peers.mu.Unlock()
 	if p == nil {
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -64,6 +64,7 @@
 	undecoded atomic.Bool // the newest configuration can't be read
 	beliefs   sync.Mutex  // held while what is known of servers changes
 	registry  registry
+	pulse     freshness.Pulse
 	draining  atomic.Bool
 	looked    atomic.Bool   // the entry hosts were read, or could not be
 	known     chan struct{} // closed once configuration and servers are known
@@ -85,7 +86,7 @@
 	n.recorder = newRecorder(newLogger(n.journal, s.logLevel, s.name), n.metrics)
 	n.handler = relay.New(relay.Parts{
 		Dialect: platform.Dialect{}, Holder: n.holder, Fleet: n.fleet, Prompts: n.prompts, Pool: n.pool, Recorder: n.recorder, Bounds: s.bounds,
-		Uptime: uptime, Nodes: n.nodes.count, Urgent: n.tell, Known: n.known,
+		Uptime: uptime, Nodes: n.nodes.count, Urgent: n.tell, Pulse: &n.pulse, Known: n.known,
 	})
 	n.servers = n.follower(platform.ServersTable, n.takeServers)
 	n.servers.gather = serversGather
@@ -144,6 +145,7 @@
 	g.Add(func() error { return n.servers.run(ctx) }, halt)
 	g.Add(func() error { return n.registerNode(ctx) }, halt)
 	g.Add(func() error { return n.tidy(ctx) }, halt)
+	g.Add(func() error { return n.beat(ctx) }, halt)
 	g.Add(func() error { return n.exchange(ctx) }, halt)
 	g.Add(func() error { return n.findPrompts(ctx) }, halt)
 	if err := n.addNeighbours(&g); err != nil {
@@ -202,6 +204,15 @@
 	return m
 }
 
+// beat notes again and again that the process runs.
+func (n *Node) beat(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.pulse.Beat(uptime())
+		pause(ctx, freshness.PulsePeriod)
+	}
+	return ctx.Err()
+}
+
 // tidy forgets what is over.
 func (n *Node) tidy(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -333,6 +333,13 @@
 	m.replaced = true
 }
 
+// Superseded tells whether another server is known to have the address.
+func (m *Member) Superseded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.replaced
+}
+
 // Take counts a request on this very server, if it may get work.
 func (m *Member) Take(q Query) bool {
 	q.Connections = 0
--- a/io/relay/dialect.go
+++ b/io/relay/dialect.go
@@ -49,6 +49,13 @@
 	HasLoad bool
 }
 
+// Report is an engine's word about its work, some hundred milliseconds old.
+type Report struct {
+	Queued int
+	Active int
+	Events map[string]int // that each run has made, by the id of its request
+}
+
 // Dialect reads and writes what requests and answers say about themselves.
 type Dialect interface {
 	// Call reads a caller's headers.
@@ -62,6 +69,9 @@
 	Reply(r *http.Response) Reply
 	// RequestID returns the id of the request that an answer belongs to.
 	RequestID(h http.Header) string
+	// ReportRequest asks an engine what it does, and Report reads its answer.
+	ReportRequest() *http1.Request
+	Report(body []byte) (Report, error)
 	// HeldRequest asks an engine which prompts it keeps, and Held reads its answer.
 	HeldRequest() *http1.Request
 	Held(body []byte) ([]string, error)
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -53,6 +53,8 @@
 	// Urgent is called when other nodes should hear the news at once: a run was placed
 	// on an engine, or a server was lost.
 	Urgent func()
+	// Pulse tells how long the process has just stood still.
+	Pulse *freshness.Pulse
 	// Known is closed once configuration and servers are known for the first time.
 	Known <-chan struct{}
 }
@@ -159,7 +161,9 @@
 	header       http.Header
 	body         []byte
 	arrived      time.Time
+	waited       time.Duration // that it may have waited before, while the process stood still
 	deadline     time.Time
+	wakingEnd    time.Duration // the deadline by the uptime, which goes on in a suspension
 	tried        map[string]bool
 	attempts     int // servers that the request was sent to, but for those that were others
 	arrivals     int // times that it reached a server
@@ -171,6 +175,7 @@
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), call: h.Dialect.Call(r.Header), tried: make(map[string]bool)}
+	x.waited = h.Pulse.Stood(h.Uptime())
 	x.awaitStart()
 	if err := x.admit(); err != nil {
 		x.refuse(err)
@@ -264,7 +269,11 @@
 	if wait == 0 {
 		wait = defaultWait
 	}
-	x.deadline = x.arrived.Add(wait)
+	if wait <= x.waited {
+		return notRun(fault.NotReady, "admit", "this entry host stood still for as long as the caller waits", retryUnready)
+	}
+	x.deadline = x.arrived.Add(wait - x.waited)
+	x.wakingEnd = x.h.Uptime() + time.Until(x.deadline)
 	return nil
 }
 
@@ -323,7 +332,7 @@
 
 // request makes what goes to one server. It returns false when no time is left.
 func (x *exchange) request(m *fleet.Member, s Send) (*http1.Request, bool) {
-	left := time.Until(x.deadline)
+	left := min(time.Until(x.deadline), x.wakingEnd-x.h.Uptime())
 	if left <= 0 {
 		return nil, false
 	}
--- a/io/relay/held.go
+++ b/io/relay/held.go
@@ -32,12 +32,16 @@
 	if err != nil {
 		return err
 	}
-	prompts, err := h.held(c, deadline)
+	body, err := question(c, h.Dialect.HeldRequest(), deadline)
 	if err != nil {
 		c.Close()
 		return errors.Wrapf(err, "ask %s for its prompts", m.ID())
 	}
 	h.Pool.Put(c)
+	prompts, err := h.Dialect.Held(body)
+	if err != nil {
+		return errors.Wrapf(err, "ask %s for its prompts", m.ID())
+	}
 	now := time.Now()
 	m.Heard(now)
 	for _, p := range prompts {
@@ -47,8 +51,9 @@
 	return nil
 }
 
-func (h *Handler) held(c *http1.Conn, deadline time.Time) ([]string, error) {
-	if err := c.Send(h.Dialect.HeldRequest(), deadline); err != nil {
+// question asks an engine something on a connection and returns the answer's body.
+func question(c *http1.Conn, q *http1.Request, deadline time.Time) ([]byte, error) {
+	if err := c.Send(q, deadline); err != nil {
 		return nil, err
 	}
 	r, err := c.Head(http.MethodGet, "", func(http.Header) string { return "" }, deadline)
@@ -62,7 +67,7 @@
 	if r.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %d", r.StatusCode)
 	}
-	return h.Dialect.Held(body)
+	return body, nil
 }
 
 // awaitPrompt waits, shortly after the node's start, until it is known which engine
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,16 +52,20 @@
 
 // leg is one run of a stream on one server.
 type leg struct {
+	request string // its id
 	member  *fleet.Member
 	query   fleet.Query
 	conn    *http1.Conn
 	copied  bool // it goes on from a copy
 	backup  *fleet.Member
 	started time.Time
+	overdue time.Time // when the server is asked what became of the run
 	begun   bool
 	outcome outcome
 	err     error
 	signed  *http.Response
+	// answerLost tells that the server ran the request and its answer doesn't arrive.
+	answerLost atomic.Bool
 }
 
 // stream passes a stream of events on.
@@ -89,7 +94,7 @@
 	if s.copyAt != "" {
 		m := s.h.Fleet.Find(s.copyAt, q.Now)
 		if m != nil && m.Take(q) {
-			return &leg{member: m, query: q, copied: true}
+			return &leg{request: s.call.ID, member: m, query: q, copied: true}
 		}
 		s.copyAt = ""
 	}
@@ -100,7 +105,7 @@
 	if m == nil {
 		return nil
 	}
-	return &leg{member: m, query: q}
+	return &leg{request: s.call.ID, member: m, query: q}
 }
 
 // reserveAgain goes back to servers that have failed, for a stream of which the
@@ -183,6 +188,10 @@
 // lost notes that a connection ended under a leg.
 func (s *stream) lost(l *leg) {
 	l.conn.Close()
+	if l.answerLost.Load() {
+		l.member.Failed(time.Now())
+		return
+	}
 	if s.ctx.Err() == nil {
 		s.h.lost(l.member, time.Now())
 		s.h.deaths.ended(s.exchange, l.member, int(s.last), l.err)
@@ -381,7 +390,7 @@
 		}
 		s.resumes++
 		s.copyAt = ""
-		if l.backup != nil && (l.begun || l.copied) {
+		if l.backup != nil && (l.begun || l.copied || l.answerLost.Load()) {
 			s.copyAt = l.backup.ID()
 		}
 	} else if l.copied {
--- a/io/relay/waits.go
+++ b/io/relay/waits.go
@@ -17,6 +17,14 @@
 	// it was expected, so many times over and so much longer.
 	lateFactor = 1.5
 	lateSlack  = 500 * time.Millisecond
+	// reportFactor tells when an engine that gives connections is asked for its runs: so
+	// many times later than a first event is late. Each question has its price.
+	reportFactor = 2
+	// reportWait bounds the engine's answer.
+	reportWait = 400 * time.Millisecond
+	// eventsLost is the number of events that an engine must have made of a run of which
+	// none has arrived.
+	eventsLost = 3
 	// probePause is between two probes for one leg.
 	probePause = 700 * time.Millisecond
 )
@@ -39,11 +47,18 @@
 func (w *waits) watch(l *leg) func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	late := time.Duration(lateFactor*float64(l.member.Expected(l.query))) + lateSlack
+	late := lateAfter(l.member.Expected(l.query))
+	alone := l.query
+	alone.Tokens = 0 // the server's work has them already
+	l.overdue = l.started.Add(reportFactor * lateAfter(l.member.Expected(alone)))
 	w.legs[l] = time.AfterFunc(late, func() { w.late(l) })
 	return func() { w.forget(l) }
 }
 
+func lateAfter(expected time.Duration) time.Duration {
+	return time.Duration(lateFactor*float64(expected)) + lateSlack
+}
+
 func (w *waits) forget(l *leg) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -61,9 +76,15 @@
 		t.Reset(probePause)
 	}
 	w.mu.Unlock()
-	if waiting {
-		w.probe(l.member)
+	if !waiting {
+		return
 	}
+	if l.member.Superseded() {
+		w.h.Recorder.Record("server started again", Fields{"server": l.member.ID(), "address": l.member.Address()})
+		l.conn.Interrupt()
+		return
+	}
+	w.probe(l.member)
 }
 
 // doubt probes the servers of a data centre that legs wait for.
@@ -82,7 +103,7 @@
 }
 
 // probe asks a server for a connection. If it doesn't give one, the legs that wait
-// for it are ended.
+// for it are ended. Otherwise it is asked what became of them.
 func (w *waits) probe(m *fleet.Member) {
 	w.mu.Lock()
 	busy := w.probing[m.ID()]
@@ -99,6 +120,10 @@
 	w.mu.Unlock()
 	if err == nil {
 		m.Heard(time.Now())
+		if w.overdue(m, time.Now()) {
+			w.askRuns(m, c)
+			return
+		}
 		w.h.Pool.Put(c)
 		return
 	}
@@ -115,6 +140,48 @@
 	}
 }
 
+// overdue tells whether a leg has waited for a server for much longer than expected.
+func (w *waits) overdue(m *fleet.Member, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for l := range w.legs {
+		if l.member == m && now.After(l.overdue) {
+			return true
+		}
+	}
+	return false
+}
+
+// askRuns asks an engine for its runs. Legs of which it has made events, or that it
+// doesn't know though it does nothing, wait for an answer that was lost.
+func (w *waits) askRuns(m *fleet.Member, c *http1.Conn) {
+	body, err := question(c, w.h.Dialect.ReportRequest(), time.Now().Add(reportWait))
+	if err != nil {
+		c.Close()
+		w.h.Recorder.Record("no report", Fields{"server": m.ID(), "error": err.Error()})
+		return
+	}
+	w.h.Pool.Put(c)
+	r, err := w.h.Dialect.Report(body)
+	if err != nil {
+		w.h.Recorder.Record("no report", Fields{"server": m.ID(), "error": err.Error()})
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for l := range w.legs {
+		if l.member != m || time.Now().Before(l.overdue) {
+			continue
+		}
+		events, runs := r.Events[l.request]
+		if events >= eventsLost || !runs && r.Queued == 0 && r.Active == 0 {
+			w.h.Recorder.Record("answer lost", Fields{"request": l.request, "server": m.ID(), "events": events, "ms": ms(time.Since(l.started))})
+			l.answerLost.Store(true)
+			l.conn.Interrupt()
+		}
+	}
+}
+
 // lost notes a server that could not be reached or whose connection ended, and
 // doubts its neighbours.
 func (h *Handler) lost(m *fleet.Member, now time.Time) {
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -191,7 +191,7 @@
 
 func (c *Cluster) link(from, to, upstream string) (*Link, error) {
 	c.ports++
-	l, err := newLink(from+">"+to, c.address(hostLinks, c.ports), upstream)
+	l, err := NewLink(from+">"+to, c.address(hostLinks, c.ports), upstream)
 	if err == nil {
 		c.links[from+">"+to] = l
 	}
--- a/test/cluster/link.go
+++ b/test/cluster/link.go
@@ -19,7 +19,8 @@
 
 var proxies = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 
-func newLink(name, listen, upstream string) (*Link, error) {
+// NewLink starts a path from an address to another one.
+func NewLink(name, listen, upstream string) (*Link, error) {
 	l := &Link{proxy: toxiproxy.NewProxy(proxies, name, listen, upstream), listen: listen}
 	return l, l.proxy.Start()
 }
--- a/test/entry/belief_test.go
+++ b/test/entry/belief_test.go
@@ -240,3 +240,34 @@
 // A stop cuts nothing that can end in time, and ends in time.
 // A stream that outlasts the stop is cut so that its caller can go on elsewhere.
 // A standard output that nobody reads doesn't delay requests.
+
+// Where there are many nodes, gateways hand on what the nodes of a data centre know. One
+// that lost the store as a whole learns of changes and proofs from the other.
+func TestGatewaysHandOn(t *testing.T) {
+	t.Parallel()
+	const nodes = 28 // more than talk all with all
+	s := start(t, nodes)
+	s.server("s1", "orders", backend.Answer(200, "ok"))
+	time.Sleep(2 * time.Second) // the nodes read each other's entries a second time
+	var cut []*node
+	for i, n := range s.nodes {
+		if i%2 == 1 {
+			n.front.Fail(store.Silent)
+			cut = append(cut, n)
+		}
+	}
+	time.Sleep(time.Second)
+	s.configure(2, []string{"key-1"})
+	changed := time.Now()
+	for _, n := range cut {
+		s.awaitStatus(n, "/r2/", "", 200, applyBound-time.Since(changed))
+	}
+	for time.Since(changed) < revokeBound+2*time.Second {
+		for _, n := range cut {
+			if status, _ := n.do("/buy/1", "key-1"); status != 200 {
+				t.Fatalf("%v after its data centre lost the store %s gives %d", time.Since(changed), n.Name(), status)
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- a/test/relay/call_test.go
+++ b/test/relay/call_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -302,3 +303,25 @@
 // A request that crashes each server that runs it doesn't reach a fourth one. Others
 // that ran there are served.
 // Servers of a data centre that die at once are no sign against what they ran.
+
+// Requests that are read right after the process stood still may have waited since
+// then; their callers wait no longer for that.
+func TestRequestsThatWaitedWhileTheProcessStoodStill(t *testing.T) {
+	b := newBench(t)
+	s := b.server("buy", "a", backend.Answer(200, "ok"))
+	b.pulse.Beat(time.Hour)
+	b.setUptime(time.Hour + 800*time.Millisecond)
+	b.expect(b.do(http.MethodPost, "/buy/1", nil), 200, "ok")
+	left, err := strconv.Atoi(s.Requests()[0].Header.Get("X-Deadline-Ms"))
+	if err != nil || left > 1200 || left < 800 {
+		t.Errorf("the server has %d ms of 2,000, 800 of which may be over, %v", left, err)
+	}
+	b.pulse.Beat(time.Hour + 2*time.Second)
+	b.setUptime(time.Hour + 5*time.Second)
+	got := b.do(http.MethodPost, "/buy/1", nil)
+	b.expect(got, 503, "")
+	if got.header.Get("Retry-After") == "" {
+		t.Error("the caller isn't told when to come back")
+	}
+	b.expectRuns(s, 1)
+}
--- a/test/relay/relay_test.go
+++ b/test/relay/relay_test.go
@@ -32,6 +32,7 @@
 	mu      sync.Mutex
 	uptime  time.Duration
 	events  []string
+	pulse   freshness.Pulse
 }
 
 func (b *bench) Record(event string, f relay.Fields) {
@@ -49,6 +50,7 @@
 const (
 	testKey     = "key-of-ndox"
 	testTimeout = 2 * time.Second
+	longTimeout = 6 * time.Second
 )
 
 // route is a route of the test catalog: its prefix is its name.
@@ -63,11 +65,13 @@
 	engine := &catalog.Engine{Slots: 12, MemoryTokens: 88000, Backups: true, BackupKept: 4 * time.Second}
 	public := route("public", catalog.Idempotent, 2)
 	public.Public = true
+	long := route("long", catalog.ResumableStream, 5)
+	long.Timeout, long.Targets[0].Service = longTimeout, "report"
 	return catalog.New(catalog.Spec{
 		Revision: revision, Keyed: true, Organisations: map[string]catalog.Organisation{testKey: {Name: "ndox"}},
 		Limits: catalog.Limits{BodyBytes: 1 << 20},
 		Routes: []catalog.Route{
-			public, route("read", catalog.Idempotent, 2), route("buy", catalog.AtMostOnce, 1),
+			public, long, route("read", catalog.Idempotent, 2), route("buy", catalog.AtMostOnce, 1),
 			route("report", catalog.ResumableStream, 5), route("once", catalog.PlainStream, 5),
 		},
 		Services: []catalog.Service{{Name: "public"}, {Name: "read"}, {Name: "buy"}, {Name: "report", Engine: engine}, {Name: "once", Engine: engine}},
@@ -82,7 +86,7 @@
 		Dialect: platform.Dialect{}, Holder: b.holder, Fleet: b.fleet, Prompts: fleet.NewPrompts(), Pool: http1.NewPool(), Recorder: b,
 		Bounds: relay.Bounds{Apply: 2500 * time.Millisecond, Revoke: 5 * time.Second, Repeat: repeat.Bound{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime: func() time.Duration { b.mu.Lock(); defer b.mu.Unlock(); return b.uptime },
-		Nodes:  func() int { return 1 }, Urgent: func() {}, Known: closed(),
+		Nodes:  func() int { return 1 }, Urgent: func() {}, Pulse: &b.pulse, Known: closed(),
 	})
 	b.front = httptest.NewServer(b.handler)
 	t.Cleanup(func() {
--- a/test/relay/stream_test.go
+++ b/test/relay/stream_test.go
@@ -158,6 +158,47 @@
 	}
 }
 
+// An engine runs a stream and its answer is lost on the way, while the engine takes
+// connections. It is asked for its runs; those of other requests tell nothing.
+func TestLostAnswerIsNoticed(t *testing.T) {
+	for name, c := range map[string]struct {
+		report string
+		copied bool
+		most   time.Duration
+	}{
+		"it has made events":       {`{"Queued":0,"Active":1,"Runs":[["id-lost",900,40,5]]}`, true, 3 * time.Second},
+		"it knows nothing of it":   {`{"Queued":0,"Active":0,"Runs":[]}`, true, 3 * time.Second},
+		"it reads the prompt":      {`{"Queued":0,"Active":1,"Runs":[["id-lost",300,0,5],["other",900,40,5]]}`, false, 0},
+		"it does other work":       {`{"Queued":0,"Active":1,"Runs":[["other",900,40,5]]}`, false, 0},
+		"its report can't be read": {`{"Queued":0}`, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			b.server("report", "a", backend.OnPath("/v1/report", backend.Answer(200, c.report), backend.Silent()))
+			second := b.server("report", "b", backend.Stream(5, 0, 0, nil))
+			started := time.Now()
+			got := b.do(http.MethodPost, "/long/1", func(r *http.Request) {
+				r.Header.Set("X-Request-Id", "id-lost")
+				r.Header.Set("X-Token-Usage", "800,90")
+				r.Header.Set("X-Deadline-Ms", "4000")
+			})
+			if c.most == 0 {
+				b.expect(got, 504, "")
+				b.expectRuns(second, 0)
+				return
+			}
+			b.expect(got, 200, events(1, 5))
+			if d := time.Since(started); d > c.most {
+				t.Errorf("the stream took %v", d)
+			}
+			if from := second.Requests()[0].Header.Get("Kv-From"); (from != "") != c.copied {
+				t.Errorf("it goes on from %q", from)
+			}
+		})
+	}
+}
+
 func TestSilentEngineBeforeFirstEvent(t *testing.T) {
 	b := newBench(t)
 	b.silent("gone")
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -222,11 +222,16 @@
 		held = append(held, []any{"", p, 8000, "m"})
 	}
 	body, _ := json.Marshal(map[string]any{"epoch": 1, "Next": 1, "held": held, "born": 5})
+	return OnPath("/v1/kv-list", Answer(http.StatusOK, string(body)), s)
+}
+
+// OnPath answers requests for a path by one step and all others by another one.
+func OnPath(path string, on, otherwise Step) Step {
 	return func(c *Conn, r *http.Request, b []byte) bool {
-		if r.URL.Path == "/v1/kv-list" {
-			return Answer(http.StatusOK, string(body))(c, r, b)
+		if r.URL.Path == path {
+			return on(c, r, b)
 		}
-		return s(c, r, b)
+		return otherwise(c, r, b)
 	}
 }
 
