Pass priorities on to engines

Cause: priorities of organisations and routes were decoded and not used; engines admit by them where requests of several priorities share a service. Ruled out: a queue of our own before the engines (they queue themselves, and a request that waits here isn't offered); more urgency for streams that go on elsewhere (it would preempt others, whose prompts are then read again). Test: test/relay TestPriorityIsPassedOn.

--- a/io/relay/dialect.go
+++ b/io/relay/dialect.go
@@ -35,6 +35,8 @@
 	ServerID     string
 	Organisation string
 	LastEvent    int64  // the last event that the caller has, 0 if none
+	Ranked       bool   // the server admits requests by their priority
+	Priority     int    // 0 is the highest
 	BackupAt     string // address of the server that is to keep a copy of the run's memory
 	CopyAt       string // address of the server that keeps a copy to go on from
 	CopyOf       string // the run that the copy is of
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -339,11 +339,21 @@
 	s.Left = left
 	s.ServerID = m.ID()
 	s.Organisation = x.organisation.Name
+	s.Ranked = x.service.Engine != nil
+	s.Priority = x.priority()
 	header := x.header.Clone()
 	x.h.Dialect.Mark(header, s)
 	return &http1.Request{Method: x.r.Method, Target: x.target(), Host: x.r.Host, Header: header, Body: x.body}, true
 }
 
+// priority is the organisation's if it has one, else the route's.
+func (x *exchange) priority() int {
+	if x.organisation.Name != "" && x.organisation.Priority >= 0 {
+		return x.organisation.Priority
+	}
+	return x.route.Priority
+}
+
 func (x *exchange) target() string {
 	if strings.HasPrefix(x.r.RequestURI, "/") {
 		return x.r.RequestURI
--- a/test/relay/relay_test.go
+++ b/test/relay/relay_test.go
@@ -49,6 +49,7 @@
 
 const (
 	testKey     = "key-of-ndox"
+	urgentKey   = "key-of-forja"
 	testTimeout = 2 * time.Second
 	longTimeout = 6 * time.Second
 )
@@ -66,9 +67,12 @@
 	public := route("public", catalog.Idempotent, 2)
 	public.Public = true
 	long := route("long", catalog.ResumableStream, 5)
+	long.Priority = 3
 	long.Timeout, long.Targets[0].Service = longTimeout, "report"
 	return catalog.New(catalog.Spec{
-		Revision: revision, Keyed: true, Organisations: map[string]catalog.Organisation{testKey: {Name: "ndox"}},
+		Revision: revision, Keyed: true, Organisations: map[string]catalog.Organisation{
+			testKey: {Name: "ndox", Priority: -1}, urgentKey: {Name: "forja", Priority: 1},
+		},
 		Limits: catalog.Limits{BodyBytes: 1 << 20},
 		Routes: []catalog.Route{
 			public, long, route("read", catalog.Idempotent, 2), route("buy", catalog.AtMostOnce, 1),
--- a/test/relay/stream_test.go
+++ b/test/relay/stream_test.go
@@ -221,3 +221,20 @@
 		t.Errorf("the stream ends as %q, %v", got.body, got.err)
 	}
 }
+
+// Engines admit requests by the priority of the organisation, or else of the route.
+func TestPriorityIsPassedOn(t *testing.T) {
+	b := newBench(t)
+	s := b.server("report", "a", backend.Stream(2, 0, 0, nil))
+	b.expect(b.do(http.MethodPost, "/long/1", prompt), 200, "")
+	b.expect(b.do(http.MethodPost, "/long/2", func(r *http.Request) {
+		prompt(r)
+		r.Header.Set("Authorization", "Bearer "+urgentKey)
+		r.Header.Set("X-Priority-Class", "0")
+	}), 200, "")
+	for i, want := range []string{"3", "1"} {
+		if got := s.Requests()[i].Header.Get("X-Priority-Class"); got != want {
+			t.Errorf("request %d has priority %q, not %s", i+1, got, want)
+		}
+	}
+}
