--- a/test/model/play.go
+++ b/test/model/play.go
@@ -42,6 +42,9 @@
 	Pause      *hdrhistogram.Histogram
 }
 
+// NewHistogram returns an empty histogram of times in milliseconds.
+func NewHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMost, figures) }
+
 // InGoal is the share of requests served in time.
 func (r Result) InGoal() float64 { return float64(r.OnTime) / float64(max(r.Asked, 1)) }
 
@@ -104,7 +107,7 @@
 	x := &play{
 		load: l, policy: p, random: rand.New(rand.NewPCG(l.Seed, 1)), choices: rand.New(rand.NewPCG(l.Seed, 2)), now: time.Unix(1_000_000, 0),
 		engines: make(map[string]*engine),
-		result:  Result{First: hdrhistogram.New(1, histogramMost, figures), Pause: hdrhistogram.New(1, histogramMost, figures)},
+		result:  Result{First: NewHistogram(), Pause: NewHistogram()},
 	}
 	x.build()
 	end := x.now.Add(l.Length)
--- a/tools/experiment/main.go
+++ b/tools/experiment/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jessevdk/go-flags"
 
 	"cicadabeam/test/model"
@@ -16,7 +17,8 @@
 	Load  string `long:"load" default:"kiosks" choice:"kiosks" choice:"forge" choice:"calm" description:"what callers ask for and what fails"`
 	A     string `long:"a" default:"all" description:"first policy: all, or parts of tell+copies+choose+outages"`
 	B     string `long:"b" default:"choose" description:"second policy"`
-	Seeds int    `long:"seeds" default:"3"`
+	Seeds int    `long:"seeds" default:"3" description:"seeds to play, from 1 on"`
+	Plot  bool   `long:"plot" description:"also draw how long first tokens take"`
 }
 
 var loads = map[string]model.Load{
@@ -45,12 +47,20 @@
 		fmt.Fprintln(os.Stderr, "experiment:", errA, errB)
 		os.Exit(2)
 	}
+	all := []*hdrhistogram.Histogram{model.NewHistogram(), model.NewHistogram()}
 	fmt.Printf("%-6s %-28s %6s %6s %7s %6s %8s %12s %26s %18s\n", "seed", "policy", "asked", "served", "in time", "late", "refused", "read in vain", "first p50/p95/p99 ms", "pause p95/p99 ms")
 	for seed := 1; seed <= o.Seeds; seed++ {
 		l := loads[o.Load]
 		l.Seed = uint64(seed)
-		show(seed, o.A, model.Play(l, a))
-		show(seed, o.B, model.Play(l, b))
+		for i, p := range []model.Policy{a, b} {
+			r := model.Play(l, p)
+			show(seed, []string{o.A, o.B}[i], r)
+			all[i].Merge(r.First)
+		}
+	}
+	if o.Plot {
+		plot(os.Stdout, o.A, all[0])
+		plot(os.Stdout, o.B, all[1])
 	}
 }
 
