--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -48,6 +48,9 @@
 	lostAt  time.Time // when it was lost
 	resumes int
 	legs    int
+	firstAt time.Time // when the first event came, and the newest
+	newest  time.Time
+	pause   time.Duration // the longest between two events
 }
 
 // leg is one run of a stream on one server.
@@ -116,7 +119,7 @@
 		if m := s.h.Fleet.Reserve(q); m != nil {
 			return m
 		}
-		if s.pause(againPause) != nil {
+		if s.rest(againPause) != nil {
 			return nil
 		}
 		q.Now = time.Now()
@@ -124,8 +127,8 @@
 	return nil
 }
 
-// pause waits, or returns an error if the request ends first.
-func (s *stream) pause(d time.Duration) error {
+// rest waits, or returns an error if the request ends first.
+func (s *stream) rest(d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -315,6 +318,7 @@
 func (s *stream) begin(l *leg) {
 	now := time.Now()
 	l.member.Heard(now)
+	s.measure(now)
 	if !l.begun {
 		l.begun = true
 		s.h.waits.forget(l)
@@ -331,6 +335,16 @@
 	s.w.WriteHeader(l.signed.StatusCode)
 }
 
+// measure notes how long callers wait for events.
+func (s *stream) measure(now time.Time) {
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+	} else {
+		s.pause = max(s.pause, now.Sub(s.newest))
+	}
+	s.newest = now
+}
+
 // pass gives the caller an event. more tells that the next one is there already.
 func (s *stream) pass(l *leg, e sse.Event, more bool) bool {
 	control := http.NewResponseController(s.w)
@@ -358,7 +372,7 @@
 	l.member.Succeeded(time.Since(l.started), time.Now())
 	s.h.Recorder.Record("answered", Fields{
 		"request": s.call.ID, "route": s.route.Name, "server": l.member.ID(), "status": l.signed.StatusCode, "attempts": s.attempts, "last": s.last,
-		"ms": ms(time.Since(s.arrived)), "resumes": s.resumes,
+		"ms": ms(time.Since(s.arrived)), "resumes": s.resumes, "first_ms": ms(s.firstAt.Sub(s.arrived)), "pause_ms": ms(s.pause),
 	})
 }
 
@@ -412,7 +426,7 @@
 		return false
 	}
 	if l.outcome == refused && !l.copied || l.outcome == notOffered && s.legs > len(s.tried) {
-		if s.pause(refusalPause) != nil {
+		if s.rest(refusalPause) != nil {
 			s.fail("answer", "no server answered in time")
 			return false
 		}
