--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -91,22 +89,6 @@
 	h.draining.Store(&drain{streams: streams, calls: calls})
 }
 
-// stopping refuses a request that comes too late for a node that stops.
-func (x *exchange) stopping() *fault.Error {
-	d := x.h.draining.Load()
-	if d == nil {
-		return nil
-	}
-	till := d.calls
-	if x.route.Kind.Streams() {
-		till = d.streams
-	}
-	if x.arrived.Before(till) {
-		return nil
-	}
-	return notRun(fault.Draining, "admit", "this entry host stops", retryServer)
-}
-
 // Running returns the number of requests under way.
 func (h *Handler) Running() int64 { return h.running.Load() }
 
@@ -200,25 +182,6 @@
 	x.plain()
 }
 
-// startWait is how long after its start a node lets requests wait for its first
-// answers from the store, which come within some ten milliseconds.
-const startWait = 300 * time.Millisecond
-
-// awaitStart waits while a node that has just started reads configuration and servers.
-func (x *exchange) awaitStart() {
-	left := startWait - x.arrived.Sub(x.h.started)
-	if left <= 0 {
-		return
-	}
-	t := time.NewTimer(left)
-	defer t.Stop()
-	select {
-	case <-x.h.Known:
-	case <-t.C:
-	case <-x.r.Context().Done():
-	}
-}
-
 // The times after which a caller is told to come back.
 const (
 	retryUnready = 500 * time.Millisecond
@@ -230,106 +193,6 @@
 	return fault.Newf(code, step, "", "%s", text).WithRetry(time.Now().Add(retry))
 }
 
-// admit finds route and organisation, and refuses what this node can't decide.
-func (x *exchange) admit() *fault.Error {
-	c, age := x.h.Holder.View(x.h.Uptime())
-	if c == nil {
-		return notRun(fault.NotReady, "admit", "no configuration is known yet", retryUnready)
-	}
-	x.catalog = c
-	stale := age >= x.h.Bounds.Apply
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") {
-		path = x.r.URL.EscapedPath()
-	}
-	route, found := c.Match(host(x.r.Host), path)
-	if !found {
-		if stale {
-			return notRun(fault.NotReady, "route", "the configuration may be out of date", retryStale)
-		}
-		return fault.Newf(fault.NotFound, "route", "", "no route leads to this host and path")
-	}
-	x.route = route
-	if err := x.stopping(); err != nil {
-		return err
-	}
-	if err := x.authorise(stale, age); err != nil {
-		return err
-	}
-	name := route.Pick(rand.Float64())
-	service, found := c.Service(name)
-	if !found {
-		service = catalog.Service{Name: name}
-	}
-	x.service = service
-	wait := route.Timeout
-	if x.call.Wait > 0 && (wait == 0 || x.call.Wait < wait) {
-		wait = x.call.Wait
-	}
-	if wait == 0 {
-		wait = defaultWait
-	}
-	if wait <= x.waited {
-		return notRun(fault.NotReady, "admit", "this entry host stood still for as long as the caller waits", retryUnready)
-	}
-	x.deadline = x.arrived.Add(wait - x.waited)
-	x.wakingEnd = x.h.Uptime() + time.Until(x.deadline)
-	return nil
-}
-
-// defaultWait bounds requests of which neither caller nor route says how long.
-const defaultWait = time.Minute
-
-func host(h string) string {
-	name, _, _ := strings.Cut(h, ":")
-	return name
-}
-
-func (x *exchange) authorise(stale bool, age time.Duration) *fault.Error {
-	if !x.catalog.Keyed() || x.route.Public {
-		return nil
-	}
-	o, found := x.catalog.Organisation(x.call.Key)
-	if !found && stale {
-		return notRun(fault.NotReady, "authorise", "the keys may be out of date", retryStale)
-	}
-	if !found {
-		return fault.Newf(fault.Unauthorized, "authorise", "", "the key is unknown")
-	}
-	if bound := x.h.Bounds.Revoke; bound > 0 && age >= bound-revokeMargin {
-		x.h.Recorder.Record("key unproven", Fields{"request": x.call.ID, "age_ms": ms(age), "revision": x.catalog.Revision()})
-		return notRun(fault.NotReady, "authorise", "it can't be proved that the key is still valid", retryStale)
-	}
-	x.organisation = o
-	return nil
-}
-
-// read takes the whole body.
-func (x *exchange) read() *fault.Error {
-	limit := x.catalog.Limits().BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return fault.Newf(fault.TooLarge, "read", "", "the body has more than %d bytes", limit)
-	}
-	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
-	b, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
-	if err != nil {
-		return fault.Newf(fault.BadRequest, "read", "", "the body can't be read: %v", err)
-	}
-	if int64(len(b)) > limit {
-		return fault.Newf(fault.TooLarge, "read", "", "the body has more than %d bytes", limit)
-	}
-	x.body = b
-	x.header = x.h.Dialect.Forward(x.r.Header, x.catalog.Keyed())
-	return nil
-}
-
-// defaultBodyBytes bounds bodies where the configuration doesn't.
-const defaultBodyBytes = 4 << 20
-
 // request makes what goes to one server. It returns false when no time is left.
 func (x *exchange) request(m *fleet.Member, s Send) (*http1.Request, bool) {
 	left := min(time.Until(x.deadline), x.wakingEnd-x.h.Uptime())
