A rolling stop doesn't keep the other nodes from sharing the bound on repeats

Now the last word of a node that stops counts for a window. Ruled out: counting a stopped node as gone at once (if it is only cut off it may still repeat; its share and what it had used are counted).

--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -232,7 +232,11 @@
 	n.takeHanded(x.Handed, now)
 	if !n.many() || x.Host.DataCentre == n.settings.place.DataCentre {
 		n.fleet.Heard(x.Host.Name, x.Work, now)
-		n.handler.Heard(x.Host.Name, x.Usage, 1, now)
+		if x.Leaving {
+			n.handler.HeardLast(x.Host.Name, x.Usage, now)
+		} else {
+			n.handler.Heard(x.Host.Name, x.Usage, 1, now)
+		}
 	}
 	n.handler.HeardDeaths(x.Deaths, now)
 	n.handler.HeardLost(x.Lost, now)
--- a/core/repeat/repeat.go
+++ b/core/repeat/repeat.go
@@ -14,6 +14,7 @@
 //	b.First(now)                              // each request's first arrival
 //	if !b.Repeat(now, nodes) { ... }          // before each further one
 //	b.Heard("node-2", usage, 1, now)          // what another node has used
+//	b.HeardLast("node-2", usage, now)         // the same of one that stops
 package repeat
 
 import (
@@ -66,13 +67,7 @@
 	nodes int // that it speaks for
 	at    time.Time
 	spent int64 // this node's repeats so far, of which the other knows
-}
-
-func (w word) fresh(now time.Time) bool {
-	if w.nodes > 1 {
-		return now.Sub(w.at) <= handedWithin
-	}
-	return now.Sub(w.at) <= heardWithin
+	until time.Time
 }
 
 // Budget counts one service's requests and repeats.
@@ -132,7 +127,20 @@
 func (b *Budget) Heard(from string, u Usage, nodes int, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others[from] = word{usage: u, nodes: nodes, at: at, spent: b.spent}
+	until := at.Add(heardWithin)
+	if nodes > 1 {
+		until = at.Add(handedWithin)
+	}
+	b.others[from] = word{usage: u, nodes: nodes, at: at, spent: b.spent, until: until}
+	b.count(at)
+}
+
+// HeardLast takes the word of a node that stops. It holds for a window, as the node will
+// repeat nothing more, or no more than its share if it is only cut off.
+func (b *Budget) HeardLast(from string, u Usage, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others[from] = word{usage: u, nodes: 1, at: at, spent: b.spent, until: at.Add(b.bound.Window)}
 	b.count(at)
 }
 
@@ -161,7 +169,7 @@
 func (b *Budget) count(now time.Time) {
 	known := 1
 	for name, w := range b.others {
-		if !w.fresh(now) {
+		if now.After(w.until) {
 			delete(b.others, name)
 			continue
 		}
--- a/core/repeat/repeat_test.go
+++ b/core/repeat/repeat_test.go
@@ -43,6 +43,17 @@
 	}
 }
 
+// tellBut makes the nodes hear each other, but for one that doesn't run.
+func (f *fleet) tellBut(stopped int) {
+	for i, from := range f.budgets {
+		for j, to := range f.budgets {
+			if i != j && i != stopped && j != stopped {
+				to.Heard(strconv.Itoa(i), from.Usage(f.now), 1, f.now)
+			}
+		}
+	}
+}
+
 func (f *fleet) step(firsts, wanted []int) {
 	f.now = f.now.Add(tick)
 	n, granted := 0, 0
@@ -83,6 +94,15 @@
 	return n
 }
 
+// stop makes a node tell its last word.
+func (f *fleet) stop(i int) {
+	for j, to := range f.budgets {
+		if j != i {
+			to.HeardLast(strconv.Itoa(i), f.budgets[i].Usage(f.now), f.now)
+		}
+	}
+}
+
 // All nodes together keep to the bound in every window, whoever wants to repeat how
 // much, also while some of them are cut off, for long or again and again.
 func TestAllNodesKeepToBound(t *testing.T) {
@@ -163,3 +183,30 @@
 		t.Errorf("%d of 100 repeats were allowed", n)
 	}
 }
+
+// Hosts that are stopped and started in turn don't keep the others from sharing.
+func TestRollingStopDoesNotHoldBackTheOthers(t *testing.T) {
+	f := newFleet(7)
+	firsts, none := []int{1, 1, 1, 1, 1, 1, 0}, make([]int, 7)
+	wanted := []int{0, 0, 0, 0, 0, 0, 1}
+	granted := 0
+	for i := range 600 {
+		stopped := 1 + i/100 // all but the one that wants to repeat, each for two seconds
+		if i%100 == 0 {
+			f.stop(stopped - 1)
+		}
+		before := sum(f.repeats)
+		if i%6 == 0 {
+			f.step(firsts, wanted)
+		} else {
+			f.step(firsts, none)
+		}
+		granted += sum(f.repeats) - before
+		if i%10 == 0 {
+			f.tellBut(stopped - 1)
+		}
+	}
+	if granted != 100 {
+		t.Errorf("%d of 100 repeats were allowed", granted)
+	}
+}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// HeardLast takes the usage of another node that stops.
+func (h *Handler) HeardLast(from string, usage map[string]repeat.Usage, at time.Time) {
+	for service := range usage {
+		h.budget(service)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for service, b := range h.budgets {
+		b.HeardLast(from, usage[service], at)
+	}
+}
+
 // exchange is one request of a caller and what became of it.
 type exchange struct {
 	h            *Handler
