Words of other nodes touch named servers only; servers are told by their changes

Ruled out: a longer exchange period (placing runs needs fresh words). Tests: cmd/entry TestChangesSince, TestChangesAreBounded; test/entry TestNeighboursHelpNodeWithoutStore passes by changes now.

--- a/cmd/entry/beliefs.go
+++ b/cmd/entry/beliefs.go
@@ -101,14 +101,11 @@
 	named := make(map[string]bool, len(v.page.Rows))
 	for _, r := range v.page.Rows {
 		named[r.Key] = true
-		n.takeServer(r, now, gone)
+		n.takeServer(r, v.page.Version, now, gone)
 	}
 	if v.whole {
-		for _, id := range n.fleet.IDs() {
-			if !named[id] {
-				n.loseServer(id, gone)
-			}
-		}
+		n.loseOthers(named, v.page.Version, gone)
+		n.changes.begin(v.page.Version)
 	}
 	if n.registry.prove(v.page.Version, v.as) {
 		n.tell()
@@ -116,30 +113,42 @@
 	n.noteKnown()
 }
 
-func (n *Node) takeServer(r platform.Row, now, gone time.Time) {
+// takeServer takes a row as of a version of the store.
+func (n *Node) takeServer(r platform.Row, version uint64, now, gone time.Time) {
 	if r.Deleted {
-		n.loseServer(r.Key, gone)
+		n.loseServer(r.Key, version, gone)
 		return
 	}
 	s, err := platform.DecodeServer(r)
 	if err != nil {
 		n.recorder.Record("entry unreadable", relay.Fields{"server": r.Key, "version": r.Version, "error": err.Error()})
-		n.loseServer(r.Key, now)
+		n.loseServer(r.Key, version, now)
 		return
 	}
-	n.setServer(s, r.Version, "store")
+	n.setServer(s, version, "store")
 }
 
 func (n *Node) setServer(s fleet.Server, version uint64, from string) {
 	if n.fleet.Set(s) {
+		n.changes.add(s.ID, version)
 		n.recorder.Record("server", relay.Fields{
 			"server": s.ID, "service": s.Service, "address": s.Address, "leaving": s.Leaving, "version": version, "from": from,
 		})
 	}
 }
 
-func (n *Node) loseServer(id string, at time.Time) {
+// loseOthers loses the servers that aren't named.
+func (n *Node) loseOthers(named map[string]bool, version uint64, at time.Time) {
+	for _, id := range n.fleet.IDs() {
+		if !named[id] {
+			n.loseServer(id, version, at)
+		}
+	}
+}
+
+func (n *Node) loseServer(id string, version uint64, at time.Time) {
 	if n.fleet.Gone(id, at) {
+		n.changes.add(id, version)
 		n.recorder.Record("server gone", relay.Fields{"server": id, "in_ms": time.Until(at).Milliseconds()})
 	}
 }
--- a/cmd/entry/neighbours.go
+++ b/cmd/entry/neighbours.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/run"
 
+	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
 	"cicadabeam/io/neighbour"
@@ -308,7 +309,11 @@
 
 func (n *Node) fetchServers(p *peer) error {
 	sent := uptime()
-	x, err := p.client.Servers(time.Now().Add(fetchWait))
+	since := uint64(0)
+	if f := n.registry.fact(0); f.Known {
+		since = f.Version
+	}
+	x, err := p.client.Servers(since, time.Now().Add(fetchWait))
 	if err != nil || !x.Fact.Known {
 		return err
 	}
@@ -327,13 +332,26 @@
 }
 
 // Servers implements neighbour.Handler.
-func (n *Node) Servers() neighbour.Servers {
+func (n *Node) Servers(since uint64) neighbour.Servers {
 	// The fact comes first: what is newer than it does no harm.
 	x := neighbour.Servers{Fact: n.registry.fact(uptime())}
 	now := time.Now()
+	ids, enough := n.changes.since(since)
+	x.Whole = !enough
+	known := make(map[string]fleet.Registration)
 	for _, s := range n.fleet.Registered() {
+		known[s.Server.ID] = s
+		if x.Whole {
+			ids = append(ids, s.Server.ID)
+		}
+	}
+	for _, id := range ids {
+		s, found := known[id]
 		c := neighbour.Change{Server: s.Server}
-		if !s.GoneAt.IsZero() {
+		switch {
+		case !found:
+			c.Server.ID, c.Gone = id, true
+		case !s.GoneAt.IsZero():
 			c.Gone, c.In = true, max(0, s.GoneAt.Sub(now))
 		}
 		x.Changes = append(x.Changes, c)
@@ -353,15 +371,14 @@
 	for _, c := range x.Changes {
 		named[c.Server.ID] = true
 		if c.Gone {
-			n.loseServer(c.Server.ID, now.Add(c.In))
+			n.loseServer(c.Server.ID, x.Fact.Version, now.Add(c.In))
 			continue
 		}
 		n.setServer(c.Server, x.Fact.Version, from)
 	}
-	for _, id := range n.fleet.IDs() {
-		if !named[id] {
-			n.loseServer(id, now)
-		}
+	if x.Whole {
+		n.loseOthers(named, x.Fact.Version, now)
+		n.changes.begin(x.Fact.Version)
 	}
 	n.registry.prove(x.Fact.Version, as)
 	n.noteKnown()
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -64,6 +64,7 @@
 	undecoded atomic.Bool // the newest configuration can't be read
 	beliefs   sync.Mutex  // held while what is known of servers changes
 	registry  registry
+	changes   changes
 	pulse     freshness.Pulse
 	draining  atomic.Bool
 	looked    atomic.Bool   // the entry hosts were read, or could not be
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -68,12 +68,15 @@
 	services map[string][]*Member
 	outages  outages
 
+	toldMu sync.Mutex
+	told   map[string]map[string]Work // the last word of each node, by server
+
 	lastHeard atomic.Int64 // when another node told of its work, in Unix nanoseconds
 }
 
 // New returns an empty fleet.
 func New(p Place) *Fleet {
-	return &Fleet{place: p, members: make(map[string]*Member), services: make(map[string][]*Member)}
+	return &Fleet{place: p, members: make(map[string]*Member), services: make(map[string][]*Member), told: make(map[string]map[string]Work)}
 }
 
 // Set adds a server or takes its new state. It tells whether anything about it is new.
--- a/core/fleet/work.go
+++ b/core/fleet/work.go
@@ -30,13 +30,29 @@
 	return all
 }
 
-// Heard takes another node's word about its work.
+// Heard takes another node's word about its work. Only the servers that it names now,
+// or named before, are touched: words come by the hundred a second.
 func (f *Fleet) Heard(node string, work map[string]Work, now time.Time) {
+	f.lastHeard.Store(now.UnixNano())
+	f.toldMu.Lock()
+	before := f.told[node]
+	f.told[node] = work
+	if len(work) == 0 {
+		delete(f.told, node)
+	}
+	f.toldMu.Unlock()
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	f.lastHeard.Store(now.UnixNano())
-	for id, m := range f.members {
-		m.heard(node, work[id], now)
+	for id := range before {
+		m := f.members[id]
+		if _, still := work[id]; !still && m != nil {
+			m.forget(node)
+		}
+	}
+	for id, w := range work {
+		if m := f.members[id]; m != nil {
+			m.heard(node, w, now)
+		}
 	}
 }
 
@@ -60,11 +76,18 @@
 	m.nodes[node] = heardWork{work: w, at: now}
 }
 
-// told sums up the other nodes' words.
+func (m *Member) forget(node string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.nodes, node)
+}
+
+// told sums up the other nodes' words, and drops old ones.
 func (m *Member) told(now time.Time) Work {
 	var all Work
-	for _, h := range m.nodes {
+	for node, h := range m.nodes {
 		if now.Sub(h.at) > workTrust {
+			delete(m.nodes, node)
 			continue
 		}
 		all.Running += h.work.Running
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -77,12 +77,16 @@
 	In     time.Duration
 }
 
-// Servers carries the servers that a node knows.
+// Servers carries the servers that a node knows, or those that have changed.
 type Servers struct {
 	Fact    Fact
+	Whole   bool // servers that aren't named are gone
 	Changes []Change
 }
 
+// Since asks for changes after a version, 0 for all servers.
+type Since uint64
+
 // Nothing is an empty message.
 type Nothing int
 
@@ -90,7 +94,7 @@
 type Handler interface {
 	Exchange(n News) News
 	Configuration() Configuration
-	Servers() Servers
+	Servers(since uint64) Servers
 }
 
 type methods struct{ handler Handler }
@@ -105,8 +109,8 @@
 	return nil
 }
 
-func (m *methods) Servers(_ Nothing, r *Servers) error {
-	*r = m.handler.Servers()
+func (m *methods) Servers(s Since, r *Servers) error {
+	*r = m.handler.Servers(uint64(s))
 	return nil
 }
 
@@ -156,10 +160,11 @@
 	return *r, nil
 }
 
-// Servers returns the servers that the node knows.
-func (c *Client) Servers(deadline time.Time) (Servers, error) {
+// Servers returns the servers that the node knows, or those that have changed after a
+// version.
+func (c *Client) Servers(since uint64, deadline time.Time) (Servers, error) {
 	r := new(Servers)
-	if err := c.call("Servers", Nothing(0), r, deadline); err != nil {
+	if err := c.call("Servers", Since(since), r, deadline); err != nil {
 		return Servers{}, err // an answer that comes now is still written to r
 	}
 	return *r, nil
