A server counts again when the one taken for its successor is gone

Cause: found on reading the change: of two entries at one address the one with the later start was believed for good; with a clock that had stepped back the server that lives would never have been used again. Now: it counts again once the later entry is gone, or has moved to another address. Ruled out: the order of rows in the store (a reader that starts sees them all at once). Test: core/fleet TestAddressBelongsToNewestServer, two cases that failed with the code before.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -89,6 +89,7 @@
 	}
 	if m != nil {
 		f.drop(m)
+		m.gone(longAgo)
 	}
 	m = &Member{server: s}
 	f.supersede(m)
@@ -97,18 +98,22 @@
 	return true
 }
 
-// supersede marks the servers replaced that had a new one's address before it. The
-// entry of a server that crashed stays for some heartbeats after the next one has
-// registered at its address.
+// longAgo is since when a server is gone that started again under its id.
+var longAgo = time.Unix(0, 1)
+
+// supersede notes which of two servers at one address started last. The entry of a
+// server that crashed stays for some heartbeats after the next one has registered at
+// its address. Should the later entry go first, the clocks were wrong, and the other
+// server counts again.
 func (f *Fleet) supersede(newest *Member) {
 	for _, m := range f.members {
 		if m.server.Address != newest.server.Address || m.server.StartedMS == 0 || newest.server.StartedMS == 0 {
 			continue
 		}
 		if m.server.StartedMS < newest.server.StartedMS {
-			m.Replaced()
+			m.supersede(newest)
 		} else {
-			newest.Replaced()
+			newest.supersede(m)
 		}
 	}
 }
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -143,6 +143,22 @@
 		}
 	}
 	f := fleet.New(place)
+	f.Set(older)
+	f.Set(newer)
+	f.Gone("after", start.Add(time.Second))
+	if f.Find("before", start) != nil || f.Find("before", start.Add(time.Second)) == nil {
+		t.Error("a server whose supposed successor is gone is not found again")
+	}
+	f = fleet.New(place)
+	f.Set(older)
+	f.Set(newer)
+	moved := newer
+	moved.Address, moved.StartedMS = "10.0.0.2:80", 3000
+	f.Set(moved)
+	if f.Find("before", start) == nil {
+		t.Error("a server whose successor moved to another address is not found again")
+	}
+	f = fleet.New(place)
 	unknown := older
 	unknown.StartedMS = 0
 	f.Set(unknown)
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -59,7 +59,8 @@
 	mu       sync.Mutex
 	server   Server
 	goneAt   time.Time
-	replaced bool // another server has its address
+	replaced bool    // another server has its address
+	later    *Member // that registered at its address, and started after it
 
 	running  int // requests of this node's
 	prompts  int // prompt tokens of this node's requests that have not begun to run
@@ -136,7 +137,27 @@
 }
 
 func (m *Member) usableLocked(now time.Time) bool {
-	return !m.server.Leaving && !m.replaced && (m.goneAt.IsZero() || now.Before(m.goneAt))
+	return !m.server.Leaving && !m.supersededLocked(now) && !m.goneLocked(now)
+}
+
+func (m *Member) goneLocked(now time.Time) bool { return !m.goneAt.IsZero() && !now.Before(m.goneAt) }
+
+func (m *Member) goneBy(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.goneLocked(now)
+}
+
+// supersededLocked takes the lock of the server that started later; none is taken the
+// other way round.
+func (m *Member) supersededLocked(now time.Time) bool {
+	return m.replaced || m.later != nil && !m.later.goneBy(now)
+}
+
+func (m *Member) supersede(later *Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.later = later
 }
 
 // Usable tells whether the server may get work: it is asked again right before a
@@ -334,10 +355,10 @@
 }
 
 // Superseded tells whether another server is known to have the address.
-func (m *Member) Superseded() bool {
+func (m *Member) Superseded(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.replaced
+	return m.supersededLocked(now)
 }
 
 // Take counts a request on this very server, if it may get work.
--- a/io/relay/waits.go
+++ b/io/relay/waits.go
@@ -79,7 +79,7 @@
 	if !waiting {
 		return
 	}
-	if l.member.Superseded() {
+	if l.member.Superseded(time.Now()) {
 		w.h.Recorder.Record("server started again", Fields{"server": l.member.ID(), "address": l.member.Address()})
 		l.conn.Interrupt()
 		return
