--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -28,21 +28,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "cicadabeam-entry")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if binary, err = entryhost.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, "build:", err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(entryhost.Run(m, &binary)) }
 
 // system is a store, some nodes and the servers that tests add.
 type system struct {
--- a/test/entryhost/host.go
+++ b/test/entryhost/host.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	binary, err := entryhost.Build(dir)
+//	func TestMain(m *testing.M) { os.Exit(entryhost.Run(m, &binary)) }
 //	h, err := entryhost.New(binary, dir, "node-0", "a", store.Address())
 //	err = h.Start()
 //	h.Ready()
@@ -47,6 +47,22 @@
 	return binary, build.Run()
 }
 
+// Run builds the program in a directory of its own, sets binary to its path, and runs
+// the tests. It returns their exit code.
+func Run(tests interface{ Run() int }, binary *string) int {
+	dir, err := os.MkdirTemp("", "cicadabeam-entry-host")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if *binary, err = Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, "build:", err)
+		return 1
+	}
+	return tests.Run()
+}
+
 // New writes the settings of a host that is not started. dir takes them and what the
 // host prints.
 func New(binary, dir, name, dataCentre, store string) (*Host, error) {
--- a/test/relay/stream_test.go
+++ b/test/relay/stream_test.go
@@ -192,7 +192,11 @@
 			if d := time.Since(started); d > c.most {
 				t.Errorf("the stream took %v", d)
 			}
-			if from := second.Requests()[0].Header.Get("Kv-From"); (from != "") != c.copied {
+			seen := second.Requests()
+			if len(seen) != 1 {
+				t.Fatalf("%d requests reached the second server, not 1", len(seen))
+			}
+			if from := seen[0].Header.Get("Kv-From"); (from != "") != c.copied {
 				t.Errorf("it goes on from %q", from)
 			}
 		})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -39,21 +39,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(run(m)) }
-
-func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "cicadabeam-soak")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	if binary, err = entryhost.Build(dir); err != nil {
-		fmt.Fprintln(os.Stderr, "build:", err)
-		return 1
-	}
-	return m.Run()
-}
+func TestMain(m *testing.M) { os.Exit(entryhost.Run(m, &binary)) }
 
 // seeds reads SOAK_SEEDS, as FROM-TO.
 func seeds(t *testing.T) []uint64 {
