claim: refuse calls after Close; run core's tests with -race in make test

Cause: Dispatcher.Do adds to a WaitGroup that Dispatcher.Close already waits for, which the WaitGroup forbids: a call that begins while Close waits might run without anybody waiting for its outcome, which is then lost with the process. Calls are now started by a group that is closed under its lock; a call that comes later gets 503 draining at once: not sent in this attempt, whether an earlier one ran is unknown.

The other race that -race showed was in two tests of core/generation themselves (a generator of random numbers and the name of the frozen engine shared with the health probe); the checks are the same.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 test:
 	go build -o $(BIN)/ cicadabeam/tools/runtests
-	go test -json -count=1 -timeout=30m -parallel=6 work | $(BIN)/runtests --known KNOWN-RED.txt
+	( go test -json -count=1 -timeout=30m -parallel=6 work; go -C core test -race -json -count=1 -timeout=30m ./... ) | $(BIN)/runtests --known KNOWN-RED.txt
 
 lint:
 	@test -z "$$(gofmt -l core io platform cmd test tools)" || { gofmt -l core io platform cmd test tools; echo "gofmt: the files above are not formatted"; exit 1; }
--- a/core/claim/dispatcher.go
+++ b/core/claim/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -51,7 +50,7 @@
 	sender      Sender
 	calls       *shard.Map[callKey, *callEntry]
 	endedClaims *shard.Map[claimUUID, endedClaim]
-	inFlight    sync.WaitGroup
+	inFlight    callGroup
 	ctx         context.Context
 	stop        context.CancelFunc
 }
@@ -67,12 +66,12 @@
 	}
 }
 
-// Close waits until the calls in flight have ended and their outcomes are
-// recorded, or ctx is done.
+// Close refuses further calls and waits until those in flight have ended and their
+// outcomes are recorded, or ctx is done.
 func (d *Dispatcher) Close(ctx context.Context) {
 	done := make(chan struct{})
 	go func() {
-		d.inFlight.Wait()
+		d.inFlight.closeAndWait()
 		close(done)
 	}()
 	select {
@@ -148,7 +147,9 @@
 	for {
 		e, loaded := d.calls.GetOrPut(name, func() *callEntry { return candidate })
 		if !loaded {
-			d.inFlight.Go(func() { d.run(e) })
+			if !d.inFlight.start(func() { d.run(e) }) {
+				d.finish(e, closedOutcome())
+			}
 			return e
 		}
 		if !e.ended() || e.outcome.State == Done {
@@ -158,6 +159,13 @@
 	}
 }
 
+// closedOutcome returns the outcome of a call that came after Close. It was not sent, but
+// an earlier one with the same key may have been.
+func closedOutcome() Outcome {
+	f := fault.Newf(fault.Draining, "claim", "", "the node is shutting down")
+	return Outcome{State: Abandoned, Failure: failure(f.WithRan(fault.RanUnknown).WithAttempt(fault.NotRun).WithRetryAt(time.Now().Add(retryAfter)))}
+}
+
 func (d *Dispatcher) run(e *callEntry) {
 	ctx, cancel := context.WithDeadline(d.ctx, e.call.Deadline)
 	defer cancel()
--- a/core/generation/runner_test.go
+++ b/core/generation/runner_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,9 +136,9 @@
 func TestSlowEngineIsNotAbandoned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, 2)
-		random := rand.New(rand.NewPCG(20261204, 5))
+		gaps, probes := rand.New(rand.NewPCG(20261204, 5)), rand.New(rand.NewPCG(20261204, 6)) // probes run beside the stream
 		h.probe = func(ctx context.Context, _ string) generation.Health {
-			if !sleep(ctx, time.Duration(random.IntN(600))*time.Millisecond) {
+			if !sleep(ctx, time.Duration(probes.IntN(600))*time.Millisecond) {
 				return generation.Unresponsive
 			}
 			return generation.Healthy
@@ -145,7 +146,7 @@
 		longGaps := 0
 		h.script = func(ctx context.Context, _ string, _ int, send func(generation.Chunk)) error {
 			for n := 1; time.Since(time.Unix(946684800, 0)) < time.Hour; n++ {
-				gap := time.Duration(65 / math.Pow(1-random.Float64(), 0.8) * float64(time.Millisecond))
+				gap := time.Duration(65 / math.Pow(1-gaps.Float64(), 0.8) * float64(time.Millisecond))
 				gap = min(gap, 19*time.Second)
 				if gap > 3*time.Second {
 					longGaps++
@@ -174,9 +175,10 @@
 	for _, after := range []int{0, 1, 50} {
 		synctest.Test(t, func(t *testing.T) {
 			h := newHarness(t, 2)
-			frozen := ""
+			var frozen atomic.Value // the server's name; probes run beside the stream
+			frozen.Store("")
 			h.probe = func(ctx context.Context, server string) generation.Health {
-				if server == frozen {
+				if server == frozen.Load() {
 					<-ctx.Done()
 					return generation.Unresponsive
 				}
@@ -185,7 +187,7 @@
 			h.script = func(ctx context.Context, server string, attempt int, send func(generation.Chunk)) error {
 				for n := 1; n <= 100; n++ {
 					if attempt == 1 && n == after+1 {
-						frozen = server
+						frozen.Store(server)
 						time.Sleep(10 * time.Second)
 					}
 					time.Sleep(20 * time.Millisecond)
