relay: count the time that a request waited in the kernel, by the kernel's own clock

A request that is accepted or read late for another reason (a host that has just started, a busy machine, a second stall) got its whole time again.

The kernel knows when a connection last received data (TCP_INFO). The handler asks it when the head has been read; the wait is that time or the stall, whichever is longer. It says too little while a body is still arriving, where the stall detector serves as before. Weighed: a longer window after a stall, which shortens requests that did not wait.

TestWaitInKernelIsDeductedFromDeadline (listener's backlog, accepted connection) and TestReadDelayOfFollowingRequests (pipelining) failed first: the server was sent 1.999 s instead of 1 s.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -175,7 +175,7 @@
 	}
 	s := &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return ctx },
+		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: relay.ConnContext,
 	}
 	g.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
 	return nil
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -25,6 +25,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"cicadabeam/io/tcp"
 )
 
 const (
@@ -67,7 +69,7 @@
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
-	d := net.Dialer{Deadline: time.Now().Add(dialTimeout), KeepAliveConfig: keepAlive, Control: setUserTimeout}
+	d := net.Dialer{Deadline: time.Now().Add(dialTimeout), KeepAliveConfig: keepAlive, Control: tcp.UserTimeout(tcpUserTimeout)}
 	n, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
@@ -75,18 +77,6 @@
 	return &Conn{net: n, address: address, reader: bufio.NewReaderSize(n, readBufferSize)}, nil
 }
 
-// setUserTimeout limits how long sent bytes may stay unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var sockErr error
-	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout/time.Millisecond))
-	})
-	if err != nil {
-		return err
-	}
-	return sockErr
-}
-
 // Close closes the connection.
 func (c *Conn) Close() {
 	c.noReuse = true
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -13,16 +13,15 @@
 	"net"
 	"net/rpc"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/quarantine"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/io/tcp"
 )
 
 const (
@@ -201,7 +200,7 @@
 	if c.rpc != nil {
 		return c.rpc, nil
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: tcp.UserTimeout(tcpUserTimeout)}
 	conn, err := d.Dial("tcp", c.address)
 	if err != nil {
 		return nil, err
@@ -210,14 +209,6 @@
 	return c.rpc, nil
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var optionErr error
-	err := c.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout/time.Millisecond))
-	})
-	return errors.CombineErrors(err, optionErr)
-}
-
 // Close closes the connection.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -88,10 +88,10 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	if timeout <= x.stallDelay {
-		return notRunError(fault.NotReady, "admit", "this entry host stalled for at least the request's timeout", retryAfterNotReady)
+	if timeout <= x.readDelay {
+		return notRunError(fault.NotReady, "admit", "the request waited in this entry host's kernel for at least its timeout", retryAfterNotReady)
 	}
-	x.deadline = x.arrived.Add(timeout - x.stallDelay)
+	x.deadline = x.arrived.Add(timeout - x.readDelay)
 	x.uptimeDeadline = x.h.Uptime() + time.Until(x.deadline)
 	return nil
 }
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -160,7 +160,7 @@
 	header         http.Header
 	body           []byte
 	arrived        time.Time
-	stallDelay     time.Duration // time that the request may have waited before arrived, as the process was stalled
+	readDelay      time.Duration // time that the request may have waited in the kernel before arrived
 	deadline       time.Time
 	uptimeDeadline time.Duration // the deadline as a reading of Uptime, which also runs while the host is suspended
 	tried          map[string]bool
@@ -177,7 +177,7 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), meta: h.Codec.DecodeRequest(r.Header), tried: make(map[string]bool)}
-	x.stallDelay = h.StallDetector.RecentStall(h.Uptime())
+	x.readDelay = h.readDelay(r)
 	x.awaitInitialState()
 	if err := x.admit(); err != nil {
 		x.respondError(err)
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -93,7 +93,9 @@
 		Uptime:    func() time.Duration { h.mu.Lock(); defer h.mu.Unlock(); return h.uptime },
 		NodeCount: func() int { return 1 }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
 	})
-	h.frontend = httptest.NewServer(h.handler)
+	h.frontend = httptest.NewUnstartedServer(h.handler)
+	h.frontend.Config.ConnContext = relay.ConnContext
+	h.frontend.Start()
 	t.Cleanup(func() {
 		h.frontend.Close()
 		if t.Failed() {
