Keep the time of day out of limits, loads and waits

Cause: the time of day of a host may jump by seconds both ways. The buckets of the retry budget were numbered by it, so that a step emptied or kept counts: 171 to 231 retries in a window where 150 are allowed, and none for a minute after a step back. Whether the work reports of other nodes are current was told by it: 12 of 20 requests went to the server that is busy for others.

--- a/cmd/node/drain.go
+++ b/cmd/node/drain.go
@@ -18,7 +18,8 @@
 func (n *Node) Drain() {
 	n.drainOnce.Do(func() {
 		n.state.Store(draining)
-		n.refuseFrom.Store(n.settings.DrainGraceEnd(time.Now()).UnixMilli())
+		from := n.settings.DrainGraceEnd(time.Now())
+		n.refuseFrom.Store(&from)
 		close(n.drainStarted)
 		n.triggerHeartbeat()
 		n.log.Info("draining")
@@ -59,7 +60,7 @@
 // are refused.
 func (n *Node) refusing(now time.Time) bool {
 	t := n.refuseFrom.Load()
-	return t != 0 && now.UnixMilli() >= t
+	return t != nil && !now.Before(*t)
 }
 
 // CheckReady implements caller.Backend.
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -81,8 +81,8 @@
 	state        atomic.Value // holds a state
 	drainStarted chan struct{}
 	drainOnce    sync.Once
-	refuseFrom   atomic.Int64 // Unix time in milliseconds, 0 for never
-	remoteReads  atomic.Int64 // reads of other nodes in flight
+	refuseFrom   atomic.Pointer[time.Time] // nil for never
+	remoteReads  atomic.Int64              // reads of other nodes in flight
 	ctx          context.Context
 	stop         context.CancelFunc
 }
--- a/cmd/node/peers.go
+++ b/cmd/node/peers.go
@@ -46,7 +46,7 @@
 func (p peerHandler) Read(r holder.ReadRequest) holder.ReadReply {
 	p.node.remoteReads.Add(1)
 	defer p.node.remoteReads.Add(-1)
-	ctx, cancel := context.WithDeadline(p.node.ctx, time.UnixMilli(r.Until))
+	ctx, cancel := context.WithDeadline(p.node.ctx, r.Deadline(time.Now()))
 	defer cancel()
 	return p.node.holder.Read(ctx, r)
 }
@@ -66,7 +66,7 @@
 }
 
 func (p peerHandler) CallStatus(q peer.CallStatusRequest) claim.Status {
-	ctx, cancel := context.WithDeadline(p.node.ctx, time.UnixMilli(q.Until))
+	ctx, cancel := context.WithDeadline(p.node.ctx, time.Now().Add(time.Duration(q.Wait)*time.Millisecond))
 	defer cancel()
 	return p.node.calls.Status(ctx, q.Incarnation, q.Key, q.ClaimID)
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -73,7 +73,7 @@
 	peerWorkMu sync.Mutex
 	peerWork   map[string]map[string]Work // last report of each node, by server ID
 
-	lastPeerWork atomic.Int64 // Unix time in nanoseconds of the last work report from another node
+	lastPeerWork atomic.Pointer[time.Time] // time of the last work report from another node
 }
 
 // New returns an empty fleet.
--- a/core/fleet/work.go
+++ b/core/fleet/work.go
@@ -34,7 +34,7 @@
 // another data centre. Only servers in this report or in the previous one are touched, as
 // hundreds of reports arrive per second.
 func (f *Fleet) RecordPeerWork(node string, work map[string]Work, now time.Time) {
-	f.lastPeerWork.Store(now.UnixNano())
+	f.lastPeerWork.Store(&now)
 	f.peerWorkMu.Lock()
 	before := f.peerWork[node]
 	f.peerWork[node] = work
@@ -59,7 +59,8 @@
 
 // peerWorkKnown reports whether the work reports of other nodes are current.
 func (f *Fleet) peerWorkKnown(now time.Time) bool {
-	return now.UnixNano()-f.lastPeerWork.Load() < int64(peerWorkTTL)
+	last := f.lastPeerWork.Load()
+	return last != nil && now.Sub(*last) < peerWorkTTL
 }
 
 func (m *Member) work() Work {
--- a/core/holder/messages.go
+++ b/core/holder/messages.go
@@ -34,7 +34,12 @@
 	Organisation string
 	Mark         string
 	BodyHash     uint64 // 0 accepts any body
-	Until        int64  // end of the long poll, Unix time in milliseconds
+	Wait         int64  // how long the called node may wait for pieces, in milliseconds; clocks of nodes differ
+}
+
+// Deadline returns the end of the long poll for a request that arrived at now.
+func (r ReadRequest) Deadline(now time.Time) time.Time {
+	return now.Add(time.Duration(r.Wait) * time.Millisecond)
 }
 
 // ReadState is the outcome of a ReadRequest.
--- a/core/holder/reader.go
+++ b/core/holder/reader.go
@@ -281,7 +281,7 @@
 	defer cancel()
 	return x.store.peers.Read(c, node, ReadRequest{
 		ID: x.header.ID, Organisation: x.header.Organisation, BodyHash: x.header.BodyHash,
-		Mark: x.eventID.String(), Until: until.UnixMilli(),
+		Mark: x.eventID.String(), Wait: time.Until(until).Milliseconds(),
 	})
 }
 
--- a/core/holder/serve.go
+++ b/core/holder/serve.go
@@ -61,7 +61,7 @@
 	a.AddReader()
 	defer a.RemoveReader()
 	s.ensureGenerating(a)
-	return s.awaitPieces(ctx, a, e.Position(), time.UnixMilli(r.Until))
+	return s.awaitPieces(ctx, a, e.Position(), r.Deadline(time.Now()))
 }
 
 func (s *AnswerStore) awaitPieces(ctx context.Context, a *answer.Answer, from int, until time.Time) ReadReply {
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -76,6 +76,7 @@
 type Budget struct {
 	mu           sync.Mutex
 	limit        Limit
+	start        time.Time // of the first bucket, by the monotonic clock
 	buckets      [buckets]bucket
 	reports      map[string]report
 	retries      int64
@@ -86,8 +87,13 @@
 // New returns an empty budget.
 func New(l Limit) *Budget { return &Budget{limit: l, reports: make(map[string]report)} }
 
+// bucketAt returns the bucket of a time, which is emptied if it was that of an earlier one.
+// The time of day is not used, as it may be stepped.
 func (b *Budget) bucketAt(now time.Time) *bucket {
-	i := now.UnixNano() / int64(b.limit.Window/bucketsPerWindow)
+	if b.start.IsZero() {
+		b.start = now
+	}
+	i := int64(max(0, now.Sub(b.start)) / (b.limit.Window / bucketsPerWindow))
 	c := &b.buckets[i%buckets]
 	if c.index != i {
 		*c = bucket{index: i}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -223,9 +223,8 @@
 // CallStatus implements claim.Peers.
 func (c *Client) CallStatus(ctx context.Context, node, incarnation string, key claim.Key, claimID string) (claim.Status, error) {
 	// The called node must respond before ctx ends, so that the reply arrives in time.
-	until := time.Now().Add(callStatusWait)
 	var r claim.Status
-	err := c.call(ctx, controlChannel, node, "CallStatus", CallStatusRequest{Key: key, Incarnation: incarnation, ClaimID: claimID, Until: until.UnixMilli()}, &r)
+	err := c.call(ctx, controlChannel, node, "CallStatus", CallStatusRequest{Key: key, Incarnation: incarnation, ClaimID: claimID, Wait: callStatusWait.Milliseconds()}, &r)
 	return r, err
 }
 
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -61,7 +61,7 @@
 	Key         claim.Key
 	Incarnation string
 	ClaimID     string
-	Until       int64 // end of the wait for the call to complete, Unix time in milliseconds
+	Wait        int64 // how long the called node may wait for the call to complete, in milliseconds
 }
 
 // Handler handles the requests of other nodes.
