entry: one node of each region reads the store; nodes that start ask peers first

Change: core/readers decides, without a network, which host reads and how long a query waits. In each region the live host with the lowest name reads; those that lost the store are passed over at once (two at most, further ones take over in turn as their state gets old, so that an outage for all draws few). A query waits 0.4 of the shortest bound (2 s for 5 s, 1 s as before for 2.5 s), the first one after a failure not at all. A host that starts lists the hosts, registers only if its row is missing or old, and waits 100 ms for peers to send it the state before it reads itself; two hosts of each data centre read the list again, the others get it from them.

TestStoreCallsAreSharedByNodes failed first: 58 calls to start 8 nodes and 20 in 5 s, for 4 a node and 2 a second.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cicadabeam/core/records"
+	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
 )
 
@@ -19,6 +22,15 @@
 	// hosts from each other.
 	listInterval         = 30 * time.Second
 	nodesPerListInterval = 8
+	// listReaders is the number of nodes of each data centre that read the list after the
+	// start. The others fetch it from them.
+	listReaders = 2
+	// minListAdvance is by how much a peer's list must be newer than this node's to be
+	// fetched. Lists that were read at the start of many nodes differ all the time.
+	minListAdvance = 500 * time.Millisecond
+	// registrationDelay is how long after its registration this node may be missing from a
+	// list.
+	registrationDelay = time.Second
 	// hostStoreTimeout limits each call to the host store.
 	hostStoreTimeout = 2 * time.Second
 	// staleHostAge is the time without contact after which the row of an entry host is
@@ -30,10 +42,14 @@
 	assumedNodes = 16
 )
 
-// directory holds the known entry hosts.
+// directory holds the known entry hosts: the last list from the store, read by this node or
+// by a peer, and the hosts that reported since.
 type directory struct {
-	mu    sync.Mutex
-	hosts map[string]records.EntryHost
+	mu     sync.Mutex
+	hosts  map[string]records.EntryHost
+	listed bool
+	hash   uint64        // of the last list
+	asOf   time.Duration // uptime at which the last list was read or later
 }
 
 // count returns the number of known nodes, or assumedNodes before the host list is known.
@@ -53,6 +69,13 @@
 	return found
 }
 
+// containsHost reports whether a host is known with the same address and place.
+func (d *directory) containsHost(h records.EntryHost) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hosts[h.Name] == h
+}
+
 // knownCount returns the number of known nodes, 0 before the host list is known.
 func (d *directory) knownCount() int {
 	d.mu.Lock()
@@ -60,38 +83,115 @@
 	return len(d.hosts)
 }
 
-func (d *directory) set(hosts map[string]records.EntryHost) {
+// set replaces the known hosts by a list that was current at uptime asOf or later.
+func (d *directory) set(list []records.EntryHost, asOf time.Duration) {
+	hosts := make(map[string]records.EntryHost, len(list))
+	hash := uint64(0)
+	for _, h := range list {
+		hosts[h.Name] = h
+		hash += xxhash.Sum64String(h.Name + "\x00" + h.Address + "\x00" + h.DataCentre + "\x00" + h.Region) // in any order
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listed && asOf < d.asOf {
+		return
+	}
+	d.hosts, d.listed, d.hash, d.asOf = hosts, true, hash, asOf
+}
+
+// freshness returns which list is known and the time since it was read.
+func (d *directory) freshness(now time.Duration) neighbour.VersionInfo {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.hosts = hosts
+	return neighbour.VersionInfo{Known: d.listed, Version: d.hash, Age: now - d.asOf}
+}
+
+// isNewer reports whether a peer that was asked at uptime sent has another and newer list.
+func (d *directory) isNewer(x neighbour.VersionInfo, sent time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return x.Known && (!d.listed || x.Version != d.hash && sent-x.Age > d.asOf+minListAdvance)
+}
+
+// hostList returns the known hosts for another node.
+func (d *directory) hostList(now time.Duration) neighbour.HostList {
+	x := neighbour.HostList{Fact: d.freshness(now)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, h := range d.hosts {
+		x.Hosts = append(x.Hosts, h)
+	}
+	return x
 }
 
 // maintainRegistration registers this node, keeps it registered and reads the host list
 // periodically.
 func (n *Node) maintainRegistration(ctx context.Context) error {
-	registered := n.register(ctx)
-	n.listHosts(ctx)
-	n.refreshPeers(time.Now())
-	n.triggerExchange()
-	n.hostListTried.Store(true)
+	registered := n.join(ctx)
 	wait := firstListInterval
 	for ctx.Err() == nil {
 		sleep(ctx, wait)
-		if !registered {
-			registered = n.register(ctx)
-		}
-		if n.listHosts(ctx) {
-			registered = registered && n.directory.contains(n.settings.name)
+		registered = registered || n.register(ctx)
+		if n.listsHosts() && n.listHosts(ctx) {
 			n.removeStaleHosts(ctx)
-			wait = listInterval * time.Duration(max(1, n.directory.knownCount()/nodesPerListInterval))
 		}
-		if !registered {
-			wait = firstListInterval
+		registered = registered && !n.missingFromList()
+		wait = firstListInterval
+		if registered && n.directory.knownCount() > 0 {
+			wait = n.nextListInterval()
 		}
 	}
 	return ctx.Err()
 }
 
+// join makes this node and its peers known to each other after the start. A host that
+// restarts finds its row and its peers in the list, and need not wait for a write, of which
+// the store does a limited number a second. It reports whether this node is registered.
+func (n *Node) join(ctx context.Context) bool {
+	n.listHosts(ctx)
+	registered := n.directory.containsHost(n.self())
+	if n.directory.knownCount() > 0 {
+		n.connectPeers()
+	}
+	if !registered {
+		registered = n.register(ctx)
+		n.listHosts(ctx)
+		n.connectPeers()
+	}
+	return registered
+}
+
+// connectPeers starts the exchange of reports with the hosts of the list.
+func (n *Node) connectPeers() {
+	n.refreshPeers(time.Now())
+	n.triggerExchange()
+	n.hostListTried.Store(true)
+}
+
+func (n *Node) nextListInterval() time.Duration {
+	return listInterval * time.Duration(max(1, n.directory.knownCount()/nodesPerListInterval))
+}
+
+// listsHosts reports whether this node is to read the host list again: it is one of the
+// first of its data centre, or nobody sent it a recent list.
+func (n *Node) listsHosts() bool {
+	f := n.directory.freshness(uptime())
+	if !f.Known || f.Age > 2*n.nextListInterval() {
+		return true
+	}
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	return n.aheadInDataCentre(time.Now()) < listReaders
+}
+
+// missingFromList reports whether this node is missing from a list that was read after its
+// registration.
+func (n *Node) missingFromList() bool {
+	up := uptime()
+	f := n.directory.freshness(up)
+	return f.Known && up-f.Age > n.registeredAt+registrationDelay && !n.directory.contains(n.settings.name)
+}
+
 // removeStaleHosts removes the rows of this region's entry hosts that have not been in
 // contact for staleHostAge. In each data centre only the live node with the lowest name
 // does this.
@@ -99,7 +199,7 @@
 	now := time.Now()
 	n.peers.mu.Lock()
 	var staleHosts []string
-	if n.readersAhead(now) == 0 {
+	if n.aheadInDataCentre(now) == 0 {
 		staleHosts = n.peers.staleHosts(n.self().Region, now)
 	}
 	n.peers.mu.Unlock()
@@ -141,6 +241,7 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(hostStoreTimeout))
 	defer cancel()
 	self := n.self()
+	n.registeredAt = uptime()
 	if err := n.hosts.Register(ctx, self); err != nil {
 		n.recorder.Record("not registered", relay.Fields{"error": err.Error()})
 		return false
@@ -152,14 +253,11 @@
 func (n *Node) listHosts(ctx context.Context) bool {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(hostStoreTimeout))
 	defer cancel()
+	sent := uptime()
 	all, err := n.hosts.List(ctx)
 	if err != nil {
 		return false
 	}
-	hosts := make(map[string]records.EntryHost, len(all))
-	for _, h := range all {
-		hosts[h.Name] = h
-	}
-	n.directory.set(hosts)
+	n.directory.set(all, sent)
 	return true
 }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -48,17 +48,19 @@
 
 // Node is one entry host.
 type Node struct {
-	settings      *Settings
-	logWriter     *logWriter
-	metrics       *metrics
-	recorder      *recorder
-	tracker       *freshness.Tracker
-	fleet         *fleet.Fleet
-	prompts       *fleet.PromptIndex
-	pool          *http1.Pool
-	store         *platform.StoreClient
-	handler       *relay.Handler
-	serverWatcher *tableWatcher
+	settings  *Settings
+	logWriter *logWriter
+	metrics   *metrics
+	recorder  *recorder
+	tracker   *freshness.Tracker
+	fleet     *fleet.Fleet
+	prompts   *fleet.PromptIndex
+	pool      *http1.Pool
+	store     *platform.StoreClient
+	handler   *relay.Handler
+	// configurationWatcher and serverWatcher follow the store's tables.
+	configurationWatcher *tableWatcher
+	serverWatcher        *tableWatcher
 
 	started time.Duration // uptime
 
@@ -76,6 +78,7 @@
 	drainOnce            sync.Once
 	hosts                *records.HostStore
 	directory            directory
+	registeredAt         time.Duration // uptime of the last registration; used by maintainRegistration only
 	peers                peers
 }
 
@@ -91,6 +94,7 @@
 		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
+	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate)
 	n.serverWatcher = n.newWatcher(platform.ServersTable, n.applyServerUpdate)
 	n.serverWatcher.batchDelay = serverBatchDelay
 	n.peers.init()
@@ -101,7 +105,11 @@
 const serverBatchDelay = 250 * time.Millisecond
 
 func (n *Node) newWatcher(table string, onUpdate func(tableUpdate)) *tableWatcher {
-	return &tableWatcher{table: table, store: n.store, uptime: uptime, recorder: n.recorder, onUpdate: onUpdate, observe: n.metrics.observe, shouldRead: n.readsStore, knownNodes: n.directory.knownCount, clock: &freshness.StoreClock{}}
+	return &tableWatcher{
+		table: table, store: n.store, uptime: uptime, recorder: n.recorder, onUpdate: onUpdate, observe: n.metrics.observe, shouldRead: n.readsStore,
+		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: n.awaitPeerState, knownNodes: n.directory.knownCount,
+		clock: &freshness.StoreClock{},
+	}
 }
 
 // uptime reads a clock that keeps running while the host is suspended.
@@ -144,7 +152,7 @@
 	var g run.Group
 	halt := func(error) { stop() }
 	g.Add(func() error { return n.awaitDrain(ctx) }, halt)
-	g.Add(func() error { return n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate).run(ctx) }, halt)
+	g.Add(func() error { return n.configurationWatcher.run(ctx) }, halt)
 	g.Add(func() error { return n.serverWatcher.run(ctx) }, halt)
 	g.Add(func() error { return n.maintainRegistration(ctx) }, halt)
 	g.Add(func() error { return n.expireLoop(ctx) }, halt)
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -194,8 +194,8 @@
 		promptsFrom = time.Time{}
 	}
 	x := neighbour.NodeReport{
-		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
-		Deaths: n.handler.RecentDeaths(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
+		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
+		Deaths: n.handler.RecentDeaths(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.fleet.RecentLosses(now),
 	}
 	return x
@@ -272,7 +272,7 @@
 	} else if x.Configuration.Known && sent != unknownSendTime {
 		n.tracker.Confirm(x.Configuration.Version, sent-x.Configuration.Age)
 	}
-	acceptServers := p.host.DataCentre == n.settings.topology.DataCentre || servers.Age > readTakeoverAge
+	acceptServers := p.host.Region == n.self().Region || servers.Age > n.readTiming().TakeoverAge()
 	switch {
 	case !x.Servers.Known || !acceptServers:
 	case x.Servers.Version > servers.Version && !n.readsStore():
@@ -280,6 +280,9 @@
 	case x.Servers.Version == servers.Version && sent != unknownSendTime:
 		n.serverFreshness.confirm(servers.Version, sent-x.Servers.Age)
 	}
+	if sent != unknownSendTime && n.directory.isNewer(x.HostList, sent) {
+		go n.fetch(p, "hosts", n.fetchHosts)
+	}
 }
 
 // fetch runs get unless a fetch of the same kind of data is in progress.
@@ -324,6 +327,19 @@
 	return nil
 }
 
+func (n *Node) fetchHosts(p *peer) error {
+	sent := uptime()
+	x, err := p.client.Hosts(time.Now().Add(fetchTimeout))
+	if err != nil || !x.Fact.Known {
+		return err
+	}
+	n.directory.set(x.Hosts, sent-x.Fact.Age)
+	return nil
+}
+
+// Hosts implements neighbour.Handler.
+func (n *Node) Hosts() neighbour.HostList { return n.directory.hostList(uptime()) }
+
 // Configuration implements neighbour.Handler.
 func (n *Node) Configuration() neighbour.ConfigurationReply {
 	encoded := n.encoded.Load()
--- a/cmd/entry/readers.go
+++ b/cmd/entry/readers.go
@@ -1,25 +1,26 @@
 package entry
 
 import (
+	"context"
 	"time"
+
+	"cicadabeam/core/readers"
 )
 
 const (
-	// readTakeoverAge is the age of the state from peers at which the second node of a
-	// data centre reads the store itself. Each further node waits readTakeoverStagger
-	// longer: all nodes at once would make thousands of calls during an outage of one
-	// minute. readTakeoverHold is how long such a node then continues to read.
-	readTakeoverAge     = 1800 * time.Millisecond
-	readTakeoverStagger = 250 * time.Millisecond
-	readTakeoverHold    = time.Second
+	// readTakeoverHold is how long a node that took over continues to read the store.
+	readTakeoverHold = time.Second
 	// hostListStartupWait is how long after its start a node waits for the host list before
 	// it reads the store a second time.
 	hostListStartupWait = 300 * time.Millisecond
+	// peerStateWait is how long after it has read the host list a starting node waits for
+	// peers to send it the state, before it reads the store itself.
+	peerStateWait     = 100 * time.Millisecond
+	statePollInterval = 5 * time.Millisecond
 )
 
-// readsStore reports whether this node is to read the store. In each data centre the live
-// node with the lowest name does. Further nodes do, one after another, while the state
-// that they get from peers is out of date. A draining node always does.
+// readsStore reports whether this node is to read the store. A draining node always does, as
+// its peers no longer report to it.
 func (n *Node) readsStore() bool {
 	now := time.Now()
 	up := uptime()
@@ -27,25 +28,49 @@
 		return false
 	}
 	age := n.stateAge(up)
+	timing := n.readTiming()
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
 	ahead := n.readersAhead(now)
-	if age > readTakeoverAge+time.Duration(ahead-1)*readTakeoverStagger {
+	if ahead > 0 && timing.ShouldRead(ahead, age) {
 		n.peers.readUntil = now.Add(readTakeoverHold)
 	}
 	return ahead == 0 || now.Before(n.peers.readUntil) || n.draining.Load()
 }
 
-// readersAhead returns the number of live nodes of this data centre that precede this one
-// in reading the store. If there are many nodes, newly listed ones count as live, or else
-// all nodes that start at the same time would read.
+// readTiming returns the timing of reads, which follows from the limits on the age of the
+// configuration.
+func (n *Node) readTiming() readers.Timing {
+	hops := 1
+	if n.usesGateways() {
+		hops = 2
+	}
+	return readers.NewTiming(hops, n.settings.limits.MaxConfigAge, n.settings.limits.MaxKeyAge)
+}
+
+// readersAhead returns the number of peers that precede this node in reading the store.
 func (n *Node) readersAhead(now time.Time) int {
+	self := n.self()
+	others := make([]readers.Host, 0, len(n.peers.all))
+	for _, p := range n.peers.all {
+		others = append(others, readers.Host{
+			Name: p.host.Name, Region: p.host.Region, Live: p.live(now), Leaving: p.report.Leaving, StoreLost: p.report.StoreLost,
+		})
+	}
+	return readers.Ahead(readers.Host{Name: self.Name, Region: self.Region}, others)
+}
+
+// live reports whether a peer was in contact recently. Newly listed ones count as live, or
+// else all nodes that start at the same time would read the store.
+func (p *peer) live(now time.Time) bool {
+	return now.Sub(p.reportedAt) < livenessTimeout || now.Sub(p.addedAt) < livenessTimeout
+}
+
+// aheadInDataCentre returns the number of live nodes of this data centre with lower names.
+func (n *Node) aheadInDataCentre(now time.Time) int {
 	ahead := 0
 	for _, p := range n.peers.all {
-		if p.host.DataCentre != n.settings.topology.DataCentre || p.host.Name > n.settings.name || p.report.Leaving {
-			continue
-		}
-		if now.Sub(p.reportedAt) < livenessTimeout || n.usesGateways() && now.Sub(p.addedAt) < livenessTimeout {
+		if p.host.DataCentre == n.settings.topology.DataCentre && p.host.Name < n.settings.name && !p.report.Leaving && p.live(now) {
 			ahead++
 		}
 	}
@@ -65,3 +90,20 @@
 		return servers.Age
 	}
 }
+
+// awaitPeerState waits after the start until the configuration and the servers are known
+// from peers, this node turns out to be the one that reads the store, or peerStateWait has
+// passed. It reports whether they are known.
+func (n *Node) awaitPeerState(ctx context.Context) bool {
+	for !n.hostListTried.Load() && ctx.Err() == nil {
+		sleep(ctx, statePollInterval)
+	}
+	deadline := time.Now().Add(peerStateWait)
+	for time.Now().Before(deadline) && !n.readsStore() && ctx.Err() == nil {
+		if n.tracker.Catalog() != nil && n.serverFreshness.freshness(0).Known {
+			return true
+		}
+		sleep(ctx, statePollInterval)
+	}
+	return false
+}
--- a/cmd/entry/watch.go
+++ b/cmd/entry/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,10 +14,8 @@
 )
 
 const (
-	// longPollWait is how long a query for changes waits in the store. It limits the age
-	// of the confirmation that nothing has changed.
-	longPollWait = time.Second
-	// longPollGrace is how long after longPollWait the response may arrive.
+	// longPollGrace is how long after the end of its wait the response to a query for
+	// changes may arrive.
 	longPollGrace = time.Second
 	// tableReadTimeout limits the reading of a whole table.
 	tableReadTimeout = 3 * time.Second
@@ -47,15 +46,19 @@
 	observe  func(event string, d time.Duration) // records the duration of a call
 	// recoveredAt is when the store last became reachable again after a failure.
 	recoveredAt time.Time
-	// shouldRead reports whether this node is to read from the store.
+	// shouldRead reports whether this node is to read from the store, and pollWait returns
+	// how long a query for changes may wait there.
 	shouldRead func() bool
+	pollWait   func() time.Duration
+	// awaitPeerState waits after the start and reports whether peers sent the table.
+	awaitPeerState func(ctx context.Context) bool
 	// knownNodes returns the number of known nodes.
 	knownNodes func() int
 	// batchDelay is the delay after a response with changes, so that the next one
 	// contains several.
 	batchDelay time.Duration
 	clock      *freshness.StoreClock
-	failing    bool
+	failing    atomic.Bool
 	since      uint64
 	loaded     bool
 }
@@ -63,10 +66,10 @@
 // idlePollInterval is how often an idle watcher checks whether it is to read again.
 const idlePollInterval = 100 * time.Millisecond
 
-// run reads the table until ctx is done. The first read is unconditional: after the
-// loss of all nodes, no peer has the table.
+// run reads the table until ctx is done. The first read is unconditional unless peers sent
+// the table: after the loss of all nodes, none has it.
 func (w *tableWatcher) run(ctx context.Context) error {
-	readOnce := false
+	readOnce := w.awaitPeerState(ctx)
 	for ctx.Err() == nil {
 		if readOnce && !w.shouldRead() {
 			w.loaded = false
@@ -96,16 +99,20 @@
 func (w *tableWatcher) read(ctx context.Context) (tableUpdate, error) {
 	u := tableUpdate{full: !w.loaded}
 	sent := w.uptime()
-	wait := tableReadTimeout
+	wait := w.pollWait()
+	if w.failing.Load() {
+		wait = 0 // the age of the state is confirmed as soon as the store responds again
+	}
+	timeout := tableReadTimeout
 	if w.loaded {
-		wait = longPollWait + longPollGrace
+		timeout = wait + longPollGrace
 	}
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(wait))
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(timeout))
 	defer cancel()
 	var err error
 	start := time.Now()
 	if w.loaded {
-		u.page, err = w.store.Changes(ctx, w.table, w.since, longPollWait)
+		u.page, err = w.store.Changes(ctx, w.table, w.since, wait)
 	} else {
 		u.page, err = w.store.Rows(ctx, w.table)
 	}
@@ -120,8 +127,7 @@
 }
 
 func (w *tableWatcher) recordSuccess() {
-	if w.failing {
-		w.failing = false
+	if w.failing.Swap(false) {
 		w.recoveredAt = time.Now()
 		w.recorder.Record("store regained", relay.Fields{"table": w.table})
 	}
@@ -131,8 +137,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !w.failing {
-		w.failing = true
+	if !w.failing.Swap(true) {
 		w.recorder.Record("store lost", relay.Fields{"table": w.table, "error": err.Error()})
 	}
 	w.store.CloseIdleConnections()
--- /dev/null
+++ b/core/readers/readers_test.go
@@ -0,0 +1,85 @@
+package readers_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadabeam/core/readers"
+)
+
+func hosts(n int, region string) []readers.Host {
+	all := make([]readers.Host, n)
+	for i := range all {
+		all[i] = readers.Host{Name: fmt.Sprintf("%s-%03d", region, i), Region: region, Live: true}
+	}
+	return all
+}
+
+// reading returns the names of the hosts that read, given the age of their state.
+func reading(all []readers.Host, t readers.Timing, age time.Duration) []string {
+	var names []string
+	for _, h := range all {
+		if t.ShouldRead(readers.Ahead(h, all), age) {
+			names = append(names, h.Name)
+		}
+	}
+	return names
+}
+
+func TestOneHostReadsInEachRegion(t *testing.T) {
+	timing := readers.NewTiming(2, 5*time.Second)
+	for _, n := range []int{1, 7, 87, 410} {
+		all := append(hosts(n, "north"), hosts(n, "south")...)
+		if got := fmt.Sprint(reading(all, timing, timing.TakeoverAge())); got != "[north-000 south-000]" {
+			t.Errorf("%d hosts in each region: %s read", n, got)
+		}
+	}
+}
+
+func TestHostsThatCannotReadArePassedOver(t *testing.T) {
+	all := hosts(20, "north")
+	all[0].Live, all[1].Leaving, all[2].StoreLost, all[3].StoreLost = false, true, true, true
+	if got := readers.Ahead(all[4], all); got != 0 {
+		t.Errorf("%d hosts are ahead of the first that can read, want 0", got)
+	}
+}
+
+// While the store is down for all, hosts take over one after the other.
+func TestOutageOfStoreDrawsFewHosts(t *testing.T) {
+	timing := readers.NewTiming(2, 5*time.Second)
+	all := hosts(200, "north")
+	for i := range all {
+		all[i].StoreLost = true
+	}
+	for age, most := range map[time.Duration]int{0: 3, timing.TakeoverAge(): 3, timing.TakeoverAge() + time.Second: 8} {
+		if got := len(reading(all, timing, age)); got == 0 || got > most {
+			t.Errorf("with a state of %v %d hosts read, want 1 to %d", age, got, most)
+		}
+	}
+}
+
+// A lost response must leave time for a second query within the bound, and the state must
+// not count as out of date in normal operation.
+func TestTimingFollowsBounds(t *testing.T) {
+	for _, c := range []struct {
+		hops   int
+		bounds []time.Duration
+	}{
+		{1, []time.Duration{2500 * time.Millisecond, 5 * time.Second}}, {2, []time.Duration{4 * time.Second, 5 * time.Second}},
+		{2, []time.Duration{5 * time.Second, 0}}, {2, []time.Duration{2500 * time.Millisecond}},
+	} {
+		timing := readers.NewTiming(c.hops, c.bounds...)
+		if age := timing.PollWait() + time.Duration(c.hops)*600*time.Millisecond; age >= timing.TakeoverAge() {
+			t.Errorf("%+v: a state of %v is normal and out of date", c, age)
+		}
+		for _, b := range c.bounds {
+			if b > 0 && (timing.TakeoverAge() >= b || 2*timing.PollWait() >= b) {
+				t.Errorf("%+v: takeover at %v, queries of %v", c, timing.TakeoverAge(), timing.PollWait())
+			}
+		}
+	}
+	if timing := readers.NewTiming(1); timing.PollWait() != 3*time.Second {
+		t.Errorf("without bounds a query waits %v, want 3s", timing.PollWait())
+	}
+}
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -44,9 +44,11 @@
 type NodeReport struct {
 	Host          records.EntryHost
 	Leaving       bool
+	StoreLost     bool // the last query to the store failed
 	Young         bool // the node has just started; its peers send it all known prompts
 	Configuration VersionInfo
 	Servers       VersionInfo
+	HostList      VersionInfo                  // Version is a hash of the list, the age that of its reading
 	Work          map[string]fleet.Work        // by server ID
 	Usage         map[string]retrybudget.Usage // by service
 	Prompts       map[string]string            // server that processed a prompt recently, by prompt
@@ -87,6 +89,12 @@
 	Changes []ServerChange
 }
 
+// HostList carries the entry hosts that are registered in the store.
+type HostList struct {
+	Fact  VersionInfo
+	Hosts []records.EntryHost
+}
+
 // SinceVersion requests the changes after a version of the server list; 0 requests all
 // servers.
 type SinceVersion uint64
@@ -99,6 +107,7 @@
 	Exchange(n NodeReport) NodeReport
 	Configuration() ConfigurationReply
 	Servers(since uint64) ServerList
+	Hosts() HostList
 }
 
 type methods struct{ handler Handler }
@@ -118,6 +127,11 @@
 	return nil
 }
 
+func (m *methods) Hosts(_ Empty, r *HostList) error {
+	*r = m.handler.Hosts()
+	return nil
+}
+
 // Serve handles connections from other nodes until the listener is closed.
 func Serve(l net.Listener, h Handler) error {
 	s := rpc.NewServer()
@@ -174,6 +188,15 @@
 	return *r, nil
 }
 
+// Hosts returns the registered entry hosts as the called node last learnt them.
+func (c *Client) Hosts(deadline time.Time) (HostList, error) {
+	r := new(HostList)
+	if err := c.call("Hosts", Empty(0), r, deadline); err != nil {
+		return HostList{}, err // net/rpc may still decode a late reply into r
+	}
+	return *r, nil
+}
+
 func (c *Client) call(method string, in, out any, deadline time.Time) error {
 	conn, err := c.connect()
 	if err != nil {
--- a/test/entry/store_state_test.go
+++ b/test/entry/store_state_test.go
@@ -276,3 +276,33 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
+
+// Calls to the store must not grow with the nodes: in each region one node reads it, and
+// nodes that start get what they can from the others. Two tables are read with queries that
+// wait 1 s, the part of applyLimit that readers.NewTiming allows.
+func TestStoreCallsAreSharedByNodes(t *testing.T) {
+	t.Parallel()
+	const nodes, callsPerStart, observed = 8, 4, 5 * time.Second
+	s := start(t, nodes)
+	s.addServer("s1", "orders", backend.Respond(200, "ok"))
+	time.Sleep(3 * time.Second)
+	before := s.store.RequestCount()
+	if before > nodes*callsPerStart+3*2+8 {
+		t.Errorf("%d calls to start %d nodes and in the 3 s after it, want %d a node and 2 a second", before, nodes, callsPerStart)
+	}
+	time.Sleep(observed)
+	if calls := s.store.RequestCount() - before; calls < 8 || calls > 13 {
+		t.Errorf("%d calls in %v, want 2 a second", calls, observed)
+	}
+	s.configure(2, []string{"key-1"})
+	for _, n := range s.nodes {
+		s.awaitStatus(n, "/r2/", "", 200, applyLimit)
+	}
+	reader := s.nodes[0]
+	reader.storeEndpoint.SetMode(store.ResetConnections)
+	time.Sleep(200 * time.Millisecond)
+	s.configure(3, []string{"key-1"})
+	for _, n := range s.nodes {
+		s.awaitStatus(n, "/r3/", "", 200, applyLimit)
+	}
+}
