relay: replace a KV cache backup whose server was lost

Cause: engines back up a run's KV cache to one server that is named when the run begins. Traced by legs: each had its backup on a server that crashed 6 s before its own.

Change: when the server with the backup is lost (by this node's or a peer's report), has left or is leaving, the run's engine is asked to copy the run to another server while it goes on; the copy is renewed before its lifetime ends, removed after the run, and what a stream is resumed from. core/kvbackup decides when, without a network. A server that didn't take a copy isn't asked again for the run. Ruled out: naming two servers at the start (the engine takes one), copying all runs always (twice the memory, where memory binds).

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -67,7 +67,8 @@
 	Slots          int
 	KVCacheTokens  int           // capacity of the KV cache
 	KVCacheBackups bool          // the KV cache of a request can be copied to another server as it grows
-	BackupTTL      time.Duration // how long a copy is kept after its request has ended
+	KVCacheMoves   bool          // the KV cache of a run can be copied to another server on request
+	BackupTTL      time.Duration // how long a copy is kept after its request has ended, or without being renewed
 }
 
 // Service is a set of interchangeable backend servers.
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -72,6 +72,7 @@
 	backoffUntil          time.Time
 	unreachableCount      int
 	lastContact           time.Time     // when the server last sent anything
+	lostAt                time.Time     // when this node or another last lost contact with it
 	answerTime            time.Duration // moving average of the response time
 	prefillRate           float64
 	load                  Load
@@ -303,6 +304,23 @@
 	return !m.lastContact.IsZero() && now.Sub(m.lastContact) < recentContactWindow
 }
 
+// LostSince reports whether contact with the server was lost after t and has not been
+// regained by this node.
+func (m *Member) LostSince(t time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lostAt.After(t) && !m.lastContact.After(m.lostAt)
+}
+
+// recordPeerLoss records that another node lost contact with the server.
+func (m *Member) recordPeerLoss(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.After(m.lostAt) {
+		m.lostAt = at
+	}
+}
+
 // RecordLoad records a load report of the server.
 func (m *Member) RecordLoad(l Load, now time.Time) {
 	m.mu.Lock()
@@ -345,6 +363,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.lastContact = time.Time{}
+	m.lostAt = now
 	m.recordOutcome(1, now)
 	if now.Before(m.backoffUntil) {
 		return false
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -152,6 +152,7 @@
 		if m == nil || m.contactedSince(at) {
 			continue
 		}
+		m.recordPeerLoss(at)
 		if f.outages.record(outageKey{m.service(), m.DataCentre()}, id, loss{at: at}) {
 			added = append(added, m)
 		}
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -39,8 +39,8 @@
 	PriorityScheduling bool   // the server schedules requests by priority
 	Priority           int    // 0 is the highest
 	BackupAddress      string // address of the server that is to hold the run's KV cache backup
-	ResumeAddress      string // address of the server that holds the KV cache backup to resume from
-	ResumeRunID        string // ID of the run that the backup is of
+	ResumeAddress      string // address that, with ResumeRunID, names the KV cache backup or copy to resume from
+	ResumeRunID        string // ID of the run that the backup is of, or handle of the copy
 }
 
 // ResponseMeta is the metadata of a server's response.
@@ -81,6 +81,13 @@
 	// cache, and DecodePrompts parses the body of the response.
 	PromptsRequest() *http1.Request
 	DecodePrompts(body []byte) ([]string, error)
+	// CopyRequest returns a request to the engine of a run to copy the run's KV cache to
+	// another server, while the run continues. DecodeCopy parses the body of the response
+	// and returns the copy's handle. ReleaseRequest returns a request to that engine to
+	// remove a copy.
+	CopyRequest(runID, targetAddress string) (*http1.Request, error)
+	DecodeCopy(body []byte) (string, error)
+	ReleaseRequest(handle string) *http1.Request
 }
 
 // Fields are the inputs and the outcome of a decision.
--- a/io/relay/prompts.go
+++ b/io/relay/prompts.go
@@ -29,18 +29,10 @@
 // records them.
 func (h *Handler) QueryPrompts(ctx context.Context, m *fleet.Member) error {
 	deadline := time.Now().Add(promptsTimeout)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	c, err := h.Pool.Get(ctx, m.Address(), http1.AllowReuse)
+	body, err := h.queryServer(ctx, m, h.Codec.PromptsRequest(), deadline)
 	if err != nil {
-		return err
-	}
-	body, err := queryEngine(c, h.Codec.PromptsRequest(), deadline)
-	if err != nil {
-		c.Close()
 		return errors.Wrapf(err, "query prompts held by %s", m.ID())
 	}
-	h.Pool.Put(c)
 	prompts, err := h.Codec.DecodePrompts(body)
 	if err != nil {
 		return errors.Wrapf(err, "query prompts held by %s", m.ID())
@@ -54,6 +46,23 @@
 	return nil
 }
 
+// queryServer sends a query to a server and returns the body of the response.
+func (h *Handler) queryServer(ctx context.Context, m *fleet.Member, q *http1.Request, deadline time.Time) ([]byte, error) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	c, err := h.Pool.Get(ctx, m.Address(), http1.AllowReuse)
+	if err != nil {
+		return nil, err
+	}
+	body, err := queryEngine(c, q, deadline)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	h.Pool.Put(c)
+	return body, nil
+}
+
 // queryEngine sends a query on a connection and returns the body of the response.
 func queryEngine(c *http1.Conn, q *http1.Request, deadline time.Time) ([]byte, error) {
 	if err := c.Send(q, deadline); err != nil {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -29,7 +29,7 @@
 	*exchange
 	lastEvent       int64     // ID of the last event that the caller has received
 	responseStarted bool      // the head of the response was sent to the caller
-	backupServer    string    // ID of the server with the KV cache backup of the interrupted run
+	resumeFrom      kvSource  // KV cache backup or copy of the interrupted run
 	interruptedAt   time.Time // when the run was interrupted
 	resumes         int
 	reservations    int
@@ -62,12 +62,12 @@
 // cache backup.
 func (s *stream) nextAttempt() *streamAttempt {
 	q := s.query()
-	if s.backupServer != "" {
-		m := s.h.Fleet.FindUsable(s.backupServer, q.Now)
+	if s.resumeFrom != (kvSource{}) {
+		m := s.h.Fleet.FindUsable(s.resumeFrom.server, q.Now)
 		if m != nil && m.Reserve(q) {
 			return &streamAttempt{requestID: s.meta.ID, member: m, query: q, fromBackup: true}
 		}
-		s.backupServer = ""
+		s.resumeFrom = kvSource{}
 	}
 	m := s.h.Fleet.Reserve(q)
 	if m == nil && s.responseStarted {
@@ -133,12 +133,12 @@
 			s.interruptedAt = time.Now()
 		}
 		s.resumes++
-		s.backupServer = ""
-		if a.backup != nil && (a.responseStarted || a.fromBackup || a.responseLost.Load()) {
-			s.backupServer = a.backup.ID()
+		s.resumeFrom = kvSource{}
+		if a.responseStarted || a.fromBackup || a.responseLost.Load() {
+			s.resumeFrom = s.sourceAfter(a)
 		}
 	} else if a.fromBackup {
-		s.backupServer = ""
+		s.resumeFrom = kvSource{}
 	}
 	switch {
 	case a.outcome == broken && s.h.crashDetector.isQuarantined(s.exchange):
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/fleet"
+	"cicadabeam/core/kvbackup"
 	"cicadabeam/io/http1"
 	"cicadabeam/io/sse"
 )
@@ -38,6 +39,7 @@
 	conn            *http1.Conn
 	fromBackup      bool // it resumes from a KV cache backup
 	backup          *fleet.Member
+	copies          *kvbackup.Run // copies that replace a lost backup, nil if the server can't make any
 	started         time.Time
 	reportDue       time.Time // when the server is queried for its runs
 	responseStarted bool
@@ -59,11 +61,14 @@
 	a.conn = c
 	forward := ForwardMeta{LastEventID: s.lastEvent}
 	if a.fromBackup {
-		forward.ResumeAddress, forward.ResumeRunID = a.member.Address(), s.meta.ID
+		forward.ResumeAddress, forward.ResumeRunID = s.resumeFrom.address, s.resumeFrom.runID
 	}
 	if e := s.service.Engine; e != nil && e.KVCacheBackups && s.route.Kind.Retryable() {
 		if a.backup = s.h.Fleet.SelectBackup(s.query(), a.member); a.backup != nil {
 			forward.BackupAddress = a.backup.Address()
+			if e.KVCacheMoves {
+				a.copies = kvbackup.NewRun(e.BackupTTL)
+			}
 		}
 	}
 	request, ok := s.request(a.member, forward)
@@ -190,6 +195,7 @@
 			return
 		}
 		s.onProgress(a)
+		s.maintainCopy(a)
 		if e.ID >= 0 && e.ID <= s.lastEvent {
 			continue
 		}
@@ -207,7 +213,8 @@
 
 // stallTimeout returns the maximum time between two events of an attempt.
 func (s *stream) stallTimeout(a *streamAttempt) time.Duration {
-	if a.backup != nil && s.route.Kind.Retryable() && s.h.Fleet.FindUsable(a.backup.ID(), time.Now()) != nil {
+	now := time.Now()
+	if a.backup != nil && s.route.Kind.Retryable() && s.h.Fleet.FindUsable(s.sourceAfter(a).server, now) != nil {
 		return stallTimeoutWithBackup
 	}
 	return stallTimeoutWithoutBackup
@@ -272,6 +279,7 @@
 	s.h.Pool.Put(a.conn)
 	s.onProgress(a)
 	a.outcome = answered
+	s.h.releaseCopy(a)
 	a.member.RecordSuccess(time.Since(a.started), time.Now())
 	s.h.Recorder.Record("answered", Fields{
 		"request": s.meta.ID, "route": s.route.Name, "server": a.member.ID(), "status": a.response.StatusCode, "attempts": s.attempts, "last": s.lastEvent,
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -64,7 +64,7 @@
 }
 
 func testCatalog(revision uint64) *catalog.Catalog {
-	engine := &catalog.Engine{Slots: 12, KVCacheTokens: 88000, KVCacheBackups: true, BackupTTL: 4 * time.Second}
+	engine := &catalog.Engine{Slots: 12, KVCacheTokens: 88000, KVCacheBackups: true, KVCacheMoves: true, BackupTTL: 4 * time.Second}
 	public := newRoute("public", catalog.Idempotent, 2)
 	public.Public = true
 	long := newRoute("long", catalog.ResumableStream, 5)
