--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -290,7 +290,7 @@
 func (s *stream) logAttempt(a *streamAttempt) {
 	f := Fields{
 		"request": s.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "from_copy": a.fromBackup, "last": s.lastEvent,
-		"ms": ms(time.Since(a.started)),
+		"ms": ms(time.Since(a.started)), "prompt_tokens": s.meta.PromptTokens, "output_tokens": s.meta.OutputTokens,
 	}
 	if a.backup != nil {
 		f["backup"] = a.backup.ID()
