retrybudget: bound what other nodes may have granted by their requests in progress

Cause: a node assumes that each other node granted as many retries as itself since their last reports. With 195 nodes each retry of one node counts 195 times, of 280 that are allowed to coordinated retries: a node that loses three streams with the servers of its data centre may retry one, the others break off in their callers' hands.

Change: only a request in progress can be retried, so the first retries of another node are also bounded by its requests in progress, which it reports, and those that may have begun since. Later retries of one request have the larger of the two bounds. The share of coordinated retries is 0.75 (was 0.65) and that of nodes on their own 0.2 (was 0.3): with many nodes a node's own share is less than one retry and lies idle. Ruled out: a reservation that each node announces (a node that needs more than it announced would wait three seconds), an equal split alone (what stands above).

TestManyNodesLeaveBudgetToThoseWhoNeedIt plays the loss of a data centre twice in a window: 64 of 193 retries granted before, all now; if all requests of all nodes are lost the limit holds. The tests of the limit hold 1,000 requests in progress at each node, so that they check the bound that they checked before.

--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -166,6 +166,7 @@
 		s := sum[service]
 		s.Firsts += u.Firsts
 		s.Repeats += u.Repeats
+		s.Running += u.Running
 		sum[service] = s
 	}
 }
--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -9,11 +9,17 @@
 // nodes are a majority: lost nodes that are cut off from the others are then a minority
 // and keep to their shares.
 //
+// What other nodes granted since their last reports is unknown. It is bounded in two ways:
+// by what this node granted, as they decide by the same rule, and by their requests in
+// progress, as only these can be retried. So hundreds of nodes with few requests each leave
+// the budget to the nodes whose servers were lost.
+//
 // # Usage
 //
 //	b := retrybudget.New(retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second})
-//	b.CountRequest(now)                       // for the first attempt of each request
-//	if !b.AllowRetry(now, nodes) { ... }      // before each further attempt
+//	b.Begin(now)                              // for each request, before its first attempt
+//	defer b.End()
+//	if !b.AllowRetry(now, nodes, 1) { ... }   // before its first retry
 //	b.RecordPeerUsage("node-2", usage, 1, now) // usage reported by another node
 //	b.RecordFinalUsage("node-2", usage, now)   // last usage of a node that is stopping
 package retrybudget
@@ -33,10 +39,14 @@
 // Shares of the limit for retries granted with and without current reports from the
 // other nodes. They add up to less than 1, because one window may contain both.
 const (
-	coordinatedShare   = 0.65
-	uncoordinatedShare = 0.3
+	coordinatedShare   = 0.75
+	uncoordinatedShare = 0.2
 )
 
+// arrivalMargin is the factor by which more requests than on average may have begun at
+// another node since its last report.
+const arrivalMargin = 2
+
 // reportTTL is how long a report of another node is valid. aggregateTTL applies to a
 // report on behalf of several nodes, which is forwarded in several steps.
 const (
@@ -52,10 +62,12 @@
 	Window time.Duration
 }
 
-// Usage is the number of requests and of retries that a node counted within a window.
+// Usage is the number of requests and of retries that a node counted within a window, and
+// the number of its requests in progress.
 type Usage struct {
 	Firsts  int
 	Repeats int
+	Running int
 }
 
 type bucket struct {
@@ -80,6 +92,7 @@
 	buckets      [buckets]bucket
 	reports      map[string]report
 	retries      int64
+	running      int       // requests in progress
 	knownNodes   int       // nodes with valid reports at the last count, including this one
 	lastDecrease time.Time // when knownNodes last decreased, or the time of the first count
 }
@@ -101,11 +114,19 @@
 	return c
 }
 
-// CountRequest counts a request.
-func (b *Budget) CountRequest(now time.Time) {
+// Begin counts a request, which is in progress until End.
+func (b *Budget) Begin(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.bucketAt(now).usage.Firsts++
+	b.running++
+}
+
+// End records the end of a request.
+func (b *Budget) End() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
 }
 
 // Usage returns what this node counted within the window.
@@ -119,7 +140,7 @@
 // so that the division into buckets never allows more than the limit.
 func (b *Budget) ownUsage(now time.Time) Usage {
 	c := b.bucketAt(now)
-	var u Usage
+	u := Usage{Running: b.running}
 	for _, x := range b.buckets {
 		if c.index-x.index < bucketsPerWindow {
 			u.Firsts += x.usage.Firsts
@@ -155,14 +176,14 @@
 }
 
 // AllowRetry reports whether the limit allows a retry, and counts it if so. nodes is the
-// number of nodes that share the limit.
-func (b *Budget) AllowRetry(now time.Time, nodes int) bool {
+// number of nodes that share the limit. retry is 1 for the first retry of a request.
+func (b *Budget) AllowRetry(now time.Time, nodes, retry int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.bucketAt(now)
 	switch {
 	case b.coordinated(now, nodes):
-		if !b.coordinatedAllows(now) {
+		if !b.coordinatedAllows(now, retry) {
 			return false
 		}
 	case b.uncoordinatedAllows(now, max(nodes, 1)):
@@ -214,25 +235,31 @@
 	return float64(uncoordinated+1) <= uncoordinatedShare*(b.limit.Ratio*float64(b.ownUsage(now).Firsts)+float64(b.limit.Extra)/float64(nodes))
 }
 
-// coordinatedAllows reports whether a retry is within the limit of all nodes. Each of
-// the others may have granted as many retries as this node, the one in question included,
-// since they exchanged reports, without this node's knowledge. So these are counted too.
-func (b *Budget) coordinatedAllows(now time.Time) bool {
+// coordinatedAllows reports whether a retry is within the limit of all nodes, including the
+// retries that the others may have granted since their last reports.
+func (b *Budget) coordinatedAllows(now time.Time, retry int) bool {
 	all := b.ownUsage(now)
+	unreported := 0.0
 	for _, r := range b.reports {
 		all.Firsts += r.usage.Firsts
 		all.Repeats += r.usage.Repeats
+		unreported += r.unreported(b.retries+1, now, retry, b.limit.Window)
 	}
-	used := all.Repeats + 1 + b.unreportedRetries(b.retries+1)
-	return float64(used) <= coordinatedShare*(b.limit.Ratio*float64(all.Firsts)+float64(b.limit.Extra))
+	used := float64(all.Repeats+1) + unreported
+	return used <= coordinatedShare*(b.limit.Ratio*float64(all.Firsts)+float64(b.limit.Extra))
 }
 
-// unreportedRetries returns the sum, over the other nodes, of this node's retries that
-// they do not know about, if this node has granted that many in total.
-func (b *Budget) unreportedRetries(granted int64) int {
-	n := int64(0)
-	for _, r := range b.reports {
-		n += int64(r.nodes) * (granted - r.retries)
+// unreported returns how many retries the reporting nodes may have granted since the report,
+// if this node has granted so many in total: each of them as many as this node, the one in
+// question included, that they don't know of. A first retry also has the bound of their
+// requests in progress. A later one does not, as their requests may be retried more than
+// once too.
+func (r report) unreported(granted int64, now time.Time, retry int, window time.Duration) float64 {
+	equal := float64(r.nodes) * float64(granted-r.retries)
+	arrivals := float64(r.usage.Firsts) * float64(now.Sub(r.at)) / float64(window)
+	inProgress := float64(r.usage.Running) + arrivalMargin*arrivals
+	if retry > 1 {
+		return max(equal, inProgress)
 	}
-	return int(n)
+	return min(equal, inProgress)
 }
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -194,7 +194,9 @@
 		x.respondError(fault.Newf(fault.RequestQuarantined, "admit", "", "the request is quarantined because servers crashed while running it"))
 		return
 	}
-	h.budget(x.service.Name).CountRequest(x.arrived)
+	budget := h.budget(x.service.Name)
+	budget.Begin(x.arrived)
+	defer budget.End()
 	if x.route.Kind.IsStream() {
 		x.serveStream()
 		return
@@ -276,7 +278,7 @@
 	if x.attempts >= max(x.route.Attempts, 1) || x.ctx.Err() != nil {
 		return false
 	}
-	allowed := x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount())
+	allowed := x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount(), x.sentAttempts)
 	if !allowed {
 		x.h.Recorder.Record("repeat denied", Fields{"request": x.meta.ID, "service": x.service.Name, "attempts": x.attempts})
 	}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -150,7 +150,7 @@
 	case s.reservations >= maxReservations, s.attempts >= max(s.route.Attempts, 1):
 		s.fail("answer", failureReason(a.err))
 		return false
-	case s.sentAttempts > 0 && !s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount()):
+	case s.sentAttempts > 0 && !s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount(), s.sentAttempts):
 		s.h.Recorder.Record("repeat denied", Fields{"request": s.meta.ID, "service": s.service.Name, "attempts": s.attempts})
 		s.fail("answer", failureReason(a.err))
 		return false
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -136,7 +136,7 @@
 // mayHedge reports whether the request may be sent to a second server while the first
 // has not responded.
 func (x *exchange) mayHedge() bool {
-	return x.attempts < x.route.Attempts && x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount())
+	return x.attempts < x.route.Attempts && x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount(), max(x.sentAttempts, 1))
 }
 
 // startAttempt sends the request to another server. It reports whether a server was
