relay: a copy of a KV cache is lost only if its server is lost after it was made

A server that this node had lost since a run began, and that came back, was selected for the copy, took it, and was then taken for lost again, so that each event asked for another copy. TestCopyOnServerThatCameBackIsKept failed first: 60 copies for 60 events, now one.

--- a/core/kvbackup/kvbackup.go
+++ b/core/kvbackup/kvbackup.go
@@ -32,8 +32,9 @@
 
 // Copy is a copy of a run's KV cache.
 type Copy struct {
-	Server string // ID of the server that holds it
-	Handle string // its name at the run's server
+	Server string    // ID of the server that holds it
+	Handle string    // its name at the run's server
+	At     time.Time // when it was complete; set by Complete
 }
 
 // Run is the state of the copies of one run. Its methods may be called concurrently.
@@ -68,6 +69,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.copying = false
+	c.At = now
 	r.current, r.expiresAt = c, now.Add(r.ttl)
 	r.next = now.Add(time.Duration(renewShare * float64(r.ttl)))
 }
--- a/io/relay/kv_copy.go
+++ b/io/relay/kv_copy.go
@@ -63,7 +63,7 @@
 // there, as only what is new is copied then.
 func (s *stream) copyTarget(a *streamAttempt, now time.Time) *fleet.Member {
 	if c, found := a.copies.Current(now); found {
-		if m := s.h.Fleet.FindUsable(c.Server, now); m != nil && !isLost(m, a.started, now) {
+		if m := s.h.Fleet.FindUsable(c.Server, now); m != nil && !isLost(m, c.At, now) {
 			return m
 		}
 		a.copies.Drop(c.Server)
--- a/test/relay/kv_copy_test.go
+++ b/test/relay/kv_copy_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// A server that was lost, came back and took a copy is not lost: one copy is enough.
+func TestCopyOnServerThatCameBackIsKept(t *testing.T) {
+	h := newHarness(t)
+	first := h.startServer("report", "a", copying("h-3", backend.Stream(60, 0, 10*time.Millisecond, nil)))
+	backup := h.startServer("report", "b", backend.Stream(60, 0, 0, nil))
+	done := make(chan result, 1)
+	go func() { done <- h.send(http.MethodPost, "/report/1", setTokenUsage) }()
+	if !cluster.Await(time.Second, func() bool { return len(first.Requests()) > 0 }) {
+		t.Fatal("the first server got no request")
+	}
+	h.loseServer(h.startServer("report", "b", backend.Stream(60, 0, 0, nil)))
+	h.loseServer(backup)
+	h.checkResponse(<-done, 200, eventText(1, 60))
+	if n := len(requestsFor(first, "/v1/kv-move")); n != 1 {
+		t.Errorf("%d copies were requested, want 1", n)
+	}
+}
+
 // A copy that is not needed any more is removed, as it takes memory of its server.
 func TestUnusedCopyIsReleased(t *testing.T) {
 	h := newHarness(t)
