relay: know other nodes' retries from the first request on; a lost backup costs no retry

And a stream whose KV cache backup was not there needed a second retry, which is bounded more tightly, and was broken off in its caller's hands.

Budgets of all services of the configuration are created with the first report; an attempt refused for a missing backup does not count. TestFirstRequestsOfNodeAreRetried failed first (500).

--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -107,6 +107,19 @@
 	return b
 }
 
+// ensureBudgets creates the budgets of all services, so that reports of other nodes are
+// known when the first request for a service arrives.
+func (h *Handler) ensureBudgets(usage map[string]retrybudget.Usage) {
+	for service := range usage {
+		h.budget(service)
+	}
+	if c := h.Catalog.Catalog(); c != nil {
+		for _, s := range c.Services() {
+			h.budget(s.Name)
+		}
+	}
+}
+
 // RetryUsage returns the usage of the retry budgets that this node counted, by service.
 func (h *Handler) RetryUsage(now time.Time) map[string]retrybudget.Usage {
 	h.mu.Lock()
@@ -124,9 +137,7 @@
 // behalf of several nodes, as of time at. Services that the report does not contain had
 // no usage.
 func (h *Handler) RecordPeerUsage(from string, usage map[string]retrybudget.Usage, nodes int, at time.Time) {
-	for service := range usage {
-		h.budget(service)
-	}
+	h.ensureBudgets(usage)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, b := range h.budgets {
@@ -136,9 +147,7 @@
 
 // RecordFinalUsage records the last usage report of a node that is stopping.
 func (h *Handler) RecordFinalUsage(from string, usage map[string]retrybudget.Usage, at time.Time) {
-	for service := range usage {
-		h.budget(service)
-	}
+	h.ensureBudgets(usage)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for service, b := range h.budgets {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -150,7 +150,7 @@
 	case s.reservations >= maxReservations, s.attempts >= max(s.route.Attempts, 1):
 		s.fail("answer", failureReason(a.err))
 		return false
-	case s.sentAttempts > 0 && !s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount(), s.sentAttempts):
+	case s.sentAttempts > 0 && !s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount(), s.retryNumber(a)):
 		s.h.Recorder.Record("repeat denied", Fields{"request": s.meta.ID, "service": s.service.Name, "attempts": s.attempts})
 		s.fail("answer", failureReason(a.err))
 		return false
@@ -164,6 +164,15 @@
 	return true
 }
 
+// retryNumber returns which retry follows an attempt: 1 for the first. An attempt that was
+// refused because the KV cache backup was not there doesn't count.
+func (s *stream) retryNumber(a *streamAttempt) int {
+	if a.outcome == refused && a.fromBackup {
+		return max(s.resumes, 1)
+	}
+	return s.sentAttempts
+}
+
 func failureReason(err error) string {
 	switch {
 	case err == nil:
--- a/test/relay/call_test.go
+++ b/test/relay/call_test.go
@@ -323,3 +323,14 @@
 	}
 	h.checkRequestCount(s, 1)
 }
+
+// The first requests that a node of many gets may be retried, as the other nodes have reported
+// that they retry nothing.
+func TestFirstRequestsOfNodeAreRetried(t *testing.T) {
+	h := newHarness(t)
+	h.nodes = 195
+	h.handler.RecordPeerUsage("others", nil, h.nodes-1, time.Now())
+	h.startServer("read", "a", backend.Respond(http.StatusInternalServerError, "failed"))
+	h.startServer("read", "b", backend.Respond(http.StatusOK, "ok"))
+	h.checkResponse(h.send(http.MethodGet, "/read/1", nil), 200, "ok")
+}
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -33,6 +33,7 @@
 	uptime   time.Duration
 	events   []string
 	stalls   freshness.StallDetector
+	nodes    int // that share the limits
 }
 
 // Record implements relay.Recorder.
@@ -85,13 +86,13 @@
 
 func newHarness(t testing.TB) *harness {
 	t.Helper()
-	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour}
+	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1}
 	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north"}})
 	h.handler = relay.New(relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), Pool: http1.NewPool(), Recorder: h,
 		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime:    func() time.Duration { h.mu.Lock(); defer h.mu.Unlock(); return h.uptime },
-		NodeCount: func() int { return 1 }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
+		NodeCount: func() int { return h.nodes }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
 	})
 	h.frontend = httptest.NewUnstartedServer(h.handler)
 	h.frontend.Config.ConnContext = relay.ConnContext
