relay: no copies of KV caches where memory is short

Copies are made only while the runs of all nodes need at most 0.3 of the memory of the servers in reach (backups double that, copies add up to as much again). The selection of a target, which ranks all servers, is made only when a copy is due, not on each event.

TestNoCopyWhereMemoryIsShort and TestKVCacheUse.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -255,6 +255,26 @@
 	return best[0].member
 }
 
+// KVCacheUse returns the part of the KV caches of a service's servers, each of which holds
+// capacity tokens, that the runs of all nodes may need. Servers that are not usable or were
+// just unreachable don't count. It is 1 if there are none.
+func (f *Fleet) KVCacheUse(service string, capacity int, now time.Time) float64 {
+	f.mu.RLock()
+	all := f.services[service]
+	f.mu.RUnlock()
+	needed, servers := 0, 0
+	for _, m := range all {
+		if memory, reachable := m.kvCacheNeed(now); reachable {
+			needed += memory
+			servers++
+		}
+	}
+	if servers == 0 || capacity <= 0 {
+		return 1
+	}
+	return float64(needed) / float64(servers*capacity)
+}
+
 func withID(set map[string]bool, id string) map[string]bool {
 	all := make(map[string]bool, len(set)+1)
 	for x := range set {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -306,3 +306,22 @@
 	}
 	return peak
 }
+
+// The need of runs is told of the servers that are left, over all nodes.
+func TestKVCacheUse(t *testing.T) {
+	f := fleet.New(topology)
+	addServers(f, 2, "llm", "a", 12)
+	addServers(f, 2, "llm", "b", 12)
+	if use := f.KVCacheUse("none", 88000, start); use != 1 {
+		t.Errorf("got use %v without servers, want 1", use)
+	}
+	f.RecordPeerWork("others", map[string]fleet.Work{"llm-a-0": {Running: 1, Memory: 8800}, "llm-b-0": {Running: 2, Memory: 17600}}, start)
+	if use := f.KVCacheUse("llm", 88000, start); use < 0.074 || use > 0.076 {
+		t.Errorf("got use %v, want 0.075 of four servers", use)
+	}
+	f.RecordLoss(f.FindUsable("llm-b-1", start), start)
+	f.MergeLosses(map[string]time.Duration{"llm-a-0": 0}, start)
+	if use := f.KVCacheUse("llm", 88000, start); use < 0.099 || use > 0.101 {
+		t.Errorf("got use %v, want 0.1 of the two servers that are left", use)
+	}
+}
--- a/core/kvbackup/kvbackup.go
+++ b/core/kvbackup/kvbackup.go
@@ -28,8 +28,15 @@
 	renewShare = 0.6
 	// retryDelay is the time between a copy that failed and the next one.
 	retryDelay = 200 * time.Millisecond
+	// maxUse is the part of the servers' memory that runs may need for copies to be made.
+	// Each run has a backup of its size besides; what does not fit any more preempts runs.
+	maxUse = 0.3
 )
 
+// HasRoom reports whether copies may be made while the runs of all nodes need such a part of
+// the memory of the servers that are in reach.
+func HasRoom(use float64) bool { return use <= maxUse }
+
 // Copy is a copy of a run's KV cache.
 type Copy struct {
 	Server string    // ID of the server that holds it
--- a/io/relay/kv_copy.go
+++ b/io/relay/kv_copy.go
@@ -40,13 +40,10 @@
 // server if the server with the backup was lost and no recent copy exists.
 func (s *stream) maintainCopy(a *streamAttempt) {
 	now := time.Now()
-	if a.copies == nil || !isLost(a.backup, a.started, now) {
+	if a.copies == nil || !a.copies.Begin(now, isLost(a.backup, a.started, now)) {
 		return
 	}
 	target := s.copyTarget(a, now)
-	if !a.copies.Begin(now, true) {
-		return
-	}
 	if target == nil {
 		a.copies.Fail("", now)
 		return
@@ -60,8 +57,11 @@
 }
 
 // copyTarget returns the server for the next copy: that of the last one, if it is still
-// there, as only what is new is copied then.
+// there, as only what is new is copied then. It returns nil if there is no room.
 func (s *stream) copyTarget(a *streamAttempt, now time.Time) *fleet.Member {
+	if !kvbackup.HasRoom(s.h.Fleet.KVCacheUse(s.service.Name, s.service.Engine.KVCacheTokens, now)) {
+		return nil
+	}
 	if c, found := a.copies.Current(now); found {
 		if m := s.h.Fleet.FindUsable(c.Server, now); m != nil && !isLost(m, c.At, now) {
 			return m
--- a/test/relay/kv_copy_test.go
+++ b/test/relay/kv_copy_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cicadabeam/core/fleet"
 	"cicadabeam/test/cluster"
 	"cicadabeam/test/standin/backend"
 )
@@ -82,6 +83,26 @@
 	}
 }
 
+// Where memory is short, copies would preempt runs, whose prompts are processed again.
+func TestNoCopyWhereMemoryIsShort(t *testing.T) {
+	h := newHarness(t)
+	first := h.startServer("report", "a", copying("h-4", backend.Stream(40, 0, 10*time.Millisecond, nil)))
+	backup := h.startServer("report", "b", backend.Stream(40, 0, 0, nil))
+	h.startServer("report", "b", backend.Stream(40, 0, 0, nil))
+	h.fleet.RecordPeerWork("others", map[string]fleet.Work{backup.Address(): {Running: 1, Memory: 9000}}, time.Now())
+	done := make(chan result, 1)
+	go func() { done <- h.send(http.MethodPost, "/report/1", setTokenUsage) }()
+	if !cluster.Await(time.Second, func() bool { return len(first.Requests()) > 0 }) {
+		t.Fatal("the first server got no request")
+	}
+	h.fleet.RecordPeerWork("more", map[string]fleet.Work{first.Address(): {Running: 6, Memory: 53000}}, time.Now())
+	h.loseServer(backup)
+	h.checkResponse(<-done, 200, eventText(1, 40))
+	if n := len(requestsFor(first, "/v1/kv-move")); n != 0 {
+		t.Errorf("%d copies were requested, want none", n)
+	}
+}
+
 // A copy that is not needed any more is removed, as it takes memory of its server.
 func TestUnusedCopyIsReleased(t *testing.T) {
 	h := newHarness(t)
