test: keep the addresses of concurrent test processes apart

Cause: TestRestartWithoutStore failed once beside a soak: 'got status 0, want 200 within 15s'. The loopback addresses of hosts were derived from the process ID modulo 150, so that the hosts of two test processes could have the same ones: the node could not listen and exited, the host of the other process answered that it was ready, and was gone when the requests came.

--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -102,7 +102,7 @@
 func Start(dir, binDir string, l Layout) (*Cluster, error) {
 	n := clusterCount.Add(1)
 	c := &Cluster{dir: dir, binDir: binDir, layout: l.withDefaults(), links: make(map[string]*Link), lastLinkPort: portLinks}
-	c.prefix = fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, n%250)
+	c.prefix = fmt.Sprintf("127.%d.%d.", 120+os.Getpid()%130, n%250)
 	if err := c.start(); err != nil {
 		c.Stop()
 		return nil, err
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -58,6 +58,11 @@
 	}
 	for _, n := range s.nodes {
 		s.await(n.Name()+" is ready", testTimeout, n.Ready)
+		select {
+		case <-n.Exited():
+			t.Fatalf("%s exited; another process may have its address", n.Name())
+		default:
+		}
 	}
 	return s
 }
--- a/test/entryhost/host.go
+++ b/test/entryhost/host.go
@@ -38,7 +38,7 @@
 	settings  string
 }
 
-// hostCounter numbers the hosts of this process. The IP address of a host is derived from
+// hostCounter numbers the addresses of this process. The IP address is derived from
 // its number.
 var hostCounter atomic.Int32
 
@@ -69,9 +69,7 @@
 // New writes the settings file of a host and returns the host without starting it. The
 // settings and the output of the process are stored in dir.
 func New(binary, dir, name, dataCentre, store string) (*Host, error) {
-	// The process ID keeps the addresses of concurrent test runs on one machine apart.
-	n := hostCounter.Add(1)
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%150, n/200, 10+n%200)
+	ip := NextAddress()
 	h := &Host{callers: ip + ":8740", readiness: ip + ":8749", settings: filepath.Join(dir, name+".ini")}
 	text := fmt.Sprintf(`[node]
 name = %s
@@ -103,6 +101,17 @@
 	return h, nil
 }
 
+// NextAddress returns a loopback address that no other host or server of this process has.
+func NextAddress() string { return hostAddress(os.Getpid(), int(hostCounter.Add(1))) }
+
+// hostAddress returns the n-th address of a test process. The process ID keeps the addresses
+// of concurrent test processes on one machine apart. Those of test/cluster begin at 127.120.
+func hostAddress(pid, n int) string {
+	const hosts, blocks = 250, 100
+	block := pid/256 + n/hosts*blocks/2
+	return fmt.Sprintf("127.%d.%d.%d", 1+block%blocks, pid%256, 1+n%hosts)
+}
+
 // CallerAddress returns the address on which the host accepts requests of callers.
 func (h *Host) CallerAddress() string { return h.callers }
 
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cicadabeam/test/cluster"
@@ -116,13 +114,9 @@
 	return h.Start()
 }
 
-// addressCounter numbers the server addresses. The IP address is derived from the number.
-var addressCounter atomic.Int32
-
 // addServer starts a server at a new address behind its own link.
 func (e *testEnv) addServer(service string, seed uint64) error {
-	n := addressCounter.Add(1)
-	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%150, 100+n/200, 10+n%200)
+	ip := entryhost.NextAddress()
 	link, err := cluster.NewLink("server-"+ip, ip+":9001", ip+":9000")
 	if err != nil {
 		return err
