relay: refuse an engine's report that is larger than what is read of it

Of a response to a query (runs, prompts in the KV cache, copy of a KV cache) the first 1 MiB was taken for the whole, and the connection went back to the pool with the rest unread. Wrong content could pass where the part happens to decode; the next user of the connection was protected only by the check for unread bytes. Now the query fails and its connection is closed.

Evidence, before: TestReportThatIsTooLargeIsRefused: got error <nil>, want that the report is too large

--- a/io/relay/prompts.go
+++ b/io/relay/prompts.go
@@ -72,10 +72,13 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxReportBytes))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxReportBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read")
 	}
+	if len(body) > maxReportBytes {
+		return nil, errors.Newf("the body of the response exceeds %d bytes", maxReportBytes)
+	}
 	if r.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %d", r.StatusCode)
 	}
--- a/test/relay/endless_test.go
+++ b/test/relay/endless_test.go
@@ -184,3 +184,15 @@
 	h.checkResponse(h.send(http.MethodGet, "/read/1", nil), 200, "ok")
 	h.checkEnded(e)
 }
+
+// An engine's report is not taken for whole if it is larger than what is read of it.
+func TestReportThatIsTooLargeIsRefused(t *testing.T) {
+	h := newHarness(t)
+	e := &backend.Endless{Head: backend.Head(chunked) + chunk(`{"epoch":1,"Next":1,"held":[["","p",8000,"m"]],"born":5}`), Repeat: chunk(strings.Repeat(" ", 4<<10))}
+	s := h.startServer("report", "a", e.Step())
+	err := h.handler.QueryPrompts(t.Context(), h.fleet.FindUsable(s.Address(), time.Now()))
+	if err == nil || !strings.Contains(err.Error(), "exceeds 1048576 bytes") {
+		t.Errorf("got error %v, want that the report is too large", err)
+	}
+	h.checkEnded(e)
+}
