sse: limit what comes between two events with data

What callers would see: an engine that sends comments, blank lines or other blocks without data, in an endless row, kept its stream alive until the deadline, and all of it was passed on. An event without end was limited to 1 MiB, a row of complete events without data was not.

The limit now holds for an event together with the events without data before it, so that heartbeats are as free as before wherever data goes on. Event.HasData tells a receiver which events are progress.

Evidence, before (the reader was stopped after 4 MiB): TestEndlessBytesWithoutData: comments: got error <nil> after 4194312 bytes, want that the event is too large ... blank lines, IDs, no field: the same

--- a/io/sse/events.go
+++ b/io/sse/events.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventSize limits one event, in bytes.
+// maxEventSize limits one event, in bytes, together with the events without data before it.
 const maxEventSize = 1 << 20
 
 // initialBufferSize is the first capacity of the buffer, in bytes. Before each read at
@@ -27,14 +27,18 @@
 type Event struct {
 	Bytes []byte // valid until the next call of Next
 	ID    int64  // -1 without a numeric ID
+	// HasData is set if the event has a data field. An event without one carries nothing for
+	// the caller: it is a comment, such as a heartbeat, or no event at all.
+	HasData bool
 }
 
 // Reader reads events from a stream.
 type Reader struct {
-	source io.Reader
-	buffer []byte
-	start  int
-	err    error
+	source      io.Reader
+	buffer      []byte
+	start       int
+	withoutData int // size of the events since the last one that has data
+	err         error
 }
 
 // NewReader returns a reader of the events in r.
@@ -47,18 +51,32 @@
 func (r *Reader) Next() (Event, error) {
 	for {
 		if e, found := r.nextBuffered(); found {
-			return e, nil
+			return e, r.checkData(e)
 		}
 		if r.err != nil {
 			return Event{}, r.endError()
 		}
-		if len(r.buffer)-r.start > maxEventSize {
-			return Event{}, errors.Newf("event is larger than %d bytes", maxEventSize)
+		if r.withoutData+len(r.buffer)-r.start > maxEventSize {
+			return Event{}, errTooLarge
 		}
 		r.fill()
 	}
 }
 
+var errTooLarge = errors.Newf("event with data is larger than %d bytes", maxEventSize)
+
+// checkData returns an error if too much has been read since the last event with data.
+func (r *Reader) checkData(e Event) error {
+	r.withoutData += len(e.Bytes)
+	if r.withoutData > maxEventSize {
+		return errTooLarge
+	}
+	if e.HasData {
+		r.withoutData = 0
+	}
+	return nil
+}
+
 // HasBufferedEvent reports whether Next can return an event without reading from the
 // source.
 func (r *Reader) HasBufferedEvent() bool { return eventLength(r.buffer[r.start:]) > 0 }
@@ -99,7 +117,7 @@
 		return Event{}, false
 	}
 	r.start += n
-	return Event{Bytes: unread[:n], ID: eventID(unread[:n])}, true
+	return Event{Bytes: unread[:n], ID: eventID(unread[:n]), HasData: hasData(unread[:n])}, true
 }
 
 // eventLength returns the length of the first event, 0 if it is not complete.
@@ -115,6 +133,16 @@
 	}
 }
 
+// hasData reports whether an event has a data field.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":")); string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the first numeric value of the event's id fields, -1 if there is none.
 func eventID(event []byte) int64 {
 	for line := range bytes.Lines(event) {
--- a/io/sse/events_test.go
+++ b/io/sse/events_test.go
@@ -44,6 +44,51 @@
 	}
 }
 
+// repeated returns the same text without end.
+type repeated string
+
+func (r repeated) Read(p []byte) (int, error) {
+	n := 0
+	for n+len(r) <= len(p) {
+		n += copy(p[n:], r)
+	}
+	return n, nil
+}
+
+func TestEndlessBytesWithoutData(t *testing.T) {
+	for name, text := range map[string]string{"comments": ": alive\n\n", "blank lines": "\n", "IDs": "id: 5\n\n", "no field": "data\x00\n\n", "no line end": "x"} {
+		r := sse.NewReader(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), repeated(text)))
+		read := 0
+		e, err := r.Next()
+		for err == nil && read < 4<<20 {
+			if e.HasData != (e.ID == 1) {
+				t.Fatalf("%s: got data %v for %q", name, e.HasData, e.Bytes)
+			}
+			read += len(e.Bytes)
+			e, err = r.Next()
+		}
+		if err == nil || !strings.Contains(err.Error(), "1048576 bytes") || read > 1<<20+16 {
+			t.Errorf("%s: got error %v after %d bytes, want that the event is too large", name, err, read)
+		}
+	}
+}
+
+// An event with data ends a sequence of comments, however many there are in all.
+func TestCommentsBetweenEvents(t *testing.T) {
+	part := strings.Repeat(": alive\n\n", 60_000) + "data: a\n\n"
+	r := sse.NewReader(strings.NewReader(strings.Repeat(part, 4)))
+	read := 0
+	for e, err := r.Next(); err != io.EOF; e, err = r.Next() {
+		if err != nil {
+			t.Fatalf("after %d bytes: %v", read, err)
+		}
+		read += len(e.Bytes)
+	}
+	if read != 4*len(part) {
+		t.Errorf("got %d bytes, want %d", read, 4*len(part))
+	}
+}
+
 func FuzzReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
