relay: log why a caller's connection was closed

A response that broke off, and a caller that was taken to have left, had no line that told whether the server had fallen silent, what forbade a further attempt, whether this host was stopping, and under which revision the request was admitted. The context of requests is cancelled with a cause when a node stops.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -147,10 +147,10 @@
 }
 
 func (n *Node) serve(ctx context.Context) error {
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(relay.ErrStopping)
 	var g run.Group
-	halt := func(error) { stop() }
+	halt := func(error) { stop(relay.ErrStopping) }
 	g.Add(func() error { return n.awaitDrain(ctx) }, halt)
 	g.Add(func() error { return n.configurationWatcher.run(ctx) }, halt)
 	g.Add(func() error { return n.serverWatcher.run(ctx) }, halt)
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -299,7 +299,7 @@
 	status := err.Status()
 	x.h.Recorder.Record("refused", Fields{
 		"request": x.meta.ID, "route": x.route.Name, "kind": x.route.Kind.String(), "status": status, "code": err.Code(), "step": err.Step(),
-		"peer": err.Peer(), "ran": err.Ran(), "reason": err.Message(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)),
+		"peer": err.Peer(), "ran": err.Ran(), "reason": err.Message(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)), "revision": x.revision(),
 	})
 	header := x.w.Header()
 	if at := err.RetryAt(); !at.IsZero() && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
@@ -331,6 +331,19 @@
 
 func ms(d time.Duration) int64 { return d.Milliseconds() }
 
+// ErrStopping is the cause with which the context of requests is to be cancelled when the
+// node stops.
+var ErrStopping = errors.New("this entry host is stopping")
+
+// revision returns the revision of the configuration that the request was admitted under, 0
+// if there was none.
+func (x *exchange) revision() uint64 {
+	if x.catalog == nil {
+		return 0
+	}
+	return x.catalog.Revision()
+}
+
 // callerLeft reports whether the caller has closed its connection.
 func (x *exchange) callerLeft() bool { return errors.Is(x.r.Context().Err(), context.Canceled) }
 
@@ -338,7 +351,10 @@
 func (x *exchange) failUnanswered(step, reason string) {
 	switch {
 	case x.callerLeft():
-		x.h.Recorder.Record("caller left", Fields{"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts})
+		x.h.Recorder.Record("caller left", Fields{
+			"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts, "revision": x.revision(),
+			"stopping": errors.Is(context.Cause(x.r.Context()), ErrStopping), "left_ms": ms(time.Until(x.deadline)),
+		})
 		panic(http.ErrAbortHandler)
 	case !x.dispatched.Close():
 		x.respondError(notRunError(fault.NoServer, step, reason, retryAfterNoServer))
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"time"
@@ -36,6 +37,8 @@
 	firstEventAt    time.Time // arrival times of the first and the last event
 	lastEventAt     time.Time
 	maxEventGap     time.Duration // longest time between two events
+	serverSilent    bool          // the last attempt was given up because its server sent nothing
+	denied          string        // what prevented a further attempt, "" if nothing did
 }
 
 // serveStream forwards an event stream.
@@ -45,6 +48,7 @@
 	for {
 		a := s.nextAttempt()
 		if a == nil {
+			s.denied = "servers"
 			s.fail("choose", "no server is available")
 			return
 		}
@@ -128,6 +132,7 @@
 		s.fail("answer", "no server responded in time")
 		return false
 	}
+	s.serverSilent = errors.Is(a.err, os.ErrDeadlineExceeded)
 	if a.outcome == broken {
 		if s.interruptedAt.IsZero() || a.responseStarted {
 			s.interruptedAt = time.Now()
@@ -142,16 +147,20 @@
 	}
 	switch {
 	case a.outcome == broken && s.h.crashDetector.isQuarantined(s.exchange):
+		s.denied = "quarantine"
 		s.fail("answer", "the request is quarantined because servers crashed while running it")
 		return false
 	case a.outcome == broken && !s.route.Kind.Retryable():
+		s.denied = "kind"
 		s.fail("answer", failureReason(a.err))
 		return false
 	case s.reservations >= maxReservations, s.attempts >= max(s.route.Attempts, 1):
+		s.denied = "attempts"
 		s.fail("answer", failureReason(a.err))
 		return false
 	case s.sentAttempts > 0 && !s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount(), s.retryNumber(a)):
 		s.h.Recorder.Record("repeat denied", Fields{"request": s.meta.ID, "service": s.service.Name, "attempts": s.attempts})
+		s.denied = "budget"
 		s.fail("answer", failureReason(a.err))
 		return false
 	}
@@ -193,7 +202,8 @@
 	}
 	s.h.Recorder.Record("broken off", Fields{
 		"request": s.meta.ID, "step": step, "reason": reason, "last": s.lastEvent, "attempts": s.attempts, "ms": ms(time.Since(s.arrived)),
-		"code": fault.ServerFailed,
+		"code": fault.ServerFailed, "revision": s.revision(), "server_silent": s.serverSilent, "denied": s.denied,
+		"stopping": errors.Is(context.Cause(s.r.Context()), ErrStopping),
 	})
 	panic(http.ErrAbortHandler)
 }
