test/relay: a silent server that goes on must not lose its stream (fails)

The tests let a server send nothing for 2 s, between two events, within one or before the first one, where no other server may or can take the stream: no retry budget, no attempts, a stream that must not run twice, no other server, one that refuses, fails, is silent or can't be reached.

--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -71,13 +71,17 @@
 	long := newRoute("long", catalog.ResumableStream, 5)
 	long.Priority = 3
 	long.Timeout, long.Targets[0].Service = longTimeout, "report"
+	single := newRoute("single", catalog.ResumableStream, 1)
+	single.Timeout, single.Targets[0].Service = longTimeout, "report"
+	plain := newRoute("plain", catalog.PlainStream, 5)
+	plain.Timeout, plain.Targets[0].Service = longTimeout, "once"
 	return catalog.New(catalog.Spec{
 		Revision: revision, RequireKeys: true, Organisations: map[string]catalog.Organisation{
 			testKey: {Name: "ndox", Priority: -1}, priorityKey: {Name: "forja", Priority: 1},
 		},
 		Limits: catalog.Limits{BodyBytes: 1 << 20},
 		Routes: []catalog.Route{
-			public, long, newRoute("read", catalog.Idempotent, 2), newRoute("buy", catalog.AtMostOnce, 1),
+			public, long, single, plain, newRoute("read", catalog.Idempotent, 2), newRoute("buy", catalog.AtMostOnce, 1),
 			newRoute("report", catalog.ResumableStream, 5), newRoute("once", catalog.PlainStream, 5),
 		},
 		Services: []catalog.Service{{Name: "public"}, {Name: "read"}, {Name: "buy"}, {Name: "report", Engine: engine}, {Name: "once", Engine: engine}},
@@ -85,12 +89,17 @@
 }
 
 func newHarness(t testing.TB) *harness {
+	t.Helper()
+	return newHarnessWithRetryLimit(t, retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second})
+}
+
+func newHarnessWithRetryLimit(t testing.TB, l retrybudget.Limit) *harness {
 	t.Helper()
 	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1}
 	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north"}})
 	h.handler = relay.New(relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), Pool: http1.NewPool(), Recorder: h,
-		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
+		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: l},
 		Uptime:    func() time.Duration { h.mu.Lock(); defer h.mu.Unlock(); return h.uptime },
 		NodeCount: func() int { return h.nodes }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
 	})
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -262,8 +262,7 @@
 		writeHead(c, r, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
 		for i := first + 1; i <= last; i++ {
 			time.Sleep(pause)
-			e := fmt.Sprintf("id: %d\ndata: piece-%d\n\n", i, i)
-			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e); err != nil {
+			if writeEvent(c, i) != nil {
 				return false
 			}
 			if stopAfter != 0 && i == stopAfter {
@@ -274,3 +273,23 @@
 		return err == nil
 	}
 }
+
+// RestOfStream writes the events from first to last and the end of a stream that Stream has
+// begun.
+func RestOfStream(first, last int) Step {
+	return func(c *Conn, _ *http.Request, _ []byte) bool {
+		for i := first; i <= last; i++ {
+			if writeEvent(c, i) != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+func writeEvent(c io.Writer, i int) error {
+	e := fmt.Sprintf("id: %d\ndata: piece-%d\n\n", i, i)
+	_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+	return err
+}
