relay: the silence of a server does not end a stream

A stream of a kind that must not run twice was cut at each silence of 1.5 s.

Cause: a stream's connection to its server was closed after 0.4 or 1.5 s without an event, or when a probe failed while its first event was awaited. Only then was it asked whether another server may and can take it.

Now a stream moves in one step: the other server is reserved, allowed by the budget, reached and has started its response before the connection to the silent one is closed. If any of that fails the stream stays and reads on; core/stall decides when to try again. A stream that needs its prompt processed again elsewhere returns if its server goes on before that can have begun. Silence is a failure of the server for the choice of servers, not a loss; a probe tells whether it is one. The response is read apart from the handler, as a timeout of a read may not be taken back within a chunk. The deadline of writes to the caller is set before each write, not after it: after a long silence it had passed.

--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -235,6 +235,21 @@
 	return c.Round(engineCostStep)
 }
 
+// PrefillTime returns the time that the server needs to process a prompt if it processes no
+// other one, 0 if it has the prompt cached.
+func (m *Member) PrefillTime(q Query) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if q.CachedOn == m.server.ID {
+		return 0
+	}
+	prefillRate := m.prefillRate
+	if prefillRate == 0 {
+		prefillRate = defaultPrefillRate
+	}
+	return time.Duration(float64(q.PromptTokens) / prefillRate * float64(time.Millisecond))
+}
+
 // recentFailures is the share of failed requests, decayed by the time since the last
 // result.
 func (m *Member) recentFailures(now time.Time) float64 {
--- /dev/null
+++ b/core/stall/stall.go
@@ -0,0 +1,46 @@
+// Package stall decides when a run whose server sends nothing may be moved to another
+// server. A silent server may be sound and go on, so a run that cannot be moved stays where
+// it is, and the next attempt to move it is made after a longer time.
+//
+// # Usage
+//
+//	var w stall.Watch
+//	w.Received(now)                  // the server sent something
+//	if w.Wait(now, limit) <= 0 {     // it has sent nothing for limit
+//		w.MoveFailed(now, limit) // the run stays
+//	}
+package stall
+
+import "time"
+
+// maxBackoff limits the time between two attempts to move a run.
+const maxBackoff = 3200 * time.Millisecond
+
+// Watch records when a server last sent something. The zero Watch has received nothing.
+type Watch struct {
+	lastReceived time.Time
+	notBefore    time.Time // the next attempt to move the run is not made before this
+	failures     int       // failed attempts to move it since lastReceived
+}
+
+// Received records that the server sent something.
+func (w *Watch) Received(now time.Time) { *w = Watch{lastReceived: now} }
+
+// SilentFor returns the time since the server last sent something.
+func (w *Watch) SilentFor(now time.Time) time.Duration { return now.Sub(w.lastReceived) }
+
+// Wait returns the time until the run may be moved if the server sends nothing, where limit
+// is the accepted time of silence. It is 0 or less if the run may be moved now.
+func (w *Watch) Wait(now time.Time, limit time.Duration) time.Duration {
+	return max(w.lastReceived.Add(limit).Sub(now), w.notBefore.Sub(now))
+}
+
+// MayMove reports whether the run may be moved now for another reason than its silence.
+func (w *Watch) MayMove(now time.Time) bool { return !now.Before(w.notBefore) }
+
+// MoveFailed records that the run could not be moved. The time until the next attempt
+// doubles with each failure.
+func (w *Watch) MoveFailed(now time.Time, limit time.Duration) {
+	w.notBefore = now.Add(min(limit<<min(w.failures, 8), maxBackoff))
+	w.failures++
+}
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,9 +64,9 @@
 	reader        *bufio.Reader
 	address       string
 	reused        bool
-	reusableUntil time.Time  // end of the period in which it may be reused while idle
-	noReuse       bool       // closed, or to be closed after the response
-	bodyResult    chan error // receives the result of sending a large body; nil if none is pending
+	reusableUntil time.Time   // end of the period in which it may be reused while idle
+	noReuse       atomic.Bool // closed, or to be closed after the response
+	bodyResult    chan error  // receives the result of sending a large body; nil if none is pending
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
@@ -79,7 +80,7 @@
 
 // Close closes the connection.
 func (c *Conn) Close() {
-	c.noReuse = true
+	c.noReuse.Store(true)
 	_ = c.net.Close()
 }
 
@@ -159,7 +160,7 @@
 // Keep-Alive timeout, and not at all if the end of the response closes the connection.
 func (c *Conn) updateReuse(r *http.Response) {
 	if r.Close || (r.ContentLength < 0 && len(r.TransferEncoding) == 0) {
-		c.noReuse = true
+		c.noReuse.Store(true)
 		return
 	}
 	timeout := defaultIdleTimeout
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -79,7 +79,7 @@
 	if c.reusableUntil.IsZero() {
 		c.reusableUntil = time.Now().Add(defaultIdleTimeout) // no request has been sent on it yet
 	}
-	if c.noReuse || !c.bodySent() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
+	if c.noReuse.Load() || !c.bodySent() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
 		c.Close()
 		return
 	}
--- a/io/relay/first_event.go
+++ b/io/relay/first_event.go
@@ -85,7 +85,7 @@
 		a.conn.Interrupt()
 		return
 	}
-	f.probe(a.member)
+	_ = f.probe(a.member)
 }
 
 // probeDataCentre probes those servers in the data centre of a lost server that attempts
@@ -100,19 +100,28 @@
 	}
 	f.mu.Unlock()
 	for _, m := range members {
-		go f.probe(m)
+		go func() { _ = f.probe(m) }()
 	}
 }
 
-// probe tries to connect to a server. On failure it interrupts the attempts that are
-// waiting for the server. On success it queries the server for its runs if a report is due.
-func (f *firstEventMonitor) probe(m *fleet.Member) {
+// probeStalled probes a server that has stopped sending events and, if it can't be reached,
+// the others of its data centre.
+func (f *firstEventMonitor) probeStalled(m *fleet.Member) {
+	if !f.probe(m) {
+		f.probeDataCentre(m)
+	}
+}
+
+// probe tries to connect to a server and reports whether it succeeded. On failure it marks the
+// attempts that are waiting for the server as suspected. On success it queries the server for
+// its runs if a report is due.
+func (f *firstEventMonitor) probe(m *fleet.Member) bool {
 	f.mu.Lock()
 	alreadyProbing := f.probing[m.ID()]
 	f.probing[m.ID()] = true
 	f.mu.Unlock()
 	if alreadyProbing {
-		return
+		return true
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
 	c, err := f.h.Pool.Get(ctx, m.Address(), http1.ForceNew)
@@ -124,10 +133,10 @@
 		m.RecordContact(time.Now())
 		if f.reportDue(m, time.Now()) {
 			f.queryRuns(m, c)
-			return
+			return true
 		}
 		f.h.Pool.Put(c)
-		return
+		return true
 	}
 	f.h.Recorder.Record("server silent", Fields{"server": m.ID(), "address": m.Address(), "error": err.Error()})
 	if f.h.Fleet.RecordLoss(m, time.Now()) {
@@ -137,9 +146,10 @@
 	defer f.mu.Unlock()
 	for a := range f.pending {
 		if a.member == m {
-			a.conn.Interrupt()
+			a.suspect()
 		}
 	}
+	return false
 }
 
 // reportDue reports whether an attempt has been waiting for the server for so long
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -30,6 +30,7 @@
 	*exchange
 	lastEvent       int64     // ID of the last event that the caller has received
 	responseStarted bool      // the head of the response was sent to the caller
+	unflushed       bool      // events were written to the caller and not flushed
 	resumeFrom      kvSource  // KV cache backup or copy of the interrupted run
 	interruptedAt   time.Time // when the run was interrupted
 	resumes         int
@@ -37,7 +38,7 @@
 	firstEventAt    time.Time // arrival times of the first and the last event
 	lastEventAt     time.Time
 	maxEventGap     time.Duration // longest time between two events
-	serverSilent    bool          // the last attempt was given up because its server sent nothing
+	serverSilent    bool          // the deadline passed while the server sent nothing
 	denied          string        // what prevented a further attempt, "" if nothing did
 }
 
@@ -52,7 +53,7 @@
 			s.fail("choose", "no server is available")
 			return
 		}
-		s.run(a)
+		a = s.run(a)
 		if a.outcome == answered {
 			return
 		}
@@ -66,13 +67,10 @@
 // cache backup.
 func (s *stream) nextAttempt() *streamAttempt {
 	q := s.query()
-	if s.resumeFrom != (kvSource{}) {
-		m := s.h.Fleet.FindUsable(s.resumeFrom.server, q.Now)
-		if m != nil && m.Reserve(q) {
-			return &streamAttempt{requestID: s.meta.ID, member: m, query: q, fromBackup: true}
-		}
-		s.resumeFrom = kvSource{}
+	if a := s.reserveSource(q, s.resumeFrom); a != nil {
+		return a
 	}
+	s.resumeFrom = kvSource{}
 	m := s.h.Fleet.Reserve(q)
 	if m == nil && s.responseStarted {
 		m = s.reserveTriedServer(q)
@@ -80,7 +78,20 @@
 	if m == nil {
 		return nil
 	}
-	return &streamAttempt{requestID: s.meta.ID, member: m, query: q}
+	return s.newAttempt(m, q, kvSource{})
+}
+
+// reserveSource reserves the server that holds a KV cache backup or copy for an attempt that
+// resumes from it. It returns nil if there is none or it is not usable.
+func (s *stream) reserveSource(q fleet.Query, source kvSource) *streamAttempt {
+	if source == (kvSource{}) {
+		return nil
+	}
+	m := s.h.Fleet.FindUsable(source.server, q.Now)
+	if m == nil || !m.Reserve(q) {
+		return nil
+	}
+	return s.newAttempt(m, q, source)
 }
 
 // reserveTriedServer also considers servers that have failed. It is used for streams
@@ -111,16 +122,21 @@
 	}
 }
 
-// run sends the request to the attempt's server and forwards the events.
-func (s *stream) run(a *streamAttempt) {
-	a.started = time.Now()
-	s.reservations++
-	s.tried[a.member.ID()] = true
-	s.h.PromptIndex.RecordSent(s.meta.PromptHash, a.member.ID(), a.started)
-	s.h.NotifyPeers()
-	defer func() { a.member.Release(a.query, a.responseStarted) }()
-	s.roundTrip(a)
-	s.logAttempt(a)
+// run sends the request to the attempt's server and forwards the events. While the server
+// sends nothing, the stream may move to another one. run returns the attempt that ended.
+func (s *stream) run(a *streamAttempt) *streamAttempt {
+	sent := s.open(a)
+	for sent && !s.forward(a) {
+		b := s.move(a)
+		if b == nil {
+			continue
+		}
+		a.err = errMoved
+		s.close(a)
+		a = b
+	}
+	s.close(a)
+	return a
 }
 
 // continueAfter reports whether the stream is to continue at another server after an
@@ -139,10 +155,10 @@
 		}
 		s.resumes++
 		s.resumeFrom = kvSource{}
-		if a.responseStarted || a.fromBackup || a.responseLost.Load() {
+		if a.responseStarted || a.fromBackup() || a.responseLost.Load() {
 			s.resumeFrom = s.sourceAfter(a)
 		}
-	} else if a.fromBackup {
+	} else if a.fromBackup() {
 		s.resumeFrom = kvSource{}
 	}
 	switch {
@@ -158,13 +174,12 @@
 		s.denied = "attempts"
 		s.fail("answer", failureReason(a.err))
 		return false
-	case s.sentAttempts > 0 && !s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount(), s.retryNumber(a)):
-		s.h.Recorder.Record("repeat denied", Fields{"request": s.meta.ID, "service": s.service.Name, "attempts": s.attempts})
+	case !s.allowRetry(s.retryNumber(a)):
 		s.denied = "budget"
 		s.fail("answer", failureReason(a.err))
 		return false
 	}
-	if a.outcome == refused && !a.fromBackup || a.outcome == notOffered && s.reservations > len(s.tried) {
+	if a.outcome == refused && !a.fromBackup() || a.outcome == notOffered && s.reservations > len(s.tried) {
 		if s.sleep(refusedRetryDelay) != nil {
 			s.fail("answer", "no server responded in time")
 			return false
@@ -173,10 +188,20 @@
 	return true
 }
 
+// allowRetry reports whether the retry budget allows another attempt, if an earlier one was
+// sent. retry is 1 for the first retry of the request.
+func (s *stream) allowRetry(retry int) bool {
+	if s.sentAttempts == 0 || s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount(), retry) {
+		return true
+	}
+	s.h.Recorder.Record("repeat denied", Fields{"request": s.meta.ID, "service": s.service.Name, "attempts": s.attempts})
+	return false
+}
+
 // retryNumber returns which retry follows an attempt: 1 for the first. An attempt that was
 // refused because the KV cache backup was not there doesn't count.
 func (s *stream) retryNumber(a *streamAttempt) int {
-	if a.outcome == refused && a.fromBackup {
+	if a.outcome == refused && a.fromBackup() {
 		return max(s.resumes, 1)
 	}
 	return s.sentAttempts
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/kvbackup"
+	"cicadabeam/core/stall"
 	"cicadabeam/io/http1"
 	"cicadabeam/io/sse"
 )
@@ -37,7 +39,7 @@
 	member          *fleet.Member
 	query           fleet.Query
 	conn            *http1.Conn
-	fromBackup      bool // it resumes from a KV cache backup
+	source          kvSource // what it resumes from, if anything
 	backup          *fleet.Member
 	copies          *kvbackup.Run // copies that replace a lost backup, nil if the server can't make any
 	started         time.Time
@@ -46,91 +48,197 @@
 	outcome         outcome
 	err             error
 	response        *http.Response // head of the signed event stream, nil before it has arrived
+	parts           chan received  // of the response, as they arrive
+	unread          *received      // part that was taken from parts and not handled yet
+	suspected       chan struct{}  // receives when the server could not be reached
+	closed          chan struct{}  // closed when no more parts are to be received
+	silence         stall.Watch
+	removeInterrupt func() bool // the interruption of the connection at the end of the request
+	keepConn        bool        // the connection was returned to the pool
 	// responseLost is set if the server ran the request but its response does not
 	// arrive.
 	responseLost atomic.Bool
 }
 
-func (s *stream) roundTrip(a *streamAttempt) {
+// newAttempt returns an attempt on a reserved server.
+func (s *stream) newAttempt(m *fleet.Member, q fleet.Query, source kvSource) *streamAttempt {
+	return &streamAttempt{
+		requestID: s.meta.ID, member: m, query: q, source: source,
+		parts: make(chan received, maxUnforwarded), suspected: make(chan struct{}, 1), closed: make(chan struct{}),
+	}
+}
+
+// fromBackup reports whether the attempt resumes from a KV cache backup or copy.
+func (a *streamAttempt) fromBackup() bool { return a.source != (kvSource{}) }
+
+// suspect records that the server could not be reached.
+func (a *streamAttempt) suspect() {
+	select {
+	case a.suspected <- struct{}{}:
+	default:
+	}
+}
+
+// open sends the request to the attempt's server and starts to receive the response. It
+// reports whether the request was sent.
+func (s *stream) open(a *streamAttempt) bool {
+	a.started = time.Now()
+	s.reservations++
+	s.tried[a.member.ID()] = true
+	s.h.PromptIndex.RecordSent(s.meta.PromptHash, a.member.ID(), a.started)
+	s.h.NotifyPeers()
 	c, err := s.h.Pool.Get(s.ctx, a.member.Address(), http1.AllowReuse)
 	if err != nil {
 		a.err = err
 		s.h.recordLoss(a.member, time.Now())
-		return
+		return false
 	}
 	a.conn = c
-	forward := ForwardMeta{LastEventID: s.lastEvent}
-	if a.fromBackup {
-		forward.ResumeAddress, forward.ResumeRunID = s.resumeFrom.address, s.resumeFrom.runID
-	}
-	if e := s.service.Engine; e != nil && e.KVCacheBackups && s.route.Kind.Retryable() {
-		if a.backup = s.h.Fleet.SelectBackup(s.query(), a.member); a.backup != nil {
-			forward.BackupAddress = a.backup.Address()
-			if e.KVCacheMoves {
-				a.copies = kvbackup.NewRun(e.BackupTTL)
-			}
-		}
-	}
-	request, ok := s.request(a.member, forward)
+	request, ok := s.request(a.member, s.forwardMeta(a))
 	if !ok || !a.member.Usable(time.Now()) {
 		s.h.Pool.Put(c)
+		a.keepConn = true
 		a.err = errors.New("the server is no longer usable or the deadline has passed")
-		return
+		return false
 	}
-	stop := context.AfterFunc(s.ctx, c.Interrupt)
-	defer stop()
+	a.removeInterrupt = context.AfterFunc(s.ctx, c.Interrupt)
 	s.dispatched.Begin()
 	a.outcome = broken
 	s.attempts++
 	s.sentAttempts++
 	if a.err = c.Send(request, s.deadline); a.err != nil {
 		s.recordLoss(a)
-		return
+		return false
 	}
-	defer s.h.firstEventMonitor.watch(a)()
-	s.readResponse(a)
+	s.h.firstEventMonitor.watch(a)
+	a.silence.Received(time.Now())
+	go s.receive(a)
+	return true
 }
 
-// recordLoss handles a connection that ended during an attempt.
+// forwardMeta selects the server for the KV cache backup of an attempt and returns the
+// metadata of its request.
+func (s *stream) forwardMeta(a *streamAttempt) ForwardMeta {
+	f := ForwardMeta{LastEventID: s.lastEvent, ResumeAddress: a.source.address, ResumeRunID: a.source.runID}
+	e := s.service.Engine
+	if e == nil || !e.KVCacheBackups || !s.route.Kind.Retryable() {
+		return f
+	}
+	if a.backup = s.h.Fleet.SelectBackup(s.query(), a.member); a.backup == nil {
+		return f
+	}
+	f.BackupAddress = a.backup.Address()
+	if e.KVCacheMoves {
+		a.copies = kvbackup.NewRun(e.BackupTTL)
+	}
+	return f
+}
+
+// close ends an attempt. Its connection is closed unless it was returned to the pool.
+func (s *stream) close(a *streamAttempt) {
+	s.h.firstEventMonitor.unwatch(a)
+	close(a.closed)
+	if a.removeInterrupt != nil {
+		a.removeInterrupt()
+	}
+	if a.conn != nil && !a.keepConn {
+		a.conn.Close()
+	}
+	a.member.Release(a.query, a.responseStarted)
+	s.logAttempt(a)
+}
+
+// recordLoss handles a connection that ended during an attempt. A deadline that has passed
+// says nothing about the server.
 func (s *stream) recordLoss(a *streamAttempt) {
 	a.conn.Close()
-	if a.responseLost.Load() {
-		a.member.RecordFailure(time.Now())
-		return
-	}
-	if s.ctx.Err() == nil {
-		s.h.recordLoss(a.member, time.Now())
+	now := time.Now()
+	switch {
+	case a.responseLost.Load():
+		a.member.RecordFailure(now)
+	case s.ctx.Err() == nil && !errors.Is(a.err, os.ErrDeadlineExceeded):
+		s.h.recordLoss(a.member, now)
 		s.h.crashDetector.scheduleEvaluation(s.exchange, a.member, int(s.lastEvent), a.err)
 	}
 }
 
-// readResponse reads the head of the response and handles the rest according to it.
-func (s *stream) readResponse(a *streamAttempt) {
-	r, err := a.conn.ReadResponse(s.r.Method, s.meta.ID, s.h.Codec.RequestID, s.headDeadline(a))
-	if err != nil {
-		a.err = err
-		s.recordLoss(a)
-		return
+// forward forwards the response to an attempt until it ends. It returns false if the server
+// is silent, so that the stream may move.
+func (s *stream) forward(a *streamAttempt) bool {
+	silent := time.NewTimer(a.silence.Wait(time.Now(), s.silenceLimit(a)))
+	defer silent.Stop()
+	if x := a.unread; x != nil {
+		a.unread = nil
+		if s.handlePart(a, *x) {
+			return true
+		}
 	}
-	meta := s.h.Codec.DecodeResponse(r)
-	now := time.Now()
-	if meta.HasLoad {
-		a.member.RecordLoad(meta.Load, now)
+	for {
+		select {
+		case x := <-a.parts:
+			if x.head != nil {
+				silent.Reset(0) // the limit is another one from now on
+			}
+			if s.handlePart(a, x) {
+				return true
+			}
+		case <-a.suspected:
+			if a.silence.MayMove(time.Now()) {
+				return false
+			}
+		case <-silent.C:
+			wait := a.silence.Wait(time.Now(), s.silenceLimit(a))
+			if wait <= 0 {
+				return false
+			}
+			silent.Reset(wait)
+		}
 	}
-	if r.StatusCode >= 200 && r.StatusCode < 300 && meta.Signed {
-		a.response = r
-		s.forwardEvents(a, r)
-		return
+}
+
+// silenceLimit returns the accepted time between two parts of the response to an attempt.
+func (s *stream) silenceLimit(a *streamAttempt) time.Duration {
+	switch {
+	case a.response != nil:
+		return s.stallTimeout(a)
+	case a.fromBackup() && s.responseStarted:
+		return backupResumeTimeout
+	default:
+		return s.deadline.Sub(a.started) // the monitor of first events tells whether the server is there
+	}
+}
+
+// handlePart handles one part of the response to an attempt and reports whether the attempt
+// has ended.
+func (s *stream) handlePart(a *streamAttempt, x received) bool {
+	a.silence.Received(time.Now())
+	switch {
+	case x.head != nil && s.isEventStream(x.head):
+		s.recordHead(a, x.head)
+		return false
+	case x.head != nil:
+		s.handleNonStreamResponse(a, x.head)
+		return true
+	case a.response != nil && errors.Is(x.err, io.EOF) && !errors.Is(x.err, io.ErrUnexpectedEOF):
+		s.finish(a)
+		return true
+	case x.err != nil:
+		_ = s.flush()
+		a.err = x.err
+		s.recordLoss(a)
+		return true
+	default:
+		return !s.handleEvent(a, x.event)
 	}
-	s.handleNonStreamResponse(a, r, meta, now)
 }
 
-// headDeadline returns the deadline for the head of the response.
-func (s *stream) headDeadline(a *streamAttempt) time.Time {
-	if a.fromBackup && s.responseStarted {
-		return earliest(s.deadline, time.Now().Add(backupResumeTimeout))
+// recordHead records the head of an event stream.
+func (s *stream) recordHead(a *streamAttempt, r *http.Response) {
+	if meta := s.h.Codec.DecodeResponse(r); meta.HasLoad {
+		a.member.RecordLoad(meta.Load, time.Now())
 	}
-	return s.deadline
+	a.response = r
+	a.silence.Received(time.Now())
 }
 
 func earliest(a, b time.Time) time.Time {
@@ -140,13 +248,33 @@
 	return b
 }
 
-// handleNonStreamResponse handles a response that is not an event stream.
-func (s *stream) handleNonStreamResponse(a *streamAttempt, r *http.Response, meta ResponseMeta, now time.Time) {
+// handleNonStreamResponse handles a response that is not an event stream: it is sent to the
+// caller, or the attempt has failed.
+func (s *stream) handleNonStreamResponse(a *streamAttempt, r *http.Response) {
+	body, complete := s.classifyResponse(a, r)
+	signed := s.h.Codec.DecodeResponse(r).Signed
+	switch {
+	case a.outcome != broken:
+	case signed && complete && !s.responseStarted && !impliesNotRun(r.StatusCode) && !s.worthRetrying(r.StatusCode):
+		a.outcome = answered
+		s.writeResponse(&attempt{member: a.member, response: r, body: body})
+	default:
+		a.member.RecordFailure(time.Now())
+	}
+}
+
+// classifyResponse determines from a response that is not an event stream whether the request
+// ran. It returns the body and whether that is complete.
+func (s *stream) classifyResponse(a *streamAttempt, r *http.Response) (body []byte, complete bool) {
+	meta := s.h.Codec.DecodeResponse(r)
+	now := time.Now()
+	if meta.HasLoad {
+		a.member.RecordLoad(meta.Load, now)
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
-	if err != nil || len(body) == maxBufferedBytes {
-		a.conn.Close()
-	} else {
-		s.h.Pool.Put(a.conn)
+	complete = err == nil && len(body) < maxBufferedBytes
+	if complete {
+		s.returnConn(a)
 	}
 	a.err = errors.Newf("status %d", r.StatusCode)
 	switch {
@@ -160,15 +288,19 @@
 		a.outcome = refused
 		s.attempts--
 		s.dispatched.RecordNotRun()
-		if !a.fromBackup {
+		if !a.fromBackup() {
 			a.member.RecordFailure(now)
 		}
-	case meta.Signed && err == nil && !s.responseStarted && !impliesNotRun(r.StatusCode) && !s.worthRetrying(r.StatusCode):
-		a.outcome = answered
-		s.writeResponse(&attempt{member: a.member, response: r, body: body})
-	default:
-		a.member.RecordFailure(now)
 	}
+	return body, complete
+}
+
+// returnConn returns the connection of an attempt whose response was read completely to the
+// pool.
+func (s *stream) returnConn(a *streamAttempt) {
+	a.removeInterrupt()
+	s.h.Pool.Put(a.conn)
+	a.keepConn = true
 }
 
 // worthRetrying reports whether a response with this status is discarded and the
@@ -177,38 +309,23 @@
 	return status >= http.StatusInternalServerError && s.route.Kind.Retryable() && s.attempts < s.route.Attempts
 }
 
-// forwardEvents forwards the events of an attempt until the end of the response.
-func (s *stream) forwardEvents(a *streamAttempt, r *http.Response) {
-	reader := sse.NewReader(r.Body)
-	for {
-		if !reader.HasBufferedEvent() {
-			a.conn.SetReadDeadline(earliest(s.deadline, time.Now().Add(s.stallTimeout(a))))
-		}
-		e, err := reader.Next()
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			s.finish(a)
-			return
-		}
-		if err != nil {
-			a.err = err
-			s.recordLoss(a)
-			return
-		}
-		s.onProgress(a)
-		s.maintainCopy(a)
-		if e.ID >= 0 && e.ID <= s.lastEvent {
-			continue
-		}
-		if e.ID >= 0 && s.lastEvent > 0 && e.ID > s.lastEvent+1 {
-			a.err = errors.Newf("event %d received after event %d; events are missing", e.ID, s.lastEvent)
-			a.conn.Close()
-			a.member.RecordFailure(time.Now())
-			return
-		}
-		if !s.forwardEvent(a, e, reader.HasBufferedEvent()) {
-			return
-		}
+// handleEvent handles an event of an attempt. It returns false if the attempt has ended.
+func (s *stream) handleEvent(a *streamAttempt, e sse.Event) bool {
+	s.onProgress(a)
+	s.maintainCopy(a)
+	known := e.ID >= 0 && e.ID <= s.lastEvent
+	if e.ID >= 0 && s.lastEvent > 0 && e.ID > s.lastEvent+1 {
+		a.err = errors.Newf("event %d received after event %d; events are missing", e.ID, s.lastEvent)
+		a.member.RecordFailure(time.Now())
+		return false
+	}
+	if !known {
+		a.err = s.writeEvent(e)
 	}
+	if a.err == nil && len(a.parts) == 0 {
+		a.err = s.flush()
+	}
+	return a.err == nil
 }
 
 // stallTimeout returns the maximum time between two events of an attempt.
@@ -232,7 +349,7 @@
 		s.h.firstEventMonitor.unwatch(a)
 		a.member.PromptProcessed(a.query, now.Sub(a.started))
 		if s.resumes > 0 {
-			s.h.Recorder.Record("resumed", Fields{"request": s.meta.ID, "server": a.member.ID(), "from_copy": a.fromBackup, "after": s.lastEvent, "ms": ms(now.Sub(s.interruptedAt))})
+			s.h.Recorder.Record("resumed", Fields{"request": s.meta.ID, "server": a.member.ID(), "from_copy": a.fromBackup(), "after": s.lastEvent, "ms": ms(now.Sub(s.interruptedAt))})
 		}
 	}
 	if s.responseStarted {
@@ -254,30 +371,33 @@
 	s.lastEventAt = now
 }
 
-// forwardEvent writes an event to the caller. It does not flush if moreBuffered is
-// set, as the next event has arrived already. It reports whether the event was written.
-func (s *stream) forwardEvent(a *streamAttempt, e sse.Event, moreBuffered bool) bool {
-	control := http.NewResponseController(s.w)
-	_, err := s.w.Write(e.Bytes)
-	if err == nil && !moreBuffered {
-		_ = control.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-		err = control.Flush()
-	}
-	if err != nil {
-		a.err = err
-		a.conn.Close()
-		return false
+// writeEvent writes an event to the caller. It is sent at the next flush at the latest.
+func (s *stream) writeEvent(e sse.Event) error {
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	s.unflushed = true
+	if _, err := s.w.Write(e.Bytes); err != nil {
+		return errors.Wrap(err, "write to the caller")
 	}
 	if e.ID >= 0 {
 		s.lastEvent = e.ID
 	}
-	return true
+	return nil
+}
+
+// flush sends the events that were written and not sent yet.
+func (s *stream) flush() error {
+	if !s.unflushed {
+		return nil
+	}
+	s.unflushed = false
+	return errors.Wrap(http.NewResponseController(s.w).Flush(), "write to the caller")
 }
 
 // finish completes a stream whose last event has arrived.
 func (s *stream) finish(a *streamAttempt) {
-	s.h.Pool.Put(a.conn)
+	s.returnConn(a)
 	s.onProgress(a)
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	a.outcome = answered
 	s.h.releaseCopy(a)
 	a.member.RecordSuccess(time.Since(a.started), time.Now())
@@ -289,7 +409,7 @@
 
 func (s *stream) logAttempt(a *streamAttempt) {
 	f := Fields{
-		"request": s.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "from_copy": a.fromBackup, "last": s.lastEvent,
+		"request": s.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "from_copy": a.fromBackup(), "last": s.lastEvent,
 		"ms": ms(time.Since(a.started)), "prompt_tokens": s.meta.PromptTokens, "output_tokens": s.meta.OutputTokens,
 	}
 	if a.backup != nil {
