engine: limit the lines without data between two events

What would happen: an engine that sends comments without end kept a goroutine of its attempt reading until the stall watchdog ended it after 20 s. A line was limited to 1 MiB, a row of them was not.

--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -13,7 +13,8 @@
 	"cicadabeam/core/generation"
 )
 
-// maxEventBytes limits the size of one line of a stream, and thereby of an event's data.
+// maxEventBytes limits the size of one line of a stream, and thereby of an event's data, and
+// that of the lines without data before it.
 const maxEventBytes = 1 << 20
 
 // stream reads the server-sent events of an attempt.
@@ -40,9 +41,13 @@
 
 // Next implements generation.Stream.
 func (s *stream) Next() (generation.Chunk, error) {
+	skipped := 0
 	for s.scanner.Scan() {
 		data, found := bytes.CutPrefix(s.scanner.Bytes(), []byte("data:"))
 		if !found {
+			if skipped += len(s.scanner.Bytes()) + 1; skipped > maxEventBytes {
+				return generation.Chunk{}, s.readError(errors.Newf("no data in %d bytes", skipped))
+			}
 			continue
 		}
 		data = bytes.TrimSpace(data)
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -29,14 +29,15 @@
 		chunks   int
 		complete bool
 	}{
-		"complete":        {"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n", 1, true},
-		"comments":        {": ping\n\nid: 3\ndata: {\"choices\":[]}\n\ndata: [DONE]\n", 1, true},
-		"no end marker":   {"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n", 1, false},
-		"truncated event": {"data: {\"choices\":[{\"delta\":{\"cont", 0, false},
-		"invalid JSON":    {"data: token\n\n", 0, false},
-		"error event":     {"data: {\"error\":{\"message\":\"out of memory\"}}\n\n", 0, false},
-		"empty":           {"", 0, false},
-		"long line":       {"data: " + strings.Repeat("x", maxEventBytes+1) + "\n", 0, false},
+		"complete":         {"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n", 1, true},
+		"comments":         {": ping\n\nid: 3\ndata: {\"choices\":[]}\n\ndata: [DONE]\n", 1, true},
+		"no end marker":    {"data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n", 1, false},
+		"truncated event":  {"data: {\"choices\":[{\"delta\":{\"cont", 0, false},
+		"invalid JSON":     {"data: token\n\n", 0, false},
+		"error event":      {"data: {\"error\":{\"message\":\"out of memory\"}}\n\n", 0, false},
+		"empty":            {"", 0, false},
+		"endless comments": {strings.Repeat(": ping\n\n", maxEventBytes/8+1) + "data: [DONE]\n", 0, false},
+		"long line":        {"data: " + strings.Repeat("x", maxEventBytes+1) + "\n", 0, false},
 	}
 	for name, x := range cases {
 		chunks, err := readAll(x.text)
