--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -21,6 +21,9 @@
 // requestTimeout is the time limit of one request, including its response.
 const requestTimeout = 15 * time.Second
 
+// maxResponseBytes limits the size of a response. A questionnaire has at most 16 MiB.
+const maxResponseBytes = 64 << 20
+
 // Client is a client of a node's operator API.
 type Client struct {
 	baseURL string
@@ -115,7 +118,10 @@
 		return nil, nil, errors.Wrapf(err, "request to %s", c.baseURL)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(body) > maxResponseBytes {
+		err = errors.Newf("the response exceeds %d bytes", maxResponseBytes)
+	}
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "request to %s", c.baseURL)
 	}
