soak: servers that fall silent and go on, and a check that this ends no request

A server now also falls silent for 0.3 to 2.5 s (its connections stay open, its listener accepts, responses and events pause). A stream that may run at most once is a fourth kind of request.

The check: a request that was sent and ended while nothing but these faults had been active since settleTime before must end with a complete response, of a server or of the host; its connection must not be closed without one, nor within a response before its own deadline.

Nothing in the existing checks is weaker: the two checks for purchases now hold for streams that may run at most once too.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -16,8 +16,13 @@
 	buy    = "buy"    // at most once
 	read   = "read"   // idempotent
 	report = "report" // resumable stream
+	once   = "once"   // stream that may run at most once
 )
 
+func isStream(kind string) bool { return kind == report || kind == once }
+
+func isAtMostOnce(kind string) bool { return kind == buy || kind == once }
+
 // forged is the value that callers send in headers that only the system may set.
 const forged = "forged"
 
@@ -90,7 +95,7 @@
 			return
 		default:
 		}
-		kind := []string{buy, read, report}[c.random.IntN(3)]
+		kind := []string{buy, read, report, once}[c.random.IntN(4)]
 		c.send(kind)
 		time.Sleep(time.Duration(c.random.Float64() * float64(maxCallerPause)))
 	}
@@ -139,7 +144,7 @@
 
 func (c *caller) setHeaders(r *http.Request, x Result) {
 	deadline := callDeadline
-	if x.Kind == report {
+	if isStream(x.Kind) {
 		deadline = streamDeadline
 		r.Header.Set("X-Token-Usage", "800,90")
 		r.Header.Set("X-Prefix-Hash", fmt.Sprintf("%x:800", x.Path))
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -79,7 +79,7 @@
 }
 
 func deadlineOf(x Result) time.Duration {
-	if x.Kind == report {
+	if isStream(x.Kind) {
 		return streamDeadline
 	}
 	return callDeadline
@@ -88,13 +88,13 @@
 // checkResult checks the result that a caller received.
 func (c *checker) checkResult(x Result) {
 	runs := c.runs[x.ID]
-	if x.Kind == buy && len(runs) > 1 {
-		c.addViolation("purchase %s ran %d times", x.ID, len(runs))
+	if isAtMostOnce(x.Kind) && len(runs) > 1 {
+		c.addViolation("request %s, which may run at most once, ran %d times", x.ID, len(runs))
 	}
 	switch x.Status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		if x.Kind == buy && len(runs) > 0 {
-			c.addViolation("purchase %s got status %d and ran at %s", x.ID, x.Status, runs[0].Server)
+		if isAtMostOnce(x.Kind) && len(runs) > 0 {
+			c.addViolation("request %s, which may run at most once, got status %d and ran at %s", x.ID, x.Status, runs[0].Server)
 		}
 		if x.Status == http.StatusServiceUnavailable && !x.HasRetryAfter {
 			c.addViolation("request %s got status 503 without Retry-After", x.ID)
@@ -108,11 +108,26 @@
 	case http.StatusNotFound, http.StatusForbidden:
 		c.addViolation("request %s for an existing route got status %d", x.ID, x.Status)
 	}
+	c.checkAnswered(x)
 	if late := x.Finished.Sub(x.Sent) - deadlineOf(x); late > maxLateness && c.env.faultFree(x.Sent.Add(-settleTime), x.Finished) {
 		c.addViolation("request %s ended %v after its deadline", x.ID, late)
 	}
 }
 
+// checkAnswered checks that a request ended with a complete response, from a server or from
+// the host, if nothing but harmless faults could have prevented it.
+func (c *checker) checkAnswered(x Result) {
+	timeLeft := deadlineOf(x) - x.Finished.Sub(x.Sent)
+	if x.Status != 0 && !x.Truncated || timeLeft <= tolerance || !c.env.onlyHarmlessFaults(x.Sent.Add(-settleTime), x.Finished) {
+		return
+	}
+	if x.Status == 0 {
+		c.addViolation("request %s of kind %s to %s ended without a response, %v before its deadline, although no server or host failed", x.ID, x.Kind, x.Host, timeLeft)
+		return
+	}
+	c.addViolation("the response to %s of kind %s from %s was broken off after %d bytes, %v before its deadline, although no server or host failed", x.ID, x.Kind, x.Host, len(x.Body), timeLeft)
+}
+
 // maxLateness is how long after its deadline a request may end while no fault is active.
 const maxLateness = time.Second
 
@@ -121,9 +136,9 @@
 	switch {
 	case !x.HasSignature:
 		c.addViolation("the response to %s is not signed", x.ID)
-	case x.Kind != report && !x.Truncated && x.Body != ResponseBody(x.ID):
+	case !isStream(x.Kind) && !x.Truncated && x.Body != ResponseBody(x.ID):
 		c.addViolation("the response to %s has the wrong body %q", x.ID, x.Body)
-	case x.Kind == report:
+	case isStream(x.Kind):
 		c.checkStream(x)
 	}
 }
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -32,7 +32,7 @@
 )
 
 // serviceOf maps a request kind to its service.
-var serviceOf = map[string]string{buy: "orders", read: "orders", report: "llm"}
+var serviceOf = map[string]string{buy: "orders", read: "orders", report: "llm", once: "llm"}
 
 // host is an entry host with its own endpoint of the store.
 type host struct {
@@ -50,7 +50,10 @@
 }
 
 // span is a period in which a fault was active.
-type span struct{ from, to time.Time }
+type span struct {
+	from, to time.Time
+	harmless bool
+}
 
 // testEnv is the system under test: the store, entry hosts and backend servers.
 type testEnv struct {
@@ -166,6 +169,7 @@
 		{"Name": buy, "Host": "test.example", "Prefix": "/buy/", "Type": "unsafe", "TimeoutMs": 2000, "GoalMs": 250, "Service": "orders", "MaxAttempts": 1},
 		{"Name": read, "Host": "test.example", "Prefix": "/read/", "Type": "safe", "TimeoutMs": 2000, "GoalMs": 250, "Service": "orders", "MaxAttempts": 2},
 		{"Name": report, "Host": "test.example", "Prefix": "/report/", "Type": "stream", "Resumable": true, "TimeoutMs": 6000, "GoalMs": 1000, "Service": "llm", "MaxAttempts": 5},
+		{"Name": once, "Host": "test.example", "Prefix": "/once/", "Type": "stream", "TimeoutMs": 6000, "GoalMs": 1000, "Service": "llm", "MaxAttempts": 5},
 		{"Name": "newest", "Host": "test.example", "Prefix": revisionPrefix(e.revision), "Type": "safe", "TimeoutMs": 2000, "GoalMs": 250, "Service": "orders", "MaxAttempts": 2, "Public": true},
 	}
 	value, _ := json.Marshal(map[string]any{
@@ -233,20 +237,31 @@
 
 // faultFree reports whether no fault was active in a period.
 func (e *testEnv) faultFree(from, to time.Time) bool {
+	return !e.anyFault(from, to, func(span) bool { return true })
+}
+
+// onlyHarmlessFaults reports whether no fault other than harmless ones was active in a
+// period.
+func (e *testEnv) onlyHarmlessFaults(from, to time.Time) bool {
+	return !e.anyFault(from, to, func(s span) bool { return !s.harmless })
+}
+
+// anyFault reports whether a fault that counts was active in a period.
+func (e *testEnv) anyFault(from, to time.Time, counts func(span) bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range e.faultSpans {
-		if s.from.Before(to) && s.to.After(from) {
-			return false
+		if s.from.Before(to) && s.to.After(from) && counts(s) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
-func (e *testEnv) recordFault(from time.Time) {
+func (e *testEnv) recordFault(f fault, from time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.faultSpans = append(e.faultSpans, span{from, time.Now()})
+	e.faultSpans = append(e.faultSpans, span{from: from, to: time.Now(), harmless: f.isHarmless()})
 }
 
 // addViolation records a violation found while faults are injected.
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,11 +26,20 @@
 	inject func(e *testEnv, r *rand.Rand)
 }
 
-var faults = []fault{
+// harmlessFaults are no reason to end a request without an answer.
+var harmlessFaults = []fault{
+	{"a host reloads its settings", onHost(func(_ *testEnv, h *host, _ *rand.Rand) { h.Signal(syscall.SIGHUP) })},
+	{"the configuration changes", func(e *testEnv, _ *rand.Rand) { e.configure() }},
+	{"a server falls silent", onServer(func(_ *testEnv, a *serverAddress, r *rand.Rand) {
+		a.current.silence(time.Now().Add(time.Duration(300+r.IntN(2200)) * time.Millisecond))
+		a.current.awaitSpeech()
+	})},
+}
+
+var faults = slices.Concat(harmlessFaults, []fault{
 	{"a host is killed", onHost(func(e *testEnv, h *host, r *rand.Rand) { h.Kill(); randomPause(r, 100, 1500); e.restart(h) })},
 	{"a host is shut down", onHost(stopHost)},
 	{"a host is suspended", onHost(func(_ *testEnv, h *host, r *rand.Rand) { h.Suspend(); randomPause(r, 300, 6500); h.Resume() })},
-	{"a host reloads its settings", onHost(func(_ *testEnv, h *host, _ *rand.Rand) { h.Signal(syscall.SIGHUP) })},
 	{"all hosts are killed", killAllHosts},
 	{"the store fails", failStore},
 	{"the store fails for one host", onHost(func(_ *testEnv, h *host, r *rand.Rand) {
@@ -43,7 +53,6 @@
 		e.store.SetDelay(0)
 	}},
 	{"the store drops its change history", func(e *testEnv, _ *rand.Rand) { e.store.DiscardHistory() }},
-	{"the configuration changes", func(e *testEnv, _ *rand.Rand) { e.configure() }},
 	{"a key is revoked", func(e *testEnv, _ *rand.Rand) { e.revokeKey() }},
 	{"a server crashes", onServer(crashServer)},
 	{"a server drains or deregisters", onServer(drainServer)},
@@ -73,6 +82,10 @@
 		randomPause(r, 500, 3000)
 		a.link.RemoveFaults()
 	})},
+})
+
+func (f fault) isHarmless() bool {
+	return slices.ContainsFunc(harmlessFaults, func(h fault) bool { return h.name == f.name })
 }
 
 // randomPause sleeps for a random time from minMS up to, but not including, maxMS milliseconds.
@@ -201,17 +214,18 @@
 	return n
 }
 
-// injectFaults starts random faults until a time, and waits for all of them to end.
-func (e *testEnv) injectFaults(until time.Time) {
+// injectFaults starts random faults of the given kinds until a time, and waits for all of
+// them to end.
+func (e *testEnv) injectFaults(kinds []fault, until time.Time) {
 	var g sync.WaitGroup
 	for time.Now().Before(until) {
-		f := faults[e.random.IntN(len(faults))]
+		f := kinds[e.random.IntN(len(kinds))]
 		r := rand.New(rand.NewPCG(e.random.Uint64(), 5))
 		e.logFault("%s", f.name)
 		g.Go(func() {
 			from := time.Now()
 			f.inject(e, r)
-			e.recordFault(from)
+			e.recordFault(f, from)
 		})
 		time.Sleep(time.Duration(e.random.Float64() * float64(maxFaultInterval)))
 	}
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -64,6 +64,7 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	faultRate float64        // the fraction of responses that are faulty
+	silent    time.Time      // until when it sends nothing
 	runs      map[string]int // events produced, by request ID
 }
 
@@ -79,6 +80,22 @@
 	s.faultRate = x
 }
 
+// silence makes the server send nothing until a time. Its connections stay open, it accepts
+// new ones, and it goes on where it was.
+func (s *incarnation) silence(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = until
+}
+
+// awaitSpeech returns when the server is not silent.
+func (s *incarnation) awaitSpeech() {
+	s.mu.Lock()
+	until := s.silent
+	s.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 func (s *incarnation) faulty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,6 +111,9 @@
 // handle responds to a request as a backend server of the platform does. It reports
 // whether the connection stays open.
 func (s *incarnation) handle(c *backend.Conn, r *http.Request, body []byte) bool {
+	if r.URL.Path == "/v1/kv-list" || r.URL.Path == "/v1/report" {
+		s.awaitSpeech()
+	}
 	if r.URL.Path == "/v1/kv-list" {
 		return backend.WithCachedPrompts(nil, nil)(c, r, body)
 	}
@@ -103,10 +123,12 @@
 	a := s.newArrival(r)
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		s.arrivals.add(a)
+		s.awaitSpeech()
 		return backend.Misdirected()(c, r, body)
 	}
 	if s.faulty() && s.randomFloat() < 0.3 {
 		s.arrivals.add(a)
+		s.awaitSpeech()
 		return backend.NotExecuted()(c, r, body)
 	}
 	a.Executed = true
@@ -159,6 +181,7 @@
 // reports whether the connection stays open.
 func (s *incarnation) call(c *backend.Conn, r *http.Request, body []byte) bool {
 	time.Sleep(time.Duration(s.randomFloat() * float64(maxCallTime)))
+	s.awaitSpeech()
 	answer := ResponseBody(r.Header.Get("X-Request-Id"))
 	if !s.faulty() {
 		return backend.Respond(http.StatusOK, answer)(c, r, body)
@@ -196,9 +219,11 @@
 	if s.faulty() {
 		breakAt = first + 1 + int(s.randomFloat()*10)
 	}
+	s.awaitSpeech()
 	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\nX-Request-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 	for i := first + 1; err == nil && i <= streamLength; i++ {
 		time.Sleep(streamInterval)
+		s.awaitSpeech()
 		s.setProgress(id, i)
 		e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, EventData(r.URL.Path, i))
 		if i == breakAt { // truncate within the event
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -107,7 +107,8 @@
 		c := newCaller(fmt.Sprintf("c%d", i), seed*1000+uint64(i), e.pickHost, func() string { return e.pickKey(keys) }, e.results)
 		g.Go(func() { c.run(stop) })
 	}
-	e.injectFaults(time.Now().Add(d))
+	e.injectFaults(harmlessFaults, time.Now().Add(d/2))
+	e.injectFaults(faults, time.Now().Add(d))
 	e.checkRecovery()
 	close(stop)
 	g.Wait()
