relay: a stream whose events don't proceed counts as silent

What callers saw: a server that sends comments, blank lines, text that is no event, or the same event again and again held a stream until its deadline, although another server was there; all but the repeated events were passed on to the caller in among the events.

Now sse.Event.Proceeds tells whether an event is new (its ID is greater than those before it in this response or, without an ID, it has data). Others are dropped where the response is read, so that the watch for silence moves the stream; a row of them is limited to 1 MiB. Callers no longer get comments. An attempt that starts at the wrong event is not affected: its IDs rise.

--- a/io/relay/stream_reader.go
+++ b/io/relay/stream_reader.go
@@ -29,6 +29,9 @@
 	reader := sse.NewReader(r.Body)
 	for {
 		e, err := reader.Next()
+		if err == nil && !e.Proceeds {
+			continue // a server that sends only such events is as good as silent
+		}
 		e.Bytes = bytes.Clone(e.Bytes)
 		if !a.deliver(received{event: e, err: err}) || err != nil {
 			return
--- a/io/sse/events.go
+++ b/io/sse/events.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventSize limits one event, in bytes, together with the events without data before it.
+// maxEventSize limits one event, in bytes, together with those before it that don't proceed.
 const maxEventSize = 1 << 20
 
 // initialBufferSize is the first capacity of the buffer, in bytes. Before each read at
@@ -27,23 +27,24 @@
 type Event struct {
 	Bytes []byte // valid until the next call of Next
 	ID    int64  // -1 without a numeric ID
-	// HasData is set if the event has a data field. An event without one carries nothing for
-	// the caller: it is a comment, such as a heartbeat, or no event at all.
-	HasData bool
+	// Proceeds is set if the ID is greater than those before or, without an ID, if the event
+	// has data. Others carry nothing for the caller, such as comments.
+	Proceeds bool
 }
 
 // Reader reads events from a stream.
 type Reader struct {
-	source      io.Reader
-	buffer      []byte
-	start       int
-	withoutData int // size of the events since the last one that has data
-	err         error
+	source io.Reader
+	buffer []byte
+	start  int
+	newest int64 // greatest ID so far
+	idle   int   // size of the events since the last one that proceeds
+	err    error
 }
 
 // NewReader returns a reader of the events in r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{source: r, buffer: make([]byte, 0, initialBufferSize)}
+	return &Reader{source: r, buffer: make([]byte, 0, initialBufferSize), newest: -1}
 }
 
 // Next returns the next complete event. At the end of the source it returns io.EOF, or
@@ -51,28 +52,29 @@
 func (r *Reader) Next() (Event, error) {
 	for {
 		if e, found := r.nextBuffered(); found {
-			return e, r.checkData(e)
+			return e, r.checkProgress(e)
 		}
 		if r.err != nil {
 			return Event{}, r.endError()
 		}
-		if r.withoutData+len(r.buffer)-r.start > maxEventSize {
+		if r.idle+len(r.buffer)-r.start > maxEventSize {
 			return Event{}, errTooLarge
 		}
 		r.fill()
 	}
 }
 
-var errTooLarge = errors.Newf("event with data is larger than %d bytes", maxEventSize)
+var errTooLarge = errors.Newf("no event that proceeds in %d bytes", maxEventSize)
 
-// checkData returns an error if too much has been read since the last event with data.
-func (r *Reader) checkData(e Event) error {
-	r.withoutData += len(e.Bytes)
-	if r.withoutData > maxEventSize {
+// checkProgress returns an error if too much has been read since the last event that
+// proceeds.
+func (r *Reader) checkProgress(e Event) error {
+	r.idle += len(e.Bytes)
+	if r.idle > maxEventSize {
 		return errTooLarge
 	}
-	if e.HasData {
-		r.withoutData = 0
+	if e.Proceeds {
+		r.idle = 0
 	}
 	return nil
 }
@@ -117,7 +119,10 @@
 		return Event{}, false
 	}
 	r.start += n
-	return Event{Bytes: unread[:n], ID: eventID(unread[:n]), HasData: hasData(unread[:n])}, true
+	e := Event{Bytes: unread[:n], ID: eventID(unread[:n])}
+	e.Proceeds = e.ID > r.newest || e.ID < 0 && hasData(e.Bytes)
+	r.newest = max(r.newest, e.ID)
+	return e, true
 }
 
 // eventLength returns the length of the first event, 0 if it is not complete.
--- a/io/sse/events_test.go
+++ b/io/sse/events_test.go
@@ -55,14 +55,14 @@
 	return n, nil
 }
 
-func TestEndlessBytesWithoutData(t *testing.T) {
-	for name, text := range map[string]string{"comments": ": alive\n\n", "blank lines": "\n", "IDs": "id: 5\n\n", "no field": "data\x00\n\n", "no line end": "x"} {
+func TestEndlessBytesWithoutProgress(t *testing.T) {
+	for name, text := range map[string]string{"comments": ": alive\n\n", "blank lines": "\n", "repeated events": "id: 1\ndata: a\n\n", "no field": "data\x00\n\n", "no line end": "x"} {
 		r := sse.NewReader(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), repeated(text)))
 		read := 0
 		e, err := r.Next()
 		for err == nil && read < 4<<20 {
-			if e.HasData != (e.ID == 1) {
-				t.Fatalf("%s: got data %v for %q", name, e.HasData, e.Bytes)
+			if e.Proceeds != (read == 0) {
+				t.Fatalf("%s: got progress %v for %q after %d bytes", name, e.Proceeds, e.Bytes, read)
 			}
 			read += len(e.Bytes)
 			e, err = r.Next()
@@ -73,7 +73,7 @@
 	}
 }
 
-// An event with data ends a sequence of comments, however many there are in all.
+// An event that proceeds ends a sequence of comments, however many there are in all.
 func TestCommentsBetweenEvents(t *testing.T) {
 	part := strings.Repeat(": alive\n\n", 60_000) + "data: a\n\n"
 	r := sse.NewReader(strings.NewReader(strings.Repeat(part, 4)))
