entry: answer the requests that end because the node stops

Callers whose request was in progress when a draining node reached the end of its grace period, or arrived as it ended, had their connection closed with neither an answer nor a refusal: the context of requests ends then too, and callerLeft took that for the departure of the caller; the server was closed at the same time. A purchase that was sent 3 to 5.6 s after SIGTERM and whose server was slow was lost in this way.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -12,7 +12,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -38,12 +37,7 @@
 	// collections.
 	memoryLimitShare = 0.6
 	gcPercent        = 200
-	// headerTimeout, idleTimeout and maxHeaderBytes limit callers' connections. The
-	// configuration may set lower limits.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 3 * time.Minute
-	maxHeaderBytes = 64 << 10
-	expireInterval = time.Second
+	expireInterval   = time.Second
 )
 
 // Node is one entry host.
@@ -58,6 +52,7 @@
 	pool      *http1.Pool
 	store     *platform.StoreClient
 	handler   *relay.Handler
+	callers   *httpServer
 	// configurationWatcher and serverWatcher follow the store's tables.
 	configurationWatcher *tableWatcher
 	serverWatcher        *tableWatcher
@@ -147,10 +142,11 @@
 }
 
 func (n *Node) serve(ctx context.Context) error {
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(relay.ErrStopping)
+	requests, stopRequests := context.WithCancelCause(context.WithoutCancel(ctx))
+	ctx, stop := context.WithCancel(ctx)
 	var g run.Group
-	halt := func(error) { stop(relay.ErrStopping) }
+	halt := func(error) { stopRequests(relay.ErrStopping); stop() }
+	defer halt(nil)
 	g.Add(func() error { return n.awaitDrain(ctx) }, halt)
 	g.Add(func() error { return n.configurationWatcher.run(ctx) }, halt)
 	g.Add(func() error { return n.serverWatcher.run(ctx) }, halt)
@@ -162,30 +158,29 @@
 	if err := n.addPeerServer(&g); err != nil {
 		return err
 	}
-	if err := n.addHTTP(ctx, &g, n.settings.callers, n.handler); err != nil {
+	var err error
+	if n.callers, err = newHTTPServer(requests, n.settings.callers, n.handler); err != nil {
 		return err
 	}
-	if err := n.addHTTP(ctx, &g, n.settings.readiness, n.readinessHandler()); err != nil {
+	g.Add(n.callers.run, func(error) { n.callers.shutdown(time.Now().Add(lastResponseTimeout)) })
+	if err := addHTTP(requests, &g, n.settings.readiness, n.readinessHandler()); err != nil {
 		return err
 	}
 	if n.settings.metrics != "" {
-		if err := n.addHTTP(ctx, &g, n.settings.metrics, n.metricsHandler()); err != nil {
+		if err := addHTTP(requests, &g, n.settings.metrics, n.metricsHandler()); err != nil {
 			return err
 		}
 	}
 	return g.Run()
 }
 
-func (n *Node) addHTTP(ctx context.Context, g *run.Group, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+// addHTTP adds an HTTP server that ends without waiting for its requests.
+func addHTTP(ctx context.Context, g *run.Group, address string, h http.Handler) error {
+	s, err := newHTTPServer(ctx, address, h)
 	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	s := &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: relay.ConnContext,
+		return err
 	}
-	g.Add(func() error { return s.Serve(l) }, func(error) { _ = s.Close() })
+	g.Add(s.run, func(error) { s.shutdown(time.Now()) })
 	return nil
 }
 
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -344,20 +344,29 @@
 	return x.catalog.Revision()
 }
 
+// stopping reports whether the request has ended because the node stops.
+func (x *exchange) stopping() bool { return errors.Is(context.Cause(x.r.Context()), ErrStopping) }
+
 // callerLeft reports whether the caller has closed its connection.
-func (x *exchange) callerLeft() bool { return errors.Is(x.r.Context().Err(), context.Canceled) }
+func (x *exchange) callerLeft() bool {
+	return errors.Is(x.r.Context().Err(), context.Canceled) && !x.stopping()
+}
 
 // failUnanswered ends a request for which no server response is available.
 func (x *exchange) failUnanswered(step, reason string) {
+	code := fault.NoServer
+	if x.stopping() {
+		code, reason = fault.Draining, ErrStopping.Error()
+	}
 	switch {
 	case x.callerLeft():
 		x.h.Recorder.Record("caller left", Fields{
 			"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts, "revision": x.revision(),
-			"stopping": errors.Is(context.Cause(x.r.Context()), ErrStopping), "left_ms": ms(time.Until(x.deadline)),
+			"left_ms": ms(time.Until(x.deadline)),
 		})
 		panic(http.ErrAbortHandler)
 	case !x.dispatched.Close():
-		x.respondError(notRunError(fault.NoServer, step, reason, retryAfterNoServer))
+		x.respondError(notRunError(code, step, reason, retryAfterNoServer))
 	case time.Now().After(x.deadline.Add(-time.Millisecond)):
 		x.respondError(fault.Newf(fault.ServerSilent, step, "", "%s", reason).WithRan(fault.RanUnknown).WithStatus(http.StatusGatewayTimeout))
 	default:
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"os"
 	"time"
@@ -228,7 +227,7 @@
 	s.h.Recorder.Record("broken off", Fields{
 		"request": s.meta.ID, "step": step, "reason": reason, "last": s.lastEvent, "attempts": s.attempts, "ms": ms(time.Since(s.arrived)),
 		"code": fault.ServerFailed, "revision": s.revision(), "server_silent": s.serverSilent, "denied": s.denied,
-		"stopping": errors.Is(context.Cause(s.r.Context()), ErrStopping),
+		"stopping": s.stopping(),
 	})
 	panic(http.ErrAbortHandler)
 }
--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// A request that cannot end before the node stops gets an error response.
+func TestShutdownAnswersRequestsThatCannotFinish(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	s.addServer("s1", "orders", backend.ForPath("/buy/1", backend.NoResponse(), backend.Respond(200, "ok")))
+	n := s.nodes[0]
+	s.awaitStatus(n, "/buy/2", "key-1", 200, testTimeout)
+	stopped := time.Now()
+	n.Terminate()
+	time.Sleep(2500 * time.Millisecond)
+	go func() { _, _ = n.send("/buy/1", "key-1") }() // keeps the node from ending before the next one
+	time.Sleep(2500 * time.Millisecond)
+	status, _ := n.send("/buy/1", "key-1")
+	if status != 502 {
+		t.Errorf("the request got status %d, want 502", status)
+	}
+	select {
+	case <-n.Exited():
+	case <-time.After(gracePeriod - time.Since(stopped)):
+		t.Fatal("the process did not exit within its grace period")
+	}
+}
+
 // A node that starts while the store does not respond has no state. It refuses all requests
 // with 503, is not ready, and serves once the store responds.
 func TestRestartWithoutStore(t *testing.T) {
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -3,8 +3,10 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,7 +35,8 @@
 	uptime   time.Duration
 	events   []string
 	stalls   freshness.StallDetector
-	nodes    int // that share the limits
+	nodes    int    // that share the limits
+	stop     func() // cancels the contexts of requests, as a node does that stops
 }
 
 // Record implements relay.Recorder.
@@ -90,23 +93,30 @@
 
 func newHarness(t testing.TB) *harness {
 	t.Helper()
-	return newHarnessWithRetryLimit(t, retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second})
+	return newHarnessWith(t, func(*relay.Dependencies) {})
 }
 
-func newHarnessWithRetryLimit(t testing.TB, l retrybudget.Limit) *harness {
+// newHarnessWith returns a harness whose relay has changed dependencies.
+func newHarnessWith(t testing.TB, change func(d *relay.Dependencies)) *harness {
 	t.Helper()
 	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1}
 	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north"}})
-	h.handler = relay.New(relay.Dependencies{
+	d := relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), Pool: http1.NewPool(), Recorder: h,
-		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: l},
+		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime:    func() time.Duration { h.mu.Lock(); defer h.mu.Unlock(); return h.uptime },
 		NodeCount: func() int { return h.nodes }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
-	})
+	}
+	change(&d)
+	h.handler = relay.New(d)
+	ctx, stop := context.WithCancelCause(context.Background())
+	h.stop = func() { stop(relay.ErrStopping) }
 	h.frontend = httptest.NewUnstartedServer(h.handler)
 	h.frontend.Config.ConnContext = relay.ConnContext
+	h.frontend.Config.BaseContext = func(net.Listener) context.Context { return ctx }
 	h.frontend.Start()
 	t.Cleanup(func() {
+		h.stop()
 		h.frontend.Close()
 		if t.Failed() {
 			h.mu.Lock()
--- a/test/relay/silence_test.go
+++ b/test/relay/silence_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/io/relay"
 	"cicadabeam/test/standin/backend"
 )
 
@@ -52,11 +53,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			limit := retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}
-			if c.noBudget {
-				limit = retrybudget.Limit{Window: 10 * time.Second}
-			}
-			h := newHarnessWithRetryLimit(t, limit)
+			h := newHarnessWith(t, func(d *relay.Dependencies) {
+				if c.noBudget {
+					d.Limits.RetryLimit = retrybudget.Limit{Window: 10 * time.Second}
+				}
+			})
 			service := map[bool]string{true: "once", false: "report"}[c.path == "/plain/1"]
 			first := h.startServer(service, "a", c.first)
 			if c.second != nil {
