relay: answer at once although the body of a request has not arrived

Callers whose body stopped on the way got no answer: not the 400 that the log showed at the deadline, nor a refusal that was decided before the body was read, as net/http reads the rest of a body before it sends a response, without a limit of time. The 400 also blamed the request.

Now a body that is not there by the deadline is answered with 408 (did not run), and other refusals wait for the rest of the body for half a second at most.

TestSlowBodyDoesNotHoldBackAnswer failed before: 'i/o timeout' after 2 s in both cases.

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -39,6 +39,7 @@
 	NotFound               Code = "not_found"
 	MethodNotAllowed       Code = "method_not_allowed"
 	TooLarge               Code = "too_large"
+	RequestTimeout         Code = "request_timeout"
 	IdempotencyKeyRequired Code = "idempotency_key_required"
 	IdempotencyKeyReused   Code = "idempotency_key_reused"
 	AnswerDiverged         Code = "answer_diverged"
@@ -69,6 +70,7 @@
 	NotFound:               http.StatusNotFound,
 	MethodNotAllowed:       http.StatusMethodNotAllowed,
 	TooLarge:               http.StatusRequestEntityTooLarge,
+	RequestTimeout:         http.StatusRequestTimeout,
 	IdempotencyKeyRequired: http.StatusBadRequest,
 	IdempotencyKeyReused:   http.StatusUnprocessableEntity,
 	AnswerDiverged:         http.StatusConflict,
--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -4,9 +4,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/fault"
 )
@@ -133,9 +136,14 @@
 	if x.r.ContentLength > limit {
 		return fault.Newf(fault.TooLarge, "read", "", "the request body exceeds %d bytes", limit)
 	}
-	_ = http.NewResponseController(x.w).SetReadDeadline(x.deadline)
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(x.deadline)
 	b, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	x.bodyRead = true
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fault.Newf(fault.RequestTimeout, "read", "", "the request body did not arrive in time")
+	}
+	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		return fault.Newf(fault.BadRequest, "read", "", "cannot read the request body: %v", err)
 	}
@@ -147,5 +155,17 @@
 	return nil
 }
 
+// unreadBodyTimeout limits the time for which a refusal that is sent before the body has been
+// read waits for the rest of the body.
+const unreadBodyTimeout = 500 * time.Millisecond
+
+// limitUnreadBody limits the time in which net/http reads the rest of a body before it sends
+// the response.
+func (x *exchange) limitUnreadBody() {
+	if !x.bodyRead && x.r.ContentLength != 0 {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // defaultBodyBytes limits request bodies if the configuration sets no limit.
 const defaultBodyBytes = 4 << 20
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -168,6 +168,7 @@
 	organisation   catalog.Organisation
 	header         http.Header
 	body           []byte
+	bodyRead       bool // nothing more of the request is to be read
 	arrived        time.Time
 	readDelay      time.Duration // time that the request may have waited in the kernel before arrived
 	deadline       time.Time
@@ -308,6 +309,7 @@
 	if x.h.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
+	x.limitUnreadBody()
 	header.Set("Content-Type", "application/json")
 	b, encodeErr := json.Marshal(errorBody{Code: string(err.Code()), Message: err.Message(), Step: err.Step(), Ran: string(err.Ran())})
 	if encodeErr != nil {
