generation: an answer stays at a frozen engine that no other may follow

Callers got 502, 429 or 503 although the engine went on: with its attempts used up, with no other engine, with the retry budget spent.

An attempt whose engine is unresponsive is now given up if another engine has a free slot and the attempts and the retry budget allow it; else the probe is repeated, up to the 20 s after which any silent stream is given up. A refused connection still ends the attempt at once.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -46,6 +46,13 @@
 	return true
 }
 
+// Available reports whether TryWithdraw would allow a retry now.
+func (b *Budget) Available() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= 1
+}
+
 // Spent returns the number of retries that were allowed.
 func (b *Budget) Spent() int64 {
 	b.mu.Lock()
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -181,7 +181,7 @@
 			if h == Healthy && !w.started && r.router.ShouldReroute(r.routeRequest(x), s.Name()) {
 				return finish, fault.Wrap(errors.New("request is still in the server's queue and another server has a free slot"), fault.ServerBusy, "generate", s.Name())
 			}
-			if h == Healthy {
+			if h == Healthy || h == Unresponsive && !r.mayMove(x, s) {
 				w.resetTimer()
 				continue
 			}
@@ -190,6 +190,12 @@
 	}
 }
 
+// mayMove reports whether an answer whose server is silent could go on at another one at
+// once. The silent server may still go on itself.
+func (r *Runner) mayMove(x *runState, s config.Server) bool {
+	return !x.attemptsUsedUp() && r.budget.Available() && r.router.HasAlternative(r.routeRequest(x), s.Name())
+}
+
 // streamEndError returns the error of an attempt whose stream ended with err. A stream
 // with a finish reason is complete, even if its connection failed afterwards.
 func streamEndError(err error, finish answer.Finish, s config.Server) error {
--- a/core/generation/runner.go
+++ b/core/generation/runner.go
@@ -89,6 +89,11 @@
 	interruptedAt  time.Time // when output was interrupted, zero if it is not
 }
 
+// attemptsUsedUp reports whether the service allows no further attempt.
+func (x *runState) attemptsUsedUp() bool {
+	return x.attempts-x.lastProductive >= x.job.Service.Attempts()
+}
+
 // Run generates the answer and marks it as ended. It returns when the answer has
 // ended, the node is no longer its holder, or ctx is done.
 func (r *Runner) Run(ctx context.Context, j Job) {
@@ -130,7 +135,7 @@
 		return fault.Newf(fault.RequestQuarantined, "generate", f.Peer(), "the request crashed the backend servers that ran it").WithRan(fault.DidRun)
 	case isTerminal(f):
 		return f
-	case x.attempts-x.lastProductive >= x.job.Service.Attempts():
+	case x.attemptsUsedUp():
 		return f
 	}
 	deadline := x.job.Service.QueueDeadline(time.Now())
--- a/core/generation/runner_test.go
+++ b/core/generation/runner_test.go
@@ -26,12 +26,17 @@
 // harness is a fake engine, environment, replicator and observer. It records what the runner
 // does.
 type harness struct {
+	servers  int
 	config   *config.Config
 	mu       sync.Mutex
 	opened   []string // the server of each attempt
 	failures []error
 	resumed  []time.Duration
 	finish   answer.Finish
+	// attempts is the number of attempts that the service allows, if not 0. spendBudget
+	// leaves no retries in the budget.
+	attempts    int
+	spendBudget bool
 	// script defines the stream of an attempt, and probe the result of a health probe.
 	script func(ctx context.Context, server string, attempt int, send func(generation.Chunk)) error
 	probe  func(ctx context.Context, server string) generation.Health
@@ -39,15 +44,23 @@
 
 func newHarness(t *testing.T, servers int) *harness {
 	t.Helper()
-	text := "[region r]\n[data-centre d]\nregion = r\n[service s]\nmodel = m\nqueue-wait = 5s\n"
-	for i := range servers {
+	h := &harness{servers: servers, probe: func(context.Context, string) generation.Health { return generation.Healthy }}
+	h.configure(t, "")
+	return h
+}
+
+// configure sets the configuration, with further settings of the service.
+func (h *harness) configure(t *testing.T, service string) {
+	t.Helper()
+	text := "[region r]\n[data-centre d]\nregion = r\n[service s]\nmodel = m\nqueue-wait = 5s\n" + service
+	for i := range h.servers {
 		text += fmt.Sprintf("[server e%d]\ndata-centre = d\naddress = http://10.0.0.1:%d\nservices = s\n", i, i+1)
 	}
 	c, err := config.Parse("t", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &harness{config: c, probe: func(context.Context, string) generation.Health { return generation.Healthy }}
+	h.config = c
 }
 
 func (h *harness) Config() *config.Config { return h.config }
@@ -110,12 +123,17 @@
 
 func (h *harness) run(t *testing.T) *answer.Answer {
 	t.Helper()
+	if h.attempts > 0 {
+		h.configure(t, fmt.Sprintf("attempts = %d\n", h.attempts))
+	}
 	q, err := completion.Parse(completion.ChatPath, []byte(`{"model":"m","messages":[{"role":"user","content":"q"}]}`))
 	if err != nil {
 		t.Fatal(err)
 	}
 	loads := balance.New()
 	r := generation.New(h, h, loads, route.New(loads, h), quarantine.New(), h)
+	for h.spendBudget && r.RetryBudget().TryWithdraw() {
+	}
 	a := answer.New(answer.Header{ID: "a", Path: completion.ChatPath}, "n", 1)
 	s, _ := h.config.Service("s")
 	r.Run(context.Background(), generation.Job{Answer: a, Epoch: 1, Request: q, Service: s})
@@ -255,3 +273,43 @@
 		}
 	})
 }
+
+// An engine that hangs for a while keeps its answer if no other one can take it over.
+func TestFrozenEngineKeepsAnswerThatCannotMove(t *testing.T) {
+	for name, c := range map[string]struct {
+		servers     int
+		attempts    int
+		after       int // chunks before the engine hangs
+		spendBudget bool
+	}{
+		"there is no other engine":  {servers: 1, attempts: 4, after: 3},
+		"the attempts are used up":  {servers: 2, attempts: 1, after: 0},
+		"the retry budget is spent": {servers: 2, attempts: 4, after: 3, spendBudget: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, c.servers)
+				h.attempts, h.spendBudget = c.attempts, c.spendBudget
+				h.probe = func(ctx context.Context, _ string) generation.Health {
+					<-ctx.Done()
+					return generation.Unresponsive
+				}
+				h.script = func(_ context.Context, _ string, _ int, send func(generation.Chunk)) error {
+					for n := 1; n <= 10; n++ {
+						if n == c.after+1 {
+							time.Sleep(8 * time.Second)
+						}
+						send(generation.Chunk{Text: "x", Completion: n})
+					}
+					send(generation.Chunk{Finish: "stop"})
+					return generation.ErrEndOfStream
+				}
+				a := h.run(t)
+				if n, _, _ := a.Progress(); n != 10 || len(h.opened) != 1 || h.finish.Reason != "stop" {
+					t.Errorf("got %d pieces in %d attempts, finish %+v, failures %v; want 10 pieces in one attempt", n, len(h.opened), h.finish, h.failures)
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
--- a/core/generation/watchdog.go
+++ b/core/generation/watchdog.go
@@ -17,7 +17,8 @@
 )
 
 // watchdog detects stalled streams. Its timer fires when a health probe is due. As
-// long as the probes succeed, the stream may stay without a chunk until deadline.
+// long as the probes succeed, or the answer cannot move, the stream may stay without a chunk
+// until deadline.
 type watchdog struct {
 	timer       *time.Timer
 	lastResult  time.Time // when the last read result arrived, or the start of the stream
@@ -42,7 +43,7 @@
 	w.timer.Reset(probeDelay)
 }
 
-// resetTimer restarts the timer of the next probe after a successful one.
+// resetTimer restarts the timer of the next probe after one that does not end the attempt.
 func (w *watchdog) resetTimer() {
 	w.cancelProbe()
 	w.timer.Reset(probeDelay)
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -114,9 +114,12 @@
 // ShouldReroute reports whether a request that waits in the given server's own queue would
 // start sooner on another server.
 func (r *Router) ShouldReroute(q Request, server string) bool {
-	if !r.loads.HasQueue(server) {
-		return false
-	}
+	return r.loads.HasQueue(server) && r.HasAlternative(q, server)
+}
+
+// HasAlternative reports whether another server than the given one has a free slot for a
+// request.
+func (r *Router) HasAlternative(q Request, server string) bool {
 	exclude := map[string]bool{server: true}
 	for name := range q.Exclude {
 		exclude[name] = true
