relay: a KV cache backup that a server refused is not tried again

A stream that stays at its silent server asked the server with the backup again after each wait, although that had answered that there is none, and spent a retry on it each time.

--- a/io/relay/kv_copy.go
+++ b/io/relay/kv_copy.go
@@ -23,8 +23,16 @@
 }
 
 // sourceAfter returns what a stream can be resumed from after an attempt: the copy that
-// replaced a lost backup, or else the backup.
+// replaced a lost backup, or else the backup. It is the zero value if there is none, or a
+// server could not resume from it.
 func (s *stream) sourceAfter(a *streamAttempt) kvSource {
+	if x := s.newestSource(a); x != a.refusedSource {
+		return x
+	}
+	return kvSource{}
+}
+
+func (s *stream) newestSource(a *streamAttempt) kvSource {
 	if a.copies != nil {
 		if c, found := a.copies.Current(time.Now()); found {
 			return kvSource{server: c.Server, address: a.member.Address(), runID: c.Handle}
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -53,6 +53,7 @@
 	suspected       chan struct{}  // receives when the server could not be reached
 	closed          chan struct{}  // closed when no more parts are to be received
 	silence         stall.Watch
+	refusedSource   kvSource    // what another server could not resume the run from
 	removeInterrupt func() bool // the interruption of the connection at the end of the request
 	keepConn        bool        // the connection was returned to the pool
 	// responseLost is set if the server ran the request but its response does not
@@ -331,7 +332,7 @@
 // stallTimeout returns the maximum time between two events of an attempt.
 func (s *stream) stallTimeout(a *streamAttempt) time.Duration {
 	now := time.Now()
-	if a.backup != nil && s.route.Kind.Retryable() && s.h.Fleet.FindUsable(s.sourceAfter(a).server, now) != nil {
+	if s.route.Kind.Retryable() && s.h.Fleet.FindUsable(s.sourceAfter(a).server, now) != nil {
 		return stallTimeoutWithBackup
 	}
 	return stallTimeoutWithoutBackup
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -36,6 +36,9 @@
 		return b
 	}
 	s.close(b)
+	if b.outcome == refused {
+		a.refusedSource = b.source
+	}
 	s.stay(a, "other server")
 	return nil
 }
