--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -168,6 +168,7 @@
 	organisation   catalog.Organisation
 	header         http.Header
 	body           []byte
+	bodyRead       bool // nothing more of the request is to be read
 	arrived        time.Time
 	readDelay      time.Duration // time that the request may have waited in the kernel before arrived
 	deadline       time.Time
@@ -308,6 +309,7 @@
 	if x.h.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
+	x.limitUnreadBody()
 	header.Set("Content-Type", "application/json")
 	b, encodeErr := json.Marshal(errorBody{Code: string(err.Code()), Message: err.Message(), Step: err.Step(), Ran: string(err.Ran())})
 	if encodeErr != nil {
@@ -344,20 +346,29 @@
 	return x.catalog.Revision()
 }
 
+// stopping reports whether the request has ended because the node stops.
+func (x *exchange) stopping() bool { return errors.Is(context.Cause(x.r.Context()), ErrStopping) }
+
 // callerLeft reports whether the caller has closed its connection.
-func (x *exchange) callerLeft() bool { return errors.Is(x.r.Context().Err(), context.Canceled) }
+func (x *exchange) callerLeft() bool {
+	return errors.Is(x.r.Context().Err(), context.Canceled) && !x.stopping()
+}
 
 // failUnanswered ends a request for which no server response is available.
 func (x *exchange) failUnanswered(step, reason string) {
+	code := fault.NoServer
+	if x.stopping() {
+		code, reason = fault.Draining, ErrStopping.Error()
+	}
 	switch {
 	case x.callerLeft():
 		x.h.Recorder.Record("caller left", Fields{
 			"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts, "revision": x.revision(),
-			"stopping": errors.Is(context.Cause(x.r.Context()), ErrStopping), "left_ms": ms(time.Until(x.deadline)),
+			"left_ms": ms(time.Until(x.deadline)),
 		})
 		panic(http.ErrAbortHandler)
 	case !x.dispatched.Close():
-		x.respondError(notRunError(fault.NoServer, step, reason, retryAfterNoServer))
+		x.respondError(notRunError(code, step, reason, retryAfterNoServer))
 	case time.Now().After(x.deadline.Add(-time.Millisecond)):
 		x.respondError(fault.Newf(fault.ServerSilent, step, "", "%s", reason).WithRan(fault.RanUnknown).WithStatus(http.StatusGatewayTimeout))
 	default:
