relay: a connection goes back to the pool only if it can't be interrupted any more

Found by reading; no caller's report and no test (the window is some microseconds). The interruption of an attempt was removed after its connection had gone back to the pool, so that the end of one request could interrupt the next one on that connection: one that may run once would then get 502. Get also passes over connections that were interrupted.

--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -44,7 +44,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.reusableUntil) && c.isIdle() {
+		if time.Now().Before(c.reusableUntil) && !c.interrupted.Load() && c.isIdle() {
 			c.reused = true
 			return c, nil
 		}
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -194,7 +194,7 @@
 	stop := context.AfterFunc(ctx, c.Interrupt)
 	defer stop()
 	if !x.dispatched.Begin() {
-		x.h.Pool.Put(c)
+		x.h.putBack(c, stop)
 		a.err = errors.New("a response was sent to the caller before the request could be sent")
 		return
 	}
@@ -209,12 +209,22 @@
 		c.Close()
 		return
 	}
-	x.readResponseBody(a, c)
+	x.readResponseBody(a, c, stop)
+}
+
+// putBack returns a connection to the pool after stop has prevented its interruption, and
+// closes it if that is too late.
+func (h *Handler) putBack(c *http1.Conn, stop func() bool) {
+	if !stop() {
+		c.Close()
+		return
+	}
+	h.Pool.Put(c)
 }
 
 // readResponseBody reads the body of a response, or the first maxBufferedBytes of a
 // long one.
-func (x *exchange) readResponseBody(a *attempt, c *http1.Conn) {
+func (x *exchange) readResponseBody(a *attempt, c *http1.Conn, stop func() bool) {
 	a.body, a.err = io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes+1))
 	if a.err != nil {
 		c.Close()
@@ -225,7 +235,7 @@
 		a.unreadConn = c
 		return
 	}
-	x.h.Pool.Put(c)
+	x.h.putBack(c, stop)
 }
 
 // recordOutcome determines the outcome of an attempt and records it for the server.
@@ -386,5 +396,5 @@
 		x.h.Recorder.Record("broken off", Fields{"request": x.meta.ID, "server": a.member.ID(), "error": err.Error()})
 		panic(http.ErrAbortHandler)
 	}
-	x.h.Pool.Put(c)
+	x.h.putBack(c, stop)
 }
