soak: servers that send bytes without end

A server answers 0.4 of its requests for up to 4 s with bytes without end: no response, a header field, an interim response, a response to another request, a chunk extension, an unsigned response, after a complete response; in a stream also what is no chunk, an event without end, comments, text that is no event, and the same event again.

--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -135,7 +135,7 @@
 	e.incarnations++
 	id := fmt.Sprintf("i-%d", e.incarnations)
 	e.mu.Unlock()
-	s := &incarnation{id: id, service: service, address: a.link.Address(), arrivals: e.arrivals, random: rand.New(rand.NewPCG(seed, 3))}
+	s := &incarnation{id: id, service: service, address: a.link.Address(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
 	b, err := backend.Start(a.listen, s.handle)
 	if err != nil {
 		return err
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"cicadabeam/test/cluster"
 	"cicadabeam/test/entryhost"
 	"cicadabeam/test/standin/store"
 )
@@ -61,6 +62,12 @@
 		randomPause(r, 500, 4000)
 		a.current.setFaultRate(0)
 	})},
+	{"a server sends bytes without end", onServer(func(_ *testEnv, a *serverAddress, r *rand.Rand) {
+		a.current.setEndlessRate(0.4)
+		randomPause(r, 500, 4000)
+		a.current.setEndlessRate(0)
+		cluster.Await(maxEndlessTime, func() bool { return a.current.endlessResponses.Load() == 0 })
+	})},
 	{"a server's connections are reset", onServer(func(_ *testEnv, a *serverAddress, _ *rand.Rand) { a.current.backend.CloseConnections() })},
 	{"a server is unreachable", onServer(func(e *testEnv, a *serverAddress, r *rand.Rand) {
 		a.link.Disable()
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cicadabeam/test/standin/backend"
@@ -56,16 +57,21 @@
 
 // incarnation is one run of a backend server.
 type incarnation struct {
-	id        string
-	service   string
-	backend   *backend.Server
-	address   string // registered address, that of the link
-	arrivals  *arrivalLog
-	mu        sync.Mutex
-	random    *rand.Rand
-	faultRate float64        // the fraction of responses that are faulty
-	silent    time.Time      // until when it sends nothing
-	runs      map[string]int // events produced, by request ID
+	id       string
+	service  string
+	backend  *backend.Server
+	address  string // registered address, that of the link
+	arrivals *arrivalLog
+	// addViolation records a violation that the server has seen.
+	addViolation func(format string, args ...any)
+
+	endlessResponses atomic.Int64 // those that are being sent
+	mu               sync.Mutex
+	random           *rand.Rand
+	faultRate        float64        // the fraction of responses that are faulty
+	silent           time.Time      // until when it sends nothing
+	endless          float64        // the fraction of responses without end
+	runs             map[string]int // events produced, by request ID
 }
 
 func (s *incarnation) randomFloat() float64 {
@@ -80,6 +86,18 @@
 	s.faultRate = x
 }
 
+func (s *incarnation) setEndlessRate(x float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endless = x
+}
+
+func (s *incarnation) isEndless() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < s.endless
+}
+
 // silence makes the server send nothing until a time. Its connections stay open, it accepts
 // new ones, and it goes on where it was.
 func (s *incarnation) silence(until time.Time) {
@@ -183,6 +201,9 @@
 	time.Sleep(time.Duration(s.randomFloat() * float64(maxCallTime)))
 	s.awaitSpeech()
 	answer := ResponseBody(r.Header.Get("X-Request-Id"))
+	if s.isEndless() {
+		return s.sendEndless(endlessResponse(int(s.randomFloat()*endlessVariants), answer), c, r)
+	}
 	if !s.faulty() {
 		return backend.Respond(http.StatusOK, answer)(c, r, body)
 	}
@@ -220,6 +241,13 @@
 		breakAt = first + 1 + int(s.randomFloat()*10)
 	}
 	s.awaitSpeech()
+	endlessAt := streamLength + 1
+	if s.isEndless() {
+		endlessAt = first + int(s.randomFloat()*10)
+	}
+	if endlessAt == first {
+		return s.sendEndless(endlessResponse(int(s.randomFloat()*(endlessVariants-1)), ""), c, r)
+	}
 	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\nX-Request-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 	for i := first + 1; err == nil && i <= streamLength; i++ {
 		time.Sleep(streamInterval)
@@ -231,6 +259,9 @@
 			return false
 		}
 		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+		if err == nil && i == endlessAt {
+			return s.sendEndless(endlessEvents(int(s.randomFloat()*endlessEventVariants), e), c, r)
+		}
 	}
 	if err == nil {
 		_, err = io.WriteString(c, "0\r\n\r\n")
