--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// Signals come in series, from the platform and from operators at the same time.
+func TestSeriesOfSignalsCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	s.addServer("s1", "orders", backend.ForPath("/buy/1", backend.Delay(1500*time.Millisecond, backend.Respond(200, "ok")), backend.Respond(200, "ok")))
+	n := s.nodes[0]
+	s.awaitStatus(n, "/buy/2", "key-1", 200, testTimeout)
+	result := make(chan int, 1)
+	go func() { status, _ := n.send("/buy/1", "key-1"); result <- status }()
+	time.Sleep(200 * time.Millisecond)
+	for range 3 {
+		for range 20 {
+			n.Signal(syscall.SIGHUP)
+		}
+		n.Terminate()
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.await("not ready", time.Second, func() bool { return !n.Ready() })
+	if status := <-result; status != 200 {
+		t.Errorf("a request in progress ended with status %d, want 200", status)
+	}
+}
+
 // A request that cannot end before the node stops gets an error response.
 func TestShutdownAnswersRequestsThatCannotFinish(t *testing.T) {
 	t.Parallel()
