relay: no move of a stream that goes on, or whose deadline has passed

Found in reading: a suspicion from the time before the first event could move a stream that was sending events; a move after the deadline would have spent a retry and recorded the other server as lost; a server whose connection closed before its head counted as one that goes on, so that the attempt that was to replace it was given up. The time between two attempts to move no longer depends on the limit of silence, which is the whole deadline before the first event.

--- a/core/stall/stall.go
+++ b/core/stall/stall.go
@@ -7,14 +7,17 @@
 //	var w stall.Watch
 //	w.Received(now)                  // the server sent something
 //	if w.Wait(now, limit) <= 0 {     // it has sent nothing for limit
-//		w.MoveFailed(now, limit) // the run stays
+//		w.MoveFailed(now) // the run stays
 //	}
 package stall
 
 import "time"
 
-// maxBackoff limits the time between two attempts to move a run.
-const maxBackoff = 3200 * time.Millisecond
+// minBackoff and maxBackoff limit the time between two attempts to move a run.
+const (
+	minBackoff = 400 * time.Millisecond
+	maxBackoff = 3200 * time.Millisecond
+)
 
 // Watch records when a server last sent something. The zero Watch has received nothing.
 type Watch struct {
@@ -40,7 +43,7 @@
 
 // MoveFailed records that the run could not be moved. The time until the next attempt
 // doubles with each failure.
-func (w *Watch) MoveFailed(now time.Time, limit time.Duration) {
-	w.notBefore = now.Add(min(limit<<min(w.failures, 8), maxBackoff))
+func (w *Watch) MoveFailed(now time.Time) {
+	w.notBefore = now.Add(min(minBackoff<<min(w.failures, 8), maxBackoff))
 	w.failures++
 }
--- a/core/stall/stall_test.go
+++ b/core/stall/stall_test.go
@@ -21,7 +21,7 @@
 		if d := w.Wait(now, limit); d > 0 {
 			t.Fatalf("attempt %d: got a wait of %v, want none", i, d)
 		}
-		w.MoveFailed(now, limit)
+		w.MoveFailed(now)
 		if d := w.Wait(now, limit); d != want*time.Millisecond || w.MayMove(now) {
 			t.Errorf("after attempt %d: got a wait of %v, want %v", i, d, want*time.Millisecond)
 		}
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -29,6 +29,9 @@
 	// KV cache backup must start its response, if the caller has already received the head
 	// of the response.
 	backupResumeTimeout = 600 * time.Millisecond
+	// noSilenceLimit applies until the head has arrived: a server that processes a long prompt
+	// sends nothing, and the monitor of first events tells whether it is there.
+	noSilenceLimit = time.Hour
 	// callerWriteTimeout limits the time of a write to a caller.
 	callerWriteTimeout = 10 * time.Second
 )
@@ -91,7 +94,9 @@
 	c, err := s.h.Pool.Get(s.ctx, a.member.Address(), http1.AllowReuse)
 	if err != nil {
 		a.err = err
-		s.h.recordLoss(a.member, time.Now())
+		if s.ctx.Err() == nil {
+			s.h.recordLoss(a.member, time.Now())
+		}
 		return false
 	}
 	a.conn = c
@@ -184,7 +189,7 @@
 				return true
 			}
 		case <-a.suspected:
-			if a.silence.MayMove(time.Now()) {
+			if !a.responseStarted && a.silence.MayMove(time.Now()) {
 				return false
 			}
 		case <-silent.C:
@@ -205,7 +210,7 @@
 	case a.fromBackup() && s.responseStarted:
 		return backupResumeTimeout
 	default:
-		return s.deadline.Sub(a.started) // the monitor of first events tells whether the server is there
+		return noSilenceLimit
 	}
 }
 
@@ -220,7 +225,7 @@
 	case x.head != nil:
 		s.handleNonStreamResponse(a, x.head)
 		return true
-	case a.response != nil && errors.Is(x.err, io.EOF) && !errors.Is(x.err, io.ErrUnexpectedEOF):
+	case a.isComplete(x):
 		s.finish(a)
 		return true
 	case x.err != nil:
@@ -233,6 +238,11 @@
 	}
 }
 
+// isComplete reports whether a part is the end of a complete response.
+func (a *streamAttempt) isComplete(x received) bool {
+	return a.response != nil && errors.Is(x.err, io.EOF) && !errors.Is(x.err, io.ErrUnexpectedEOF)
+}
+
 // recordHead records the head of an event stream.
 func (s *stream) recordHead(a *streamAttempt, r *http.Response) {
 	if meta := s.h.Codec.DecodeResponse(r); meta.HasLoad {
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"io"
 	"os"
 	"time"
 
@@ -49,13 +48,15 @@
 	s.h.Recorder.Record("stream stays", Fields{
 		"request": s.meta.ID, "server": a.member.ID(), "silent_ms": ms(a.silence.SilentFor(now)), "last": s.lastEvent, "denied": denied, "attempts": s.attempts,
 	})
-	a.silence.MoveFailed(now, s.silenceLimit(a))
+	a.silence.MoveFailed(now)
 }
 
 // reserveMove reserves a server for a stream whose server is silent: preferably the one with
 // the KV cache backup. If it returns no attempt, it returns what prevented one.
 func (s *stream) reserveMove(a *streamAttempt, now time.Time) (b *streamAttempt, denied string) {
 	switch {
+	case s.ctx.Err() != nil:
+		return nil, "deadline"
 	case !s.route.Kind.Retryable():
 		return nil, "kind"
 	case s.reservations >= maxReservations, s.attempts >= max(s.route.Attempts, 1):
@@ -101,7 +102,7 @@
 			return s.acceptHead(b, x)
 		case x := <-fromA:
 			a.unread = &x
-			if x.err == nil || errors.Is(x.err, io.EOF) {
+			if x.err == nil || a.isComplete(x) {
 				b.err = errWentOn
 				return false
 			}
