relay: answer requests whose server sends an invalid status, and large bodies that stop

A caller whose server sent a signed response with a status below 100 got no answer: net/http panics on such a status. One above 599 was passed on. Both are server failures now (502).

A chunked body over the limit that then stopped held back its 413, as the rest of it was not known to be unread.

Connecting to a server is no loss of it if the request ended meanwhile.

--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -139,11 +139,12 @@
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.deadline)
 	b, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
-	x.bodyRead = true
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		x.bodyRead = true
 		return fault.Newf(fault.RequestTimeout, "read", "", "the request body did not arrive in time")
 	}
 	_ = control.SetReadDeadline(time.Time{})
+	x.bodyRead = err == nil && int64(len(b)) <= limit
 	if err != nil {
 		return fault.Newf(fault.BadRequest, "read", "", "cannot read the request body: %v", err)
 	}
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -244,7 +244,7 @@
 	switch {
 	case a.outcome == answered:
 		x.evaluateResponse(a, elapsed, now)
-	case x.callerLeft(), !a.connectionFailed:
+	case x.callerLeft(), !a.connectionFailed, a.outcome == notOffered && x.ctx.Err() != nil:
 	case errors.Is(a.err, os.ErrDeadlineExceeded) && a.outcome == broken:
 		x.recordTimeout(a, elapsed, now)
 	default:
@@ -284,9 +284,9 @@
 	case r.NotRun:
 		a.outcome = refused
 		a.member.RecordFailure(now)
-	case !r.Signed, impliesNotRun(a.status()):
+	case !r.Signed, impliesNotRun(a.status()), !validStatus(a.status()):
 		a.outcome = broken
-		a.err = errors.Newf("the response with status %d is unsigned or would imply that the request did not run", a.status())
+		a.err = errors.Newf("the response with status %d is unsigned, has no valid status or would imply that the request did not run", a.status())
 		a.member.RecordFailure(now)
 	case a.status() >= http.StatusInternalServerError:
 		a.member.RecordFailure(now)
@@ -295,6 +295,9 @@
 	}
 }
 
+// validStatus reports whether a status is one of a final response.
+func validStatus(status int) bool { return status >= 200 && status < 600 }
+
 // impliesNotRun reports whether a status would tell the caller that the request did
 // not run.
 func impliesNotRun(status int) bool {
--- a/test/relay/unanswered_test.go
+++ b/test/relay/unanswered_test.go
@@ -82,3 +82,34 @@
 		})
 	}
 }
+
+func TestTooLargeBodyThatStopsIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	conn, err := net.Dial("tcp", h.frontend.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST /buy/1 HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: id-large\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n%s", testKey, chunk(strings.Repeat("x", 1<<20+10)))
+	_ = conn.SetReadDeadline(time.Now().Add(testTimeout))
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	if r.StatusCode != http.StatusRequestEntityTooLarge {
+		t.Errorf("got status %d, want 413", r.StatusCode)
+	}
+}
+
+func TestInvalidStatusOfServerIsAnswered(t *testing.T) {
+	for _, path := range []string{"/buy/1", "/once/1"} {
+		for _, status := range []int{0, 99, 999} {
+			t.Run(fmt.Sprint(path, status), func(t *testing.T) {
+				h := newHarness(t)
+				h.startServer(strings.Split(path, "/")[1], "a", backend.WriteRaw(fmt.Sprintf("HTTP/1.1 %03d x\r\nX-Server-Signature: signed\r\nContent-Length: 2\r\n\r\nok", status), true))
+				h.checkResponse(h.send(http.MethodPost, path, setTokenUsage), 502, "")
+			})
+		}
+	}
+}
