relay: what moves a stream, and what must not

The next server is tried at once, and those that failed before at the next attempt to move. After it has gone on the other has 300 ms, as it may just have begun to run; the body is read apart from the handler. - A slow caller, or a process that stood still, looked like a silent server; so did a head that had arrived during a move like one that is still awaited. - A suspicion from the time before the first event moved a stream that was there. - A quarantined request was moved. - A connection could be interrupted by the monitor of first events after it was pooled.

--- a/io/relay/first_event.go
+++ b/io/relay/first_event.go
@@ -71,18 +71,21 @@
 // handleLate probes the server of an attempt whose first event is late, and repeats this
 // every probeInterval.
 func (f *firstEventMonitor) handleLate(a *streamAttempt) {
+	superseded := a.member.Superseded(time.Now())
 	f.mu.Lock()
 	t, waiting := f.pending[a]
 	if waiting {
 		t.Reset(probeInterval)
 	}
+	if waiting && superseded {
+		a.conn.Interrupt()
+	}
 	f.mu.Unlock()
 	if !waiting {
 		return
 	}
-	if a.member.Superseded(time.Now()) {
+	if superseded {
 		f.h.Recorder.Record("server started again", Fields{"server": a.member.ID(), "address": a.member.Address()})
-		a.conn.Interrupt()
 		return
 	}
 	_ = f.probe(a.member)
--- a/io/relay/kv_copy.go
+++ b/io/relay/kv_copy.go
@@ -23,10 +23,10 @@
 }
 
 // sourceAfter returns what a stream can be resumed from after an attempt: the copy that
-// replaced a lost backup, or else the backup. It is the zero value if there is none, or a
-// server could not resume from it.
+// replaced a lost backup, or else the backup. It is the zero value if there is none, or the
+// run could not be resumed from it.
 func (s *stream) sourceAfter(a *streamAttempt) kvSource {
-	if x := s.newestSource(a); x != a.refusedSource {
+	if x := s.newestSource(a); x != a.failedSource {
 		return x
 	}
 	return kvSource{}
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -29,6 +29,9 @@
 	// KV cache backup must start its response, if the caller has already received the head
 	// of the response.
 	backupResumeTimeout = 600 * time.Millisecond
+	// silenceCheckDelay is the time in which a part that has arrived is read before the server
+	// counts as silent, as this process may have stood still.
+	silenceCheckDelay = 10 * time.Millisecond
 	// noSilenceLimit applies until the head has arrived: a server that processes a long prompt
 	// sends nothing, and the monitor of first events tells whether it is there.
 	noSilenceLimit = time.Hour
@@ -56,7 +59,7 @@
 	suspected       chan struct{}  // receives when the server could not be reached
 	closed          chan struct{}  // closed when no more parts are to be received
 	silence         stall.Watch
-	refusedSource   kvSource    // what another server could not resume the run from
+	failedSource    kvSource    // what the run could not be resumed from
 	removeInterrupt func() bool // the interruption of the connection at the end of the request
 	keepConn        bool        // the connection is no longer this attempt's
 	// responseLost is set if the server ran the request but its response does not
@@ -171,33 +174,36 @@
 // forward forwards the response to an attempt until it ends. It returns false if the server
 // is silent, so that the stream may move.
 func (s *stream) forward(a *streamAttempt) bool {
-	silent := time.NewTimer(a.silence.Wait(time.Now(), s.silenceLimit(a)))
-	defer silent.Stop()
 	if x := a.unread; x != nil {
 		a.unread = nil
 		if s.handlePart(a, *x) {
 			return true
 		}
 	}
+	silent := time.NewTimer(a.silence.Wait(time.Now(), s.silenceLimit(a)))
+	defer silent.Stop()
+	checked := false
 	for {
 		select {
 		case x := <-a.parts:
-			if x.head != nil {
-				silent.Reset(0) // the limit is another one from now on
-			}
 			if s.handlePart(a, x) {
 				return true
 			}
+			checked = false
+			if x.head != nil {
+				silent.Reset(0) // the limit is another one from now on
+			}
 		case <-a.suspected:
 			if !a.responseStarted && a.silence.MayMove(time.Now()) {
 				return false
 			}
 		case <-silent.C:
 			wait := a.silence.Wait(time.Now(), s.silenceLimit(a))
-			if wait <= 0 {
+			if wait <= 0 && checked && len(a.parts) == 0 {
 				return false
 			}
-			silent.Reset(wait)
+			checked = wait <= 0
+			silent.Reset(max(wait, silenceCheckDelay))
 		}
 	}
 }
@@ -215,15 +221,27 @@
 }
 
 // handlePart handles one part of the response to an attempt and reports whether the attempt
-// has ended.
+// has ended. The time in which the caller takes an event does not count as the server's silence.
 func (s *stream) handlePart(a *streamAttempt, x received) bool {
+	select {
+	case <-a.suspected: // the server is there
+	default:
+	}
+	ended := s.dispatchPart(a, x)
+	if x.handled != nil {
+		close(x.handled)
+	}
 	a.silence.Received(time.Now())
+	return ended
+}
+
+func (s *stream) dispatchPart(a *streamAttempt, x received) bool {
 	switch {
 	case x.head != nil && s.isEventStream(x.head):
 		s.recordHead(a, x.head)
 		return false
 	case x.head != nil:
-		s.handleNonStreamResponse(a, x.head)
+		s.handleNonStreamResponse(a, x)
 		return true
 	case a.isComplete(x):
 		s.finish(a)
@@ -261,33 +279,32 @@
 
 // handleNonStreamResponse handles a response that is not an event stream: it is sent to the
 // caller, or the attempt has failed.
-func (s *stream) handleNonStreamResponse(a *streamAttempt, r *http.Response) {
-	body, complete := s.classifyResponse(a, r)
-	signed := s.h.Codec.DecodeResponse(r).Signed
+func (s *stream) handleNonStreamResponse(a *streamAttempt, x received) {
+	s.classifyResponse(a, x)
+	status := x.head.StatusCode
+	final := validStatus(status) && !impliesNotRun(status) && !s.worthRetrying(status)
 	switch {
 	case a.outcome != broken:
-	case signed && complete && !s.responseStarted && !impliesNotRun(r.StatusCode) && !s.worthRetrying(r.StatusCode):
+	case final && x.complete && !s.responseStarted && s.h.Codec.DecodeResponse(x.head).Signed:
 		a.outcome = answered
-		s.writeResponse(&attempt{member: a.member, response: r, body: body})
+		s.writeResponse(&attempt{member: a.member, response: x.head, body: x.body})
 	default:
 		a.member.RecordFailure(time.Now())
 	}
 }
 
 // classifyResponse determines from a response that is not an event stream whether the request
-// ran. It returns the body and whether that is complete.
-func (s *stream) classifyResponse(a *streamAttempt, r *http.Response) (body []byte, complete bool) {
-	meta := s.h.Codec.DecodeResponse(r)
+// ran.
+func (s *stream) classifyResponse(a *streamAttempt, x received) {
+	meta := s.h.Codec.DecodeResponse(x.head)
 	now := time.Now()
 	if meta.HasLoad {
 		a.member.RecordLoad(meta.Load, now)
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
-	complete = err == nil && len(body) < maxBufferedBytes
-	if complete {
+	if x.complete {
 		s.returnConn(a)
 	}
-	a.err = errors.Newf("status %d", r.StatusCode)
+	a.err = errors.Newf("status %d", x.head.StatusCode)
 	switch {
 	case meta.WrongServer:
 		a.outcome = moved
@@ -303,12 +320,12 @@
 			a.member.RecordFailure(now)
 		}
 	}
-	return body, complete
 }
 
 // returnConn returns the connection of an attempt whose response was read completely to the
 // pool.
 func (s *stream) returnConn(a *streamAttempt) {
+	s.h.firstEventMonitor.unwatch(a)
 	s.h.putBack(a.conn, a.removeInterrupt)
 	a.keepConn = true
 }
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -7,6 +7,10 @@
 	"github.com/cockroachdb/errors"
 )
 
+// overlapTimeout is how long a stream waits for the server that is to take it over, after the
+// one before has gone on.
+const overlapTimeout = 300 * time.Millisecond
+
 var (
 	errNoResponse = errors.New("the server did not start its response in time")
 	errMoved      = errors.New("the server was silent and another one has taken the stream over")
@@ -17,29 +21,34 @@
 // sound, to another one. It returns the new attempt once its server has started the response,
 // or nil if the stream stays where it is. Meanwhile the response to a is kept.
 func (s *stream) move(a *streamAttempt) *streamAttempt {
-	now := time.Now()
+	silentSince := time.Now()
 	if a.responseStarted {
-		a.member.RecordFailure(now)
+		a.member.RecordFailure(silentSince)
 		go s.h.firstEventMonitor.probeStalled(a.member)
 	}
-	b, denied := s.reserveMove(a, now)
-	if b == nil {
-		s.stay(a, denied)
-		return nil
-	}
-	if s.open(b) && s.awaitHead(a, b) {
-		if s.interruptedAt.IsZero() || a.responseStarted {
-			s.interruptedAt = now
+	for again := false; ; again = true {
+		b, denied := s.reserveMove(a, again)
+		if b == nil {
+			s.stay(a, denied)
+			return nil
+		}
+		if s.open(b) && s.awaitHead(a, b) {
+			if s.interruptedAt.IsZero() || a.responseStarted {
+				s.interruptedAt = silentSince
+			}
+			s.resumes++
+			return b
+		}
+		s.close(b)
+		if a.unread != nil {
+			return nil
+		}
+		if b.fromBackup() {
+			a.failedSource = b.source
+		} else if b.outcome == refused && s.sleep(refusedRetryDelay) != nil {
+			return nil
 		}
-		s.resumes++
-		return b
-	}
-	s.close(b)
-	if b.outcome == refused {
-		a.refusedSource = b.source
 	}
-	s.stay(a, "other server")
-	return nil
 }
 
 // stay records why a stream was not moved, and delays the next attempt to move it.
@@ -52,11 +61,15 @@
 }
 
 // reserveMove reserves a server for a stream whose server is silent: preferably the one with
-// the KV cache backup. If it returns no attempt, it returns what prevented one.
-func (s *stream) reserveMove(a *streamAttempt, now time.Time) (b *streamAttempt, denied string) {
+// the KV cache backup. again is set if another server has just failed to take the stream over;
+// servers that failed before are then not considered. If reserveMove returns no attempt, it
+// returns what prevented one.
+func (s *stream) reserveMove(a *streamAttempt, again bool) (b *streamAttempt, denied string) {
 	switch {
 	case s.ctx.Err() != nil:
 		return nil, "deadline"
+	case s.h.crashDetector.isQuarantined(s.exchange):
+		return nil, "quarantine"
 	case !s.route.Kind.Retryable():
 		return nil, "kind"
 	case s.reservations >= maxReservations, s.attempts >= max(s.route.Attempts, 1):
@@ -66,11 +79,15 @@
 	if a.responseStarted {
 		b = s.reserveSource(q, s.sourceAfter(a))
 	}
-	if b == nil && a.responseStarted && a.silence.SilentFor(now) < stallTimeoutWithoutBackup {
+	if b == nil && a.responseStarted && a.silence.SilentFor(q.Now) < stallTimeoutWithoutBackup {
 		return nil, "servers"
 	}
 	if b == nil {
 		m := s.h.Fleet.Reserve(q)
+		if m == nil && s.responseStarted && !again {
+			q.Exclude = map[string]bool{a.member.ID(): true}
+			m = s.h.Fleet.Reserve(q)
+		}
 		if m == nil {
 			return nil, "servers"
 		}
@@ -83,38 +100,40 @@
 	return b, ""
 }
 
-// awaitHead waits until the server of attempt b has started its response. If b has to process
-// the prompt again and cannot have done so yet, it is abandoned as soon as a goes on; later
-// b may be running, and a must not go on beside it.
+// awaitHead waits until the server of attempt b has started its response. If a goes on
+// meanwhile, b is abandoned: at once if it cannot have processed the prompt yet, else after
+// overlapTimeout, as it may just have begun to run.
 func (s *stream) awaitHead(a, b *streamAttempt) bool {
-	fromA := a.parts
-	prefillTime := b.member.PrefillTime(b.query) / 2
-	if b.fromBackup() {
-		prefillTime = 0
-	}
-	prefilled := time.NewTimer(prefillTime)
+	prefilled := time.NewTimer(b.member.PrefillTime(b.query) / 2)
 	defer prefilled.Stop()
 	limit := time.NewTimer(time.Until(s.headDeadline(b)))
 	defer limit.Stop()
+	mayRun := b.fromBackup()
+	fromA := a.parts
 	for {
 		select {
 		case x := <-b.parts:
 			return s.acceptHead(b, x)
 		case x := <-fromA:
-			a.unread = &x
-			if x.err == nil || a.isComplete(x) {
-				b.err = errWentOn
+			a.unread, fromA = &x, nil
+			if x.err != nil && !a.isComplete(x) {
+				continue
+			}
+			b.err = errWentOn
+			if !mayRun {
 				return false
 			}
-			fromA = nil
+			limit.Reset(min(time.Until(s.headDeadline(b)), overlapTimeout))
 		case <-prefilled.C:
-			fromA = nil
+			mayRun = true
 		case <-b.suspected:
 			b.err = errNoResponse
 			return false
 		case <-limit.C:
-			b.err = errNoResponse
-			b.member.RecordFailure(time.Now())
+			if b.err == nil {
+				b.err = errNoResponse
+				b.member.RecordFailure(time.Now())
+			}
 			return false
 		case <-s.ctx.Done():
 			b.err = os.ErrDeadlineExceeded
@@ -141,10 +160,11 @@
 		return false
 	}
 	if s.isEventStream(x.head) {
+		b.err = nil
 		s.recordHead(b, x.head)
 		return true
 	}
-	s.classifyResponse(b, x.head)
+	s.classifyResponse(b, x)
 	if b.outcome == broken {
 		b.member.RecordFailure(time.Now())
 	}
--- a/io/relay/stream_reader.go
+++ b/io/relay/stream_reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"time"
 
@@ -12,41 +13,71 @@
 // stream arrives. A sound server may pause for more than a second.
 const errorBodyTimeout = 3 * time.Second
 
-// maxUnforwarded is how many parts of a response are read ahead of the caller.
-const maxUnforwarded = 4
+const (
+	// maxUnforwarded is how many parts of a response are read ahead of the caller, and
+	// maxReadAhead the size in bytes of the largest event that more is read after.
+	maxUnforwarded = 4
+	maxReadAhead   = 16 << 10
+)
 
 // received is one part of the response to an attempt: the head, an event, or the error that
 // ended the response, which is io.EOF if the response is complete.
 type received struct {
-	head  *http.Response
-	event sse.Event
-	err   error
+	head     *http.Response
+	body     []byte // of a head that is not that of an event stream
+	complete bool   // body is complete
+	event    sse.Event
+	err      error
+	handled  chan struct{} // closed when the event is no longer needed; nil for small events
 }
 
-// receive reads the response to an attempt until it ends or the attempt is closed. Of a
-// response that is not an event stream it reads the head only. It runs apart from the
-// handler, so that a stream can wait for its server and try another one at the same time.
+// receive reads the response to an attempt until it ends or the attempt is closed. It runs
+// apart from the handler, so that a stream can wait for its server and try another one at the
+// same time.
 func (s *stream) receive(a *streamAttempt) {
 	r, err := a.conn.ReadResponse(s.r.Method, s.meta.ID, s.h.Codec.RequestID, s.deadline)
-	if err == nil && !s.isEventStream(r) {
+	x := received{head: r, err: err}
+	isStream := err == nil && s.isEventStream(r)
+	if err == nil && !isStream {
 		a.conn.SetReadDeadline(earliest(s.deadline, time.Now().Add(errorBodyTimeout)))
+		x.body, err = io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
+		x.complete = err == nil && len(x.body) < maxBufferedBytes
 	}
-	if !a.deliver(received{head: r, err: err}) || err != nil || !s.isEventStream(r) {
+	if !a.deliver(x) || !isStream {
 		return
 	}
 	reader := sse.NewReader(r.Body)
-	for {
-		e, err := reader.Next()
+	for err == nil {
+		var e sse.Event
+		e, err = reader.Next()
 		if err == nil && !e.Proceeds {
 			continue // a server that sends only such events is as good as silent
 		}
-		e.Bytes = bytes.Clone(e.Bytes)
-		if !a.deliver(received{event: e, err: err}) || err != nil {
+		if !a.deliverEvent(e, err) {
 			return
 		}
 	}
 }
 
+// deliverEvent passes an event or the end of the response on. It returns false if the attempt
+// was closed.
+func (a *streamAttempt) deliverEvent(e sse.Event, err error) bool {
+	if len(e.Bytes) <= maxReadAhead {
+		e.Bytes = bytes.Clone(e.Bytes)
+		return a.deliver(received{event: e, err: err})
+	}
+	x := received{event: e, err: err, handled: make(chan struct{})}
+	if !a.deliver(x) {
+		return false
+	}
+	select {
+	case <-x.handled:
+		return true
+	case <-a.closed:
+		return false
+	}
+}
+
 // deliver passes a part of the response on. It returns false if the attempt was closed.
 func (a *streamAttempt) deliver(x received) bool {
 	select {
