--- a/test/relay/move_test.go
+++ b/test/relay/move_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -127,14 +128,16 @@
 	h.checkRequestCount(<-started, 0)
 }
 
-// largeStream responds with events of size bytes.
+// largeStream responds with events whose data has size bytes.
 func largeStream(events, size int) backend.Step {
+	data := bytes.Repeat([]byte("x"), size)
 	return func(c *backend.Conn, r *http.Request, _ []byte) bool {
 		_, _ = io.WriteString(c, strings.ReplaceAll(backend.Head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"), "$ID", r.Header.Get("X-Request-Id")))
-		data := strings.Repeat("x", size)
 		for i := 1; i <= events; i++ {
-			e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
-			if _, err := io.WriteString(c, chunk(e)); err != nil {
+			begin, end := fmt.Sprintf("id: %d\ndata: ", i), "\n\n"
+			_, _ = fmt.Fprintf(c, "%x\r\n%s", len(begin)+size+len(end), begin)
+			_, _ = c.Write(data)
+			if _, err := io.WriteString(c, end+"\r\n"); err != nil {
 				return false
 			}
 		}
