test/standin/store: restores a copy of itself and counts eras

Store.Copy and Store.Restore; versions are given out again, changes since a version that it doesn't have get 410, and all responses carry the era, failed ones too. HideEra plays a store that knows no eras.

--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -55,6 +55,7 @@
 	HasMore bool
 	Ver     uint64
 	NowMs   int64
+	era     uint64 // when the rows were read
 }
 
 // Store is a simulated store.
@@ -77,12 +78,14 @@
 	writes          int
 	endpoints       []*Endpoint
 	changed         chan struct{} // closed at the next change of the rows or the history
+	era             uint64        // number of restores, from 1 on
+	eraHidden       bool
 	requestCount    int
 }
 
 // New returns an empty store without a listener.
 func New() *Store {
-	s := &Store{started: time.Now(), rows: make(map[string]map[string]row), changed: make(chan struct{})}
+	s := &Store{started: time.Now(), rows: make(map[string]map[string]row), changed: make(chan struct{}), era: 1}
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/rows-get", s.get)
 	m.HandleFunc("GET /v1/rows-feed", s.feed)
@@ -136,7 +139,7 @@
 		e.mu.Lock()
 		mode := e.mode
 		e.mu.Unlock()
-		serveInMode(mode, w, r, s.server.Handler)
+		serveInMode(mode, &eraWriter{ResponseWriter: w, store: s}, r, s.server.Handler)
 	})}
 	go func() { _ = e.server.Serve(l) }()
 	s.mu.Lock()
@@ -241,7 +244,7 @@
 		s.requestCount++
 		s.mu.Unlock()
 		time.Sleep(delay)
-		serveInMode(mode, w, r, next)
+		serveInMode(mode, &eraWriter{ResponseWriter: w, store: s}, r, next)
 	})
 }
 
@@ -274,6 +277,9 @@
 func (s *Store) respond(w http.ResponseWriter, status int, p page) {
 	p.NowMs = time.Since(s.started).Milliseconds()
 	w.Header().Set("Content-Type", "application/json")
+	s.mu.Lock()
+	s.setEra(w.Header(), p.era)
+	s.mu.Unlock()
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(p)
 }
@@ -286,7 +292,7 @@
 	}
 	s.mu.Lock()
 	s.reads++
-	p := page{Ver: s.version, Rows: []row{}}
+	p := page{Ver: s.version, Rows: []row{}, era: s.era}
 	visible, found := s.visible(q.Get("Table"), r.UserAgent())
 	p.Rows = append(p.Rows, visible...)
 	for key, x := range s.rows[q.Get("Table")] {
@@ -313,7 +319,7 @@
 	for {
 		p, discarded, changed := s.changes(q.Get("Table"), since)
 		if discarded {
-			s.respond(w, http.StatusGone, page{})
+			s.respond(w, http.StatusGone, page{era: p.era})
 			return
 		}
 		if len(p.Rows) > 0 {
@@ -332,17 +338,17 @@
 }
 
 // changes returns the changes of a table after a version, whether some of them may have been
-// discarded, and a channel that is closed at the next change of the store.
+// discarded or the version does not exist, and a channel that is closed at the next change of the store.
 func (s *Store) changes(table string, since uint64) (page, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := page{Ver: s.version, Rows: []row{}}
+	p := page{Ver: s.version, Rows: []row{}, era: s.era}
 	for _, x := range s.history {
 		if x.Table == table && x.Ver > since {
 			p.Rows = append(p.Rows, x)
 		}
 	}
-	return p, since < s.compactedTo, s.changed
+	return p, since < s.compactedTo || since > s.version, s.changed
 }
 
 func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
@@ -359,16 +365,16 @@
 	if holds {
 		s.apply(t)
 	}
-	v := s.version
+	v, era := s.version, s.era
 	s.mu.Unlock()
 	if loseResponse {
 		panic(http.ErrAbortHandler)
 	}
 	if !holds {
-		s.respond(w, http.StatusPreconditionFailed, page{Rows: current, Ver: v})
+		s.respond(w, http.StatusPreconditionFailed, page{Rows: current, Ver: v, era: era})
 		return
 	}
-	s.respond(w, http.StatusOK, page{Ver: v})
+	s.respond(w, http.StatusOK, page{Ver: v, era: era})
 }
 
 // checkConditions returns the existing rows that the conditions name, and whether all
--- a/test/standin/store/store_test.go
+++ b/test/standin/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -161,3 +162,38 @@
 		t.Error("outage still reported after the store works again")
 	}
 }
+
+// A restored store has the rows of the copy, gives versions out again, rejects versions that
+// it does not have, and sends its era in all responses.
+func TestRestore(t *testing.T) {
+	s, c, ctx := start(t)
+	s.Put("op", "config", []byte("one"))
+	older := s.Copy()
+	s.Put("op", "config", []byte("two"))
+	s.Put("op", "other", []byte("x"))
+	s.Restore(older)
+	if p, err := c.Rows(ctx, "op"); err != nil || len(p.Rows) != 1 || string(p.Rows[0].Value) != "one" || p.Version != 1 {
+		t.Errorf("after the restore: got %+v, error %v", p, err)
+	}
+	if _, err := c.Changes(ctx, "op", 3, time.Second); !errors.Is(err, platform.ErrHistoryLost) {
+		t.Errorf("changes since a version that the copy lacks: got error %v, want ErrHistoryLost", err)
+	}
+	s.Put("op", "config", []byte("three"))
+	if p, err := c.Changes(ctx, "op", 1, time.Second); err != nil || len(p.Rows) != 1 || p.Version != 2 {
+		t.Errorf("changes since the copy: got %+v, error %v", p, err)
+	}
+	url := "http://" + s.Address()
+	for _, m := range []store.Mode{store.Healthy, store.Unavailable, store.RateLimited} {
+		s.SetMode(m)
+		for _, path := range []string{"/v1/rows-get?Table=op", "/v1/rows-feed?Table=op&SinceRev=0", "/v1/rows-feed?Table=op&SinceRev=9", "/v1/none"} {
+			r, err := http.Get(url + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = r.Body.Close()
+			if era := r.Header.Get("Store-Era"); era != "2" {
+				t.Errorf("mode %v, %s, status %d: got era %q, want 2", m, path, r.StatusCode, era)
+			}
+		}
+	}
+}
