--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -145,6 +145,13 @@
 	return found
 }
 
+// Knows reports whether a server is known, deregistered or not.
+func (f *Fleet) Knows(id string) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.members[id] != nil
+}
+
 // IDs returns the IDs of all servers.
 func (f *Fleet) IDs() []string {
 	f.mu.RLock()
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -61,8 +61,10 @@
 	mu             sync.Mutex
 	server         Server
 	deregisteredAt time.Time
-	replaced       bool    // another server has taken over the address
-	successor      *Member // server at the same address that started later
+	leftBefore     bool      // it was leaving before the registry came back from an older copy
+	heldUntil      time.Time // see HoldDeparted
+	replaced       bool      // another server has taken over the address
+	successor      *Member   // server at the same address that started later
 
 	running               int // requests of this node in flight
 	pendingPromptTokens   int // prompt tokens of this node's requests that are not processed yet
@@ -101,6 +103,7 @@
 func (m *Member) update(s Server) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	s.Leaving = s.Leaving || m.leftBefore
 	changed := m.server.Leaving != s.Leaving || m.server.Slots != s.Slots || !m.deregisteredAt.IsZero()
 	m.server.Leaving = s.Leaving
 	m.server.Slots = s.Slots
@@ -140,7 +143,7 @@
 }
 
 func (m *Member) usableLocked(now time.Time) bool {
-	return !m.server.Leaving && !m.supersededLocked(now) && !m.deregisteredLocked(now)
+	return !m.server.Leaving && !now.Before(m.heldUntil) && !m.supersededLocked(now) && !m.deregisteredLocked(now)
 }
 
 func (m *Member) deregisteredLocked(now time.Time) bool {
--- a/core/freshness/eras.go
+++ b/core/freshness/eras.go
@@ -48,18 +48,24 @@
 	return era == e.era
 }
 
-// Merge records what a peer reported.
-func (e *Eras) Merge(x EraInfo, from string) {
+// Merge records what a peer reported. It reports whether this host had not seen the current
+// era rise and learnt when it did.
+func (e *Eras) Merge(x EraInfo, from string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !x.Known {
-		return
+		return false
 	}
 	at := e.clock() - x.Age
 	e.observe(x.Era, from, at, x.Risen)
-	if x.Era == e.era && x.Risen && (!e.risen || at < e.risenAt) {
+	if x.Era != e.era || !x.Risen {
+		return false
+	}
+	missed := !e.risen
+	if missed || at < e.risenAt {
 		e.risen, e.risenAt = true, at
 	}
+	return missed
 }
 
 // observe records an era that began at or before at. began reports whether that is known.
--- a/core/freshness/eras_test.go
+++ b/core/freshness/eras_test.go
@@ -24,10 +24,16 @@
 	now := time.Hour
 	var rises []freshness.Rise
 	e := freshness.NewEras(func() time.Duration { return now }, func(r freshness.Rise) { rises = append(rises, r) })
-	if !e.Observe(3) || !e.Observe(3) {
-		t.Error("the current era counts as older")
+	for range 2 {
+		if !e.Observe(3) {
+			t.Error("the current era counts as older")
+		}
+	}
+	for _, missed := range []bool{true, false} {
+		if got := e.Merge(freshness.EraInfo{Known: true, Era: 3, Risen: true, Age: time.Second}, "node-1"); got != missed {
+			t.Errorf("the report of a rise that this host missed: got %v, want %v", got, missed)
+		}
 	}
-	e.Merge(freshness.EraInfo{Known: true, Era: 3, Risen: true, Age: time.Second}, "node-1")
 	if at, risen := e.RisenAt(); len(rises) != 0 || !risen || at != now-time.Second {
 		t.Errorf("got rises %v, era known since %v, %v", rises, at, risen)
 	}
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -44,17 +44,21 @@
 // Update stores a catalog that was the newest at some time after sent. It reports whether
 // the catalog is newer than the previous one.
 func (t *Tracker) Update(c *catalog.Catalog, sent time.Duration) bool {
+	newer := t.Install(c)
+	t.Confirm(c.Revision(), sent)
+	return newer
+}
+
+// Install stores a catalog that may not be the newest. It reports whether it is newer than
+// the previous one.
+func (t *Tracker) Install(c *catalog.Catalog) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.catalog != nil && c.Revision() < t.catalog.Revision() {
+	if t.catalog != nil && c.Revision() <= t.catalog.Revision() {
 		return false
 	}
-	newer := t.catalog == nil || c.Revision() > t.catalog.Revision()
-	if newer {
-		t.catalog = c
-	}
-	t.confirm(sent)
-	return newer
+	t.catalog = c
+	return true
 }
 
 // Confirm records that a revision was still the newest at some time after sent. It has
