entry: a store that comes back from an older copy

The versions of the server list, of the watches, of the change log and of what hosts tell each other are pairs now.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -130,14 +130,18 @@
 	registered := n.join(ctx)
 	wait := firstListInterval
 	for ctx.Err() == nil {
-		sleep(ctx, wait)
+		if n.awaitRestore(ctx, wait) {
+			n.awaitReregistration(ctx)
+			registered = false
+		}
 		registered = registered || n.register(ctx)
-		if n.listsHosts() && n.listHosts(ctx) {
+		reregistering := n.hostsReregister()
+		if !reregistering && n.listsHosts() && n.listHosts(ctx) {
 			n.removeStaleHosts(ctx)
 		}
 		registered = registered && !n.missingFromList()
 		wait = firstListInterval
-		if registered && n.directory.knownCount() > 0 {
+		if registered && !reregistering && n.directory.knownCount() > 0 {
 			wait = n.nextListInterval()
 		}
 	}
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -71,7 +71,11 @@
 	changeLog            changeLog
 	stallDetector        freshness.StallDetector
 	draining             atomic.Bool
-	hostListTried        atomic.Bool   // the host list was read, or reading it failed
+	hostListTried        atomic.Bool // the host list was read, or reading it failed
+	eras                 *freshness.Eras
+	restored             chan struct{} // the store came back from an older copy
+	rewrittenIn          uint64        // era in which the operator has written; used by configurationWatcher only
+	storedRevision       uint64        // of the configuration in the store; used by configurationWatcher only
 	synced               chan struct{} // closed once configuration and servers are known
 	syncedOnce           sync.Once
 	drainStarted         chan struct{}
@@ -86,8 +90,10 @@
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
 		settings: s, logWriter: newLogWriter(out), metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: fleet.NewPromptIndex(), pool: http1.NewPool(),
-		store: platform.NewStoreClient(s.platform, s.name), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
+		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
+	n.eras = freshness.NewEras(uptime, n.handleRise)
+	n.store = platform.NewStoreClient(s.platform, s.name).WithEras(n.eras)
 	n.hosts = records.NewHostStore(platform.NewTable(n.store))
 	n.recorder = newRecorder(newLogger(n.logWriter, s.logLevel, s.name), n.metrics)
 	n.handler = relay.New(relay.Dependencies{
@@ -95,6 +101,7 @@
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate)
+	n.configurationWatcher.pollWait = n.configurationPollWait
 	n.serverWatcher = n.newWatcher(platform.ServersTable, n.applyServerUpdate)
 	n.serverWatcher.batchDelay = serverBatchDelay
 	n.peers.init()
@@ -108,7 +115,7 @@
 	return &tableWatcher{
 		table: table, store: n.store, uptime: uptime, recorder: n.recorder, onUpdate: onUpdate, observe: n.metrics.observe, shouldRead: n.readsStore,
 		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: n.awaitPeerState, knownNodes: n.directory.knownCount,
-		clock: &freshness.StoreClock{},
+		eras: n.eras, clock: &freshness.StoreClock{},
 	}
 }
 
@@ -234,6 +241,7 @@
 		n.fleet.Expire(now)
 		n.prompts.Expire(now)
 		n.metrics.gauge("running", float64(n.handler.Running()))
+		n.metrics.gauge("store_era", float64(n.eras.Current()))
 		n.metrics.gauge("store_calls", float64(n.store.Calls()))
 		n.metrics.gauge("server_connections", float64(n.pool.OpenedConnections()))
 	}
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -195,7 +195,7 @@
 		promptsFrom = time.Time{}
 	}
 	x := neighbour.NodeReport{
-		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
+		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Deaths: n.handler.RecentDeaths(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.fleet.RecentLosses(now),
 	}
@@ -232,6 +232,7 @@
 // handleReport applies a report of another node that was requested at uptime sent.
 func (n *Node) handleReport(x neighbour.NodeReport, sent time.Duration) {
 	now := time.Now()
+	missedRise := n.eras.Merge(x.Era, x.Host.Name)
 	n.directory.add(x.Host)
 	n.applyAggregates(x.Handed, now)
 	if !n.usesGateways() || x.Host.DataCentre == n.settings.topology.DataCentre {
@@ -260,6 +261,9 @@
 	if recovered {
 		n.recorder.Record("node heard", relay.Fields{"peer": x.Host.Name, "revision": x.Configuration.Version})
 	}
+	if missedRise {
+		go n.fetch(p, "servers to register", n.fetchMissingServers)
+	}
 	n.syncWithPeer(p, x, sent)
 }
 
@@ -276,10 +280,10 @@
 	acceptServers := p.host.Region == n.self().Region || servers.Age > n.readTiming().TakeoverAge()
 	switch {
 	case !x.Servers.Known || !acceptServers:
-	case x.Servers.Version > servers.Version && !n.readsStore():
+	case x.Servers.At().After(servers.At()) && !n.readsStore():
 		go n.fetch(p, "servers", n.fetchServers)
-	case x.Servers.Version == servers.Version && sent != unknownSendTime:
-		n.serverFreshness.confirm(servers.Version, sent-x.Servers.Age)
+	case x.Servers.At() == servers.At() && sent != unknownSendTime:
+		n.serverFreshness.confirm(servers.At(), sent-x.Servers.Age)
 	}
 	if sent != unknownSendTime && n.directory.isNewer(x.HostList, sent) {
 		go n.fetch(p, "hosts", n.fetchHosts)
@@ -310,16 +314,13 @@
 	if err != nil || !x.Fact.Known {
 		return err
 	}
-	n.installConfiguration(x.Value, sent-x.Fact.Age, p.host.Name)
+	n.installConfiguration(x.Value, sent-x.Fact.Age, true, p.host.Name)
 	return nil
 }
 
 func (n *Node) fetchServers(p *peer) error {
 	sent := uptime()
-	since := uint64(0)
-	if f := n.serverFreshness.freshness(0); f.Known {
-		since = f.Version
-	}
+	_, since := n.serverFreshness.at()
 	x, err := p.client.Servers(since, time.Now().Add(fetchTimeout))
 	if err != nil || !x.Fact.Known {
 		return err
@@ -352,7 +353,7 @@
 }
 
 // Servers implements neighbour.Handler.
-func (n *Node) Servers(since uint64) neighbour.ServerList {
+func (n *Node) Servers(since freshness.StoreVersion) neighbour.ServerList {
 	// The freshness is read first, so that the servers are at least as new as the version
 	// reported with them.
 	x := neighbour.ServerList{Fact: n.serverFreshness.freshness(uptime())}
@@ -384,23 +385,27 @@
 func (n *Node) applyPeerServers(x neighbour.ServerList, asOf time.Duration, from string) {
 	n.serversMu.Lock()
 	defer n.serversMu.Unlock()
-	if f := n.serverFreshness.freshness(0); f.Known && x.Fact.Version <= f.Version {
+	version := x.Fact.At()
+	if known, at := n.serverFreshness.at(); known && !version.After(at) {
 		return
 	}
 	now := time.Now()
+	n.enterEra(version, now)
+	if x.Whole {
+		n.changeLog.start(version)
+	}
 	listed := make(map[string]bool, len(x.Changes))
 	for _, c := range x.Changes {
 		listed[c.Server.ID] = true
 		if c.Gone {
-			n.deregisterServer(c.Server.ID, x.Fact.Version, now.Add(c.In))
+			n.deregisterServer(c.Server.ID, version, now.Add(c.In))
 			continue
 		}
-		n.upsertServer(c.Server, x.Fact.Version, from)
+		n.upsertServer(c.Server, version, from)
 	}
 	if x.Whole {
-		n.deregisterOthers(listed, x.Fact.Version, now)
-		n.changeLog.start(x.Fact.Version)
+		n.deregisterOthers(listed, version, now)
 	}
-	n.serverFreshness.confirm(x.Fact.Version, asOf)
+	n.serverFreshness.confirm(version, asOf)
 	n.checkSynced()
 }
--- a/cmd/entry/readers.go
+++ b/cmd/entry/readers.go
@@ -90,7 +90,7 @@
 	switch {
 	case !servers.Known:
 		return up - n.started
-	case configuration.Known:
+	case configuration.Known && n.confirmedSinceRise(up-configuration.Age):
 		return max(configuration.Age, servers.Age)
 	default:
 		return servers.Age
--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadabeam/core/fleet"
+	"cicadabeam/core/freshness"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
 	"cicadabeam/platform"
@@ -22,32 +23,40 @@
 			newest = r.Value
 		}
 	}
+	switch {
+	case newest != nil && !u.full:
+		n.rewrittenIn = u.page.Era
+	case newest == nil && u.full:
+		n.storedRevision = 0
+	}
 	if newest != nil {
-		n.installConfiguration(newest, u.asOf, "store")
+		n.storedRevision = n.installConfiguration(newest, u.asOf, n.settled(u.asOf), "store")
 		return
 	}
-	if c := n.tracker.Catalog(); c != nil && !n.configurationInvalid.Load() {
-		n.tracker.Confirm(c.Revision(), u.asOf)
-	}
+	n.confirmStored(u.asOf)
 }
 
-// installConfiguration decodes and installs a configuration that was the newest one
-// at uptime asOf or later.
-func (n *Node) installConfiguration(value []byte, asOf time.Duration, from string) {
+// installConfiguration decodes and installs a configuration and returns its revision, 0 if
+// it can't be decoded. If newest is set, it was the newest one at uptime asOf or later.
+func (n *Node) installConfiguration(value []byte, asOf time.Duration, newest bool, from string) uint64 {
 	c, err := platform.DecodeConfiguration(value)
 	if err != nil {
 		n.configurationInvalid.Store(true)
 		n.recorder.Record("configuration rejected", relay.Fields{"from": from, "error": err.Error()})
-		return
+		return 0
 	}
 	n.configurationInvalid.Store(false)
-	newer := n.tracker.Update(c, asOf)
+	newer := n.tracker.Install(c)
+	if newest {
+		n.tracker.Confirm(c.Revision(), asOf)
+	}
 	if newer {
 		n.encoded.Store(&rawConfiguration{revision: c.Revision(), value: value})
 		n.triggerExchange()
 	}
 	n.checkSynced()
 	n.recorder.Record("configuration", relay.Fields{"revision": c.Revision(), "newer": newer, "from": from})
+	return c.Revision()
 }
 
 // checkSynced closes n.synced once both the configuration and the servers are known.
@@ -68,49 +77,62 @@
 type serverFreshness struct {
 	mu      sync.Mutex
 	known   bool
-	version uint64
+	version freshness.StoreVersion
 	asOf    time.Duration
 }
 
 // confirm records that the known servers match a version of the store that was current
 // at uptime asOf or later. It reports whether the version is newer than the previous one.
-func (f *serverFreshness) confirm(version uint64, asOf time.Duration) bool {
+func (f *serverFreshness) confirm(version freshness.StoreVersion, asOf time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	newer := !f.known || version > f.version
+	newer := !f.known || version.After(f.version)
 	if !f.known || asOf > f.asOf {
 		f.asOf = asOf
 	}
 	f.known = true
-	f.version = max(f.version, version)
+	if newer {
+		f.version = version
+	}
 	return newer
 }
 
+// at returns the known version, and whether there is one.
+func (f *serverFreshness) at() (bool, freshness.StoreVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known, f.version
+}
+
 func (f *serverFreshness) freshness(now time.Duration) neighbour.VersionInfo {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return neighbour.VersionInfo{Known: f.known, Version: f.version, Age: now - f.asOf}
+	return neighbour.VersionInfo{Known: f.known, Era: f.version.Era, Version: f.version.Version, Age: now - f.asOf}
 }
 
 // applyServerUpdate applies an update of the server table.
 func (n *Node) applyServerUpdate(u tableUpdate) {
 	n.serversMu.Lock()
 	defer n.serversMu.Unlock()
+	version := u.page.At()
+	if known, at := n.serverFreshness.at(); known && version.Era < at.Era {
+		return
+	}
 	now := time.Now()
-	deregisterAt := now
-	if graceEnd := n.serverWatcher.recoveredAt.Add(reregistrationGrace); !n.serverWatcher.recoveredAt.IsZero() && graceEnd.After(now) {
-		deregisterAt = graceEnd
+	n.enterEra(version, now)
+	if u.full {
+		n.changeLog.start(version)
 	}
+	deregisterAt := n.reregistrationEnd(now)
 	listed := make(map[string]bool, len(u.page.Rows))
 	for _, r := range u.page.Rows {
 		listed[r.Key] = true
-		n.applyServerRow(r, u.page.Version, now, deregisterAt)
+		n.applyServerRow(r, version, now, deregisterAt)
 	}
 	if u.full {
-		n.deregisterOthers(listed, u.page.Version, deregisterAt)
-		n.changeLog.start(u.page.Version)
+		n.deregisterOthers(listed, version, deregisterAt)
 	}
-	if n.serverFreshness.confirm(u.page.Version, u.asOf) {
+	if n.serverFreshness.confirm(version, u.asOf) {
 		n.triggerExchange()
 	}
 	n.checkSynced()
@@ -118,7 +140,7 @@
 
 // applyServerRow applies one row of the server table as of a version of the store. A
 // server whose row was deleted is deregistered at deregisterAt.
-func (n *Node) applyServerRow(r platform.Row, version uint64, now, deregisterAt time.Time) {
+func (n *Node) applyServerRow(r platform.Row, version freshness.StoreVersion, now, deregisterAt time.Time) {
 	if r.Deleted {
 		n.deregisterServer(r.Key, version, deregisterAt)
 		return
@@ -132,17 +154,17 @@
 	n.upsertServer(s, version, "store")
 }
 
-func (n *Node) upsertServer(s fleet.Server, version uint64, from string) {
+func (n *Node) upsertServer(s fleet.Server, version freshness.StoreVersion, from string) {
 	if n.fleet.Upsert(s) {
 		n.changeLog.add(s.ID, version)
 		n.recorder.Record("server", relay.Fields{
-			"server": s.ID, "service": s.Service, "address": s.Address, "leaving": s.Leaving, "version": version, "from": from,
+			"server": s.ID, "service": s.Service, "address": s.Address, "leaving": s.Leaving, "version": version.Version, "era": version.Era, "from": from,
 		})
 	}
 }
 
 // deregisterOthers deregisters the servers that are not in listed.
-func (n *Node) deregisterOthers(listed map[string]bool, version uint64, at time.Time) {
+func (n *Node) deregisterOthers(listed map[string]bool, version freshness.StoreVersion, at time.Time) {
 	for _, id := range n.fleet.IDs() {
 		if !listed[id] {
 			n.deregisterServer(id, version, at)
@@ -150,7 +172,7 @@
 	}
 }
 
-func (n *Node) deregisterServer(id string, version uint64, at time.Time) {
+func (n *Node) deregisterServer(id string, version freshness.StoreVersion, at time.Time) {
 	if n.fleet.Deregister(id, at) {
 		n.changeLog.add(id, version)
 		n.recorder.Record("server gone", relay.Fields{"server": id, "in_ms": time.Until(at).Milliseconds()})
--- a/cmd/entry/watch.go
+++ b/cmd/entry/watch.go
@@ -57,9 +57,10 @@
 	// batchDelay is the delay after a response with changes, so that the next one
 	// contains several.
 	batchDelay time.Duration
+	eras       *freshness.Eras
 	clock      *freshness.StoreClock
 	failing    atomic.Bool
-	since      uint64
+	since      freshness.StoreVersion
 	loaded     bool
 }
 
@@ -76,6 +77,10 @@
 			sleep(ctx, idlePollInterval)
 			continue
 		}
+		if w.since.Era != w.eras.Current() {
+			w.loaded = false // the versions of the store have another meaning now
+			*w.clock = freshness.StoreClock{}
+		}
 		u, err := w.read(ctx)
 		readOnce = true
 		if err == nil {
@@ -87,8 +92,13 @@
 			continue
 		}
 		if errors.Is(err, platform.ErrHistoryLost) {
-			w.recorder.Record("history lost", relay.Fields{"table": w.table, "since": w.since})
+			w.recorder.Record("history lost", relay.Fields{"table": w.table, "since": w.since.Version, "era": w.since.Era})
+			w.loaded = false
+			continue
+		}
+		if errors.Is(err, platform.ErrOlderEra) {
 			w.loaded = false
+			sleep(ctx, minRetryDelay)
 			continue
 		}
 		w.handleFailure(ctx, err)
@@ -112,7 +122,7 @@
 	var err error
 	start := time.Now()
 	if w.loaded {
-		u.page, err = w.store.Changes(ctx, w.table, w.since, wait)
+		u.page, err = w.store.Changes(ctx, w.table, w.since.Version, wait)
 	} else {
 		u.page, err = w.store.Rows(ctx, w.table)
 	}
@@ -120,8 +130,13 @@
 	if err != nil {
 		return u, err
 	}
+	if at := u.page.At(); !w.loaded || at.After(w.since) {
+		if w.loaded && at.Era != w.since.Era {
+			return u, errors.Wrapf(platform.ErrOlderEra, "changes since version %d of era %d", w.since.Version, w.since.Era)
+		}
+		w.since = at
+	}
 	u.asOf = w.clock.ToLocal(u.page.NowMs, sent, w.uptime())
-	w.since = max(w.since, u.page.Version)
 	w.loaded = true
 	return u, nil
 }
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/fleet"
+	"cicadabeam/core/freshness"
 	"cicadabeam/core/quarantine"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
@@ -36,15 +37,22 @@
 // knows, and the time since this version was last confirmed to be the newest.
 type VersionInfo struct {
 	Known   bool
+	Era     uint64 // of the store, for versions that the store gives out
 	Version uint64
 	Age     time.Duration
 }
 
+// At returns the version of the store.
+func (v VersionInfo) At() freshness.StoreVersion {
+	return freshness.StoreVersion{Era: v.Era, Version: v.Version}
+}
+
 // NodeReport is the report that nodes exchange periodically.
 type NodeReport struct {
 	Host          records.EntryHost
 	Leaving       bool
 	StoreLost     bool // the last query to the store failed
+	Era           freshness.EraInfo
 	Young         bool // the node has just started; its peers send it all known prompts
 	Configuration VersionInfo
 	Servers       VersionInfo
@@ -95,9 +103,9 @@
 	Hosts []records.EntryHost
 }
 
-// SinceVersion requests the changes after a version of the server list; 0 requests all
-// servers.
-type SinceVersion uint64
+// SinceVersion requests the changes after a version of the server list; the zero version
+// requests all servers.
+type SinceVersion freshness.StoreVersion
 
 // Empty is an empty message.
 type Empty int
@@ -106,7 +114,7 @@
 type Handler interface {
 	Exchange(n NodeReport) NodeReport
 	Configuration() ConfigurationReply
-	Servers(since uint64) ServerList
+	Servers(since freshness.StoreVersion) ServerList
 	Hosts() HostList
 }
 
@@ -123,7 +131,7 @@
 }
 
 func (m *methods) Servers(s SinceVersion, r *ServerList) error {
-	*r = m.handler.Servers(uint64(s))
+	*r = m.handler.Servers(freshness.StoreVersion(s))
 	return nil
 }
 
@@ -180,7 +188,7 @@
 
 // Servers returns the servers that changed after the version since, or all servers that
 // the called node knows.
-func (c *Client) Servers(since uint64, deadline time.Time) (ServerList, error) {
+func (c *Client) Servers(since freshness.StoreVersion, deadline time.Time) (ServerList, error) {
 	r := new(ServerList)
 	if err := c.call("Servers", SinceVersion(since), r, deadline); err != nil {
 		return ServerList{}, err // net/rpc may still decode a late reply into r
