records: revisions are of an era, and what a node wrote is written again after a restore

A revision of a row is the pair of era and version. A condition on a row that was read in an older era fails without asking the store, which may have given the version to another change (TestConditionOfOlderEra, without: it overwrote the newer value). The fencing token grows with the pair; it was the version, which goes back.

ClaimStore keeps the last state of the claims that it wrote within a minute, 20,000 rows or 32 MiB at most, and ConfigStore its last changes; Rewrite writes what the store lost. For 3 s after a restore no call is claimed and no change applied (503, not run), so that all nodes hear of it and write first; a claim whose own write shows the restore waits too.

Without one of these, test/records says: - waiting: see TestClaimsWaitAfterRestore and TestChangesAreWrittenAgain, both fail - waiting of the claim that sees the restore: 'claimed before the node knew of the restore: ok true, error <nil>' - telling rejected claims apart: 'the node whose claims are in the copy, or were rejected, wrote {Written:1 ...}' - the era in tokens: 'token of {0 9} greater than that of {1 0}: got true' The tests of platform.Table and of core/claim compare the pair where they compared the version.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"cicadabeam/core/fault"
+	"cicadabeam/core/freshness"
 )
 
 // Key identifies a call by the caller's idempotency key, which is unique within
@@ -82,7 +83,7 @@
 // VersionedRow is a row with its revision, on which an update is conditional.
 type VersionedRow struct {
 	Row      Row
-	Revision uint64
+	Revision freshness.StoreVersion
 }
 
 // Store persists claims. A write that returns an error may still have taken
@@ -90,12 +91,12 @@
 type Store interface {
 	// Insert adds a row, unless one with the same key is stored under its day or an
 	// adjacent one, and reports whether it did.
-	Insert(ctx context.Context, key Key, r Row) (revision uint64, ok bool, err error)
+	Insert(ctx context.Context, key Key, r Row) (revision freshness.StoreVersion, ok bool, err error)
 	// Read returns a row and reports whether it exists.
 	Read(ctx context.Context, key Key) (VersionedRow, bool, error)
 	// Replace updates a row, provided that it is stored under the same day and is still
 	// at the given revision, and reports whether it did.
-	Replace(ctx context.Context, key Key, revision uint64, r Row) (next uint64, ok bool, err error)
+	Replace(ctx context.Context, key Key, revision freshness.StoreVersion, r Row) (next freshness.StoreVersion, ok bool, err error)
 	// Unavailable reports whether all recent requests to the store have failed, so that
 	// callers can stop retrying early.
 	Unavailable() bool
--- a/core/claim/dispatcher.go
+++ b/core/claim/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/fault"
+	"cicadabeam/core/freshness"
 	"cicadabeam/core/shard"
 )
 
@@ -202,11 +203,11 @@
 
 // send sends the claimed call. It checks the deadline again before the first byte,
 // because the node may have been paused.
-func (d *Dispatcher) send(ctx context.Context, e *callEntry, revision uint64) Outcome {
+func (d *Dispatcher) send(ctx context.Context, e *callEntry, revision freshness.StoreVersion) Outcome {
 	if time.Now().After(e.call.Deadline) || ctx.Err() != nil {
 		return Outcome{State: Abandoned, Failure: failure(fault.Newf(fault.Overloaded, "send", "", "the deadline passed before the call was sent"))}
 	}
-	r, server, sent, err := d.sender.Send(ctx, e.call, revision)
+	r, server, sent, err := d.sender.Send(ctx, e.call, revision.Token())
 	switch {
 	case err == nil:
 		return Outcome{State: Done, Response: r, Server: server}
@@ -220,13 +221,13 @@
 
 // recordOutcome writes the outcome to the claim, retrying for up to recordTimeout, and
 // reports whether the store confirmed the write or reported that the row has changed.
-func (d *Dispatcher) recordOutcome(e *callEntry, revision uint64, o Outcome) bool {
+func (d *Dispatcher) recordOutcome(e *callEntry, revision freshness.StoreVersion, o Outcome) bool {
 	ctx, cancel := context.WithDeadline(d.ctx, time.Now().Add(recordTimeout))
 	defer cancel()
 	return d.writeOutcome(ctx, e, revision, o)
 }
 
-func (d *Dispatcher) writeOutcome(ctx context.Context, e *callEntry, revision uint64, o Outcome) bool {
+func (d *Dispatcher) writeOutcome(ctx context.Context, e *callEntry, revision freshness.StoreVersion, o Outcome) bool {
 	row := d.row(e, o.State)
 	row.Server = o.Server
 	row.Response = o.Response
@@ -251,7 +252,7 @@
 
 // retryRecord retries until the outcome is written to the claim or the dispatcher
 // is closed.
-func (d *Dispatcher) retryRecord(e *callEntry, revision uint64, o Outcome) {
+func (d *Dispatcher) retryRecord(e *callEntry, revision freshness.StoreVersion, o Outcome) {
 	for d.ctx.Err() == nil {
 		if d.recordOutcome(e, revision, o) {
 			return
--- a/core/claim/model_test.go
+++ b/core/claim/model_test.go
@@ -15,6 +15,7 @@
 
 	"cicadabeam/core/claim"
 	"cicadabeam/core/fault"
+	"cicadabeam/core/freshness"
 )
 
 // fixedSeed makes every run use the same scenarios. "make model" uses random ones.
@@ -96,7 +97,7 @@
 	mu         sync.Mutex
 	scenario   scenario
 	row        claim.Row
-	revision   uint64
+	revision   freshness.StoreVersion
 	writes     int
 	sends      int
 	runs       int
@@ -160,39 +161,39 @@
 
 func (p *process) Unavailable() bool { return false }
 
-func (p *process) Insert(ctx context.Context, _ claim.Key, r claim.Row) (uint64, bool, error) {
-	return p.write(ctx, 0, r)
+func (p *process) Insert(ctx context.Context, _ claim.Key, r claim.Row) (freshness.StoreVersion, bool, error) {
+	return p.write(ctx, freshness.StoreVersion{}, r)
 }
 
-func (p *process) Replace(ctx context.Context, _ claim.Key, revision uint64, r claim.Row) (uint64, bool, error) {
+func (p *process) Replace(ctx context.Context, _ claim.Key, revision freshness.StoreVersion, r claim.Row) (freshness.StoreVersion, bool, error) {
 	return p.write(ctx, revision, r)
 }
 
-func (p *process) write(ctx context.Context, at uint64, r claim.Row) (uint64, bool, error) {
+func (p *process) write(ctx context.Context, at freshness.StoreVersion, r claim.Row) (freshness.StoreVersion, bool, error) {
 	if err := p.checkAlive(); err != nil {
-		return 0, false, err
+		return freshness.StoreVersion{}, false, err
 	}
 	s := p.testNode.simulation
 	switch s.nextWrite() {
 	case writeLost:
 		time.Sleep(300 * time.Millisecond)
-		return 0, false, errNoResponse
+		return freshness.StoreVersion{}, false, errNoResponse
 	case responseLost:
 		s.apply(at, r)
 		time.Sleep(300 * time.Millisecond)
-		return 0, false, errNoResponse
+		return freshness.StoreVersion{}, false, errNoResponse
 	case writeDelayed:
 		time.AfterFunc(4*time.Second, func() { s.apply(at, r) })
 		time.Sleep(300 * time.Millisecond)
-		return 0, false, errNoResponse
+		return freshness.StoreVersion{}, false, errNoResponse
 	case writeRefused:
-		return 0, false, errNoResponse
+		return freshness.StoreVersion{}, false, errNoResponse
 	default:
 		time.Sleep(5 * time.Millisecond)
 		revision, ok := s.apply(at, r)
 		time.Sleep(5 * time.Millisecond)
 		if err := p.checkAlive(); err != nil {
-			return 0, false, err
+			return freshness.StoreVersion{}, false, err
 		}
 		return revision, ok, ctx.Err()
 	}
@@ -206,7 +207,7 @@
 	s := p.testNode.simulation
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return claim.VersionedRow{Row: s.row, Revision: s.revision}, s.revision > 0, ctx.Err()
+	return claim.VersionedRow{Row: s.row, Revision: s.revision}, !s.revision.IsZero(), ctx.Err()
 }
 
 func (p *process) CallStatus(ctx context.Context, node, incarnation string, key claim.Key, claimID string) (claim.Status, error) {
@@ -276,13 +277,13 @@
 	return s.scenario.sends[s.sends-1]
 }
 
-func (s *simulation) apply(at uint64, r claim.Row) (uint64, bool) {
+func (s *simulation) apply(at freshness.StoreVersion, r claim.Row) (freshness.StoreVersion, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.revision != at {
-		return 0, false
+		return freshness.StoreVersion{}, false
 	}
-	s.revision++
+	s.revision.Version++
 	s.row = r
 	return s.revision, true
 }
--- a/core/claim/resolve.go
+++ b/core/claim/resolve.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"cicadabeam/core/fault"
+	"cicadabeam/core/freshness"
 )
 
 // claim inserts the claim into the table. It returns the row's revision, or an
 // outcome when this node must not send the call.
-func (d *Dispatcher) claim(ctx context.Context, e *callEntry) (uint64, *Outcome) {
+func (d *Dispatcher) claim(ctx context.Context, e *callEntry) (freshness.StoreVersion, *Outcome) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(claimTimeout))
 	defer cancel()
 	var lastErr error
@@ -38,7 +39,7 @@
 		}
 		return d.resolve(ctx, e, v)
 	}
-	return 0, unresolved(lastErr)
+	return freshness.StoreVersion{}, unresolved(lastErr)
 }
 
 // unresolved returns the outcome for a claim that could not be written or read.
@@ -54,15 +55,15 @@
 // resolve decides from the existing row of another claim. It returns the outcome, or,
 // after taking over an abandoned claim, the revision with which this node may send the
 // call.
-func (d *Dispatcher) resolve(ctx context.Context, e *callEntry, v VersionedRow) (uint64, *Outcome) {
+func (d *Dispatcher) resolve(ctx context.Context, e *callEntry, v VersionedRow) (freshness.StoreVersion, *Outcome) {
 	if v.Row.BodyHash != e.call.BodyHash && v.Row.State != Abandoned {
-		return 0, &Outcome{State: Abandoned, Failure: failure(keyReused())}
+		return freshness.StoreVersion{}, &Outcome{State: Abandoned, Failure: failure(keyReused())}
 	}
 	switch v.Row.State {
 	case Done:
-		return 0, doneOutcome(v.Row)
+		return freshness.StoreVersion{}, doneOutcome(v.Row)
 	case Lost:
-		return 0, lostOutcome(v.Row)
+		return freshness.StoreVersion{}, lostOutcome(v.Row)
 	case Abandoned:
 		return d.takeOver(ctx, e, v)
 	default:
@@ -84,7 +85,7 @@
 }
 
 // takeOver replaces an abandoned claim with a claim of this node.
-func (d *Dispatcher) takeOver(ctx context.Context, e *callEntry, v VersionedRow) (uint64, *Outcome) {
+func (d *Dispatcher) takeOver(ctx context.Context, e *callEntry, v VersionedRow) (freshness.StoreVersion, *Outcome) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(claimTimeout))
 	defer cancel()
 	e.created = v.Row.Created
@@ -106,12 +107,12 @@
 			return d.resolve(c, e, current)
 		}
 	}
-	return 0, unresolved(lastErr)
+	return freshness.StoreVersion{}, unresolved(lastErr)
 }
 
 // queryClaimant queries the claiming node for the outcome of the call until the
 // call has ended or ctx is done.
-func (d *Dispatcher) queryClaimant(ctx context.Context, e *callEntry, v VersionedRow) (uint64, *Outcome) {
+func (d *Dispatcher) queryClaimant(ctx context.Context, e *callEntry, v VersionedRow) (freshness.StoreVersion, *Outcome) {
 	for ctx.Err() == nil {
 		x, err := d.claimantStatus(ctx, e.call.Key, v.Row)
 		switch {
@@ -122,10 +123,10 @@
 		case x.Outcome.State == Abandoned:
 			return d.takeOver(ctx, e, v)
 		default:
-			return 0, &x.Outcome
+			return freshness.StoreVersion{}, &x.Outcome
 		}
 	}
-	return 0, claimantUnavailable(v.Row)
+	return freshness.StoreVersion{}, claimantUnavailable(v.Row)
 }
 
 func (d *Dispatcher) claimantStatus(ctx context.Context, key Key, r Row) (Status, error) {
@@ -139,12 +140,12 @@
 
 // rereadRow reads the row once more when the claiming node cannot report the
 // outcome, in case it has been recorded in the meantime.
-func (d *Dispatcher) rereadRow(ctx context.Context, e *callEntry, v VersionedRow) (uint64, *Outcome) {
+func (d *Dispatcher) rereadRow(ctx context.Context, e *callEntry, v VersionedRow) (freshness.StoreVersion, *Outcome) {
 	c, cancel := context.WithDeadline(ctx, time.Now().Add(recordTimeout))
 	defer cancel()
 	current, found, err := d.store.Read(c, e.call.Key)
 	if err != nil || !found || current.Revision == v.Revision {
-		return 0, claimantUnavailable(v.Row)
+		return freshness.StoreVersion{}, claimantUnavailable(v.Row)
 	}
 	return d.resolve(ctx, e, current)
 }
--- a/core/freshness/eras_test.go
+++ b/core/freshness/eras_test.go
@@ -16,6 +16,9 @@
 			if got := a.After(b); got != (i > j) {
 				t.Errorf("%v after %v: got %v", a, b, got)
 			}
+			if got := a.Token() > b.Token(); got != (i > j) {
+				t.Errorf("token of %v greater than that of %v: got %v", a, b, got)
+			}
 		}
 	}
 }
--- a/core/freshness/store_version.go
+++ b/core/freshness/store_version.go
@@ -23,5 +23,12 @@
 // After reports whether v is newer than x.
 func (v StoreVersion) After(x StoreVersion) bool { return v.Compare(x) > 0 }
 
+// eraShift leaves 2^40 versions to each era; tokens of the first 8192 eras are exact as
+// floating-point numbers.
+const eraShift = 40
+
+// Token returns v as a number that grows with it.
+func (v StoreVersion) Token() uint64 { return v.Era<<eraShift | v.Version }
+
 // IsZero reports whether v is the zero version, that of a row that does not exist.
 func (v StoreVersion) IsZero() bool { return v == StoreVersion{} }
--- a/core/records/claims.go
+++ b/core/records/claims.go
@@ -11,6 +11,7 @@
 
 	"cicadabeam/core/claim"
 	"cicadabeam/core/fault"
+	"cicadabeam/core/freshness"
 )
 
 const (
@@ -21,7 +22,8 @@
 // ClaimStore stores the claims of calls in the platform's table. Writes that arrive
 // while a transaction is in progress are batched into the next one.
 type ClaimStore struct {
-	table Table
+	table  Table
+	recent recentClaims
 
 	mu         sync.Mutex
 	queue      []*pendingWrite
@@ -39,13 +41,13 @@
 }
 
 type writeResult struct {
-	revision uint64
+	revision freshness.StoreVersion
 	ok       bool
 	err      error
 }
 
 // Insert implements claim.Store.
-func (c *ClaimStore) Insert(ctx context.Context, key claim.Key, r claim.Row) (uint64, bool, error) {
+func (c *ClaimStore) Insert(ctx context.Context, key claim.Key, r claim.Row) (freshness.StoreVersion, bool, error) {
 	var absent []Condition
 	for _, day := range r.Day().AdjacentDays() {
 		absent = append(absent, Condition{Table: claimTable, Key: rowKey(day, key)})
@@ -54,7 +56,7 @@
 }
 
 // Replace implements claim.Store.
-func (c *ClaimStore) Replace(ctx context.Context, key claim.Key, revision uint64, r claim.Row) (uint64, bool, error) {
+func (c *ClaimStore) Replace(ctx context.Context, key claim.Key, revision freshness.StoreVersion, r claim.Row) (freshness.StoreVersion, bool, error) {
 	return c.put(ctx, key, []Condition{{Table: claimTable, Key: rowKey(r.Day(), key), Revision: revision}}, r)
 }
 
@@ -77,28 +79,54 @@
 		}
 		v := claim.VersionedRow{Revision: row.Revision}
 		err = json.Unmarshal(row.Value, &v.Row)
+		c.recent.found(rowKey(day, key), v.Row.ID)
 		return v, err == nil, errors.Wrapf(err, "records: decode claim %s", key)
 	}
 	return claim.VersionedRow{}, false, nil
 }
 
-func (c *ClaimStore) put(ctx context.Context, key claim.Key, conditions []Condition, r claim.Row) (uint64, bool, error) {
+// put writes a claim. After a restore of the store, claims to send a call wait until all
+// nodes have written theirs again.
+func (c *ClaimStore) put(ctx context.Context, key claim.Key, conditions []Condition, r claim.Row) (freshness.StoreVersion, bool, error) {
+	if r.State == claim.Claimed && Held(c.table.Eras()) {
+		return freshness.StoreVersion{}, false, heldError("write-claim")
+	}
 	value, err := json.Marshal(r)
 	if err != nil {
-		return 0, false, errors.Wrapf(err, "records: encode claim %s", key)
+		return freshness.StoreVersion{}, false, errors.Wrapf(err, "records: encode claim %s", key)
 	}
 	p := &pendingWrite{
 		conditions: conditions,
 		write:      Write{Table: claimTable, Key: rowKey(r.Day(), key), Value: value},
 		done:       make(chan writeResult, 1),
 	}
+	x := &recentClaim{rowKey: p.write.Key, row: r, value: value, at: time.Now(), era: c.table.Eras().Current()}
+	c.recent.add(x)
 	c.enqueue(p)
 	select {
 	case w := <-p.done:
-		return w.revision, w.ok, w.err
+		return c.result(x, w)
 	case <-ctx.Done():
-		return 0, false, fault.Wrap(ctx.Err(), fault.PlatformUnavailable, "write-claim", c.table.Name())
+		return freshness.StoreVersion{}, false, fault.Wrap(ctx.Err(), fault.PlatformUnavailable, "write-claim", c.table.Name())
+	}
+}
+
+// result returns the result of a write. A claim that took effect in a newer era than was known
+// when it was written has to wait like others.
+func (c *ClaimStore) result(x *recentClaim, w writeResult) (freshness.StoreVersion, bool, error) {
+	switch {
+	case w.err != nil:
+		return freshness.StoreVersion{}, false, w.err
+	case !w.ok:
+		c.recent.reject(x)
+		return freshness.StoreVersion{}, false, nil
+	}
+	rose := w.revision.Era != x.era
+	c.recent.written(x, w.revision.Era)
+	if rose && x.row.State == claim.Claimed && Held(c.table.Eras()) {
+		return freshness.StoreVersion{}, false, heldError("write-claim")
 	}
+	return w.revision, true, nil
 }
 
 func (c *ClaimStore) enqueue(p *pendingWrite) {
--- a/core/records/configs.go
+++ b/core/records/configs.go
@@ -15,6 +15,7 @@
 
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
+	"cicadabeam/core/freshness"
 )
 
 const (
@@ -61,7 +62,8 @@
 
 // ConfigStore stores the configuration and its audit trail in the platform's table.
 type ConfigStore struct {
-	table Table
+	table  Table
+	recent recentChanges
 }
 
 // NewConfigStore returns the configurations stored in a table.
@@ -73,10 +75,10 @@
 	return h, err
 }
 
-func (c *ConfigStore) head(ctx context.Context) (Head, uint64, error) {
+func (c *ConfigStore) head(ctx context.Context) (Head, freshness.StoreVersion, error) {
 	row, found, err := c.table.Get(ctx, configTable, headKey)
 	if err != nil || !found {
-		return Head{}, 0, err
+		return Head{}, freshness.StoreVersion{}, err
 	}
 	var h Head
 	err = json.Unmarshal(row.Value, &h)
@@ -112,6 +114,9 @@
 	if err != nil {
 		return AuditEntry{}, fault.From(err).WithRan(fault.NotRun)
 	}
+	if Held(c.table.Eras()) {
+		return AuditEntry{}, heldError("apply").WithRan(fault.NotRun)
+	}
 	if head.Revision != base {
 		return AuditEntry{}, c.revisionConflict(ctx, head.Revision)
 	}
@@ -123,19 +128,26 @@
 	if err != nil {
 		return AuditEntry{}, err
 	}
-	_, err = c.table.Commit(ctx, t)
+	at, err := c.table.Commit(ctx, t)
 	var conflict *ConflictError
 	switch {
 	case err == nil:
+		c.recent.add(recentChange{next: next, entry: a, era: at.Era})
 		return a, nil
 	case errors.As(err, &conflict):
 		return AuditEntry{}, c.revisionConflict(ctx, a.Revision)
 	default:
-		return c.confirmCommit(ctx, t, a, err)
+		return c.confirmCommit(ctx, t, next, a, err)
 	}
 }
 
-func newApplyTransaction(next *config.Config, headRowRevision uint64, a AuditEntry) (Transaction, error) {
+// heldError reports that a write waits until all nodes have written again what the store
+// lost.
+func heldError(step string) *fault.Error {
+	return fault.New(fault.PlatformUnavailable, step, "platform").WithRetryAt(time.Now().Add(restoreHold))
+}
+
+func newApplyTransaction(next *config.Config, headRowRevision freshness.StoreVersion, a AuditEntry) (Transaction, error) {
 	compressed, err := Compress(next.Text())
 	if err != nil {
 		return Transaction{}, err
@@ -161,11 +173,12 @@
 // confirmCommit determines whether a transaction whose response was lost took
 // effect. The transaction may still be in transit, so it is sent again until it
 // succeeds or the conflict shows that the head has changed.
-func (c *ConfigStore) confirmCommit(ctx context.Context, t Transaction, a AuditEntry, cause error) (AuditEntry, error) {
+func (c *ConfigStore) confirmCommit(ctx context.Context, t Transaction, next *config.Config, a AuditEntry, cause error) (AuditEntry, error) {
 	deadline := time.Now().Add(commitRetryTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		_, err := c.table.Commit(ctx, t)
+		at, err := c.table.Commit(ctx, t)
 		if err == nil {
+			c.recent.add(recentChange{next: next, entry: a, era: at.Era})
 			return a, nil
 		}
 		var conflict *ConflictError
--- a/core/records/table.go
+++ b/core/records/table.go
@@ -14,6 +14,8 @@
 import (
 	"context"
 	"time"
+
+	"cicadabeam/core/freshness"
 )
 
 // commitTimeout is the time limit of one transaction of claims.
@@ -22,16 +24,17 @@
 // Row is a row of a table. Revision increases with each change to any row.
 type Row struct {
 	Key      string
-	Revision uint64
+	Revision freshness.StoreVersion
 	Value    []byte
 }
 
-// Condition requires that a row is at a revision; revision 0 requires that the row
-// does not exist.
+// Condition requires that a row is at a revision; the zero revision requires that the row
+// does not exist. A revision of an older era of the store never holds, as the store may
+// have given it to another change since.
 type Condition struct {
 	Table    string
 	Key      string
-	Revision uint64
+	Revision freshness.StoreVersion
 }
 
 // Write sets the value of a row or deletes the row.
@@ -64,9 +67,11 @@
 	// order of keys.
 	List(ctx context.Context, table, prefix string) ([]Row, error)
 	// Commit applies a transaction and returns the revision of its writes.
-	Commit(ctx context.Context, t Transaction) (uint64, error)
+	Commit(ctx context.Context, t Transaction) (freshness.StoreVersion, error)
 	// Unavailable reports whether all requests have failed for some time.
 	Unavailable() bool
+	// Eras returns the eras of the store.
+	Eras() *freshness.Eras
 	// Name returns the name under which errors refer to the store.
 	Name() string
 }
--- a/test/standin/store/store_test.go
+++ b/test/standin/store/store_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
 	"cicadabeam/platform"
 	"cicadabeam/test/standin/store"
@@ -133,7 +134,7 @@
 		t.Fatal(err)
 	}
 	row, found, err := table.Get(ctx, "claims", "a/2")
-	if err != nil || !found || string(row.Value) != "a/2" || row.Revision != 1 {
+	if err != nil || !found || string(row.Value) != "a/2" || row.Revision != (freshness.StoreVersion{Era: 1, Version: 1}) {
 		t.Errorf("Get: got %+v, found %v, error %v", row, found, err)
 	}
 	if _, found, err := table.Get(ctx, "claims", "a/"); found || err != nil {
@@ -143,7 +144,7 @@
 		t.Errorf("List: got %v, error %v", rows, err)
 	}
 	err = write([]records.Condition{
-		{Table: "claims", Key: "a/1", Revision: 1}, {Table: "claims", Key: "a/2", Revision: 0}, {Table: "claims", Key: "c", Revision: 0}, {Table: "claims", Key: "d", Revision: 1},
+		{Table: "claims", Key: "a/1", Revision: row.Revision}, {Table: "claims", Key: "a/2"}, {Table: "claims", Key: "c"}, {Table: "claims", Key: "d", Revision: row.Revision},
 	}, "e")
 	var conflict *records.ConflictError
 	if !errors.As(err, &conflict) || !slices.Equal(conflict.Failed, []int{1, 3}) {
