node: claims, changes and registrations are written again after a restore of the store

Nodes tell each other the era in heartbeats. On a rise each writes again, within a second, the claims and changes that it had written, and its row if that is younger than a minute. Two seconds after the rise the leader writes the configuration in force again if the store still has an older one: its author is gone, and the audit trail says so. Host lists are not applied meanwhile. One log line 'store restored' for each rise, gauge store_era.

Without writing claims: 'kiosk-north/before-4 ran on application-1 and on application-3'; without writing changes the audit trail has the leader's entry in place of the operator's.

Not mended: claims of a node that died since the copy, or that were pushed out of the limits, are lost; a call with that key may run again.

--- a/cmd/node/heartbeat.go
+++ b/cmd/node/heartbeat.go
@@ -78,6 +78,7 @@
 	return peer.Heartbeat{
 		From:        n.nodes.Self().Name,
 		Revision:    n.revision(),
+		Era:         n.eras.Info(),
 		Leaving:     n.state.Load() == draining,
 		Notices:     n.loads.Notices(now),
 		Quarantined: n.quarantine.Entries(now),
@@ -112,6 +113,7 @@
 		n.nodeInfoSchedule.reset(to)
 		return
 	}
+	n.eras.Merge(r.Era, to)
 	n.nodes.RecordHeartbeat(to, r.Revision, r.Leaving, time.Now())
 	n.fetchIfNewer(r.Revision, to)
 }
@@ -123,6 +125,7 @@
 	if h.Node != nil {
 		n.nodes.Add(*h.Node, now)
 	}
+	n.eras.Merge(h.Era, h.From)
 	n.nodes.RecordHeartbeat(h.From, h.Revision, h.Leaving, now)
 	n.fetchIfNewer(h.Revision, h.From)
 	for _, r := range h.Loads {
@@ -136,5 +139,5 @@
 	if len(h.Loads) > 0 {
 		n.router.Wake()
 	}
-	return peer.HeartbeatReply{Revision: n.revision(), Leaving: n.state.Load() == draining}
+	return peer.HeartbeatReply{Revision: n.revision(), Era: n.eras.Info(), Leaving: n.state.Load() == draining}
 }
--- a/cmd/node/hosts.go
+++ b/cmd/node/hosts.go
@@ -47,7 +47,9 @@
 	if err != nil {
 		return err
 	}
-	n.applyHostList(hosts, servers, now)
+	if !n.restoring() { // the copy knows neither the newest nodes nor which servers are leaving
+		n.applyHostList(hosts, servers, now)
+	}
 	return nil
 }
 
@@ -79,5 +81,6 @@
 		n.log.WithFields(log.Fields{"step": "register", "peer": "platform", "error": err.Error()}).Debug("not registered")
 		return
 	}
+	n.registeredAt.Store(&now)
 	n.registered.Store(true)
 }
--- a/cmd/node/loops.go
+++ b/cmd/node/loops.go
@@ -24,6 +24,7 @@
 	g.Add(n.loop(maintenanceInterval, n.maintain), stop)
 	g.Add(n.loop(sweepInterval, n.sweepClaims), stop)
 	g.Add(n.runHeartbeats, stop)
+	g.Add(n.rewriteLoop, stop)
 }
 
 func (n *Node) addSeeds() {
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -28,6 +28,7 @@
 	"cicadabeam/core/balance"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/config"
+	"cicadabeam/core/freshness"
 	"cicadabeam/core/generation"
 	"cicadabeam/core/holder"
 	"cicadabeam/core/membership"
@@ -65,6 +66,7 @@
 	calls              *claim.Dispatcher
 	engine             *engine.Client
 	service            *service.Client
+	eras               *freshness.Eras
 	platform           *platform.Table
 	hosts              *records.HostStore
 	configs            *records.ConfigStore
@@ -78,7 +80,9 @@
 	reports          polledReports
 
 	registered   atomic.Bool
-	state        atomic.Value // holds a state
+	registeredAt atomic.Pointer[time.Time] // last registration, nil for none
+	restored     chan struct{}             // the store came back from an older copy
+	state        atomic.Value              // holds a state
 	drainStarted chan struct{}
 	drainOnce    sync.Once
 	refuseFrom   atomic.Pointer[time.Time] // nil for never
@@ -105,10 +109,12 @@
 	n := &Node{
 		settings: s, version: version, incarnation: uuid.NewString(), started: time.Now(), log: l, metrics: newMetrics(),
 		nodes: membership.New(s.Self()), loads: balance.New(), quarantine: quarantine.New(), concurrencyLimiter: admit.NewConcurrencyLimiter(), rateLimiter: admit.NewRateLimiter(),
-		engine: engine.New(), platform: platform.NewTable(platform.NewStoreClient(s.PlatformURL(), s.Self().Name)), traffic: &peer.Traffic{},
-		heartbeatTrigger: make(chan struct{}, 1), drainStarted: make(chan struct{}), ctx: ctx, stop: stop,
+		engine: engine.New(), traffic: &peer.Traffic{},
+		heartbeatTrigger: make(chan struct{}, 1), restored: make(chan struct{}, 1), drainStarted: make(chan struct{}), ctx: ctx, stop: stop,
 	}
 	n.state.Store(starting)
+	n.eras = freshness.NewEras(func() time.Duration { return time.Since(n.started) }, n.handleRise)
+	n.platform = platform.NewTable(platform.NewStoreClient(s.PlatformURL(), s.Self().Name).WithEras(n.eras))
 	n.hosts = records.NewHostStore(n.platform)
 	n.configs = records.NewConfigStore(n.platform)
 	n.claims = records.NewClaimStore(n.platform)
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -41,6 +41,8 @@
 
 func (m *metrics) setRevision(r uint64) { m.scope.Gauge("configuration_revision").Update(float64(r)) }
 
+func (m *metrics) setEra(era uint64) { m.scope.Gauge("store_era").Update(float64(era)) }
+
 func (m *metrics) increment(name, key, value string) {
 	m.scope.Tagged(map[string]string{key: value}).Counter(name).Inc(1)
 }
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -4,6 +4,7 @@
 	"cicadabeam/core/answer"
 	"cicadabeam/core/balance"
 	"cicadabeam/core/claim"
+	"cicadabeam/core/freshness"
 	"cicadabeam/core/holder"
 	"cicadabeam/core/membership"
 	"cicadabeam/core/quarantine"
@@ -18,6 +19,7 @@
 	// periodically; nil otherwise.
 	Node        *membership.Node
 	Revision    uint64
+	Era         freshness.EraInfo
 	Leaving     bool
 	Loads       []balance.Report
 	Notices     []balance.LeaveNotice
@@ -34,6 +36,7 @@
 // HeartbeatReply is the reply to a Heartbeat.
 type HeartbeatReply struct {
 	Revision uint64
+	Era      freshness.EraInfo
 	Leaving  bool
 }
 
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -220,6 +220,16 @@
 	return post("http://"+c.address(hostPlatform, portServer)+"/control/faults", f)
 }
 
+// CopyPlatform makes the platform stand-in keep a copy of its store.
+func (c *Cluster) CopyPlatform() error {
+	return post("http://"+c.address(hostPlatform, portServer)+"/control/copy", nil)
+}
+
+// RestorePlatform makes the platform stand-in's store come back from the kept copy.
+func (c *Cluster) RestorePlatform() error {
+	return post("http://"+c.address(hostPlatform, portServer)+"/control/restore", nil)
+}
+
 // PublishHosts sets the nodes and servers that the platform lists. Each node gets the
 // addresses of its own links to the other nodes.
 func (c *Cluster) PublishHosts(leavingServers ...string) error {
--- a/test/standin/store/control.go
+++ b/test/standin/store/control.go
@@ -44,6 +44,8 @@
 	m.HandleFunc("GET /control/health", func(http.ResponseWriter, *http.Request) {})
 	m.HandleFunc("POST /control/faults", s.setFaults)
 	m.HandleFunc("POST /control/hosts", s.setContents)
+	m.HandleFunc("POST /control/copy", s.keepCopy)
+	m.HandleFunc("POST /control/restore", s.restoreCopy)
 	m.HandleFunc("GET /control/counts", func(w http.ResponseWriter, _ *http.Request) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/test/standin/store/restore.go
+++ b/test/standin/store/restore.go
@@ -94,3 +94,17 @@
 		h.Set(eraHeader, strconv.FormatUint(era, 10))
 	}
 }
+
+func (s *Store) keepCopy(http.ResponseWriter, *http.Request) {
+	c := s.Copy()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = c
+}
+
+func (s *Store) restoreCopy(http.ResponseWriter, *http.Request) {
+	s.mu.Lock()
+	c := s.kept
+	s.mu.Unlock()
+	s.Restore(c)
+}
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -80,6 +80,7 @@
 	changed         chan struct{} // closed at the next change of the rows or the history
 	era             uint64        // number of restores, from 1 on
 	eraHidden       bool
+	kept            Copy // of the last call of /control/copy
 	requestCount    int
 }
 
