test/soak: the store comes back older

The checks of keys, runs, streams and recovery apply as before; a host must not log a rise twice. Store.Rewrite plays the writers.

--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -56,6 +56,7 @@
 type testEnv struct {
 	dir       string
 	random    *rand.Rand // for the fault schedule
+	restores  *rand.Rand // for the restores of the store
 	store     *store.Store
 	hosts     []*host
 	addresses []*serverAddress
@@ -81,7 +82,7 @@
 		return nil, err
 	}
 	e := &testEnv{
-		dir: dir, random: rand.New(rand.NewPCG(seed, 1)), store: x, arrivals: &arrivalLog{}, results: &resultLog{},
+		dir: dir, random: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 9)), store: x, arrivals: &arrivalLog{}, results: &resultLog{},
 		revoked: make(map[string]time.Time), draining: make(map[string]time.Time), startTime: time.Now(),
 	}
 	for i := range initialKeys {
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -204,6 +204,7 @@
 // injectFaults starts random faults until a time, and waits for all of them to end.
 func (e *testEnv) injectFaults(until time.Time) {
 	var g sync.WaitGroup
+	g.Go(func() { e.injectRestores(until) })
 	for time.Now().Before(until) {
 		f := faults[e.random.IntN(len(faults))]
 		r := rand.New(rand.NewPCG(e.random.Uint64(), 5))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -109,6 +109,8 @@
 	}
 	e.injectFaults(time.Now().Add(d))
 	e.checkRecovery()
+	e.checkRestoreLines()
+	t.Logf("seed %d: the store came back older %d times", seed, e.store.Era()-1)
 	close(stop)
 	g.Wait()
 	reportViolations(t, e, seed)
--- a/test/standin/store/restore.go
+++ b/test/standin/store/restore.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"maps"
 	"net/http"
 	"slices"
@@ -108,3 +109,26 @@
 	s.mu.Unlock()
 	s.Restore(c)
 }
+
+// Keys returns the keys of a table in the copy.
+func (c Copy) Keys(table string) []string { return slices.Sorted(maps.Keys(c.rows[table])) }
+
+// Rewrite makes a row's writer write again, after a restore from older, what it had written
+// by the time of lost, unless the row was written since the restore.
+func (s *Store) Rewrite(table, key string, lost, older Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.history {
+		if x.Ver > older.version && x.Table == table && x.Key == key {
+			return
+		}
+	}
+	want, exists := lost.rows[table][key]
+	have, found := s.rows[table][key]
+	switch {
+	case exists && (!found || !bytes.Equal(want.Value, have.Value)):
+		s.apply(transaction{Writes: []row{{Table: table, Key: key, Value: want.Value}}})
+	case !exists && found:
+		s.apply(transaction{Remove: []row{{Table: table, Key: key}}})
+	}
+}
