--- a/cmd/node/restore.go
+++ b/cmd/node/restore.go
@@ -15,9 +15,10 @@
 	// rewriteSpread is the time over which the nodes' writes after a restore are spread.
 	rewriteSpread  = time.Second
 	rewriteTimeout = 10 * time.Second
-	// reinstateDelay is how long after a restore a configuration in force is written again
-	// by a node other than the one that had written it, which is gone if it is still missing.
-	reinstateDelay = 2 * time.Second
+	// reinstateAge is how long after a restore a configuration in force is written again by a
+	// node other than the one that had written it, which is gone if it is still missing. No
+	// change is applied earlier.
+	reinstateAge = 2500 * time.Millisecond
 	// maxCopyAge is the greatest age of a copy. Older rows are in it.
 	maxCopyAge = time.Minute
 )
@@ -56,7 +57,7 @@
 		default:
 		}
 		n.rewriteRecords()
-		n.wait(reinstateDelay - rewriteSpread)
+		n.wait(reinstateAge - n.eras.Info().Age)
 		n.reinstateConfig()
 	}
 }
--- a/test/integration/restore_test.go
+++ b/test/integration/restore_test.go
@@ -53,3 +53,28 @@
 	}
 	awaitRevision(t, 3, c.Nodes()...)
 }
+
+// The node that had written a change since the copy is gone. The change stays in force, is
+// written again by another node, and the audit trail says that its entry is lost.
+func TestRestoreAfterLossOfAuthor(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, cluster.Layout{DataCentres: 2, NodesPerDataCentre: 2, EnginesPerDataCentre: 1})
+	must(t, c.CopyPlatform())
+	_, err := c.Node(0).Apply(withModel(c, "newer"), 1, "operator")
+	must(t, err)
+	awaitRevision(t, 2, c.Nodes()...)
+	c.Node(0).Kill()
+	must(t, c.RestorePlatform())
+	if !cluster.Await(10*time.Second, func() bool {
+		_, err = c.Node(1).Apply(withModel(c, "newest"), 2, "operator")
+		return err == nil
+	}) {
+		t.Fatal(err)
+	}
+	awaitRevision(t, 3, c.Nodes()[1:]...)
+	trail, err := c.Node(2).Audit(10)
+	must(t, err)
+	if len(trail) != 3 || trail[1].Revision != 2 || trail[1].By != "" || trail[1].Note == "" {
+		t.Errorf("audit trail: %+v", trail)
+	}
+}
