test/soak: restores beside planned work, and departed servers stay unused

TestSoakOfRestores lets the store come back older again and again while servers leave and crash and configurations change. No other fault excuses a host, so a server that has left may get nothing 2.8 s after it left, or after the writers of a restore that it left shortly before have written again. The greatest age of a copy is one constant now.

--- a/cmd/entry/restore.go
+++ b/cmd/entry/restore.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/records"
 	"cicadabeam/io/relay"
 )
 
@@ -19,8 +20,6 @@
 	// was gone and is back with the copy. The platform removes the entries of servers
 	// that are silent for three heartbeats.
 	returnedServerHold = 6 * time.Second
-	// maxCopyAge is the greatest age of a copy. Hosts with older rows don't write them again.
-	maxCopyAge = time.Minute
 	// minReregistrationWindow, and reregistrationTimePerNode for each known node, is the
 	// time over which the hosts' writes are spread.
 	minReregistrationWindow   = time.Second
@@ -138,7 +137,7 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-n.restored:
-		return uptime()-max(n.registeredAt, n.started) < maxCopyAge
+		return uptime()-max(n.registeredAt, n.started) < records.MaxCopyAge
 	}
 	return false
 }
--- a/cmd/node/restore.go
+++ b/cmd/node/restore.go
@@ -19,8 +19,6 @@
 	// node other than the one that had written it, which is gone if it is still missing. No
 	// change is applied earlier.
 	reinstateAge = 2500 * time.Millisecond
-	// maxCopyAge is the greatest age of a copy. Older rows are in it.
-	maxCopyAge = time.Minute
 )
 
 // handleRise records that the platform's store came back from an older copy. It must not
@@ -74,7 +72,7 @@
 func (n *Node) rewriteRecords() {
 	ctx, cancel := context.WithDeadline(n.ctx, time.Now().Add(rewriteTimeout))
 	defer cancel()
-	if at := n.registeredAt.Load(); at != nil && time.Since(*at) < maxCopyAge {
+	if at := n.registeredAt.Load(); at != nil && time.Since(*at) < records.MaxCopyAge {
 		n.registered.Store(false)
 	}
 	claims := n.claims.Rewrite(ctx)
--- a/core/records/recent.go
+++ b/core/records/recent.go
@@ -10,8 +10,8 @@
 
 // A store that comes back from a copy some seconds old has lost what was written since.
 const (
-	// maxCopyAge is the greatest age of a copy. Older writes are in it.
-	maxCopyAge = time.Minute
+	// MaxCopyAge is the greatest age of a copy. Older writes are in it.
+	MaxCopyAge = time.Minute
 	// restoreHold is how long after a restore calls are not claimed and configurations are not
 	// applied, so that all nodes hear of it and write again what they had written.
 	restoreHold = 3 * time.Second
@@ -36,7 +36,7 @@
 	rejected bool // the store did not have the write when it was last asked
 }
 
-// recentClaims holds the claims that this node wrote within maxCopyAge.
+// recentClaims holds the claims that this node wrote within MaxCopyAge.
 type recentClaims struct {
 	mu     sync.Mutex
 	claims map[string]*recentClaim // by row key
@@ -55,15 +55,15 @@
 	}
 	c.claims[x.rowKey] = x
 	c.bytes += len(x.value)
-	if len(c.claims) > maxRecentRows || c.bytes > maxRecentBytes || x.at.Sub(c.oldest) > 2*maxCopyAge {
+	if len(c.claims) > maxRecentRows || c.bytes > maxRecentBytes || x.at.Sub(c.oldest) > 2*MaxCopyAge {
 		c.evict(x.at)
 	}
 }
 
-// evict removes what is older than maxCopyAge, and if that is not enough, the older half of
+// evict removes what is older than MaxCopyAge, and if that is not enough, the older half of
 // the rest.
 func (c *recentClaims) evict(now time.Time) {
-	for age := maxCopyAge; ; age /= 2 {
+	for age := MaxCopyAge; ; age /= 2 {
 		c.oldest = now.Add(-age)
 		for key, x := range c.claims {
 			if x.at.Before(c.oldest) {
@@ -106,7 +106,7 @@
 	defer c.mu.Unlock()
 	var all []recentClaim
 	for _, x := range c.claims {
-		if x.era < era && !x.rejected && now.Sub(x.at) <= maxCopyAge {
+		if x.era < era && !x.rejected && now.Sub(x.at) <= MaxCopyAge {
 			all = append(all, *x)
 		}
 	}
--- a/core/records/restore.go
+++ b/core/records/restore.go
@@ -140,7 +140,7 @@
 func (c *ConfigStore) Rewrite(ctx context.Context) (Rewritten, error) {
 	var r Rewritten
 	for _, x := range c.recent.before(c.table.Eras().Current()) {
-		if x.entry.At.Before(time.Now().Add(-maxCopyAge)) {
+		if x.entry.At.Before(time.Now().Add(-MaxCopyAge)) {
 			continue
 		}
 		written, err := c.reinstate(ctx, x.next, x.entry)
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -57,6 +57,7 @@
 	dir       string
 	random    *rand.Rand // for the fault schedule
 	restores  *rand.Rand // for the restores of the store
+	restoring []span     // restores, until all have written again; under mu
 	store     *store.Store
 	hosts     []*host
 	addresses []*serverAddress
--- a/test/soak/restore.go
+++ b/test/soak/restore.go
@@ -29,6 +29,10 @@
 	if r.IntN(2) == 0 {
 		return
 	}
+	e.restoreRepeatedly(r, until)
+}
+
+func (e *testEnv) restoreRepeatedly(r *rand.Rand, until time.Time) {
 	var copies []store.Copy
 	next := time.Now().Add(time.Duration(r.Float64() * float64(maxRestoreInterval)))
 	for time.Now().Before(until) {
@@ -38,6 +42,9 @@
 			from := time.Now()
 			e.restoreStore(r, copies)
 			e.recordFault(from)
+			e.mu.Lock()
+			e.restoring = append(e.restoring, span{from, time.Now()})
+			e.mu.Unlock()
 			copies = nil // later copies only, or else writes of the last restore would be lost for good
 			next = time.Now().Add(time.Duration(r.Float64() * float64(maxRestoreInterval)))
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,8 +34,9 @@
 // ciSeeds are run by default: a few, and each that has failed, with the cause.
 var ciSeeds = []uint64{
 	1, 2,
-	4,  // requests that waited while a host was suspended reached servers with their full time limit
-	38, // same cause as 4
+	4,   // requests that waited while a host was suspended reached servers with their full time limit
+	38,  // same cause as 4
+	223, // the store comes back older several times
 }
 
 var binary string
