--- a/test/entry/restore_test.go
+++ b/test/entry/restore_test.go
@@ -313,6 +313,11 @@
 		if len(lines) != 2 || !strings.Contains(lines[0], "old_era=1") || !strings.Contains(lines[0], "new_era=2") || !strings.Contains(lines[1], "new_era=3") {
 			t.Errorf("%s: got lines %q, want one for each of two rises", n.Name(), lines)
 		}
+		for _, want := range []string{"cicadabeam_store_era 3", `cicadabeam_decisions{event="store_restored"} 2`} {
+			if !strings.Contains(n.Metrics(), want) {
+				t.Errorf("%s: the metrics lack %s", n.Name(), want)
+			}
+		}
 	}
 	runs := len(second.Requests())
 	s.keepSending("/buy/1", "key-1", 500*time.Millisecond, 200)
