--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -108,8 +108,14 @@
 		g.Go(func() { c.run(stop) })
 	}
 	e.injectFaults(harmlessFaults, time.Now().Add(d/2))
-	e.injectFaults(faults, time.Now().Add(d))
+	until := time.Now().Add(d)
+	var beside sync.WaitGroup
+	beside.Go(func() { e.injectRestores(until) })
+	e.injectFaults(faults, until)
+	beside.Wait()
 	e.checkRecovery()
+	e.checkRestoreLines()
+	t.Logf("seed %d: the store came back older %d times", seed, e.store.Era()-1)
 	close(stop)
 	g.Wait()
 	reportViolations(t, e, seed)
