--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -15,7 +15,11 @@
 	{"the configuration changes", func(e *testEnv, _ *rand.Rand) { e.configure() }},
 	{"a key is revoked", func(e *testEnv, _ *rand.Rand) { e.revokeKey() }},
 	{"a server drains or deregisters", onServer(drainServer)},
-	{"a server crashes", onServer(crashServer)},
+	{"a server crashes", onServer(func(e *testEnv, a *serverAddress, r *rand.Rand) {
+		from := time.Now()
+		crashServer(e, a, r)
+		e.recordFault(fault{name: "a server crashes"}, from) // it ends the streams that it runs
+	})},
 }
 
 // The store comes back older again and again while servers leave and configurations change. In
