readers: while nodes start, the one with the oldest row reads the store

Callers see nothing of it; the store is called more than it need be, which is priced.

Cause: the live node with the lowest name in a region reads the store. Nodes that start together list the hosts before all have registered, so that each one without a lower name in its list reads both tables. Traced by 28 runs at once (14 processes, -test.count 2) on: one failed with '53 calls to start 8 nodes'. 'store reader' shows five nodes with ahead=0 within 20 ms, that learnt of lower names 5 to 300 ms later. Ruled out: the wait of 100 ms for peers; all nodes with lower names in their lists had the configuration from peers.

Change: in its first second a node counts those with older rows instead of those with lower names. A list that is read after one's own registration has all older rows, whatever else is still missing, so exactly one node has none ahead of it. After that second names decide as before, for gateways too. Without a list (store lost) names decide from the start.

TestOneHostReadsWhileHostsRegister plays the order of registration without a network.

Not touched: in one of the 56 runs before, the second check said '14 calls in 5s' for 13: a state was 2,216 ms old where 2,200 count as out of date, so a second node read for a second.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -50,6 +50,9 @@
 	listed bool
 	hash   uint64        // of the last list
 	asOf   time.Duration // uptime at which the last list was read or later
+	// revisions are those of the hosts' rows, by name, from lists that this node read. The
+	// hosts in hosts have none, so that equal ones are equal whoever listed them.
+	revisions map[string]uint64
 }
 
 // count returns the number of known nodes, or assumedNodes before the host list is known.
@@ -87,7 +90,12 @@
 func (d *directory) set(list []records.EntryHost, asOf time.Duration) {
 	hosts := make(map[string]records.EntryHost, len(list))
 	hash := uint64(0)
+	revisions := make(map[string]uint64, len(list))
 	for _, h := range list {
+		if h.Revision != 0 {
+			revisions[h.Name] = h.Revision
+		}
+		h.Revision = 0
 		hosts[h.Name] = h
 		hash += xxhash.Sum64String(h.Name + "\x00" + h.Address + "\x00" + h.DataCentre + "\x00" + h.Region) // in any order
 	}
@@ -97,6 +105,16 @@
 		return
 	}
 	d.hosts, d.listed, d.hash, d.asOf = hosts, true, hash, asOf
+	if len(revisions) > 0 {
+		d.revisions = revisions
+	}
+}
+
+// revision returns the revision of a host's row, 0 if it is unknown.
+func (d *directory) revision(name string) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revisions[name]
 }
 
 // freshness returns which list is known and the time since it was read.
--- a/cmd/entry/readers.go
+++ b/cmd/entry/readers.go
@@ -32,7 +32,7 @@
 	timing := n.readTiming()
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	ahead := n.readersAhead(now)
+	ahead := n.readersAhead(now, up-n.started < startupWindow)
 	if ahead > 0 && timing.ShouldRead(ahead, age) {
 		n.peers.readUntil = now.Add(readTakeoverHold)
 	}
@@ -55,15 +55,20 @@
 }
 
 // readersAhead returns the number of peers that precede this node in reading the store.
-func (n *Node) readersAhead(now time.Time) int {
+// Shortly after the start of many nodes each has listed others only, so the order is another one.
+func (n *Node) readersAhead(now time.Time, starting bool) int {
 	self := n.self()
 	others := make([]readers.Host, 0, len(n.peers.all))
 	for _, p := range n.peers.all {
 		others = append(others, readers.Host{
-			Name: p.host.Name, Region: p.host.Region, Live: p.live(now), Leaving: p.report.Leaving, StoreLost: p.report.StoreLost,
+			Name: p.host.Name, Region: p.host.Region, Listed: n.directory.revision(p.host.Name), Live: p.live(now), Leaving: p.report.Leaving, StoreLost: p.report.StoreLost,
 		})
 	}
-	return readers.Ahead(readers.Host{Name: self.Name, Region: self.Region}, others)
+	x := readers.Host{Name: self.Name, Region: self.Region, Listed: n.directory.revision(self.Name)}
+	if starting {
+		return readers.AheadAtStart(x, others)
+	}
+	return readers.Ahead(x, others)
 }
 
 // live reports whether a peer was in contact recently. Newly listed ones count as live, or
--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -12,7 +12,10 @@
 //	if t.ShouldRead(ahead, age) { ... } // a query may wait t.PollWait()
 package readers
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// pollShare is the part of the shortest bound on the age of the state that a query may
@@ -39,7 +42,8 @@
 type Host struct {
 	Name      string
 	Region    string
-	Live      bool // in contact recently, or listed a moment ago
+	Listed    uint64 // revision of its row in the store, 0 if unknown
+	Live      bool   // in contact recently, or listed a moment ago
 	Leaving   bool
 	StoreLost bool // its last query to the store failed
 }
@@ -47,9 +51,24 @@
 // Ahead returns the number of hosts that precede self in reading the store: those of its
 // region with lower names that can read it.
 func Ahead(self Host, others []Host) int {
+	return countAhead(self, others, func(h Host) bool { return h.Name < self.Name })
+}
+
+// AheadAtStart returns the number of hosts that precede self while hosts start: those of
+// its region whose rows are older. A host that lists the hosts after its registration finds
+// all older rows, but not all lower names, so that exactly one host finds none ahead of it.
+// A host without a row comes after all that have one.
+func AheadAtStart(self Host, others []Host) int {
+	if self.Listed == 0 && !slices.ContainsFunc(others, func(h Host) bool { return h.Listed != 0 }) {
+		return Ahead(self, others)
+	}
+	return countAhead(self, others, func(h Host) bool { return h.Listed != 0 && (self.Listed == 0 || h.Listed < self.Listed) })
+}
+
+func countAhead(self Host, others []Host, precedes func(h Host) bool) int {
 	ahead, skipped := 0, 0
 	for _, h := range others {
-		if h.Region != self.Region || h.Name >= self.Name || !h.Live || h.Leaving {
+		if h.Region != self.Region || !h.Live || h.Leaving || !precedes(h) {
 			continue
 		}
 		if h.StoreLost && skipped < maxSkipped {
--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -83,3 +83,33 @@
 		t.Errorf("without bounds a query waits %v, want 3s", timing.PollWait())
 	}
 }
+
+// Hosts that start together list the hosts before all have registered: those without lower
+// names in their lists all read the store.
+func TestOneHostReadsWhileHostsRegister(t *testing.T) {
+	all := hosts(8, "north")
+	order := []int{5, 3, 6, 0, 7, 1, 4, 2}
+	var first []string
+	for i, x := range order {
+		all[x].Listed = uint64(i + 10)
+		var listed []readers.Host // right after its registration
+		for _, y := range order[:i] {
+			listed = append(listed, all[y])
+		}
+		listed = append(listed, readers.Host{Name: "north-000a", Region: "north", Live: true}) // known from a report
+		if readers.AheadAtStart(all[x], listed) == 0 {
+			first = append(first, all[x].Name)
+		}
+		unlisted := all[x]
+		unlisted.Listed = 0
+		if got := readers.AheadAtStart(unlisted, listed); i > 0 && got != i {
+			t.Errorf("before its registration %d hosts are ahead of %s, want %d", got, all[x].Name, i)
+		}
+	}
+	if got := fmt.Sprint(first); got != "[north-005]" {
+		t.Errorf("%s read at the start", got)
+	}
+	if got := readers.AheadAtStart(hosts(3, "north")[2], hosts(2, "north")); got != 2 {
+		t.Errorf("without a list %d hosts are ahead, want the 2 with lower names", got)
+	}
+}
--- a/core/records/hosts.go
+++ b/core/records/hosts.go
@@ -17,6 +17,7 @@
 	Region     string `json:"region"`
 	Address    string `json:"address"` // of the listener for other nodes
 	Leaving    bool   `json:"leaving,omitempty"`
+	Revision   uint64 `json:"-"` // of its row, 0 if it did not come from the store
 }
 
 // HostStore stores the registrations of entry hosts in a table.
@@ -54,6 +55,7 @@
 	for _, r := range rows {
 		var x EntryHost
 		if json.Unmarshal(r.Value, &x) == nil && x.Name == r.Key {
+			x.Revision = r.Revision
 			hosts = append(hosts, x)
 		}
 	}
