entry: nodes that start read the store in turn

What callers saw: after all hosts were killed, refusals for seconds ('no server is available', 'no configuration has been loaded yet').

Cause: nodes waited 100 ms for peers to send the state, then all read both tables themselves. A whole list is seven pages there, about a megabyte, and in the region without the store all of them share the link between the regions. None was complete within 3 s ('store lost' 149 times, 'context deadline exceeded' on a later page), and each began again with the first page. Ruled out: the guess in docs/PLATFORM.md, that the whole list from a peer is a megabyte: it is 188,370 bytes.

Change: a node reads if its turn has come in the order of readers.AheadAtStart: the first at once, the second after 100 ms, further ones 250 ms after each other. Peers that did not answer don't count. What is known is asked for each table, so that the configuration isn't read again. The wait for the list is 2 s at most (was 300 ms; registrations of hundreds of hosts take longer) and ends when peers have sent the state.

TestStartingHostsDoNotReadAtOnce plays the order without a network.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -176,6 +176,8 @@
 		n.listHosts(ctx)
 		n.connectPeers()
 	}
+	// A list without this node says little about who reads: other regions may have been faster.
+	n.hostListTried.Store(true)
 	return registered
 }
 
@@ -183,7 +185,6 @@
 func (n *Node) connectPeers() {
 	n.refreshPeers(time.Now())
 	n.triggerExchange()
-	n.hostListTried.Store(true)
 }
 
 func (n *Node) nextListInterval() time.Duration {
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -94,8 +94,8 @@
 		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
-	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate)
-	n.serverWatcher = n.newWatcher(platform.ServersTable, n.applyServerUpdate)
+	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
+	n.serverWatcher = n.newWatcher(platform.ServersTable, n.applyServerUpdate, n.serversKnown)
 	n.serverWatcher.batchDelay = serverBatchDelay
 	n.peers.init()
 	return n
@@ -104,10 +104,10 @@
 // serverBatchDelay is the batch delay for server changes, as many occur at the same time.
 const serverBatchDelay = 250 * time.Millisecond
 
-func (n *Node) newWatcher(table string, onUpdate func(tableUpdate)) *tableWatcher {
+func (n *Node) newWatcher(table string, onUpdate func(tableUpdate), known func() bool) *tableWatcher {
 	return &tableWatcher{
 		table: table, store: n.store, uptime: uptime, recorder: n.recorder, onUpdate: onUpdate, observe: n.metrics.observe, shouldRead: n.readsStore,
-		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: n.awaitPeerState, knownNodes: n.directory.knownCount,
+		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: func(ctx context.Context) bool { return n.awaitPeerState(ctx, known) }, knownNodes: n.directory.knownCount,
 		clock: &freshness.StoreClock{},
 	}
 }
--- a/cmd/entry/readers.go
+++ b/cmd/entry/readers.go
@@ -13,11 +13,8 @@
 	readTakeoverHold = time.Second
 	// hostListStartupWait is how long after its start a node waits for the host list before
 	// it reads the store.
-	hostListStartupWait = 300 * time.Millisecond
-	// peerStateWait is how long after it has read the host list a starting node waits for
-	// peers to send it the state, before it reads the store itself.
-	peerStateWait     = 100 * time.Millisecond
-	statePollInterval = 5 * time.Millisecond
+	hostListStartupWait = 2 * time.Second
+	statePollInterval   = 5 * time.Millisecond
 )
 
 // readsStore reports whether this node is to read the store. A draining node always does, as
@@ -60,6 +57,9 @@
 	self := n.self()
 	others := make([]readers.Host, 0, len(n.peers.all))
 	for _, p := range n.peers.all {
+		if starting && p.lastErr != nil {
+			continue
+		}
 		others = append(others, readers.Host{
 			Name: p.host.Name, Region: p.host.Region, Listed: n.directory.revision(p.host.Name), Live: p.live(now), Leaving: p.report.Leaving, StoreLost: p.report.StoreLost,
 		})
@@ -102,19 +102,30 @@
 	}
 }
 
-// awaitPeerState waits after the start until the configuration and the servers are known
-// from peers, this node turns out to be the one that reads the store, or peerStateWait has
-// passed. It reports whether they are known.
-func (n *Node) awaitPeerState(ctx context.Context) bool {
-	for !n.hostListTried.Load() && uptime()-n.started < hostListStartupWait && ctx.Err() == nil {
+// awaitPeerState waits after the start until this node knows a table's content from peers,
+// or it is this node's turn to read the store. It reports whether the content is known.
+func (n *Node) awaitPeerState(ctx context.Context, known func() bool) bool {
+	for !n.hostListTried.Load() && uptime()-n.started < hostListStartupWait && ctx.Err() == nil && !known() {
 		sleep(ctx, statePollInterval)
 	}
-	deadline := time.Now().Add(peerStateWait)
-	for time.Now().Before(deadline) && !n.readsStore() && ctx.Err() == nil {
-		if n.tracker.Catalog() != nil && n.serverFreshness.freshness(0).Known {
-			return true
+	began := uptime()
+	for ctx.Err() == nil && !known() {
+		if n.readsStore() || n.readsAtStart(uptime()-began) {
+			return false
 		}
 		sleep(ctx, statePollInterval)
 	}
-	return false
+	return known()
 }
+
+// readsAtStart reports whether this node is to read the store as it has waited long enough
+// for the state from peers.
+func (n *Node) readsAtStart(waited time.Duration) bool {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	return readers.ShouldReadAtStart(n.readersAhead(time.Now(), true), waited)
+}
+
+func (n *Node) configurationKnown() bool { return n.tracker.Catalog() != nil }
+
+func (n *Node) serversKnown() bool { return n.serverFreshness.freshness(0).Known }
--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -33,6 +33,10 @@
 	// stagger is the time by which each further host waits longer before it takes over.
 	// All at once would make thousands of calls during an outage of one minute.
 	stagger = 250 * time.Millisecond
+	// startWait is the time that peers have to send a starting host the state before the
+	// second one in the order of reading reads the store. Further ones follow after stagger
+	// each: whole tables for all at once take seconds on the link between regions.
+	startWait = 100 * time.Millisecond
 	// maxSkipped limits the hosts that are passed over at once because they have lost the
 	// store. If the store is down for all, the others take over one after the other.
 	maxSkipped = 2
@@ -112,3 +116,9 @@
 func (t Timing) ShouldRead(ahead int, age time.Duration) bool {
 	return ahead == 0 || age > t.takeoverAge+time.Duration(ahead-1)*stagger
 }
+
+// ShouldReadAtStart reports whether a starting host with so many ahead of it, which has
+// waited for the state from its peers for some time, reads the store.
+func ShouldReadAtStart(ahead int, waited time.Duration) bool {
+	return ahead == 0 || waited > startWait+time.Duration(ahead-1)*stagger
+}
--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -113,3 +113,21 @@
 		t.Errorf("without a list %d hosts are ahead, want the 2 with lower names", got)
 	}
 }
+
+// Hundreds of hosts that start together all read the whole tables after 100 ms; the link between
+// the regions carried them so slowly that none arrived within its time limit.
+func TestStartingHostsDoNotReadAtOnce(t *testing.T) {
+	all := hosts(150, "north")
+	count := func(waited time.Duration) int {
+		n := 0
+		for _, h := range all {
+			if readers.ShouldReadAtStart(readers.AheadAtStart(h, all), waited) {
+				n++
+			}
+		}
+		return n
+	}
+	if got := []int{count(0), count(200 * time.Millisecond), count(time.Second)}; got[0] != 1 || got[1] != 2 || got[2] < 3 || got[2] > 6 {
+		t.Errorf("%d hosts read at once, after 0.2 and 1 s, want 1, 2 and a few", got)
+	}
+}
