entry: whole lists of servers are packed, and limited in number

What callers would see: where hundreds of hosts start before thousands of servers, all hosts of a data centre ask the first one that has the list. Cause: 3,000 servers take 188,370 bytes (net/rpc's encoding); 50 of them fill a link of 20 Mbit/s for 3.8 s, and all 50 requests time out after 1 s, close their connections and begin again. TestWholeListReachesStartingHostsOverSlowLink failed first (in-process, one link of 20 Mbit/s): 'host-18, after 1.001721496s: ... Servers: no response before the deadline', for all hosts again and again, '50 hosts knew the servers after 10.335292038s' (the test's end). Now 2.4 to 2.6 s, three runs; its first run of the new code failed too, a retry near the end of the second had too little time left: each request has its own time limit now.

Change: whole lists have a call of their own. They are compressed (46,905 bytes), packed once for all who ask within 100 ms, and a host sends 60,000 servers a second, 12,000 at once (four lists of 3,000; 90 of 132). A host that is turned away asks another one that knows the servers 50 to 150 ms later. A node of an older version doesn't know the call; then the new one reads the store in its turn.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -69,6 +69,7 @@
 	serversMu            sync.Mutex                       // held while the known servers are changed
 	serverFreshness      serverFreshness
 	changeLog            changeLog
+	wholeList            wholeList
 	stallDetector        freshness.StallDetector
 	draining             atomic.Bool
 	hostListTried        atomic.Bool   // the host list was read, or reading it failed
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -315,12 +315,12 @@
 }
 
 func (n *Node) fetchServers(p *peer) error {
-	sent := uptime()
-	since := uint64(0)
-	if f := n.serverFreshness.freshness(0); f.Known {
-		since = f.Version
+	f := n.serverFreshness.freshness(0)
+	if !f.Known {
+		return n.fetchWholeServers(p)
 	}
-	x, err := p.client.Servers(since, time.Now().Add(fetchTimeout))
+	sent := uptime()
+	x, err := p.client.Servers(f.Version, time.Now().Add(fetchTimeout))
 	if err != nil || !x.Fact.Known {
 		return err
 	}
--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -131,3 +131,29 @@
 		t.Errorf("%d hosts read at once, after 0.2 and 1 s, want 1, 2 and a few", got)
 	}
 }
+
+// The first host that knows all servers must not send the list to all others at once.
+func TestWholeListsAreLimited(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	sent := func(servers int, over time.Duration) int {
+		var l readers.ListLimit
+		n := 0
+		for at := now; !at.After(now.Add(over)); at = at.Add(10 * time.Millisecond) {
+			for range 50 {
+				if l.Allow(servers, at) {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	if got := sent(3000, 0); got != 4 {
+		t.Errorf("%d lists of 3,000 servers at once, want 4", got)
+	}
+	if got := sent(3000, time.Second); got < 20 || got > 26 {
+		t.Errorf("%d lists of 3,000 servers in a second, want 24", got)
+	}
+	if got := sent(132, 0); got != 50 {
+		t.Errorf("%d of 50 lists of 132 servers at once", got)
+	}
+}
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -89,6 +89,14 @@
 	Changes []ServerChange
 }
 
+// WholeServerList carries all servers that a node knows, compressed by Pack. A node that has
+// just sent too many of them sets Busy instead.
+type WholeServerList struct {
+	Fact   VersionInfo
+	Busy   bool
+	Packed []byte
+}
+
 // HostList carries the entry hosts that are registered in the store.
 type HostList struct {
 	Fact  VersionInfo
@@ -107,6 +115,7 @@
 	Exchange(n NodeReport) NodeReport
 	Configuration() ConfigurationReply
 	Servers(since uint64) ServerList
+	WholeServers() WholeServerList
 	Hosts() HostList
 }
 
@@ -127,6 +136,11 @@
 	return nil
 }
 
+func (m *methods) WholeServers(_ Empty, r *WholeServerList) error {
+	*r = m.handler.WholeServers()
+	return nil
+}
+
 func (m *methods) Hosts(_ Empty, r *HostList) error {
 	*r = m.handler.Hosts()
 	return nil
@@ -188,6 +202,15 @@
 	return *r, nil
 }
 
+// WholeServers returns all servers that the called node knows.
+func (c *Client) WholeServers(deadline time.Time) (WholeServerList, error) {
+	r := new(WholeServerList)
+	if err := c.call("WholeServers", Empty(0), r, deadline); err != nil {
+		return WholeServerList{}, err // net/rpc may still decode a late reply into r
+	}
+	return *r, nil
+}
+
 // Hosts returns the registered entry hosts as the called node last learnt them.
 func (c *Client) Hosts(deadline time.Time) (HostList, error) {
 	r := new(HostList)
