--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -64,6 +64,7 @@
 	serversMu            sync.Mutex                       // held while the known servers are changed
 	serverFreshness      serverFreshness
 	changeLog            changeLog
+	wholeList            wholeList
 	stallDetector        freshness.StallDetector
 	draining             atomic.Bool
 	hostListTried        atomic.Bool // the host list was read, or reading it failed
@@ -95,9 +96,9 @@
 		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
-	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate)
+	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
 	n.configurationWatcher.pollWait = n.configurationPollWait
-	n.serverWatcher = n.newWatcher(platform.ServersTable, n.applyServerUpdate)
+	n.serverWatcher = n.newWatcher(platform.ServersTable, n.applyServerUpdate, n.serversKnown)
 	n.serverWatcher.batchDelay = serverBatchDelay
 	n.peers.init()
 	return n
@@ -106,10 +107,10 @@
 // serverBatchDelay is the batch delay for server changes, as many occur at the same time.
 const serverBatchDelay = 250 * time.Millisecond
 
-func (n *Node) newWatcher(table string, onUpdate func(tableUpdate)) *tableWatcher {
+func (n *Node) newWatcher(table string, onUpdate func(tableUpdate), known func() bool) *tableWatcher {
 	return &tableWatcher{
 		table: table, store: n.store, uptime: uptime, recorder: n.recorder, onUpdate: onUpdate, observe: n.metrics.observe, shouldRead: n.readsStore,
-		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: n.awaitPeerState, knownNodes: n.directory.knownCount,
+		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: func(ctx context.Context) bool { return n.awaitPeerState(ctx, known) }, knownNodes: n.directory.knownCount,
 		eras: n.eras, clock: &freshness.StoreClock{},
 	}
 }
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -319,8 +319,11 @@
 }
 
 func (n *Node) fetchServers(p *peer) error {
+	known, since := n.serverFreshness.at()
+	if !known {
+		return n.fetchWholeServers(p)
+	}
 	sent := uptime()
-	_, since := n.serverFreshness.at()
 	x, err := p.client.Servers(since, time.Now().Add(fetchTimeout))
 	if err != nil || !x.Fact.Known {
 		return err
--- a/cmd/entry/watch_test.go
+++ b/cmd/entry/watch_test.go
@@ -69,7 +69,7 @@
 	defer s.Close()
 	n.store = platform.NewStoreClient(s.URL, "node-1").WithEras(n.eras)
 	var updates []string
-	w := n.newWatcher("servers", nil)
+	w := n.newWatcher("servers", nil, nil)
 	w.awaitPeerState = func(context.Context) bool { return false }
 	w.shouldRead = func() bool { return true }
 	w.pollWait = func() time.Duration { return 0 }
--- a/core/readers/readers.go
+++ b/core/readers/readers.go
@@ -12,7 +12,10 @@
 //	if t.ShouldRead(ahead, age) { ... } // a query may wait t.PollWait()
 package readers
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// pollShare is the part of the shortest bound on the age of the state that a query may
@@ -30,6 +33,10 @@
 	// stagger is the time by which each further host waits longer before it takes over.
 	// All at once would make thousands of calls during an outage of one minute.
 	stagger = 250 * time.Millisecond
+	// startWait is the time that peers have to send a starting host the state before the
+	// second one in the order of reading reads the store. Further ones follow after stagger
+	// each: whole tables for all at once take seconds on the link between regions.
+	startWait = 100 * time.Millisecond
 	// maxSkipped limits the hosts that are passed over at once because they have lost the
 	// store. If the store is down for all, the others take over one after the other.
 	maxSkipped = 2
@@ -39,7 +46,8 @@
 type Host struct {
 	Name      string
 	Region    string
-	Live      bool // in contact recently, or listed a moment ago
+	Listed    uint64 // revision of its row in the store, 0 if unknown
+	Live      bool   // in contact recently, or listed a moment ago
 	Leaving   bool
 	StoreLost bool // its last query to the store failed
 }
@@ -47,9 +55,24 @@
 // Ahead returns the number of hosts that precede self in reading the store: those of its
 // region with lower names that can read it.
 func Ahead(self Host, others []Host) int {
+	return countAhead(self, others, func(h Host) bool { return h.Name < self.Name })
+}
+
+// AheadAtStart returns the number of hosts that precede self while hosts start: those of
+// its region whose rows are older. A host that lists the hosts after its registration finds
+// all older rows, but not all lower names, so that exactly one host finds none ahead of it.
+// A host without a row comes after all that have one.
+func AheadAtStart(self Host, others []Host) int {
+	if self.Listed == 0 && !slices.ContainsFunc(others, func(h Host) bool { return h.Listed != 0 }) {
+		return Ahead(self, others)
+	}
+	return countAhead(self, others, func(h Host) bool { return h.Listed != 0 && (self.Listed == 0 || h.Listed < self.Listed) })
+}
+
+func countAhead(self Host, others []Host, precedes func(h Host) bool) int {
 	ahead, skipped := 0, 0
 	for _, h := range others {
-		if h.Region != self.Region || h.Name >= self.Name || !h.Live || h.Leaving {
+		if h.Region != self.Region || !h.Live || h.Leaving || !precedes(h) {
 			continue
 		}
 		if h.StoreLost && skipped < maxSkipped {
@@ -93,3 +116,9 @@
 func (t Timing) ShouldRead(ahead int, age time.Duration) bool {
 	return ahead == 0 || age > t.takeoverAge+time.Duration(ahead-1)*stagger
 }
+
+// ShouldReadAtStart reports whether a starting host with so many ahead of it, which has
+// waited for the state from its peers for some time, reads the store.
+func ShouldReadAtStart(ahead int, waited time.Duration) bool {
+	return ahead == 0 || waited > startWait+time.Duration(ahead-1)*stagger
+}
--- a/core/readers/readers_test.go
+++ b/core/readers/readers_test.go
@@ -83,3 +83,77 @@
 		t.Errorf("without bounds a query waits %v, want 3s", timing.PollWait())
 	}
 }
+
+// Hosts that start together list the hosts before all have registered: those without lower
+// names in their lists all read the store.
+func TestOneHostReadsWhileHostsRegister(t *testing.T) {
+	all := hosts(8, "north")
+	order := []int{5, 3, 6, 0, 7, 1, 4, 2}
+	var first []string
+	for i, x := range order {
+		all[x].Listed = uint64(i + 10)
+		var listed []readers.Host // right after its registration
+		for _, y := range order[:i] {
+			listed = append(listed, all[y])
+		}
+		listed = append(listed, readers.Host{Name: "north-000a", Region: "north", Live: true}) // known from a report
+		if readers.AheadAtStart(all[x], listed) == 0 {
+			first = append(first, all[x].Name)
+		}
+		unlisted := all[x]
+		unlisted.Listed = 0
+		if got := readers.AheadAtStart(unlisted, listed); i > 0 && got != i {
+			t.Errorf("before its registration %d hosts are ahead of %s, want %d", got, all[x].Name, i)
+		}
+	}
+	if got := fmt.Sprint(first); got != "[north-005]" {
+		t.Errorf("%s read at the start", got)
+	}
+	if got := readers.AheadAtStart(hosts(3, "north")[2], hosts(2, "north")); got != 2 {
+		t.Errorf("without a list %d hosts are ahead, want the 2 with lower names", got)
+	}
+}
+
+// Hundreds of hosts that start together all read the whole tables after 100 ms; the link between
+// the regions carried them so slowly that none arrived within its time limit.
+func TestStartingHostsDoNotReadAtOnce(t *testing.T) {
+	all := hosts(150, "north")
+	count := func(waited time.Duration) int {
+		n := 0
+		for _, h := range all {
+			if readers.ShouldReadAtStart(readers.AheadAtStart(h, all), waited) {
+				n++
+			}
+		}
+		return n
+	}
+	if got := []int{count(0), count(200 * time.Millisecond), count(time.Second)}; got[0] != 1 || got[1] != 2 || got[2] < 3 || got[2] > 6 {
+		t.Errorf("%d hosts read at once, after 0.2 and 1 s, want 1, 2 and a few", got)
+	}
+}
+
+// The first host that knows all servers must not send the list to all others at once.
+func TestWholeListsAreLimited(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	sent := func(servers int, over time.Duration) int {
+		var l readers.ListLimit
+		n := 0
+		for at := now; !at.After(now.Add(over)); at = at.Add(10 * time.Millisecond) {
+			for range 50 {
+				if l.Allow(servers, at) {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	if got := sent(3000, 0); got != 4 {
+		t.Errorf("%d lists of 3,000 servers at once, want 4", got)
+	}
+	if got := sent(3000, time.Second); got < 20 || got > 26 {
+		t.Errorf("%d lists of 3,000 servers in a second, want 24", got)
+	}
+	if got := sent(132, 0); got != 50 {
+		t.Errorf("%d of 50 lists of 132 servers at once", got)
+	}
+}
