relay: nothing new for a server that says that it leaves

A server that leaves says so in all its responses (Server-Leaving: 1), also while the registry still says that it is ready, or while this host can't hear the registry. Nothing read the header: the server got requests until its entry said draining.

Each connection to a server is watched (http1 Conn.Observe), so the head of each response counts before it is judged: of calls, refusals, errors, unsigned ones, interim and skipped ones, queries. core/fleet keeps the statement by the server's ID and start time: it outlives its registry entry by ten minutes, as an entry that expired may come back in an older state, and never holds for a successor at the address or another start under the ID. A 421 speaks for the server that sent it. Idle connections are closed; queries and the probe after a lost connection are not sent; requests that run there end. If no server is left callers get 503 at once, as before. Streams follow.

Failed first (test/relay, on the code before; each case alike): TestServerThatSaysItLeavesGetsNoRequests/response got status 200, body "ok", error <nil>; want status 503, body "" the refusal has no Retry-After header the server got 2 requests, want 1 the server got 3 requests, want 1 the server got 0 requests, want 1 TestSuccessorOfServerThatLeftStartsClean got status 200, body "ok", error <nil>; want status 503, body "" TestMisdirectedResponseSpeaksForItsSender got status 200, body "ok", error <nil>; want status 503, body "" the server got 2 requests, want 1 TestNoProbeOfServerThatSaysItLeaves the server got 3 connections, want those of the 2 requests TestRequestsFinishAtServerThatSaysItLeaves passed before and after.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -69,6 +69,7 @@
 	members  map[string]*Member
 	services map[string][]*Member
 	outages  outages
+	leaving  leavingServers
 
 	peerWorkMu sync.Mutex
 	peerWork   map[string]map[string]Work // last report of each node, by server ID
@@ -93,7 +94,8 @@
 		f.removeFromService(m)
 		m.deregister(distantPast)
 	}
-	m = &Member{server: s}
+	added := &Member{server: s, saidLeaving: f.leaving.contains(s.key())}
+	m = added
 	f.linkSuccessor(m)
 	f.members[s.ID] = m
 	f.services[s.Service] = append(f.services[s.Service], m)
@@ -125,9 +127,7 @@
 // requests from time at onwards, unless the entry reappears. Deregister reports whether
 // the server was known and not yet deregistered.
 func (f *Fleet) Deregister(id string, at time.Time) bool {
-	f.mu.RLock()
-	m := f.members[id]
-	f.mu.RUnlock()
+	m := f.Find(id)
 	return m != nil && m.deregister(at)
 }
 
@@ -176,6 +176,7 @@
 
 // Expire removes deregistered servers that have no requests of this node in flight.
 func (f *Fleet) Expire(now time.Time) {
+	f.leaving.expire(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, m := range f.members {
@@ -284,11 +285,16 @@
 	return all
 }
 
+// Find returns the server with the given ID, or nil if it is unknown.
+func (f *Fleet) Find(id string) *Member {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.members[id]
+}
+
 // FindUsable returns the server with the given ID, or nil if it is unknown or not usable.
 func (f *Fleet) FindUsable(id string, now time.Time) *Member {
-	f.mu.RLock()
-	m := f.members[id]
-	f.mu.RUnlock()
+	m := f.Find(id)
 	if m == nil || !m.usable(now) {
 		return nil
 	}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -62,6 +62,7 @@
 	server         Server
 	deregisteredAt time.Time
 	replaced       bool    // another server has taken over the address
+	saidLeaving    bool    // the server said in a response that it leaves
 	successor      *Member // server at the same address that started later
 
 	running               int // requests of this node in flight
@@ -140,7 +141,7 @@
 }
 
 func (m *Member) usableLocked(now time.Time) bool {
-	return !m.server.Leaving && !m.supersededLocked(now) && !m.deregisteredLocked(now)
+	return !m.server.Leaving && !m.saidLeaving && !m.supersededLocked(now) && !m.deregisteredLocked(now)
 }
 
 func (m *Member) deregisteredLocked(now time.Time) bool {
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -66,6 +66,7 @@
 	reusableUntil time.Time  // end of the period in which it may be reused while idle
 	noReuse       bool       // closed, or to be closed after the response
 	bodyResult    chan error // receives the result of sending a large body; nil if none is pending
+	observe       func(*http.Response)
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
@@ -83,6 +84,10 @@
 	_ = c.net.Close()
 }
 
+// Observe sets a function that is called with the head of each response that is read until
+// the connection is put back, those to other requests and interim ones (1xx) included. It must not read the body.
+func (c *Conn) Observe(f func(*http.Response)) { c.observe = f }
+
 // Interrupt makes pending reads and writes fail.
 func (c *Conn) Interrupt() { _ = c.net.SetDeadline(time.Unix(1, 0)) }
 
@@ -133,6 +138,9 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "read response from %s", c.address)
 		}
+		if c.observe != nil {
+			c.observe(r)
+		}
 		if r.StatusCode >= 100 && r.StatusCode < 200 {
 			continue
 		}
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -46,8 +46,10 @@
 // ResponseMeta is the metadata of a server's response.
 type ResponseMeta struct {
 	Signed      bool
-	NotRun      bool // the server refused the request and did not run it
-	WrongServer bool // the address belongs to another server than the expected one; not run
+	NotRun      bool   // the server refused the request and did not run it
+	WrongServer bool   // the address belongs to another server than the expected one; not run
+	ServerID    string // ID that the server gives itself, "" if it gives none
+	Leaving     bool   // the server leaves and wants no further requests
 	Load        fleet.Load
 	HasLoad     bool
 }
--- /dev/null
+++ b/io/relay/connect.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/fleet"
+	"cicadabeam/io/http1"
+)
+
+// errDeclines is the reason why a probe or a query is not sent.
+var errDeclines = errors.New("the server leaves")
+
+// connect returns a connection to a server. What the server says of itself in any response
+// that is read on it, whatever the response is to, is recorded.
+func (h *Handler) connect(ctx context.Context, m *fleet.Member, r http1.ReusePolicy) (*http1.Conn, error) {
+	c, err := h.Pool.Get(ctx, m.Address(), r)
+	if err != nil {
+		return nil, err
+	}
+	c.Observe(func(r *http.Response) { h.observe(m, r) })
+	return c, nil
+}
+
+// connectForQuery is like connect for requests that are not a caller's. It fails if the
+// server wants none.
+func (h *Handler) connectForQuery(ctx context.Context, m *fleet.Member, r http1.ReusePolicy) (*http1.Conn, error) {
+	if m.Declines() {
+		return nil, errors.Wrapf(errDeclines, "connect to %s", m.ID())
+	}
+	c, err := h.connect(ctx, m, r)
+	if err == nil && m.Declines() {
+		h.Pool.Put(c)
+		return nil, errors.Wrapf(errDeclines, "connect to %s", m.ID())
+	}
+	return c, err
+}
+
+// observe records what the server that sent a response says of itself.
+func (h *Handler) observe(m *fleet.Member, r *http.Response) {
+	meta := h.Codec.DecodeResponse(r)
+	if !meta.Leaving {
+		return
+	}
+	if meta.WrongServer { // the response is that of the server that has the address now
+		m = h.Fleet.Find(meta.ServerID)
+		if m == nil {
+			return
+		}
+	}
+	now := time.Now()
+	request := h.Codec.RequestID(r.Header)
+	if h.Fleet.RecordLeaving(m, now) {
+		h.Recorder.Record("server leaving", Fields{"server": m.ID(), "address": m.Address(), "request": request, "status": r.StatusCode, "from": "response"})
+		h.Pool.CloseIdle(m.Address())
+		h.NotifyPeers()
+	}
+}
+
+// MergeLeaving records which servers said that they leave, as reported by another node.
+func (h *Handler) MergeLeaving(all []fleet.LeavingServer, from string, now time.Time) {
+	for _, x := range h.Fleet.MergeLeaving(all, now) {
+		h.Recorder.Record("server leaving", Fields{"server": x.ID, "age_ms": ms(x.Age), "from": from})
+	}
+}
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -66,11 +66,15 @@
 func (d *crashDetector) evaluate(s quarantine.Suspicion, request string, m *fleet.Member) {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
 	defer cancel()
-	c, err := d.h.Pool.Get(ctx, m.Address(), http1.ForceNew)
+	c, err := d.h.connectForQuery(ctx, m, http1.ForceNew)
 	if err == nil {
 		d.h.Pool.Put(c)
 		return
 	}
+	if errors.Is(err, errDeclines) {
+		d.h.Recorder.Record("loss not evaluated", Fields{"request": request, "server": m.ID(), "error": err.Error()})
+		return
+	}
 	now := time.Now()
 	if !d.h.Fleet.IsIsolatedLoss(m, now) {
 		d.h.Recorder.Record("server lost with others", Fields{"request": request, "server": m.ID(), "fingerprint": s.Fingerprint.String()})
--- a/io/relay/prompts.go
+++ b/io/relay/prompts.go
@@ -46,11 +46,12 @@
 	return nil
 }
 
-// queryServer sends a query to a server and returns the body of the response.
+// queryServer sends a query to a server, unless that wants none, and returns the body of the
+// response.
 func (h *Handler) queryServer(ctx context.Context, m *fleet.Member, q *http1.Request, deadline time.Time) ([]byte, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	c, err := h.Pool.Get(ctx, m.Address(), http1.AllowReuse)
+	c, err := h.connectForQuery(ctx, m, http1.AllowReuse)
 	if err != nil {
 		return nil, err
 	}
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -166,7 +166,7 @@
 }
 
 func (x *exchange) roundTrip(ctx context.Context, a *attempt) {
-	c, err := x.h.Pool.Get(ctx, a.member.Address(), http1.AllowReuse)
+	c, err := x.h.connect(ctx, a.member, http1.AllowReuse)
 	if err != nil {
 		a.err = err
 		a.connectionFailed = true
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -11,6 +11,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -176,6 +177,33 @@
 	}
 }
 
+// WithHeader adds a header field, such as "Server-Leaving: 1", to the response of a step.
+func WithHeader(field string, s Step) Step {
+	return func(c *Conn, r *http.Request, body []byte) bool {
+		return s(&Conn{Conn: &headerConn{Conn: c.Conn, field: field}}, r, body)
+	}
+}
+
+// headerConn inserts a field after the first line that is written.
+type headerConn struct {
+	net.Conn
+	field string
+	done  bool
+}
+
+func (c *headerConn) Write(b []byte) (int, error) {
+	line, rest, found := bytes.Cut(b, []byte("\r\n"))
+	if c.done || !found {
+		return c.Conn.Write(b)
+	}
+	c.done = true
+	_, err := fmt.Fprintf(c.Conn, "%s\r\n%s\r\n%s", line, c.field, rest)
+	return len(b), err
+}
+
+// Leaving makes the response of a step say that the server leaves.
+func Leaving(s Step) Step { return WithHeader("Server-Leaving: 1", s) }
+
 // Misdirected responds with 421, as a server does that has taken over the address of
 // another.
 func Misdirected() Step {
