entry: hosts tell each other which servers leave

A host that hears from a server that it leaves tells the others at once, and for 30 s, with its reports; gateways with their aggregates. The hint names the server's ID and start time and has its age, so that it ends however often it is handed on, and holds for no successor at the address. Otherwise each host would send the server one request more while the registry is behind or out of reach.

--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -197,7 +197,7 @@
 	x := neighbour.NodeReport{
 		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Deaths: n.handler.RecentDeaths(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
-		Lost: n.fleet.RecentLosses(now),
+		Lost: n.fleet.RecentLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now),
 	}
 	return x
 }
@@ -244,6 +244,7 @@
 	}
 	n.handler.MergeDeaths(x.Deaths, now)
 	n.handler.MergeLosses(x.Lost, now)
+	n.handler.MergeLeaving(x.LeavingServers, x.Host.Name, now)
 	for prompt, server := range x.Prompts {
 		n.prompts.RecordFromPeer(prompt, server, now)
 	}
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -55,6 +55,8 @@
 	Deaths        []quarantine.Suspicion       // requests that were running on servers that died recently
 	Lost          map[string]time.Duration     // time since the node lost contact with a server, by server ID
 	Handed        map[string]DataCentreReport  // aggregated reports, by data centre
+	// LeavingServers said recently that they leave, to this node or to one that told it.
+	LeavingServers []fleet.LeavingServer
 }
 
 // DataCentreReport is the aggregated report of a data centre. One of its nodes compiles
@@ -65,6 +67,8 @@
 	Work  map[string]fleet.Work        // by server ID
 	Usage map[string]retrybudget.Usage // by service
 	Lost  map[string]time.Duration     // time from the loss of contact with a server to this report, by server ID
+	// LeavingServers said recently that they leave; the ages are those at this report.
+	LeavingServers []fleet.LeavingServer
 }
 
 // ConfigurationReply carries a configuration in the form in which the operator wrote it.
