core: servers that ask for rest, and placement while they do

A server that turns a request away with 503 may say for how long it wants nothing from this host.

Until the end the server is no candidate for anything, but isn't lost: losses told by peers and KV cache use count it, and Remains says that what it keeps is there.

--- /dev/null
+++ b/core/fleet/deferral_test.go
@@ -0,0 +1,77 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"cicadabeam/core/fleet"
+)
+
+// A server that wants no requests is no candidate for anything, but it stays: what it keeps
+// is not lost.
+func TestServerThatWantsRestIsNoCandidate(t *testing.T) {
+	f := fleet.New(topology)
+	addServers(f, 1, "llm", "a", 12)
+	addServers(f, 1, "llm", "b", 12)
+	primary, m := f.Find("llm-a-0"), f.Find("llm-b-0")
+	f.Defer(m, 2*time.Second, start)
+	now := start.Add(time.Second)
+	if f.SelectBackup(promptQuery(now), primary) != nil {
+		t.Error("the server gets a KV cache backup")
+	}
+	if m.Usable(now) || m.Reserve(promptQuery(now)) || f.FindUsable("llm-b-0", now) != nil || !m.Declines(now) || !m.Remains(now) {
+		t.Error("the server is a candidate, or is taken for lost")
+	}
+	if _, found := f.Relief("llm", now); found {
+		t.Error("callers are told to wait although there is another server")
+	}
+	f.Defer(primary, 5*time.Second, start)
+	if at, found := f.Relief("llm", now); !found || !at.Equal(start.Add(2*time.Second)) {
+		t.Errorf("callers may come back at %v (%v), want %v", at, found, start.Add(2*time.Second))
+	}
+	f.RecordLeaving(m, now)
+	if at, found := f.Relief("llm", now); !found || !at.Equal(start.Add(5*time.Second)) {
+		t.Errorf("callers may come back at %v (%v), want %v", at, found, start.Add(5*time.Second))
+	}
+	if m.Remains(now) || !m.Declines(start.Add(time.Minute)) {
+		t.Error("the server that leaves is used again")
+	}
+}
+
+// A registry entry that disappears, or changes its address, does not end the wish of the
+// server; another start does.
+func TestWishForRestOutlivesRegistryEntry(t *testing.T) {
+	f := fleet.New(topology)
+	f.Upsert(leaver)
+	f.Defer(f.Find("s1"), time.Minute, start)
+	f.Deregister("s1", start)
+	now := start.Add(30 * time.Second)
+	f.Expire(now)
+	f.Upsert(leaver)
+	moved := leaver
+	moved.Address = "10.0.0.2:80"
+	f.Upsert(moved)
+	if f.Reserve(plainQuery(now)) != nil {
+		t.Error("the server gets a request before the time that it asked for")
+	}
+	moved.StartedMS++
+	f.Upsert(moved)
+	if f.Reserve(plainQuery(now)) == nil {
+		t.Error("the server's next start gets no request")
+	}
+}
+
+// Guards against nodes that stop using a service because one of its servers always refuses.
+func TestOneRefusingServerDoesNotLimitOthers(t *testing.T) {
+	f := fleet.New(topology)
+	addServers(f, 3, "orders", "a", 6)
+	for i := range 20 {
+		f.Defer(f.Find("orders-a-0"), 5*time.Second, start.Add(time.Duration(i)*5*time.Second))
+	}
+	now := start.Add(99 * time.Second)
+	for i := range 12 {
+		if m := f.Reserve(plainQuery(now)); m == nil || m.ID() == "orders-a-0" {
+			t.Fatalf("request %d got %v", i, m)
+		}
+	}
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -95,6 +95,9 @@
 		m.deregister(distantPast)
 	}
 	added := &Member{server: s, saidLeaving: f.leaving.contains(s.key())}
+	if m != nil && m.key() == s.key() {
+		added.deferral = m.currentDeferral()
+	}
 	m = added
 	f.linkSuccessor(m)
 	f.members[s.ID] = m
@@ -227,7 +230,7 @@
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
 	for _, c := range f.ranked(q) {
-		if c.member.reserve(q) {
+		if c.member.reserve(q, true) {
 			return c.member
 		}
 	}
--- a/core/fleet/leaving.go
+++ b/core/fleet/leaving.go
@@ -119,11 +119,3 @@
 	defer m.mu.Unlock()
 	m.saidLeaving = true
 }
-
-// Declines reports whether the server itself told this node to send it nothing more. It gets
-// no probe or query either.
-func (m *Member) Declines() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.saidLeaving
-}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"cicadabeam/core/deferral"
 )
 
 const (
@@ -61,8 +63,9 @@
 	mu             sync.Mutex
 	server         Server
 	deregisteredAt time.Time
-	replaced       bool    // another server has taken over the address
-	saidLeaving    bool    // the server said in a response that it leaves
+	replaced       bool // another server has taken over the address
+	saidLeaving    bool // the server said in a response that it leaves
+	deferral       deferral.State
 	successor      *Member // server at the same address that started later
 
 	running               int // requests of this node in flight
@@ -131,7 +134,7 @@
 func (m *Member) expired(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.deregisteredAt.IsZero() && now.Sub(m.deregisteredAt) > deregisteredRetention && m.running == 0
+	return !m.deregisteredAt.IsZero() && now.Sub(m.deregisteredAt) > deregisteredRetention && m.running == 0 && !m.deferral.Active(now)
 }
 
 func (m *Member) usable(now time.Time) bool {
@@ -141,7 +144,7 @@
 }
 
 func (m *Member) usableLocked(now time.Time) bool {
-	return !m.server.Leaving && !m.saidLeaving && !m.supersededLocked(now) && !m.deregisteredLocked(now)
+	return m.remainsLocked(now) && !m.deferral.Active(now)
 }
 
 func (m *Member) deregisteredLocked(now time.Time) bool {
@@ -245,10 +248,10 @@
 	return m.failureShare * math.Exp2(-float64(now.Sub(m.failedAt))/float64(failureHalfLife))
 }
 
-func (m *Member) reserve(q Query) bool {
+func (m *Member) reserve(q Query, limited bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) {
+	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || (limited && m.running >= m.deferral.Limit(q.Now)) {
 		return false
 	}
 	m.running++
@@ -389,10 +392,10 @@
 }
 
 // Reserve reserves this server for a request if it is usable, regardless of
-// MaxConnections, and reports whether it did.
+// MaxConnections and of how much it turned away before, and reports whether it did.
 func (m *Member) Reserve(q Query) bool {
 	q.MaxConnections = 0
-	return m.reserve(q)
+	return m.reserve(q, false)
 }
 
 // ExpectedLatency returns the expected response time, or for engines the expected time
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -147,9 +147,9 @@
 	}
 	var added []*Member
 	for id, age := range losses {
-		m := f.FindUsable(id, now)
+		m := f.Find(id)
 		at := now.Add(-age)
-		if m == nil || m.contactedSince(at) {
+		if m == nil || !m.Remains(now) || m.contactedSince(at) {
 			continue
 		}
 		m.recordPeerLoss(at)
--- a/core/fleet/work.go
+++ b/core/fleet/work.go
@@ -100,11 +100,11 @@
 }
 
 // kvCacheNeed returns the KV cache tokens that the runs of all nodes on the server may need,
-// and whether the server is usable and was not just unreachable.
+// and whether the server stays and was not just unreachable.
 func (m *Member) kvCacheNeed(now time.Time) (int, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.usableLocked(now) || now.Before(m.backoffUntil) || m.lostAt.After(m.lastContact) && now.Sub(m.lostAt) < outageHold {
+	if !m.remainsLocked(now) || now.Before(m.backoffUntil) || m.lostAt.After(m.lastContact) && now.Sub(m.lostAt) < outageHold {
 		return 0, false
 	}
 	return m.reservedKVCacheTokens + m.sumPeerWork(now).Memory, true
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -28,11 +28,11 @@
 // connectForQuery is like connect for requests that are not a caller's. It fails if the
 // server wants none.
 func (h *Handler) connectForQuery(ctx context.Context, m *fleet.Member, r http1.ReusePolicy) (*http1.Conn, error) {
-	if m.Declines() {
+	if m.Declines(time.Now()) {
 		return nil, errors.Wrapf(errDeclines, "connect to %s", m.ID())
 	}
 	c, err := h.connect(ctx, m, r)
-	if err == nil && m.Declines() {
+	if err == nil && m.Declines(time.Now()) {
 		h.Pool.Put(c)
 		return nil, errors.Wrapf(errDeclines, "connect to %s", m.ID())
 	}
