relay: servers that turn requests away get the rest that they ask for

What callers saw: a host sent a server that had answered 503 with Retry-After the next request at once, and where all servers did so told its callers to come back after 0.3 s, all together.

The text is decoded for 503 only, in any response read on the server's connection, and logged with how it was read (`server deferred`). Until the time is over the server gets no attempt, hedge, query or probe. If all servers of the service take nothing, callers get 503, not run, at once, with Retry-After from the earliest time, spread over half as long again. A backup at such a server isn't lost.

--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -50,6 +50,7 @@
 	WrongServer bool   // the address belongs to another server than the expected one; not run
 	ServerID    string // ID that the server gives itself, "" if it gives none
 	Leaving     bool   // the server leaves and wants no further requests
+	Deferral    string // in a refusal, for how long the server wants no requests; see core/deferral
 	Load        fleet.Load
 	HasLoad     bool
 }
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -7,12 +7,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/deferral"
 	"cicadabeam/core/fleet"
 	"cicadabeam/io/http1"
 )
 
 // errDeclines is the reason why a probe or a query is not sent.
-var errDeclines = errors.New("the server leaves")
+var errDeclines = errors.New("the server leaves or wants no requests for a time")
 
 // connect returns a connection to a server. What the server says of itself in any response
 // that is read on it, whatever the response is to, is recorded.
@@ -42,7 +43,7 @@
 // observe records what the server that sent a response says of itself.
 func (h *Handler) observe(m *fleet.Member, r *http.Response) {
 	meta := h.Codec.DecodeResponse(r)
-	if !meta.Leaving {
+	if !meta.Leaving && meta.Deferral == "" {
 		return
 	}
 	if meta.WrongServer { // the response is that of the server that has the address now
@@ -53,11 +54,18 @@
 	}
 	now := time.Now()
 	request := h.Codec.RequestID(r.Header)
-	if h.Fleet.RecordLeaving(m, now) {
+	if meta.Leaving && h.Fleet.RecordLeaving(m, now) {
 		h.Recorder.Record("server leaving", Fields{"server": m.ID(), "address": m.Address(), "request": request, "status": r.StatusCode, "from": "response"})
 		h.Pool.CloseIdle(m.Address())
 		h.NotifyPeers()
 	}
+	if meta.Deferral != "" {
+		w := deferral.ParseWish(meta.Deferral)
+		h.Fleet.Defer(m, w.Wait, now)
+		h.Recorder.Record("server deferred", Fields{
+			"server": m.ID(), "address": m.Address(), "request": request, "text": meta.Deferral, "reading": w.Reading, "wait_ms": ms(w.Wait),
+		})
+	}
 }
 
 // MergeLeaving records which servers said that they leave, as reported by another node.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"time"
 
 	"cicadabeam/core/catalog"
+	"cicadabeam/core/deferral"
 	"cicadabeam/core/dispatch"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
@@ -224,6 +226,18 @@
 	return fault.Newf(code, step, "", "%s", text).WithRetryAt(time.Now().Add(retry))
 }
 
+// refusal is the error for a request that ran on no server. If all servers want no requests
+// for a time, the caller is told to come back after the first of these times.
+func (x *exchange) refusal(code fault.Code, step, text string) *fault.Error {
+	now := time.Now()
+	earliest, found := x.h.Fleet.Relief(x.service.Name, now)
+	if !found {
+		return notRunError(code, step, text, retryAfterNoServer)
+	}
+	err := fault.Newf(fault.ServerBusy, step, "", "all servers of the service turned requests away and take none now")
+	return err.WithRetryAt(deferral.RetryAt(earliest, now, rand.Float64()))
+}
+
 // request builds the request for a server. It returns false if the deadline has
 // passed.
 func (x *exchange) request(m *fleet.Member, f ForwardMeta) (*http1.Request, bool) {
@@ -341,7 +355,7 @@
 		x.h.Recorder.Record("caller left", Fields{"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts})
 		panic(http.ErrAbortHandler)
 	case !x.dispatched.Close():
-		x.respondError(notRunError(fault.NoServer, step, reason, retryAfterNoServer))
+		x.respondError(x.refusal(fault.NoServer, step, reason))
 	case time.Now().After(x.deadline.Add(-time.Millisecond)):
 		x.respondError(fault.Newf(fault.ServerSilent, step, "", "%s", reason).WithRan(fault.RanUnknown).WithStatus(http.StatusGatewayTimeout))
 	default:
--- a/io/relay/kv_copy.go
+++ b/io/relay/kv_copy.go
@@ -53,7 +53,7 @@
 
 // isLost reports whether what a server has kept since a time is lost, or soon will be.
 func isLost(m *fleet.Member, since, now time.Time) bool {
-	return !m.Usable(now) || m.LostSince(since)
+	return !m.Remains(now) || m.LostSince(since)
 }
 
 // copyTarget returns the server for the next copy: that of the last one, if it is still
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -326,7 +326,7 @@
 	case last.outcome == answered:
 		x.writeResponse(last)
 	case last.outcome == refused && !x.dispatched.Close():
-		x.respondError(notRunError(fault.ServerBusy, "send", "the servers refused the request", retryAfterNoServer))
+		x.respondError(x.refusal(fault.ServerBusy, "send", "the servers refused the request"))
 	case last.err != nil:
 		x.failUnanswered("send", last.err.Error())
 	default:
--- a/test/clockstep/clockstep_test.go
+++ b/test/clockstep/clockstep_test.go
@@ -82,3 +82,22 @@
 		}
 	}
 }
+
+// A server's wish for rest, and what it gets afterwards, end by the monotonic clock.
+func TestWishForRestIgnoresTimeOfDay(t *testing.T) {
+	for _, seconds := range []int{-60, 60} {
+		f := fleet.New(fleet.Topology{DataCentre: "a"})
+		f.Upsert(fleet.Server{ID: "s1", Service: "orders", Address: "s1", DataCentre: "a", Slots: 8})
+		now := time.Now()
+		q := fleet.Query{Service: "orders", Now: now}
+		m := f.Reserve(q)
+		f.Defer(m, 5*time.Second, now)
+		m.Release(q, false)
+		for after, want := range map[time.Duration]bool{4900 * time.Millisecond: false, 5100 * time.Millisecond: true} {
+			q.Now = step(now.Add(after), seconds)
+			if got := f.FindUsable("s1", q.Now) != nil; got != want {
+				t.Errorf("step of %d s: %v after a wish of 5 s the server is usable: %v, want %v", seconds, after, got, want)
+			}
+		}
+	}
+}
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -204,6 +204,9 @@
 // Leaving makes the response of a step say that the server leaves.
 func Leaving(s Step) Step { return WithHeader("Server-Leaving: 1", s) }
 
+// Refuse responds as NotExecuted does, and asks for no requests for a number of seconds.
+func Refuse(retryAfter string) Step { return WithHeader("Retry-After: "+retryAfter, NotExecuted()) }
+
 // Misdirected responds with 421, as a server does that has taken over the address of
 // another.
 func Misdirected() Step {
