--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -170,6 +170,7 @@
 	organisation   catalog.Organisation
 	header         http.Header
 	body           []byte
+	bodyRead       bool // nothing more of the request is to be read
 	arrived        time.Time
 	readDelay      time.Duration // time that the request may have waited in the kernel before arrived
 	deadline       time.Time
@@ -231,7 +232,7 @@
 func (x *exchange) refusal(code fault.Code, step, text string) *fault.Error {
 	now := time.Now()
 	earliest, found := x.h.Fleet.Relief(x.service.Name, now)
-	if !found {
+	if !found || code == fault.Draining {
 		return notRunError(code, step, text, retryAfterNoServer)
 	}
 	err := fault.Newf(fault.ServerBusy, step, "", "all servers of the service turned requests away and take none now")
@@ -313,7 +314,7 @@
 	status := err.Status()
 	x.h.Recorder.Record("refused", Fields{
 		"request": x.meta.ID, "route": x.route.Name, "kind": x.route.Kind.String(), "status": status, "code": err.Code(), "step": err.Step(),
-		"peer": err.Peer(), "ran": err.Ran(), "reason": err.Message(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)),
+		"peer": err.Peer(), "ran": err.Ran(), "reason": err.Message(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)), "revision": x.revision(),
 	})
 	header := x.w.Header()
 	if at := err.RetryAt(); !at.IsZero() && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
@@ -322,6 +323,7 @@
 	if x.h.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
+	x.limitUnreadBody()
 	header.Set("Content-Type", "application/json")
 	b, encodeErr := json.Marshal(errorBody{Code: string(err.Code()), Message: err.Message(), Step: err.Step(), Ran: string(err.Ran())})
 	if encodeErr != nil {
@@ -345,17 +347,42 @@
 
 func ms(d time.Duration) int64 { return d.Milliseconds() }
 
+// ErrStopping is the cause with which the context of requests is to be cancelled when the
+// node stops.
+var ErrStopping = errors.New("this entry host is stopping")
+
+// revision returns the revision of the configuration that the request was admitted under, 0
+// if there was none.
+func (x *exchange) revision() uint64 {
+	if x.catalog == nil {
+		return 0
+	}
+	return x.catalog.Revision()
+}
+
+// stopping reports whether the request has ended because the node stops.
+func (x *exchange) stopping() bool { return errors.Is(context.Cause(x.r.Context()), ErrStopping) }
+
 // callerLeft reports whether the caller has closed its connection.
-func (x *exchange) callerLeft() bool { return errors.Is(x.r.Context().Err(), context.Canceled) }
+func (x *exchange) callerLeft() bool {
+	return errors.Is(x.r.Context().Err(), context.Canceled) && !x.stopping()
+}
 
 // failUnanswered ends a request for which no server response is available.
 func (x *exchange) failUnanswered(step, reason string) {
+	code := fault.NoServer
+	if x.stopping() {
+		code, reason = fault.Draining, ErrStopping.Error()
+	}
 	switch {
 	case x.callerLeft():
-		x.h.Recorder.Record("caller left", Fields{"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts})
+		x.h.Recorder.Record("caller left", Fields{
+			"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts, "revision": x.revision(),
+			"left_ms": ms(time.Until(x.deadline)),
+		})
 		panic(http.ErrAbortHandler)
 	case !x.dispatched.Close():
-		x.respondError(x.refusal(fault.NoServer, step, reason))
+		x.respondError(x.refusal(code, step, reason))
 	case time.Now().After(x.deadline.Add(-time.Millisecond)):
 		x.respondError(fault.Newf(fault.ServerSilent, step, "", "%s", reason).WithRan(fault.RanUnknown).WithStatus(http.StatusGatewayTimeout))
 	default:
