relay: streams keep away from servers that leave or ask for rest

The connections of stream attempts are watched as the others are. A server that leaves or asked for rest is neither probed nor queried for a late first event or a stalled stream, and is asked neither for copies of its runs nor to remove one.

TestRequestsFinishAtServerThatSaysItLeaves started its streams too late for what it says (got 503 for the third) and holds the first response back now.

--- a/io/relay/first_event.go
+++ b/io/relay/first_event.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadabeam/core/fleet"
 	"cicadabeam/io/http1"
 )
@@ -114,7 +116,7 @@
 
 // probe tries to connect to a server and reports whether it succeeded. On failure it marks the
 // attempts that are waiting for the server as suspected. On success it queries the server for
-// its runs if a report is due.
+// its runs if a report is due. A server that wants no requests is not probed, and counts as there.
 func (f *firstEventMonitor) probe(m *fleet.Member) bool {
 	f.mu.Lock()
 	alreadyProbing := f.probing[m.ID()]
@@ -124,11 +126,14 @@
 		return true
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
-	c, err := f.h.Pool.Get(ctx, m.Address(), http1.ForceNew)
+	c, err := f.h.connectForQuery(ctx, m, http1.ForceNew)
 	cancel()
 	f.mu.Lock()
 	delete(f.probing, m.ID())
 	f.mu.Unlock()
+	if errors.Is(err, errDeclines) {
+		return true
+	}
 	if err == nil {
 		m.RecordContact(time.Now())
 		if f.reportDue(m, time.Now()) {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -178,7 +178,7 @@
 		s.fail("answer", failureReason(a.err))
 		return false
 	}
-	if a.outcome == refused && !a.fromBackup() || a.outcome == notOffered && s.reservations > len(s.tried) {
+	if a.outcome == refused && !a.fromBackup() && !a.member.Declines(time.Now()) || a.outcome == notOffered && s.reservations > len(s.tried) {
 		if s.sleep(refusedRetryDelay) != nil {
 			s.fail("answer", "no server responded in time")
 			return false
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -87,7 +87,7 @@
 	s.tried[a.member.ID()] = true
 	s.h.PromptIndex.RecordSent(s.meta.PromptHash, a.member.ID(), a.started)
 	s.h.NotifyPeers()
-	c, err := s.h.Pool.Get(s.ctx, a.member.Address(), http1.AllowReuse)
+	c, err := s.h.connect(s.ctx, a.member, http1.AllowReuse)
 	if err != nil {
 		a.err = err
 		s.h.recordLoss(a.member, time.Now())
--- a/test/relay/deferral_test.go
+++ b/test/relay/deferral_test.go
@@ -29,6 +29,7 @@
 			late := "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nRetry-After: 1\r\nX-Request-Id: other\r\nContent-Length: 0\r\n\r\n"
 			return backend.WriteRaw(late, true)(c, r, body) && backend.Respond(200, "ok")(c, r, body)
 		}, 200, false},
+		"stream":  {"report", backend.Refuse("1"), 503, false},
 		"prompts": {"report", backend.Refuse("1"), 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/test/relay/leaving_test.go
+++ b/test/relay/leaving_test.go
@@ -35,6 +35,8 @@
 		"unsigned":           {"buy", "/buy/1", backend.WriteRaw("HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n", true), 502, false},
 		"interim":            {"buy", "/buy/1", precede("HTTP/1.1 102 Processing\r\nServer-Leaving: 1\r\n\r\n", ok), 200, false},
 		"of another request": {"buy", "/buy/1", precede(otherResponse, ok), 200, false},
+		"stream":             {"report", "/report/1", backend.Leaving(backend.Stream(3, 0, 0, nil)), 200, false},
+		"refused stream":     {"report", "/report/1", backend.Leaving(backend.NotExecuted()), 503, false},
 		"prompts":            {"report", "", prompts, 0, true},
 		"failed prompts":     {"report", "", backend.Leaving(backend.Respond(500, "")), 0, true},
 	} {
@@ -74,7 +76,7 @@
 // Requests that run at the server end as they would have.
 func TestRequestsFinishAtServerThatSaysItLeaves(t *testing.T) {
 	h := newHarness(t)
-	s := h.startServer("report", "a", backend.Leaving(backend.Stream(20, 0, 20*time.Millisecond, nil)))
+	s := h.startServer("report", "a", backend.Delay(100*time.Millisecond, backend.Leaving(backend.Stream(20, 0, 20*time.Millisecond, nil))))
 	done := make(chan result, 3)
 	for range 3 {
 		go func() { done <- h.send(http.MethodPost, "/report/1", setTokenUsage) }()
