test/soak: servers that say that they leave, and servers that ask for rest

Checked from what servers saw: no request that a caller sent half a second after a host had passed on that a server leaves reaches it from there, in touch or not; at most two requests reach a server from a host from half a second after its refusal to the end of its rest.

The registry entry of a draining server had another start time than before; it keeps its own now.

--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -39,6 +39,7 @@
 	Status        int // 0 if there was no response
 	HasSignature  bool
 	HasRetryAfter bool   // the response has a Retry-After header
+	ServerLeaving bool   // the response says that the server leaves
 	Body          string // the part that was received
 	Truncated     bool   // the response was truncated
 	LastEventID   int    // for a resumed stream, the Last-Event-Id that the caller sent; 0 otherwise
@@ -132,6 +133,7 @@
 	x.Status = response.StatusCode
 	x.HasSignature = response.Header.Get("X-Server-Signature") != ""
 	x.HasRetryAfter = response.Header.Get("Retry-After") != ""
+	x.ServerLeaving = response.Header.Get("Server-Leaving") == "1"
 	b, err := io.ReadAll(bufio.NewReader(response.Body))
 	x.Body, x.Truncated = string(b), err != nil
 	return x
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -35,6 +35,8 @@
 	for _, x := range results {
 		c.checkResult(x)
 	}
+	c.checkNotices(arrivals)
+	e.logFault("%d paths from a host to a server that it said leaves, %d rests", c.leavingPaths, c.rests)
 	return c.violations
 }
 
@@ -44,6 +46,8 @@
 	results    map[string]Result
 	runs       map[string][]Arrival
 	violations []string
+
+	leavingPaths, rests int // checked by checkNotices
 }
 
 func (c *checker) addViolation(format string, args ...any) {
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -39,6 +39,8 @@
 	*entryhost.Host
 	storeEndpoint *store.Endpoint
 	faultMu       sync.Mutex // held by its current fault
+	disruptionMu  sync.Mutex
+	disruptions   []time.Time // when it was started, suspended or resumed
 }
 
 // serverAddress is an address at which backend servers run, one at a time.
@@ -47,6 +49,9 @@
 	link    *cluster.Link
 	faultMu sync.Mutex // held by its current fault
 	current *incarnation
+
+	disruptionMu sync.Mutex
+	disruptions  []span // of the link or the connections
 }
 
 // span is a period in which a fault was active.
@@ -73,6 +78,7 @@
 	violations   []string
 	faultLog     []string
 	startTime    time.Time
+	addressOf    map[string]*serverAddress // by server ID
 }
 
 func newTestEnv(binary, dir string, seed uint64, hosts int) (*testEnv, error) {
@@ -83,6 +89,7 @@
 	e := &testEnv{
 		dir: dir, random: rand.New(rand.NewPCG(seed, 1)), store: x, arrivals: &arrivalLog{}, results: &resultLog{},
 		revoked: make(map[string]time.Time), draining: make(map[string]time.Time), startTime: time.Now(),
+		addressOf: make(map[string]*serverAddress),
 	}
 	for i := range initialKeys {
 		e.keys = append(e.keys, fmt.Sprint("key-", i))
@@ -110,8 +117,9 @@
 	if err != nil {
 		return err
 	}
-	e.hosts = append(e.hosts, &host{Host: h, storeEndpoint: endpoint})
-	return h.Start()
+	x := &host{Host: h, storeEndpoint: endpoint}
+	e.hosts = append(e.hosts, x)
+	return x.Start()
 }
 
 // addServer starts a server at a new address behind its own link.
@@ -131,9 +139,10 @@
 	e.mu.Lock()
 	e.incarnations++
 	id := fmt.Sprintf("i-%d", e.incarnations)
+	e.addressOf[id] = a
 	e.mu.Unlock()
-	s := &incarnation{id: id, service: service, address: a.link.Address(), arrivals: e.arrivals, random: rand.New(rand.NewPCG(seed, 3))}
-	b, err := backend.Start(a.listen, s.handle)
+	s := &incarnation{id: id, service: service, address: a.link.Address(), born: time.Now(), arrivals: e.arrivals, random: rand.New(rand.NewPCG(seed, 3))}
+	b, err := backend.Start(a.listen, s.handleWithNotices)
 	if err != nil {
 		return err
 	}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -106,6 +106,7 @@
 		}
 		defer a.faultMu.Unlock()
 		e.logFault("  %s at %s", a.current.id, a.current.address)
+		defer a.recordDisruption(time.Now())
 		inject(e, a, r)
 	}
 }
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -34,6 +34,8 @@
 	At           time.Time
 	Executed     bool
 	Remaining    time.Duration // the remaining time that was sent to the server
+	Leaving      bool          // the response says that the server leaves
+	Wish         time.Duration // the rest that the server asked for as it refused the request
 }
 
 // arrivalLog holds all arrivals.
@@ -60,11 +62,13 @@
 	service   string
 	backend   *backend.Server
 	address   string // registered address, that of the link
+	born      time.Time
 	arrivals  *arrivalLog
 	mu        sync.Mutex
 	random    *rand.Rand
 	faultRate float64        // the fraction of responses that are faulty
 	runs      map[string]int // events produced, by request ID
+	notices   notices
 }
 
 func (s *incarnation) randomFloat() float64 {
@@ -148,8 +152,10 @@
 	if err != nil {
 		ms = 0
 	}
+	leaving, _ := s.notices.current()
 	return Arrival{
-		ID: r.Header.Get("X-Request-Id"), Path: r.URL.Path, Key: r.Header.Get("Authorization"), Organisation: r.Header.Get("X-Tenant"),
+		Leaving: leaving,
+		ID:      r.Header.Get("X-Request-Id"), Path: r.URL.Path, Key: r.Header.Get("Authorization"), Organisation: r.Header.Get("X-Tenant"),
 		Forged:  r.Header.Get("X-Hold") != "" || r.Header.Get("X-Tenant") == forged || r.Header.Get("Kv-From") == forged,
 		Service: s.service, Server: s.id, At: time.Now(), Remaining: time.Duration(ms) * time.Millisecond,
 	}
@@ -216,7 +222,7 @@
 // registryEntry returns the registry entry of the server.
 func (s *incarnation) registryEntry(state string) []byte {
 	b, _ := json.Marshal(map[string]any{
-		"Service": s.service, "Address": s.address, "Zone": "a", "Slots": 12, "State": state, "born": time.Now().UnixMilli(), "Seq": 1,
+		"Service": s.service, "Address": s.address, "Zone": "a", "Slots": 12, "State": state, "born": s.born.UnixMilli(), "Seq": 1,
 	})
 	return b
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -107,7 +107,11 @@
 		c := newCaller(fmt.Sprintf("c%d", i), seed*1000+uint64(i), e.pickHost, func() string { return e.pickKey(keys) }, e.results)
 		g.Go(func() { c.run(stop) })
 	}
-	e.injectFaults(time.Now().Add(d))
+	until := time.Now().Add(d)
+	var notices sync.WaitGroup
+	notices.Go(func() { e.injectNotices(seed, until) })
+	e.injectFaults(until)
+	notices.Wait()
 	e.checkRecovery()
 	close(stop)
 	g.Wait()
@@ -123,6 +127,7 @@
 		counts[x.Status]++
 	}
 	t.Logf("seed %d: %d faults, responses by status %v", seed, len(e.faultSpans), counts)
+	t.Logf("seed %d: %s", seed, e.faultLog[len(e.faultLog)-1])
 	if len(violations) == 0 {
 		return
 	}
