relay: a rest of a server neither breaks off streams that have begun nor rules out copies

What a server gets at a time after a refusal is this host's own limit; it applied to streams that have begun as well, which would be broken off for it. And a copy that wasn't asked for, as the run's server wanted no requests, marked its target as unable to hold one for the rest of the run.

Failed first: TestBegunStreamIsNotLimitedAfterRest: a stream that has begun can't go on TestCopyIsMadeAfterRestOfTheRunsServer: 0 copies were requested, want 1

--- a/core/fleet/deferral_test.go
+++ b/core/fleet/deferral_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// Guards against streams that break off because of what servers refused before.
+func TestBegunStreamIsNotLimitedAfterRest(t *testing.T) {
+	f := fleet.New(topology)
+	addServers(f, 1, "llm", "a", 12)
+	q := promptQuery(start)
+	f.Defer(f.Reserve(q), time.Second, start) // the first request, which keeps running
+	q.Now = start.Add(2 * time.Second)
+	if f.Reserve(q) != nil {
+		t.Error("the server gets a second request at a time after it refused one of one")
+	}
+	q.Begun = true
+	if f.Reserve(q) == nil {
+		t.Error("a stream that has begun can't go on")
+	}
+}
+
 // Guards against nodes that stop using a service because one of its servers always refuses.
 func TestOneRefusingServerDoesNotLimitOthers(t *testing.T) {
 	f := fleet.New(topology)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -215,6 +215,9 @@
 	Prompt          string
 	CachedOn        string
 	ReturningCaller bool
+	// Begun is set if the caller has received a part of the answer in this request. What the
+	// server gets at a time after it refused requests is not limited then.
+	Begun bool
 	// MaxConnections limits the connections from this node to one server.
 	MaxConnections int
 	// Exclude lists servers on which the request has already failed.
@@ -230,7 +233,7 @@
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
 	for _, c := range f.ranked(q) {
-		if c.member.reserve(q, true) {
+		if c.member.reserve(q) {
 			return c.member
 		}
 	}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -263,10 +263,10 @@
 	return m.failureShare * math.Exp2(-float64(now.Sub(m.failedAt))/float64(failureHalfLife))
 }
 
-func (m *Member) reserve(q Query, limited bool) bool {
+func (m *Member) reserve(q Query) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || (limited && m.running >= m.deferral.Limit(q.Now)) {
+	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || (!q.Begun && m.running >= m.deferral.Limit(q.Now)) {
 		return false
 	}
 	m.running++
@@ -409,8 +409,8 @@
 // Reserve reserves this server for a request if it is usable, regardless of
 // MaxConnections and of how much it turned away before, and reports whether it did.
 func (m *Member) Reserve(q Query) bool {
-	q.MaxConnections = 0
-	return m.reserve(q, false)
+	q.MaxConnections, q.Begun = 0, true
+	return m.reserve(q)
 }
 
 // ExpectedLatency returns the expected response time, or for engines the expected time
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -86,7 +86,8 @@
 }
 
 // Observe sets a function that is called with the head of each response that is read until
-// the connection is put back, those to other requests and interim ones (1xx) included. It must not read the body.
+// the connection is put back, those to other requests and interim ones (1xx) included. It
+// must not read the body.
 func (c *Conn) Observe(f func(*http.Response)) { c.observe = f }
 
 // Interrupt makes pending reads and writes fail.
--- a/io/relay/kv_copy.go
+++ b/io/relay/kv_copy.go
@@ -48,7 +48,7 @@
 // server if the server with the backup was lost and no recent copy exists.
 func (s *stream) maintainCopy(a *streamAttempt) {
 	now := time.Now()
-	if a.copies == nil || !a.copies.Begin(now, isLost(a.backup, a.started, now)) {
+	if a.copies == nil || a.member.Declines(now) || !a.copies.Begin(now, isLost(a.backup, a.started, now)) {
 		return
 	}
 	target := s.copyTarget(a, now)
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -66,6 +66,7 @@
 // cache backup.
 func (s *stream) nextAttempt() *streamAttempt {
 	q := s.query()
+	q.Begun = s.responseStarted
 	if a := s.reserveSource(q, s.resumeFrom); a != nil {
 		return a
 	}
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -62,6 +62,7 @@
 		return nil, "attempts"
 	}
 	q := s.query()
+	q.Begun = s.responseStarted
 	if a.responseStarted {
 		b = s.reserveSource(q, s.sourceAfter(a))
 	}
--- a/test/relay/leaving_stream_test.go
+++ b/test/relay/leaving_stream_test.go
@@ -100,3 +100,16 @@
 	r.third = h.startServer("report", "b", backend.Stream(streamEvents, 0, 0, nil))
 	return r
 }
+
+// Guards against targets that count as unable to hold a copy because the run's server wanted
+// no requests.
+func TestCopyIsMadeAfterRestOfTheRunsServer(t *testing.T) {
+	h := newHarness(t)
+	r := h.startCopyableRun(t)
+	h.fleet.Defer(h.fleet.Find(r.first.Address()), 200*time.Millisecond, time.Now())
+	h.loseServer(r.backup)
+	time.Sleep(150 * time.Millisecond)
+	h.checkCopies(r.first, 0)
+	h.checkResponse(<-r.done, 200, eventText(1, streamEvents))
+	h.checkCopies(r.first, 1)
+}
