--- a/test/relay/leaving_stream_test.go
+++ b/test/relay/leaving_stream_test.go
@@ -113,3 +113,32 @@
 	h.checkResponse(<-r.done, 200, eventText(1, streamEvents))
 	h.checkCopies(r.first, 1)
 }
+
+// A slow read is not sent to the server as well, and a broken stream is resumed elsewhere,
+// though its backup is at the server.
+func TestNoHedgeOrResumeAtServerThatSaysItLeaves(t *testing.T) {
+	h := newHarness(t)
+	leaving := h.startServer("read", "a", backend.Leaving(backend.Respond(200, "ok")))
+	h.checkResponse(h.send(http.MethodGet, "/read/1", nil), 200, "ok")
+	slow := h.startServer("read", "b", backend.Delay(400*time.Millisecond, backend.Respond(200, "ok")))
+	h.checkResponse(h.send(http.MethodGet, "/read/2", nil), 200, "ok")
+	h.checkRequestCount(leaving, 1)
+	h.checkRequestCount(slow, 1)
+
+	first := h.startServer("report", "a", backend.Stream(20, 8, 20*time.Millisecond, backend.CloseConnection()))
+	backup := h.startServer("report", "b", backend.Stream(20, 0, 0, nil))
+	done := make(chan result, 1)
+	go func() { done <- h.send(http.MethodPost, "/report/1", setTokenUsage) }()
+	if !cluster.Await(time.Second, func() bool { return len(first.Requests()) == 1 }) {
+		t.Fatal("the first server got no request")
+	}
+	h.sayLeaving(backup)
+	third := h.startServer("report", "b", backend.Stream(20, 0, 0, nil))
+	h.checkResponse(<-done, 200, eventText(1, 20))
+	h.checkRequestCount(backup, 0)
+	for _, r := range third.Requests() {
+		if r.Header.Get("Kv-From") != "" {
+			t.Error("the stream was resumed from the backup on the server that leaves")
+		}
+	}
+}
