--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -44,7 +44,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.reusableUntil) && c.isIdle() {
+		if time.Now().Before(c.reusableUntil) && !c.interrupted.Load() && c.isIdle() {
 			c.reused = true
 			return c, nil
 		}
@@ -79,7 +79,7 @@
 	if c.reusableUntil.IsZero() {
 		c.reusableUntil = time.Now().Add(defaultIdleTimeout) // no request has been sent on it yet
 	}
-	if c.noReuse.Load() || !c.bodySent() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
+	if c.noReuse.Load() || c.interrupted.Load() || !c.bodySent() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
 		c.Close()
 		return
 	}
--- a/io/sse/events.go
+++ b/io/sse/events.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventSize limits one event, in bytes.
+// maxEventSize limits one event, in bytes, together with those before it that don't proceed.
 const maxEventSize = 1 << 20
 
 // initialBufferSize is the first capacity of the buffer, in bytes. Before each read at
@@ -27,6 +27,9 @@
 type Event struct {
 	Bytes []byte // valid until the next call of Next
 	ID    int64  // -1 without a numeric ID
+	// Proceeds is set if the ID is greater than those before or, without an ID, if the event
+	// has data. Others carry nothing for the caller, such as comments.
+	Proceeds bool
 }
 
 // Reader reads events from a stream.
@@ -34,12 +37,14 @@
 	source io.Reader
 	buffer []byte
 	start  int
+	newest int64 // greatest ID so far
+	idle   int   // size of the events since the last one that proceeds
 	err    error
 }
 
 // NewReader returns a reader of the events in r.
 func NewReader(r io.Reader) *Reader {
-	return &Reader{source: r, buffer: make([]byte, 0, initialBufferSize)}
+	return &Reader{source: r, buffer: make([]byte, 0, initialBufferSize), newest: -1}
 }
 
 // Next returns the next complete event. At the end of the source it returns io.EOF, or
@@ -47,18 +52,33 @@
 func (r *Reader) Next() (Event, error) {
 	for {
 		if e, found := r.nextBuffered(); found {
-			return e, nil
+			return e, r.checkProgress(e)
 		}
 		if r.err != nil {
 			return Event{}, r.endError()
 		}
-		if len(r.buffer)-r.start > maxEventSize {
-			return Event{}, errors.Newf("event is larger than %d bytes", maxEventSize)
+		if r.idle+len(r.buffer)-r.start > maxEventSize {
+			return Event{}, errTooLarge
 		}
 		r.fill()
 	}
 }
 
+var errTooLarge = errors.Newf("no event that proceeds in %d bytes", maxEventSize)
+
+// checkProgress returns an error if too much has been read since the last event that
+// proceeds.
+func (r *Reader) checkProgress(e Event) error {
+	r.idle += len(e.Bytes)
+	if r.idle > maxEventSize {
+		return errTooLarge
+	}
+	if e.Proceeds {
+		r.idle = 0
+	}
+	return nil
+}
+
 // HasBufferedEvent reports whether Next can return an event without reading from the
 // source.
 func (r *Reader) HasBufferedEvent() bool { return eventLength(r.buffer[r.start:]) > 0 }
@@ -99,7 +119,10 @@
 		return Event{}, false
 	}
 	r.start += n
-	return Event{Bytes: unread[:n], ID: eventID(unread[:n])}, true
+	e := Event{Bytes: unread[:n], ID: eventID(unread[:n])}
+	e.Proceeds = e.ID > r.newest || e.ID < 0 && hasData(e.Bytes)
+	r.newest = max(r.newest, e.ID)
+	return e, true
 }
 
 // eventLength returns the length of the first event, 0 if it is not complete.
@@ -115,6 +138,16 @@
 	}
 }
 
+// hasData reports whether an event has a data field.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":")); string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the first numeric value of the event's id fields, -1 if there is none.
 func eventID(event []byte) int64 {
 	for line := range bytes.Lines(event) {
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cicadabeam/test/standin/backend"
@@ -58,17 +59,23 @@
 
 // incarnation is one run of a backend server.
 type incarnation struct {
-	id        string
-	service   string
-	backend   *backend.Server
-	address   string // registered address, that of the link
-	born      time.Time
-	arrivals  *arrivalLog
-	mu        sync.Mutex
-	random    *rand.Rand
-	faultRate float64        // the fraction of responses that are faulty
-	runs      map[string]int // events produced, by request ID
-	notices   notices
+	id       string
+	service  string
+	backend  *backend.Server
+	address  string // registered address, that of the link
+	born     time.Time
+	arrivals *arrivalLog
+	// addViolation records a violation that the server has seen.
+	addViolation func(format string, args ...any)
+
+	endlessResponses atomic.Int64 // those that are being sent
+	mu               sync.Mutex
+	random           *rand.Rand
+	faultRate        float64        // the fraction of responses that are faulty
+	silent           time.Time      // until when it sends nothing
+	endless          float64        // the fraction of responses without end
+	runs             map[string]int // events produced, by request ID
+	notices          notices
 }
 
 func (s *incarnation) randomFloat() float64 {
@@ -83,6 +90,34 @@
 	s.faultRate = x
 }
 
+func (s *incarnation) setEndlessRate(x float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endless = x
+}
+
+func (s *incarnation) isEndless() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < s.endless
+}
+
+// silence makes the server send nothing until a time. Its connections stay open, it accepts
+// new ones, and it goes on where it was.
+func (s *incarnation) silence(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = until
+}
+
+// awaitSpeech returns when the server is not silent.
+func (s *incarnation) awaitSpeech() {
+	s.mu.Lock()
+	until := s.silent
+	s.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 func (s *incarnation) faulty() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,6 +133,9 @@
 // handle responds to a request as a backend server of the platform does. It reports
 // whether the connection stays open.
 func (s *incarnation) handle(c *backend.Conn, r *http.Request, body []byte) bool {
+	if r.URL.Path == "/v1/kv-list" || r.URL.Path == "/v1/report" {
+		s.awaitSpeech()
+	}
 	if r.URL.Path == "/v1/kv-list" {
 		return backend.WithCachedPrompts(nil, nil)(c, r, body)
 	}
@@ -107,10 +145,12 @@
 	a := s.newArrival(r)
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		s.arrivals.add(a)
+		s.awaitSpeech()
 		return backend.Misdirected()(c, r, body)
 	}
 	if s.faulty() && s.randomFloat() < 0.3 {
 		s.arrivals.add(a)
+		s.awaitSpeech()
 		return backend.NotExecuted()(c, r, body)
 	}
 	a.Executed = true
@@ -165,7 +205,11 @@
 // reports whether the connection stays open.
 func (s *incarnation) call(c *backend.Conn, r *http.Request, body []byte) bool {
 	time.Sleep(time.Duration(s.randomFloat() * float64(maxCallTime)))
+	s.awaitSpeech()
 	answer := ResponseBody(r.Header.Get("X-Request-Id"))
+	if s.isEndless() {
+		return s.sendEndless(endlessResponse(int(s.randomFloat()*endlessVariants), answer), c, r)
+	}
 	if !s.faulty() {
 		return backend.Respond(http.StatusOK, answer)(c, r, body)
 	}
@@ -202,9 +246,18 @@
 	if s.faulty() {
 		breakAt = first + 1 + int(s.randomFloat()*10)
 	}
+	s.awaitSpeech()
+	endlessAt := streamLength + 1
+	if s.isEndless() {
+		endlessAt = first + int(s.randomFloat()*10)
+	}
+	if endlessAt == first {
+		return s.sendEndless(endlessResponse(int(s.randomFloat()*(endlessVariants-1)), ""), c, r)
+	}
 	_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\nX-Request-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 	for i := first + 1; err == nil && i <= streamLength; i++ {
 		time.Sleep(streamInterval)
+		s.awaitSpeech()
 		s.setProgress(id, i)
 		e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, EventData(r.URL.Path, i))
 		if i == breakAt { // truncate within the event
@@ -212,6 +265,9 @@
 			return false
 		}
 		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+		if err == nil && i == endlessAt {
+			return s.sendEndless(endlessEvents(int(s.randomFloat()*endlessEventVariants), e), c, r)
+		}
 	}
 	if err == nil {
 		_, err = io.WriteString(c, "0\r\n\r\n")
