--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -70,6 +70,7 @@
 	addresses map[string][]*Member // those of members, by address
 	services  map[string][]*Member
 	outages   outages
+	leaving   leavingServers
 
 	peerWorkMu sync.Mutex
 	peerWork   map[string]map[string]Work // last report of each node, by server ID
@@ -90,7 +91,10 @@
 	if m != nil && m.identity() == (identity{s.Service, s.Address, s.StartedMS}) {
 		return m.update(s)
 	}
-	added := &Member{server: s}
+	added := &Member{server: s, saidLeaving: f.leaving.contains(s.key())}
+	if m != nil && m.key() == s.key() {
+		added.deferral = m.currentDeferral()
+	}
 	f.linkSuccessor(added)
 	if m != nil {
 		f.unlist(m)
@@ -127,9 +131,7 @@
 // requests from time at onwards, unless the entry reappears. Deregister reports whether
 // the server was known and not yet deregistered.
 func (f *Fleet) Deregister(id string, at time.Time) bool {
-	f.mu.RLock()
-	m := f.members[id]
-	f.mu.RUnlock()
+	m := f.Find(id)
 	return m != nil && m.deregister(at)
 }
 
@@ -185,6 +187,7 @@
 
 // Expire removes deregistered servers that have no requests of this node in flight.
 func (f *Fleet) Expire(now time.Time) {
+	f.leaving.expire(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, m := range f.members {
@@ -229,6 +232,9 @@
 	Prompt          string
 	CachedOn        string
 	ReturningCaller bool
+	// Begun is set if the caller has received a part of the answer in this request. What the
+	// server gets at a time after it refused requests is not limited then.
+	Begun bool
 	// MaxConnections limits the connections from this node to one server.
 	MaxConnections int
 	// Exclude lists servers on which the request has already failed.
@@ -302,11 +308,16 @@
 	return all
 }
 
+// Find returns the server with the given ID, or nil if it is unknown.
+func (f *Fleet) Find(id string) *Member {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.members[id]
+}
+
 // FindUsable returns the server with the given ID, or nil if it is unknown or not usable.
 func (f *Fleet) FindUsable(id string, now time.Time) *Member {
-	f.mu.RLock()
-	m := f.members[id]
-	f.mu.RUnlock()
+	m := f.Find(id)
 	if m == nil || !m.usable(now) {
 		return nil
 	}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"cicadabeam/core/deferral"
 )
 
 const (
@@ -64,7 +66,9 @@
 	leftBefore     bool      // it was leaving before the registry came back from an older copy
 	heldUntil      time.Time // see HoldDeparted
 	replaced       bool      // another server has taken over the address
-	successor      *Member   // server at the same address that started later
+	saidLeaving    bool      // the server said in a response that it leaves
+	deferral       deferral.State
+	successor      *Member // server at the same address that started later
 
 	running               int // requests of this node in flight
 	pendingPromptTokens   int // prompt tokens of this node's requests that are not processed yet
@@ -133,7 +137,7 @@
 func (m *Member) expired(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.deregisteredAt.IsZero() && now.Sub(m.deregisteredAt) > deregisteredRetention && m.running == 0
+	return !m.deregisteredAt.IsZero() && now.Sub(m.deregisteredAt) > deregisteredRetention && m.running == 0 && !m.deferral.Active(now)
 }
 
 func (m *Member) usable(now time.Time) bool {
@@ -143,7 +147,7 @@
 }
 
 func (m *Member) usableLocked(now time.Time) bool {
-	return !m.server.Leaving && !now.Before(m.heldUntil) && !m.supersededLocked(now) && !m.deregisteredLocked(now)
+	return m.remainsLocked(now) && !m.deferral.Active(now)
 }
 
 func (m *Member) deregisteredLocked(now time.Time) bool {
@@ -265,7 +269,7 @@
 func (m *Member) reserve(q Query) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) {
+	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || (!q.Begun && m.running >= m.deferral.Limit(q.Now)) {
 		return false
 	}
 	m.running++
@@ -406,9 +410,9 @@
 }
 
 // Reserve reserves this server for a request if it is usable, regardless of
-// MaxConnections, and reports whether it did.
+// MaxConnections and of how much it turned away before, and reports whether it did.
 func (m *Member) Reserve(q Query) bool {
-	q.MaxConnections = 0
+	q.MaxConnections, q.Begun = 0, true
 	return m.reserve(q)
 }
 
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -70,6 +70,7 @@
 	noReuse       atomic.Bool // closed, or to be closed after the response
 	interrupted   atomic.Bool
 	bodyResult    chan error // receives the result of sending a large body; nil if none is pending
+	observe       func(*http.Response)
 }
 
 func dial(ctx context.Context, address string) (*Conn, error) {
@@ -88,6 +89,11 @@
 	_ = c.net.Close()
 }
 
+// Observe sets a function that is called with the head of each response that is read until
+// the connection is put back, those to other requests and interim ones (1xx) included. It
+// must not read the body.
+func (c *Conn) Observe(f func(*http.Response)) { c.observe = f }
+
 // Interrupt makes pending and later reads and writes fail.
 func (c *Conn) Interrupt() {
 	c.interrupted.Store(true)
@@ -145,6 +151,9 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "read response from %s", c.address)
 		}
+		if c.observe != nil {
+			c.observe(r)
+		}
 		if r.StatusCode >= 100 && r.StatusCode < 200 {
 			continue
 		}
--- a/io/relay/kv_copy.go
+++ b/io/relay/kv_copy.go
@@ -48,7 +48,7 @@
 // server if the server with the backup was lost and no recent copy exists.
 func (s *stream) maintainCopy(a *streamAttempt) {
 	now := time.Now()
-	if a.copies == nil || !a.copies.Begin(now, isLost(a.backup, a.started, now)) {
+	if a.copies == nil || a.member.Declines(now) || !a.copies.Begin(now, isLost(a.backup, a.started, now)) {
 		return
 	}
 	target := s.copyTarget(a, now)
@@ -61,7 +61,7 @@
 
 // isLost reports whether what a server has kept since a time is lost, or soon will be.
 func isLost(m *fleet.Member, since, now time.Time) bool {
-	return !m.Usable(now) || m.LostSince(since)
+	return !m.Remains(now) || m.LostSince(since)
 }
 
 // copyTarget returns the server for the next copy: that of the last one, if it is still
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -66,6 +66,7 @@
 // cache backup.
 func (s *stream) nextAttempt() *streamAttempt {
 	q := s.query()
+	q.Begun = s.responseStarted
 	if a := s.reserveSource(q, s.resumeFrom); a != nil {
 		return a
 	}
@@ -178,7 +179,7 @@
 		s.fail("answer", failureReason(a.err))
 		return false
 	}
-	if a.outcome == refused && !a.fromBackup() || a.outcome == notOffered && s.reservations > len(s.tried) {
+	if a.outcome == refused && !a.fromBackup() && !a.member.Declines(time.Now()) || a.outcome == notOffered && s.reservations > len(s.tried) {
 		if s.sleep(refusedRetryDelay) != nil {
 			s.fail("answer", "no server responded in time")
 			return false
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -76,6 +76,7 @@
 		return nil, "attempts"
 	}
 	q := s.query()
+	q.Begun = s.responseStarted
 	if a.responseStarted {
 		b = s.reserveSource(q, s.sourceAfter(a))
 	}
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -174,7 +174,7 @@
 }
 
 func (x *exchange) roundTrip(ctx context.Context, a *attempt) {
-	c, err := x.h.Pool.Get(ctx, a.member.Address(), http1.AllowReuse)
+	c, err := x.h.connect(ctx, a.member, http1.AllowReuse)
 	if err != nil {
 		a.err = err
 		a.connectionFailed = true
@@ -350,7 +350,7 @@
 	case last.outcome == answered:
 		x.writeResponse(last)
 	case last.outcome == refused && !x.dispatched.Close():
-		x.respondError(notRunError(fault.ServerBusy, "send", "the servers refused the request", retryAfterNoServer))
+		x.respondError(x.refusal(fault.ServerBusy, "send", "the servers refused the request"))
 	case last.err != nil:
 		x.failUnanswered("send", last.err.Error())
 	default:
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -41,11 +41,14 @@
 	*entryhost.Host
 	storeEndpoint *store.Endpoint
 	faultMu       sync.Mutex // held by its current fault
-	outputSize    int64      // size of its output when it was started last
+	disruptionMu  sync.Mutex
+	disruptions   []time.Time // when it was started, suspended or resumed
+	outputSize    int64       // size of its output when it was started last
 }
 
-// Start starts the process.
+// Start starts the process and records it.
 func (h *host) Start() error {
+	h.recordDisruption()
 	h.outputSize = 0
 	if f, err := os.Stat(h.OutputPath()); err == nil {
 		h.outputSize = f.Size()
@@ -66,6 +69,9 @@
 	link    *cluster.Link
 	faultMu sync.Mutex // held by its current fault
 	current *incarnation
+
+	disruptionMu sync.Mutex
+	disruptions  []span // of the link or the connections
 }
 
 // span is a period in which a fault was active.
@@ -97,6 +103,7 @@
 	violations   []string
 	faultLog     []string
 	startTime    time.Time
+	addressOf    map[string]*serverAddress // by server ID
 }
 
 func newTestEnv(binary, dir string, seed uint64, hosts int) (*testEnv, error) {
@@ -107,6 +114,7 @@
 	e := &testEnv{
 		dir: dir, random: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 9)), store: x, arrivals: &arrivalLog{}, results: &resultLog{},
 		revoked: make(map[string]time.Time), draining: make(map[string]time.Time), startTime: time.Now(),
+		addressOf: make(map[string]*serverAddress),
 	}
 	for i := range initialKeys {
 		e.keys = append(e.keys, fmt.Sprint("key-", i))
@@ -156,9 +164,10 @@
 	e.mu.Lock()
 	e.incarnations++
 	id := fmt.Sprintf("i-%d", e.incarnations)
+	e.addressOf[id] = a
 	e.mu.Unlock()
-	s := &incarnation{id: id, service: service, address: a.link.Address(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
-	b, err := backend.Start(a.listen, s.handle)
+	s := &incarnation{id: id, service: service, address: a.link.Address(), born: time.Now(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
+	b, err := backend.Start(a.listen, s.handleWithNotices)
 	if err != nil {
 		return err
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -111,6 +111,7 @@
 	until := time.Now().Add(d)
 	var beside sync.WaitGroup
 	beside.Go(func() { e.injectRestores(until) })
+	beside.Go(func() { e.injectNotices(seed, until) })
 	e.injectFaults(faults, until)
 	beside.Wait()
 	e.checkRecovery()
@@ -130,6 +131,7 @@
 		counts[x.Status]++
 	}
 	t.Logf("seed %d: %d faults, responses by status %v", seed, len(e.faultSpans), counts)
+	t.Logf("seed %d: %s", seed, e.faultLog[len(e.faultLog)-1])
 	if len(violations) == 0 {
 		return
 	}
