freshness: a reading of the store's clock that was rounded is no jump of the clock

Hosts read the store for a second although another one did, and keys were accepted a second less long in an outage: a confirmation looked up to a whole query older than it was. The store tells its clock in milliseconds, rounded down. A quick response made the offset between the clocks up to a millisecond too large, and the next response of a long query, if it arrived within that time, looked like a jump of the store's clock, upon which its age counts from the sending of the query.

Seen as a state of 2,202 to 2,217 ms where 2,200 count as out of date, in traces of the store's calls.

--- a/core/freshness/freshness_test.go
+++ b/core/freshness/freshness_test.go
@@ -62,6 +62,17 @@
 	})
 }
 
+// A reading that was rounded down must not make a later one look like a jump of the clock.
+func TestStoreClockToleratesRoundedReadings(t *testing.T) {
+	const us = time.Microsecond
+	var c freshness.StoreClock
+	c.ToLocal(10_000, 10*time.Second+900*us, 10*time.Second+980*us)
+	at := c.ToLocal(11_000, 10*time.Second+990*us, 11*time.Second+50*us)
+	if at < 11*time.Second-time.Millisecond || at > 11*time.Second {
+		t.Errorf("got time %v for a reading at 11 s, want at most 1 ms less", at)
+	}
+}
+
 func TestStoreClockDropsOffsetAfterClockJump(t *testing.T) {
 	var c freshness.StoreClock
 	c.ToLocal(1000, 10*time.Second, 10*time.Second+5*time.Millisecond)
