entry: no series of queries without a wait after a restore of the store

The wait of the query for the configuration after a restore was rounded to 0 ms in its last millisecond, so that two or three queries followed each other at once.

The test and its bound are unchanged.

--- a/cmd/entry/restore.go
+++ b/cmd/entry/restore.go
@@ -116,7 +116,7 @@
 	wait := n.readTiming().PollWait()
 	if at, risen := n.eras.RisenAt(); risen {
 		if left := at + rewriteTime + settleMargin - uptime(); left > 0 {
-			wait = min(wait, left)
+			wait = min(wait, max(left, settleMargin))
 		}
 	}
 	return wait
