--- a/cmd/entry/drain.go
+++ b/cmd/entry/drain.go
@@ -19,7 +19,7 @@
 	drainTimeoutShare = 0.92
 	// streamAcceptTime is how long new streams are accepted during a drain, and
 	// requestAcceptShare the share of the grace period during which other requests are.
-	streamAcceptTime   = 3 * time.Second
+	streamAcceptTime   = 2800 * time.Millisecond
 	requestAcceptShare = 0.7
 	drainPollInterval  = 20 * time.Millisecond
 )
