relay: log the shared parts of a prompt with the loss of its server

The record of the incident can't tell whether the requests that crash servers have a part of their prompts in common: only the last part, which is each request's own, reached the core. The others are decoded now, and the events "server died" and "server lost with others" have them as parts. No decision depends on them yet.

--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -24,7 +24,9 @@
 	ID           string
 	Timeout      time.Duration // the caller's timeout, 0 if not given
 	APIKey       string
-	PromptHash   string // identifies the whole prompt, "" if unknown
+	Model        string   // "" if not given
+	PromptParts  []string // the parts of the prompt that other requests may share, in order
+	PromptHash   string   // identifies the whole prompt, "" if unknown
 	PromptTokens int
 	OutputTokens int
 	LastEventID  int64 // ID of the last event received, if a stream is resumed, 0 otherwise
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,11 +60,11 @@
 		return
 	}
 	s := quarantine.Suspicion{Fingerprint: x.fingerprint(), Server: m.ID(), Tokens: tokens}
-	id := x.meta.ID
-	time.AfterFunc(evaluationDelay, func() { d.evaluate(s, id, m) })
+	id, parts := x.meta.ID, strings.Join(x.meta.PromptParts, ",")
+	time.AfterFunc(evaluationDelay, func() { d.evaluate(s, id, parts, m) })
 }
 
-func (d *crashDetector) evaluate(s quarantine.Suspicion, request string, m *fleet.Member) {
+func (d *crashDetector) evaluate(s quarantine.Suspicion, request, parts string, m *fleet.Member) {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
 	defer cancel()
 	c, err := d.h.connectForQuery(ctx, m, http1.ForceNew)
@@ -77,13 +78,13 @@
 	}
 	now := time.Now()
 	if !d.h.Fleet.IsIsolatedLoss(m, now) {
-		d.h.Recorder.Record("server lost with others", Fields{"request": request, "server": m.ID(), "fingerprint": s.Fingerprint.String()})
+		d.h.Recorder.Record("server lost with others", Fields{"request": request, "server": m.ID(), "fingerprint": s.Fingerprint.String(), "parts": parts})
 		return
 	}
 	d.mu.Lock()
 	d.recentDeaths = append(d.recentDeaths, death{suspicion: s, at: now})
 	d.mu.Unlock()
-	d.h.Recorder.Record("server died", Fields{"request": request, "server": m.ID(), "fingerprint": s.Fingerprint.String(), "tokens": s.Tokens})
+	d.h.Recorder.Record("server died", Fields{"request": request, "server": m.ID(), "fingerprint": s.Fingerprint.String(), "tokens": s.Tokens, "parts": parts})
 	d.recordDeath(s, now)
 }
 
