--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -100,7 +100,7 @@
 func newHarnessWith(t testing.TB, change func(d *relay.Dependencies)) *harness {
 	t.Helper()
 	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1}
-	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north"}})
+	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north", "c": "north"}})
 	d := relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), Pool: http1.NewPool(), Recorder: h,
 		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
