--- a/test/relay/crashing_part_test.go
+++ b/test/relay/crashing_part_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -51,9 +50,9 @@
 	restarts sync.WaitGroup
 	mu       sync.Mutex
 	closed   bool
-	leaving  bool // the next server that gets a request leaves
+	leaving  bool // the next server that gets a sound request leaves
 	servers  []*partServer
-	newest   *partServer // that got a request last
+	newest   *partServer // that got a sound request last
 	crashes  []time.Time
 	arrivals []time.Time // of requests with badPart
 }
@@ -106,29 +105,35 @@
 		f.crash(s)
 		return false
 	})
-	return backend.ForPath("/long/1", func(c *backend.Conn, r *http.Request, body []byte) bool {
-		prompt := strings.Split(r.Header.Get("X-Prefix-Hash"), ",")
-		isBad := slices.Contains(prompt[:len(prompt)-1], badPart)
-		switch leaves := f.recordArrival(s, isBad); {
-		case isBad:
+	leave := func(c *backend.Conn, r *http.Request, body []byte) bool {
+		time.AfterFunc(eventPause, func() { f.crash(s) })
+		return backend.Leaving(sound)(c, r, body)
+	}
+	return backend.ForPath("/long/1", backend.ForPromptPart(badPart,
+		func(c *backend.Conn, r *http.Request, body []byte) bool {
+			f.recordBadRequest()
 			return bad(c, r, body)
-		case leaves:
-			time.AfterFunc(eventPause, func() { f.crash(s) })
-			return backend.Leaving(sound)(c, r, body)
-		default:
+		},
+		func(c *backend.Conn, r *http.Request, body []byte) bool {
+			if f.recordSoundRequest(s) {
+				return leave(c, r, body)
+			}
 			return sound(c, r, body)
-		}
-	}, backend.NotExecuted())
+		}), backend.NotExecuted())
 }
 
-// recordArrival records that a server got a request. It reports whether the server leaves.
-func (f *partFleet) recordArrival(s *partServer, isBad bool) bool {
+func (f *partFleet) recordBadRequest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals = append(f.arrivals, time.Now())
+}
+
+// recordSoundRequest records which server got a request last. It reports whether the server
+// leaves.
+func (f *partFleet) recordSoundRequest(s *partServer) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.newest = s
-	if isBad {
-		f.arrivals = append(f.arrivals, time.Now())
-	}
 	leaves := f.leaving
 	f.leaving = false
 	return leaves
@@ -165,7 +170,7 @@
 	return all
 }
 
-// newestServer returns the server that got a request last.
+// newestServer returns the server that got a sound request last.
 func (f *partFleet) newestServer() *partServer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -223,12 +228,7 @@
 func crashAtOnce(crash backend.Step) backend.Step { return crash }
 
 // crashAfterEvent crashes the server after the first event that it writes.
-func crashAfterEvent(crash backend.Step) backend.Step {
-	return func(c *backend.Conn, r *http.Request, body []byte) bool {
-		before, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		return backend.Stream(answerEvents, before+1, eventPause, crash)(c, r, body)
-	}
-}
+func crashAfterEvent(crash backend.Step) backend.Step { return backend.OneEvent(eventPause, crash) }
 
 // Guards against requests that share a part of their prompts and crash one server after
 // another.
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -17,6 +17,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -272,6 +274,18 @@
 	}
 }
 
+// ForPromptPart handles requests by one step if their prompt holds a part, given as ID:TOKENS,
+// before its last one, and all others by another.
+func ForPromptPart(part string, on, otherwise Step) Step {
+	return func(c *Conn, r *http.Request, b []byte) bool {
+		prompt := strings.Split(r.Header.Get("X-Prefix-Hash"), ",")
+		if slices.Contains(prompt[:len(prompt)-1], part) {
+			return on(c, r, b)
+		}
+		return otherwise(c, r, b)
+	}
+}
+
 // AppendBytes writes more bytes after a step that keeps the connection open.
 func AppendBytes(s Step, text string) Step {
 	return func(c *Conn, r *http.Request, body []byte) bool {
@@ -305,6 +319,16 @@
 	}
 }
 
+// OneEvent begins a stream as Stream does and continues with a step after the first event
+// that it writes.
+func OneEvent(pause time.Duration, end Step) Step {
+	return func(c *Conn, r *http.Request, body []byte) bool {
+		before := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &before)
+		return Stream(before+1, before+1, pause, end)(c, r, body)
+	}
+}
+
 // RestOfStream writes the events from first to last and the end of a stream that Stream has
 // begun.
 func RestOfStream(first, last int) Step {
