--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -138,7 +138,7 @@
 
 // aggregateOwnDataCentre aggregates the latest reports of the nodes of this data centre.
 func (n *Node) aggregateOwnDataCentre(now time.Time) neighbour.DataCentreReport {
-	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.fleet.RecentLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now)}
+	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.fleet.RecentLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Crashes: n.handler.CrashReport(now)}
 	for _, p := range n.peers.all {
 		if p.host.DataCentre != n.settings.topology.DataCentre || now.Sub(p.reportedAt) > livenessTimeout {
 			continue
@@ -200,6 +200,7 @@
 			n.handler.RecordPeerUsage("data centre "+name, x.Usage, x.Nodes, at)
 			n.handler.MergeLosses(x.Lost, at)
 			n.handler.MergeLeaving(x.LeavingServers, "data centre "+name, at)
+			n.handler.MergeCrashes(x.Crashes, "data centre "+name, at)
 		}
 	}
 }
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -196,7 +196,7 @@
 	}
 	x := neighbour.NodeReport{
 		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
-		Deaths: n.handler.RecentDeaths(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
+		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.fleet.RecentLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now),
 	}
 	return x
@@ -243,7 +243,7 @@
 			n.handler.RecordPeerUsage(x.Host.Name, x.Usage, 1, now)
 		}
 	}
-	n.handler.MergeDeaths(x.Deaths, now)
+	n.handler.MergeCrashes(x.Crashes, x.Host.Name, now)
 	n.handler.MergeLosses(x.Lost, now)
 	n.handler.MergeLeaving(x.LeavingServers, x.Host.Name, now)
 	for prompt, server := range x.Prompts {
--- /dev/null
+++ b/core/crashcause/cause.go
@@ -0,0 +1,208 @@
+package crashcause
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// firstQuarantine is how long a cause is quarantined at first, and maxQuarantine the most
+	// that it doubles to with each crash after that. Both are extended at random by up to
+	// quarantineSpread, so that nodes try a cause again one after the other.
+	firstQuarantine  = 5 * time.Minute
+	maxQuarantine    = time.Hour
+	quarantineSpread = 0.5
+	// trialTimeout is how long a node waits for the outcome of the request that it let
+	// through before it lets another one through.
+	trialTimeout = 30 * time.Second
+	// causeRetention is how long after its quarantine a cause is known. A crash in that time
+	// renews the quarantine.
+	causeRetention = time.Hour
+
+	maxCauses = 64
+)
+
+// Cause is a cause that was found.
+type Cause struct {
+	Features []Feature
+	Servers  []string // that crashed
+	Until    time.Time
+}
+
+// cause is a set of features that crash servers.
+type cause struct {
+	features  []Feature // as found
+	remaining []Feature // those that no request has that ran well since, none if the cause was wrong
+	since     time.Time // when it was found or last renewed
+	until     time.Time // when it is tried again
+	crashes   int       // after it was found
+	trial     time.Time // when a request was let through, zero if there is none
+}
+
+func newCause(features []Feature, now time.Time) *cause {
+	c := &cause{features: features, remaining: slices.Clone(features)}
+	c.quarantine(now)
+	return c
+}
+
+func (c *cause) key() string {
+	var b strings.Builder
+	for _, f := range c.features {
+		b.WriteString(f.String())
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+func (c *cause) quarantine(now time.Time) {
+	d := min(firstQuarantine<<min(c.crashes, 8), maxQuarantine)
+	c.since, c.trial = now, time.Time{}
+	c.until = now.Add(time.Duration(float64(d) * (1 + quarantineSpread*rand.Float64())))
+}
+
+// acquit removes a feature of a request that ran well at a time.
+func (c *cause) acquit(f Feature, at time.Time) {
+	if at.After(c.since.Add(-soundMemory)) {
+		c.remaining = slices.DeleteFunc(c.remaining, func(x Feature) bool { return x == f })
+	}
+}
+
+// matches reports whether a request is one that the cause applies to.
+func (c *cause) matches(r Request) bool { return len(c.remaining) > 0 && r.hasAll(c.remaining) }
+
+func (c *cause) expired(now time.Time) bool { return now.Sub(c.until) > causeRetention }
+
+// addCause adds a cause. If there are too many, it takes the place of the one that is tried again
+// first, and the crashes under that one are forgotten.
+func (l *List) addCause(c *cause) {
+	key := c.key()
+	if _, known := l.causes[key]; !known && len(l.causes) >= maxCauses {
+		var first *cause
+		for _, x := range l.causes {
+			if first == nil || x.until.Before(first.until) {
+				first = x
+			}
+		}
+		for id, x := range l.crashes {
+			if slices.Contains(l.causesOf(x), first) {
+				delete(l.crashes, id)
+			}
+		}
+		delete(l.causes, first.key())
+	}
+	l.causes[key] = c
+}
+
+// dropExplained drops the causes whose crashes a new cause explains, besides others.
+func (l *List) dropExplained(x *cause) {
+	only, shared := make(map[*cause]int), make(map[*cause]int)
+	total := 0
+	for _, c := range l.crashes {
+		all := l.causesOf(c)
+		explains := slices.Contains(all, x)
+		if explains {
+			total++
+		}
+		for _, other := range all {
+			if explains {
+				shared[other]++
+			} else {
+				only[other]++
+			}
+		}
+	}
+	for other, n := range shared {
+		if other != x && only[other] == 0 && n < total {
+			other.remaining = nil
+		}
+	}
+}
+
+// causesOf returns the known causes that explain a crash.
+func (l *List) causesOf(c *Crash) []*cause {
+	var all []*cause
+	for _, x := range l.causes {
+		if slices.ContainsFunc(c.Requests, x.matches) {
+			all = append(all, x)
+		}
+	}
+	return all
+}
+
+// covered reports whether all requests with the features are quarantined already.
+func (l *List) covered(features []Feature) bool {
+	for _, x := range l.causes {
+		if x.matches(Request{Features: features}) {
+			return true
+		}
+	}
+	return false
+}
+
+// renewCauses renews the quarantine of the causes that are tried again and that a request has
+// under which a server has crashed.
+func (l *List) renewCauses(r Request, at time.Time) {
+	for _, c := range l.causes {
+		if at.After(c.until) && c.matches(r) {
+			c.crashes++
+			c.quarantine(at)
+		}
+	}
+}
+
+// Refusal says until when requests are refused because of a cause.
+type Refusal struct {
+	Until time.Time
+	// Whole is set if the cause is the request as a whole.
+	Whole bool
+}
+
+// Refuses reports whether a request is to be refused. After the quarantine of a cause it lets
+// one request at a time through.
+func (l *List) Refuses(r Request, whole Feature, now time.Time) (x Refusal, refused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.causes {
+		if until := c.blockedUntil(r, now); until.After(x.Until) {
+			x = Refusal{Until: until, Whole: len(c.remaining) == 1 && c.remaining[0] == whole}
+		}
+	}
+	if !x.Until.IsZero() {
+		return x, true
+	}
+	for _, c := range l.causes {
+		if c.matches(r) {
+			c.trial = now
+		}
+	}
+	return Refusal{}, false
+}
+
+// MaySend reports whether a request that was let through may be sent to a server. After the
+// loss of a server, a request that a known cause applies to may not be sent again.
+func (l *List) MaySend(r Request, again bool, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.causes {
+		if c.matches(r) && (again || now.Before(c.until)) {
+			return false
+		}
+	}
+	return true
+}
+
+// blockedUntil returns until when a request is refused because of the cause, or the zero time.
+func (c *cause) blockedUntil(r Request, now time.Time) time.Time {
+	switch {
+	case !c.matches(r):
+		return time.Time{}
+	case now.Before(c.until):
+		return c.until
+	case now.Before(c.trial.Add(trialTimeout)):
+		return c.trial.Add(trialTimeout)
+	default:
+		return time.Time{}
+	}
+}
--- /dev/null
+++ b/core/crashcause/crashcause.go
@@ -0,0 +1,219 @@
+// Package crashcause finds out what crashes backend servers: a part of the prompts of
+// different requests, or one request that is sent again and again.
+//
+// Each request has features: one for each part of its prompt that it may share with other
+// requests, and one for the request as a whole. The features that all or nearly all requests
+// have in common that were starting on servers as these crashed, and that no request has
+// that ran well, are quarantined as one cause. Requests with all features of a cause are to
+// be refused. A feature that is seen in a request that runs well is taken out of the cause.
+//
+// After some minutes one request with the features is let through. If its server crashes
+// too, the cause is quarantined for longer.
+//
+// Nodes exchange reports. What a node learns from them has the same effect as what it has
+// observed itself. All that is kept is limited in number and time, as callers name the parts.
+//
+// # Usage
+//
+//	l := crashcause.New()
+//	r := crashcause.NewRequest("model-a", parts, crashcause.WholeRequest(hash))
+//	if until, refused := l.Refuses(r, now); refused { ... refuse until then ... }
+//	l.RecordCrash(crashcause.Crash{Server: "engine-3", At: now, Requests: []crashcause.Request{r}})
+//	l.RecordSound(r, now)
+//	for _, c := range l.Evaluate(now) { ... log c ... }
+package crashcause
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crashThreshold is the number of crashes from which features are taken for a cause.
+	crashThreshold = 3
+	// minCrashSpan is the minimum time between the first and the last of these crashes.
+	minCrashSpan = 300 * time.Millisecond
+	// commonShare is the share of the crashes with the most frequent feature from which
+	// another feature belongs to the same cause.
+	commonShare = 0.75
+	// soundMemory is how long before a crash a request must have run well for its features
+	// not to be suspected of the crash.
+	soundMemory = time.Minute
+	// crashRetention is how long crashes are kept.
+	crashRetention = 10 * time.Minute
+
+	maxCrashes          = 512
+	maxRequestsPerCrash = 16
+	maxSound            = 8192
+	maxFeatures         = 16
+)
+
+// Feature is a property that requests may have in common.
+type Feature uint64
+
+// String returns the feature in hex.
+func (f Feature) String() string { return strconv.FormatUint(uint64(f), 16) }
+
+// PromptPart returns the feature of the requests for a model whose prompts contain a part.
+func PromptPart(model, id string) Feature {
+	return Feature(xxhash.Sum64String("part\x00" + model + "\x00" + id))
+}
+
+// WholeRequest returns the feature of the requests with a fingerprint.
+func WholeRequest(fingerprint uint64) Feature { return Feature(fingerprint) }
+
+// Request is what is known of a request.
+type Request struct {
+	// Class is the feature of the requests that this one may be compared with.
+	Class    Feature
+	Features []Feature
+}
+
+// NewRequest returns a request for a model with the given features. Their number is limited.
+func NewRequest(model string, features ...Feature) Request {
+	features = slices.Clone(features)
+	slices.Sort(features)
+	features = slices.Compact(features)
+	return Request{Class: Feature(xxhash.Sum64String("model\x00" + model)), Features: features[:min(len(features), maxFeatures)]}
+}
+
+func (r Request) has(f Feature) bool { return slices.Contains(r.Features, f) }
+
+func (r Request) equal(x Request) bool {
+	return r.Class == x.Class && slices.Equal(r.Features, x.Features)
+}
+
+// Crash is the end of a server's process while it ran requests.
+type Crash struct {
+	Server string
+	At     time.Time
+	// Requests may have caused the crash.
+	Requests []Request
+	// LostWith names the other servers of the service and data centre that were lost at about
+	// the same time.
+	LostWith []string
+}
+
+// List holds the crashes, the features of requests that ran well, and the causes. It is safe
+// for concurrent use.
+type List struct {
+	mu      sync.Mutex
+	crashes map[string]*Crash // by server
+	sound   map[Feature]time.Time
+	causes  map[string]*cause // by key
+}
+
+// New returns an empty list.
+func New() *List {
+	return &List{crashes: make(map[string]*Crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause)}
+}
+
+// RecordCrash records a crash. Several requests that ran on a server, and repeated reports of
+// one crash, are merged. A crash under a cause that is tried again renews the quarantine.
+func (l *List) RecordCrash(c Crash) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.crashes[c.Server]
+	if known == nil {
+		l.makeRoom()
+		known = &Crash{Server: c.Server, At: c.At}
+		l.crashes[c.Server] = known
+	}
+	for _, s := range c.LostWith {
+		if !slices.Contains(known.LostWith, s) && len(known.LostWith) < maxRequestsPerCrash {
+			known.LostWith = append(known.LostWith, s)
+		}
+	}
+	for _, r := range c.Requests {
+		if len(r.Features) == 0 || len(known.Requests) == maxRequestsPerCrash || slices.ContainsFunc(known.Requests, r.equal) {
+			continue
+		}
+		known.Requests = append(known.Requests, r)
+		l.renewCauses(r, known.At)
+	}
+}
+
+// makeRoom removes the oldest crash if the list is full.
+func (l *List) makeRoom() {
+	if len(l.crashes) < maxCrashes {
+		return
+	}
+	var oldest *Crash
+	for _, c := range l.crashes {
+		if oldest == nil || c.At.Before(oldest.At) {
+			oldest = c
+		}
+	}
+	delete(l.crashes, oldest.Server)
+}
+
+// RecordSound records that a request ran well at a time: it was completed, or its server went
+// on for long after the first output.
+func (l *List) RecordSound(r Request, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recordSound(r.Class, at)
+	for _, f := range r.Features {
+		l.recordSound(f, at)
+	}
+}
+
+func (l *List) recordSound(f Feature, at time.Time) {
+	last, known := l.sound[f]
+	if !known && len(l.sound) >= maxSound {
+		for x := range l.sound {
+			delete(l.sound, x)
+			break
+		}
+	}
+	if at.After(last) {
+		l.sound[f] = at
+	}
+	for _, c := range l.causes {
+		c.acquit(f, at)
+	}
+}
+
+// Evaluate determines the causes of the recorded crashes and returns the new ones.
+func (l *List) Evaluate(now time.Time) []Cause {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []Cause
+	for len(found) < maxCauses {
+		c, ok := l.nextCause(now)
+		if !ok {
+			break
+		}
+		x := newCause(c.Features, now)
+		l.addCause(x)
+		l.dropExplained(x)
+		c.Until = x.until
+		found = append(found, c)
+	}
+	return found
+}
+
+// Expire removes what is no longer needed.
+func (l *List) Expire(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, c := range l.crashes {
+		if now.Sub(c.At) > crashRetention {
+			delete(l.crashes, id)
+		}
+	}
+	for f, at := range l.sound {
+		if now.Sub(at) > 2*soundMemory {
+			delete(l.sound, f)
+		}
+	}
+	for key, c := range l.causes {
+		if c.expired(now) {
+			delete(l.causes, key)
+		}
+	}
+}
--- /dev/null
+++ b/core/crashcause/crashcause_test.go
@@ -0,0 +1,231 @@
+package crashcause_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadabeam/core/crashcause"
+)
+
+var start = time.Unix(1e9, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// request returns a request with the given parts and a fingerprint.
+func request(fingerprint uint64, parts ...string) crashcause.Request {
+	all := []crashcause.Feature{crashcause.WholeRequest(fingerprint)}
+	for _, p := range parts {
+		all = append(all, crashcause.PromptPart("m", p))
+	}
+	return crashcause.NewRequest("m", all...)
+}
+
+func refuses(l *crashcause.List, r crashcause.Request, now time.Time) bool {
+	_, refused := l.Refuses(r, 0, now)
+	return refused
+}
+
+func crash(l *crashcause.List, server string, t time.Time, all ...crashcause.Request) {
+	l.RecordCrash(crashcause.Crash{Server: server, At: t, Requests: all})
+}
+
+// quarantined returns a list on which part "bad" is quarantined at 3 s.
+func quarantined(t *testing.T) *crashcause.List {
+	t.Helper()
+	l := crashcause.New()
+	l.RecordSound(request(100, "first", "second"), at(0))
+	for i := range uint64(3) {
+		crash(l, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), request(i, "first", "bad"))
+	}
+	if found := l.Evaluate(at(3 * time.Second)); len(found) != 1 || len(found[0].Features) != 1 || len(found[0].Servers) != 3 {
+		t.Fatalf("got causes %v, want one", found)
+	}
+	return l
+}
+
+func TestOnlyRequestsWithPartAreRefused(t *testing.T) {
+	l := quarantined(t)
+	if !refuses(l, request(9, "bad", "other"), at(4*time.Second)) {
+		t.Error("a request with the part is not refused")
+	}
+	if refuses(l, request(9, "first", "second"), at(4*time.Second)) {
+		t.Error("a request that shares all other parts is refused")
+	}
+	if l.MaySend(request(9, "bad"), false, at(4*time.Second)) {
+		t.Error("a request with the part may be sent")
+	}
+}
+
+func TestPartIsTriedAgainByOneRequestAtATime(t *testing.T) {
+	l := quarantined(t)
+	now := at(10 * time.Minute)
+	if refuses(l, request(9, "bad"), now) {
+		t.Fatal("no request is let through after the quarantine")
+	}
+	if !refuses(l, request(10, "bad"), now.Add(time.Second)) {
+		t.Error("a second request is let through")
+	}
+	if l.MaySend(request(9, "bad"), true, now.Add(time.Second)) {
+		t.Error("the first one may be sent again after the loss of its server")
+	}
+	crash(l, "s9", now.Add(2*time.Second), request(9, "bad"))
+	if !refuses(l, request(10, "bad"), now.Add(9*time.Minute)) {
+		t.Error("a crash under the part does not double the quarantine")
+	}
+	l.RecordSound(request(10, "bad"), now.Add(31*time.Minute))
+	if refuses(l, request(11, "bad"), now.Add(31*time.Minute)) || refuses(l, request(12, "bad"), now.Add(31*time.Minute)) {
+		t.Error("a part of a request that ran well is still refused")
+	}
+}
+
+func TestPartsOfSoundRequestsAreAcquitted(t *testing.T) {
+	l := crashcause.New()
+	for i := range uint64(3) {
+		crash(l, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), request(i, "first", "bad"))
+	}
+	l.Evaluate(at(3 * time.Second))
+	if refuses(l, request(9, "first", "other"), at(4*time.Second)) {
+		t.Error("a request with one of two parts is refused")
+	}
+	if !refuses(l, request(9, "first", "bad"), at(4*time.Second)) {
+		t.Error("a request with both parts is not refused")
+	}
+	l.RecordSound(request(9, "first", "other"), at(5*time.Second))
+	if !refuses(l, request(9, "bad"), at(6*time.Second)) {
+		t.Error("a request with the part that remains is not refused")
+	}
+}
+
+func TestRepeatedRequestIsRefusedAsWhole(t *testing.T) {
+	l := crashcause.New()
+	l.RecordSound(request(100, "first"), at(0))
+	for i := range 3 {
+		crash(l, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), request(7, "first"))
+	}
+	l.Evaluate(at(3 * time.Second))
+	r, refused := l.Refuses(request(7, "first"), crashcause.WholeRequest(7), at(4*time.Second))
+	if !refused || !r.Whole {
+		t.Errorf("got %v, %v; want a refusal of the whole request", r, refused)
+	}
+	if refuses(l, request(8, "first"), at(4*time.Second)) {
+		t.Error("another request is refused")
+	}
+}
+
+func TestCrashesWithOthersLostAreNoEvidence(t *testing.T) {
+	for name, x := range map[string]struct {
+		spacing  time.Duration
+		lostWith []string
+	}{
+		"at one moment":                      {0, nil},
+		"with servers that ran other things": {time.Second, []string{"other"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := crashcause.New()
+			for i := range uint64(5) {
+				l.RecordCrash(crashcause.Crash{
+					Server: fmt.Sprint("s", i), At: at(time.Duration(i) * x.spacing), LostWith: x.lostWith, Requests: []crashcause.Request{request(i, "first")},
+				})
+			}
+			if found := l.Evaluate(at(5 * time.Second)); len(found) > 0 {
+				t.Errorf("got causes %v", found)
+			}
+		})
+	}
+}
+
+func TestServersLostTogetherUnderPartAreEvidence(t *testing.T) {
+	l := crashcause.New()
+	l.RecordSound(request(100, "first"), at(0))
+	for i := range uint64(4) {
+		l.RecordCrash(crashcause.Crash{
+			Server: fmt.Sprint("s", i), At: at(time.Duration(i/2) * time.Second), Requests: []crashcause.Request{request(i, "first", "bad")},
+			LostWith: []string{fmt.Sprint("s", i^1)},
+		})
+	}
+	if found := l.Evaluate(at(2 * time.Second)); len(found) != 1 {
+		t.Errorf("got causes %v, want one", found)
+	}
+}
+
+// Requests with a part that crashes servers end others with the same parts, on the same servers.
+func TestPartsOfRequestsThatWereEndedAreNotTheCause(t *testing.T) {
+	for name, sound := range map[string]bool{"no request has run well": false, "requests without the parts have run well": true} {
+		t.Run(name, func(t *testing.T) {
+			l := crashcause.New()
+			if sound {
+				l.RecordSound(request(100, "elsewhere"), at(0))
+			}
+			for i := range uint64(9) {
+				now := at(time.Duration(i) * time.Second)
+				crash(l, fmt.Sprint("s", i), now, request(10*i, "first", "bad"), request(10*i+1, "first"), request(10*i+2, "first", fmt.Sprint(i)))
+				l.Evaluate(now)
+				if refuses(l, request(1000, "first", "other"), now) {
+					t.Fatalf("a request without the part is refused after %d crashes", i+1)
+				}
+			}
+			if !refuses(l, request(1000, "first", "bad"), at(9*time.Second)) {
+				t.Error("a request with the part is not refused")
+			}
+		})
+	}
+}
+
+func TestReportedCausesAreApplied(t *testing.T) {
+	l := quarantined(t)
+	never := func(string, time.Time) bool { return false }
+	young := crashcause.New()
+	causes, crashed := young.Merge(l.Report(at(4*time.Second)), at(4*time.Second), never)
+	if len(causes) != 1 || !crashed || !refuses(young, request(9, "bad"), at(5*time.Second)) {
+		t.Fatalf("got causes %v and crashes %v, or the part is not refused", causes, crashed)
+	}
+	if causes, crashed := young.Merge(l.Report(at(5*time.Second)), at(5*time.Second), never); len(causes) > 0 || crashed {
+		t.Error("a repeated report has an effect")
+	}
+	young.RecordSound(request(9, "bad"), at(6*time.Second))
+	l.Merge(young.Report(at(7*time.Second)), at(7*time.Second), never)
+	if refuses(l, request(9, "bad"), at(8*time.Second)) {
+		t.Error("a part that was acquitted elsewhere is still refused")
+	}
+	young.Merge(crashcause.Report{Causes: []crashcause.CauseReport{{}}}, at(7*time.Second), never)
+}
+
+func TestCrashOfServerInContactIsNotRecorded(t *testing.T) {
+	l, other := quarantined(t), crashcause.New()
+	r := l.Report(at(4 * time.Second))
+	r.Causes = nil
+	other.Merge(r, at(4*time.Second), func(server string, _ time.Time) bool { return server == "s1" })
+	if found := other.Evaluate(at(4 * time.Second)); len(found) > 0 {
+		t.Errorf("got causes %v", found)
+	}
+}
+
+func TestStateIsBounded(t *testing.T) {
+	l := crashcause.New()
+	var n uint64
+	for i := range uint64(1000) {
+		var all []string
+		for range 40 {
+			n++
+			all = append(all, fmt.Sprint("part-", n))
+		}
+		now := at(time.Duration(i) * 100 * time.Millisecond)
+		l.RecordSound(request(n, all...), now)
+		n++
+		for j := range uint64(3) {
+			crash(l, fmt.Sprint("s", i, "-", j), now.Add(time.Duration(j)*time.Second), request(n, all[0]+"x"))
+		}
+		if i%50 == 0 {
+			l.Evaluate(now.Add(3 * time.Second))
+		}
+	}
+	r := l.Report(at(5 * time.Minute))
+	if len(r.Crashes) > 64 || len(r.Causes) > 64 || len(r.Sound) > 256 {
+		t.Errorf("a report has %d crashes, %d causes and %d features", len(r.Crashes), len(r.Causes), len(r.Sound))
+	}
+	l.Expire(at(5 * time.Hour))
+	if r := l.Report(at(5 * time.Hour)); len(r.Causes) > 0 {
+		t.Errorf("%d causes are kept after their retention", len(r.Causes))
+	}
+}
--- /dev/null
+++ b/core/crashcause/evaluate.go
@@ -0,0 +1,182 @@
+package crashcause
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// suspect is a feature of requests that were starting on servers as these crashed.
+type suspect struct {
+	feature  Feature
+	class    Feature
+	crashes  []*Crash // in order of time
+	requests int
+	// unexplained counts the crashes that no known cause explains.
+	unexplained int
+}
+
+// nextCause returns the likeliest cause that no known cause covers. It returns false if there is
+// none.
+func (l *List) nextCause(now time.Time) (Cause, bool) {
+	var broad *Cause
+	for _, s := range l.suspects(now) {
+		c := Cause{Features: l.inCommon(s), Servers: s.servers()}
+		switch {
+		case s.unexplained == 0 || l.covered(c.Features):
+		case l.comparable(s) || !l.inAllRequests(c.Features, s.class):
+			return c, true
+		case broad == nil && s.unexplained >= crashThreshold:
+			broad = &c
+		}
+	}
+	if broad == nil {
+		return Cause{}, false
+	}
+	return *broad, true
+}
+
+func (s suspect) servers() []string {
+	var all []string
+	for _, c := range s.crashes {
+		all = append(all, c.Server)
+	}
+	return all
+}
+
+// suspects returns the features with enough crashes, the likeliest ones first: those with the
+// most crashes, and of these the ones that the fewest requests have.
+func (l *List) suspects(now time.Time) []suspect {
+	all := make(map[Feature]*suspect)
+	for c := range maps.Values(l.crashes) {
+		if now.Sub(c.At) > crashRetention {
+			continue
+		}
+		explained := len(l.causesOf(c)) > 0
+		for _, r := range c.Requests {
+			for _, f := range r.Features {
+				l.addSuspicion(all, f, r.Class, c, explained)
+			}
+		}
+	}
+	var ranked []suspect
+	for _, s := range all {
+		slices.SortFunc(s.crashes, func(a, b *Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server)) })
+		if last := len(s.crashes) - 1; last+1 >= crashThreshold && s.crashes[last].At.Sub(s.crashes[0].At) >= minCrashSpan {
+			ranked = append(ranked, *s)
+		}
+	}
+	slices.SortFunc(ranked, func(a, b suspect) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.requests, b.requests), cmp.Compare(a.feature, b.feature))
+	})
+	return ranked
+}
+
+func (l *List) addSuspicion(all map[Feature]*suspect, f, class Feature, c *Crash, explained bool) {
+	s := all[f]
+	if s == nil {
+		s = &suspect{feature: f, class: class}
+		all[f] = s
+	}
+	if !slices.Contains(s.crashes, c) {
+		if !l.suspected(f, c) {
+			return
+		}
+		s.crashes = append(s.crashes, c)
+		if !explained {
+			s.unexplained++
+		}
+	}
+	s.requests++
+}
+
+// suspected reports whether a feature may be the cause of a crash: no request with it has run
+// well since shortly before, and if other servers were lost with this one, requests with the
+// feature were starting on them too.
+func (l *List) suspected(f Feature, c *Crash) bool {
+	if l.soundSince(f, c.At.Add(-soundMemory)) {
+		return false
+	}
+	for _, id := range c.LostWith {
+		other := l.crashes[id]
+		if other == nil || !other.has(f) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *List) soundSince(f Feature, t time.Time) bool {
+	at, known := l.sound[f]
+	return known && at.After(t)
+}
+
+func (c *Crash) has(f Feature) bool {
+	return slices.ContainsFunc(c.Requests, func(r Request) bool { return r.has(f) })
+}
+
+// inCommon returns the feature of a suspect and further ones that nearly all different requests
+// with it have in common.
+func (l *List) inCommon(s suspect) []Feature {
+	var requests []Request
+	count := make(map[Feature]int)
+	for _, c := range s.crashes {
+		for _, r := range c.Requests {
+			if !r.has(s.feature) || slices.ContainsFunc(requests, r.equal) {
+				continue
+			}
+			requests = append(requests, r)
+			for _, f := range r.Features {
+				if l.suspected(f, c) {
+					count[f]++
+				}
+			}
+		}
+	}
+	delete(count, s.feature)
+	others := slices.SortedFunc(maps.Keys(count), func(a, b Feature) int { return cmp.Or(cmp.Compare(count[b], count[a]), cmp.Compare(a, b)) })
+	all := []Feature{s.feature}
+	for _, f := range others {
+		more := append(slices.Clone(all), f)
+		if float64(countWith(requests, more)) >= commonShare*float64(len(requests)) {
+			all = more
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// countWith returns the number of requests with all features.
+func countWith(all []Request, features []Feature) int {
+	n := 0
+	for _, r := range all {
+		if r.hasAll(features) {
+			n++
+		}
+	}
+	return n
+}
+
+// comparable reports whether other requests than those with the feature of a suspect have run
+// well. If none has, the feature may be one that all requests have.
+func (l *List) comparable(s suspect) bool {
+	return l.soundSince(s.class, s.crashes[0].At.Add(-soundMemory))
+}
+
+// inAllRequests reports whether all requests of a class that may have caused crashes have the
+// features.
+func (l *List) inAllRequests(features []Feature, class Feature) bool {
+	for _, c := range l.crashes {
+		for _, r := range c.Requests {
+			if r.Class == class && !r.hasAll(features) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (r Request) hasAll(features []Feature) bool {
+	return !slices.ContainsFunc(features, func(f Feature) bool { return !r.has(f) })
+}
--- /dev/null
+++ b/core/crashcause/report.go
@@ -0,0 +1,140 @@
+package crashcause
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// reportWindow is how long crashes are reported to other nodes.
+	reportWindow       = 5 * time.Second
+	maxReportedCrashes = 64
+	maxReportedSound   = 256
+)
+
+// Report is what a node reports to others. Times are ages, as clocks differ.
+type Report struct {
+	Crashes []CrashReport
+	Sound   []SoundReport
+	Causes  []CauseReport
+}
+
+// CrashReport reports a crash.
+type CrashReport struct {
+	Server   string
+	Age      time.Duration
+	Requests []Request
+	LostWith []string
+}
+
+// SoundReport reports when a request with a feature last ran well.
+type SoundReport struct {
+	Feature Feature
+	Age     time.Duration
+}
+
+// CauseReport reports a cause. Remaining are those of its features that no request has that
+// ran well.
+type CauseReport struct {
+	Features  []Feature
+	Remaining []Feature
+	Age       time.Duration
+	Left      time.Duration // until the cause is tried again, negative if it is being tried
+	Crashes   int
+}
+
+// Report returns what this node knows: recent crashes, the causes, and when requests with the
+// features of these last ran well.
+func (l *List) Report(now time.Time) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var r Report
+	concerned := make(map[Feature]bool)
+	for _, c := range l.crashes {
+		age := now.Sub(c.At)
+		if age > reportWindow || len(r.Crashes) == maxReportedCrashes {
+			continue
+		}
+		r.Crashes = append(r.Crashes, CrashReport{Server: c.Server, Age: age, Requests: slices.Clone(c.Requests), LostWith: slices.Clone(c.LostWith)})
+		for _, x := range c.Requests {
+			concerned[x.Class] = true
+			for _, f := range x.Features {
+				concerned[f] = true
+			}
+		}
+	}
+	for _, c := range l.causes {
+		r.Causes = append(r.Causes, CauseReport{
+			Features: slices.Clone(c.features), Remaining: slices.Clone(c.remaining), Age: now.Sub(c.since), Left: c.until.Sub(now), Crashes: c.crashes,
+		})
+		for _, f := range c.features {
+			concerned[f] = true
+		}
+	}
+	for f := range concerned {
+		if at, known := l.sound[f]; known && len(r.Sound) < maxReportedSound {
+			r.Sound = append(r.Sound, SoundReport{Feature: f, Age: now.Sub(at)})
+		}
+	}
+	return r
+}
+
+// Merge applies another node's report. known reports whether this node has heard of a server
+// since a time; crashes of such servers are not recorded. Merge returns the causes that are new,
+// and whether a crash is.
+func (l *List) Merge(r Report, now time.Time, contacted func(server string, since time.Time) bool) (causes []Cause, crashed bool) {
+	for _, c := range r.Crashes {
+		at := now.Add(-c.Age)
+		if c.Age > crashRetention || contacted(c.Server, at) {
+			continue
+		}
+		crashed = l.isNewCrash(c) || crashed
+		l.RecordCrash(Crash{Server: c.Server, At: at, Requests: c.Requests, LostWith: c.LostWith})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range r.Sound {
+		l.recordSound(s.Feature, now.Add(-s.Age))
+	}
+	for _, c := range r.Causes {
+		if x := l.mergeCause(c, now); x != nil {
+			causes = append(causes, Cause{Features: slices.Clone(x.remaining), Until: x.until})
+		}
+	}
+	return causes, crashed
+}
+
+func (l *List) isNewCrash(c CrashReport) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.crashes[c.Server]
+	return known == nil || slices.ContainsFunc(c.Requests, func(r Request) bool { return !slices.ContainsFunc(known.Requests, r.equal) })
+}
+
+// mergeCause applies a cause that another node reported and returns it if it is new or was
+// renewed. Of two versions of a cause the one that was renewed more often holds, otherwise the
+// features that remain in both.
+func (l *List) mergeCause(r CauseReport, now time.Time) *cause {
+	if len(r.Features) == 0 || len(r.Features) > maxFeatures {
+		return nil
+	}
+	x := &cause{features: r.Features, remaining: slices.Clone(r.Remaining), since: now.Add(-r.Age), until: now.Add(r.Left), crashes: r.Crashes}
+	if x.expired(now) {
+		return nil
+	}
+	known := l.causes[x.key()]
+	switch {
+	case known == nil:
+		for f, at := range l.sound {
+			x.acquit(f, at)
+		}
+		l.addCause(x)
+		return x
+	case r.Crashes > known.crashes:
+		*known = *x
+		return known
+	case r.Crashes == known.crashes:
+		known.remaining = slices.DeleteFunc(known.remaining, func(f Feature) bool { return !slices.Contains(r.Remaining, f) })
+	}
+	return nil
+}
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -45,6 +45,7 @@
 	AnswerDiverged         Code = "answer_diverged"
 	Conflict               Code = "conflict"
 	RequestQuarantined     Code = "request_quarantined"
+	PromptQuarantined      Code = "prompt_quarantined"
 	OrganisationLimit      Code = "organisation_limit"
 	Overloaded             Code = "overloaded"
 	NoServer               Code = "no_server"
@@ -76,6 +77,7 @@
 	AnswerDiverged:         http.StatusConflict,
 	Conflict:               http.StatusConflict,
 	RequestQuarantined:     http.StatusUnprocessableEntity,
+	PromptQuarantined:      http.StatusServiceUnavailable,
 	OrganisationLimit:      http.StatusTooManyRequests,
 	Overloaded:             http.StatusTooManyRequests,
 	NoServer:               http.StatusServiceUnavailable,
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
@@ -94,6 +95,13 @@
 // ID returns the server's ID.
 func (m *Member) ID() string { return m.server.ID }
 
+const incarnationSeparator = '/'
+
+// Incarnation names one start of the server.
+func (m *Member) Incarnation() string {
+	return m.server.ID + string(incarnationSeparator) + strconv.FormatInt(m.server.StartedMS, 10)
+}
+
 // Address returns the server's IP address and port.
 func (m *Member) Address() string { return m.server.Address }
 
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,6 +21,8 @@
 	// other data centres, except servers that were contacted within recentContactWindow.
 	outagePenalty       = 20 * time.Second
 	recentContactWindow = 250 * time.Millisecond
+	// lostTogetherWindow is the time between the losses of two servers that may have one cause.
+	lostTogetherWindow = 500 * time.Millisecond
 	// lossReportWindow is how long a node reports a lost server to other nodes.
 	lossReportWindow = 600 * time.Millisecond
 )
@@ -59,6 +62,20 @@
 	return !known || l.at.Sub(before.at) > outageWindow
 }
 
+// lostWith returns the other servers that were lost within lostTogetherWindow of a lost one.
+func (o *outages) lostWith(k outageKey, id string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	lost, known := o.lost[k][id]
+	var all []string
+	for other, l := range o.lost[k] {
+		if known && other != id && l.at.Sub(lost.at).Abs() <= lostTogetherWindow {
+			all = append(all, other)
+		}
+	}
+	return all
+}
+
 // count returns the number of servers lost within outageWindow.
 func (o *outages) count(k outageKey, now time.Time) int {
 	o.mu.Lock()
@@ -117,11 +134,23 @@
 	return f.outages.update(k, n >= outageMinServers && float64(n) >= outageMinShare*float64(members), now)
 }
 
-// IsIsolatedLoss reports whether a server was lost while the others of its service in the
-// data centre remained reachable. Such a loss may be caused by the request that it was
-// running.
-func (f *Fleet) IsIsolatedLoss(m *Member, now time.Time) bool {
-	return f.outages.count(outageKey{m.service(), m.DataCentre()}, now) <= 1
+// LostWith returns the incarnations of the other servers of the service and data centre of a
+// lost server that were lost within lostTogetherWindow of it.
+func (f *Fleet) LostWith(m *Member) []string {
+	var all []string
+	for _, id := range f.outages.lostWith(outageKey{m.service(), m.DataCentre()}, m.ID()) {
+		if x := f.Find(id); x != nil {
+			all = append(all, x.Incarnation())
+		}
+	}
+	return all
+}
+
+// ContactedSince reports whether an incarnation of a server sent this node anything after t.
+func (f *Fleet) ContactedSince(incarnation string, t time.Time) bool {
+	id := incarnation[:max(0, strings.LastIndexByte(incarnation, incarnationSeparator))]
+	m := f.Find(id)
+	return m != nil && m.Incarnation() == incarnation && m.contactedSince(t)
 }
 
 // RecordLoss records that a server could not be reached, or that its connection broke during a
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -17,9 +17,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/crashcause"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
-	"cicadabeam/core/quarantine"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
 	"cicadabeam/io/tcp"
@@ -60,7 +60,7 @@
 	Work          map[string]fleet.Work        // by server ID
 	Usage         map[string]retrybudget.Usage // by service
 	Prompts       map[string]string            // server that processed a prompt recently, by prompt
-	Deaths        []quarantine.Suspicion       // requests that were running on servers that died recently
+	Crashes       crashcause.Report            // recent crashes of servers, and what causes them
 	Lost          map[string]time.Duration     // time since the node lost contact with a server, by server ID
 	Handed        map[string]DataCentreReport  // aggregated reports, by data centre
 	// LeavingServers said recently that they leave, to this node or to one that told it.
@@ -77,6 +77,7 @@
 	Lost  map[string]time.Duration     // time from the loss of contact with a server to this report, by server ID
 	// LeavingServers said recently that they leave; the ages are those at this report.
 	LeavingServers []fleet.LeavingServer
+	Crashes        crashcause.Report
 }
 
 // ConfigurationReply carries a configuration in the form in which the operator wrote it.
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -4,67 +4,89 @@
 	"context"
 	"errors"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"cicadabeam/core/crashcause"
+	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
-	"cicadabeam/core/quarantine"
 	"cicadabeam/io/http1"
 )
 
 const (
-	// evaluationDelay is the delay before a lost server is probed and its loss
-	// evaluated. Other servers that were lost with it are known by then.
-	evaluationDelay = 300 * time.Millisecond
-	// deathReportTTL is how long a death is reported to other nodes.
-	deathReportTTL = 2 * time.Second
-	// crashThreshold is the number of servers that must die in isolation while running
-	// a request before the request is evaluated for quarantine.
-	crashThreshold = 3
+	// crashProbeDelay is the delay before a server whose connection ended is probed. Other
+	// servers that were lost with it are known by then.
+	crashProbeDelay = 300 * time.Millisecond
+	// evaluationDelay is the delay before the causes of crashes are determined, in which other
+	// nodes report the requests that they had on the servers.
+	evaluationDelay = 250 * time.Millisecond
+	// soundEvents and soundTime are the number of events, and the time from the first to the
+	// last of them, from which a stream does not count as starting any more.
+	soundEvents = 8
+	soundTime   = time.Second
+	// maxPartNames limits the names of prompt parts that are kept for the log.
+	maxPartNames = 1024
 )
 
-// crashDetector detects requests that crash the servers that run them.
+// crashDetector detects what crashes servers and refuses the requests that would do so.
 type crashDetector struct {
-	h            *Handler
-	list         *quarantine.List
-	mu           sync.Mutex
-	recentDeaths []death
-}
-
-type death struct {
-	suspicion quarantine.Suspicion
-	at        time.Time
+	h      *Handler
+	causes *crashcause.List
+	mu     sync.Mutex
+	names  map[crashcause.Feature]string
+	due    bool // the causes are to be determined after evaluationDelay
 }
 
 func newCrashDetector(h *Handler) *crashDetector {
-	return &crashDetector{h: h, list: quarantine.NewWithThreshold(crashThreshold)}
+	return &crashDetector{h: h, causes: crashcause.New(), names: make(map[crashcause.Feature]string)}
 }
 
-// fingerprint identifies a request by a hash of its organisation, method, host, target
-// and body.
-func (x *exchange) fingerprint() quarantine.Fingerprint {
+// setFeatures determines what the request may have in common with others.
+func (x *exchange) setFeatures() {
 	d := xxhash.New()
 	_, _ = d.WriteString(x.organisation.Name + "\x00" + x.r.Method + "\x00" + x.r.Host + "\x00" + x.target() + "\x00")
 	_, _ = d.Write(x.body)
-	return quarantine.Fingerprint(d.Sum64())
+	x.whole = crashcause.WholeRequest(d.Sum64())
+	features := []crashcause.Feature{x.whole}
+	for _, id := range x.meta.PromptParts {
+		features = append(features, crashcause.PromptPart(x.meta.Model, id))
+	}
+	x.features = crashcause.NewRequest(x.service.Name+"\x00"+x.meta.Model, features...)
+}
+
+// promptOnly returns the request without the feature of the request as a whole.
+func (x *exchange) promptOnly() crashcause.Request {
+	r := x.features
+	r.Features = slices.DeleteFunc(slices.Clone(r.Features), func(f crashcause.Feature) bool { return f == x.whole })
+	return r
+}
+
+// wholeOnly returns the request with no feature but that of the request as a whole.
+func (x *exchange) wholeOnly() crashcause.Request {
+	return crashcause.Request{Class: x.features.Class, Features: []crashcause.Feature{x.whole}}
 }
 
-// scheduleEvaluation is called when a connection ended during a request. Unless the
-// request ended or timed out, it checks after evaluationDelay whether the server is
-// gone and the loss is isolated. If so, the request becomes a suspect.
-func (d *crashDetector) scheduleEvaluation(x *exchange, m *fleet.Member, tokens int, err error) {
+// scheduleEvaluation is called when a connection ended during a request. Unless the request
+// ended or timed out, it checks after crashProbeDelay whether the server is gone. If so, the
+// request may have crashed it. starting is set if the server had just begun to respond.
+func (d *crashDetector) scheduleEvaluation(x *exchange, m *fleet.Member, starting bool, err error) {
 	if x.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	s := quarantine.Suspicion{Fingerprint: x.fingerprint(), Server: m.ID(), Tokens: tokens}
-	id, parts := x.meta.ID, strings.Join(x.meta.PromptParts, ",")
-	time.AfterFunc(evaluationDelay, func() { d.evaluate(s, id, parts, m) })
+	r := x.features
+	if !starting {
+		r = x.wholeOnly()
+	}
+	id, parts := x.meta.ID, x.meta.PromptParts
+	d.keepNames(x)
+	time.AfterFunc(crashProbeDelay, func() { d.recordCrash(r, id, parts, m) })
 }
 
-func (d *crashDetector) evaluate(s quarantine.Suspicion, request, parts string, m *fleet.Member) {
+func (d *crashDetector) recordCrash(r crashcause.Request, request string, parts []string, m *fleet.Member) {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
 	defer cancel()
 	c, err := d.h.connectForQuery(ctx, m, http1.ForceNew)
@@ -76,53 +98,104 @@
 		d.h.Recorder.Record("loss not evaluated", Fields{"request": request, "server": m.ID(), "error": err.Error()})
 		return
 	}
-	now := time.Now()
-	if !d.h.Fleet.IsIsolatedLoss(m, now) {
-		d.h.Recorder.Record("server lost with others", Fields{"request": request, "server": m.ID(), "fingerprint": s.Fingerprint.String(), "parts": parts})
+	crash := crashcause.Crash{Server: m.Incarnation(), At: time.Now(), Requests: []crashcause.Request{r}, LostWith: d.h.Fleet.LostWith(m)}
+	d.causes.RecordCrash(crash)
+	d.h.Recorder.Record("server died", Fields{
+		"request": request, "server": m.ID(), "parts": strings.Join(parts, ","), "starting": len(r.Features) > 1 || len(parts) == 0, "lost_with": len(crash.LostWith),
+	})
+	d.h.NotifyPeers()
+	d.scheduleCauses()
+}
+
+// scheduleCauses determines the causes of crashes after evaluationDelay.
+func (d *crashDetector) scheduleCauses() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.due {
 		return
 	}
+	d.due = true
+	time.AfterFunc(evaluationDelay, func() {
+		d.mu.Lock()
+		d.due = false
+		d.mu.Unlock()
+		found := d.causes.Evaluate(time.Now())
+		for _, c := range found {
+			d.log(c, "")
+		}
+		if len(found) > 0 {
+			d.h.NotifyPeers()
+		}
+	})
+}
+
+func (d *crashDetector) log(c crashcause.Cause, from string) {
 	d.mu.Lock()
-	d.recentDeaths = append(d.recentDeaths, death{suspicion: s, at: now})
+	var parts []string
+	for _, f := range c.Features {
+		name, known := d.names[f]
+		if !known {
+			name = f.String()
+		}
+		parts = append(parts, name)
+	}
 	d.mu.Unlock()
-	d.h.Recorder.Record("server died", Fields{"request": request, "server": m.ID(), "fingerprint": s.Fingerprint.String(), "tokens": s.Tokens, "parts": parts})
-	d.recordDeath(s, now)
+	d.h.Recorder.Record("crash cause quarantined", Fields{
+		"parts": strings.Join(parts, ","), "servers": strings.Join(c.Servers, ","), "ms": ms(time.Until(c.Until)), "from": from,
+	})
 }
 
-func (d *crashDetector) recordDeath(s quarantine.Suspicion, now time.Time) {
-	before := d.list.IsQuarantined(s.Fingerprint, now)
-	if d.list.RecordDeath(s, now) && d.list.Evaluate(s.Fingerprint, now) && !before {
-		d.h.Recorder.Record("request quarantined", Fields{"fingerprint": s.Fingerprint.String(), "servers": d.list.DeadServers(s.Fingerprint)})
+// keepNames keeps the names of the features of a request for the log.
+func (d *crashDetector) keepNames(x *exchange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.names) > maxPartNames {
+		clear(d.names)
+	}
+	d.names[x.whole] = "request " + x.whole.String()
+	for _, id := range x.meta.PromptParts {
+		d.names[crashcause.PromptPart(x.meta.Model, id)] = id
 	}
 }
 
-// isQuarantined reports whether the request is known to crash servers.
-func (d *crashDetector) isQuarantined(x *exchange) bool {
-	return d.list.IsQuarantined(x.fingerprint(), time.Now())
+// refusal returns the error for a request that is known to crash servers, or nil.
+func (d *crashDetector) refusal(x *exchange) *fault.Error {
+	refusal, refused := d.causes.Refuses(x.features, x.whole, time.Now())
+	switch {
+	case !refused:
+		return nil
+	case refusal.Whole:
+		return fault.Newf(fault.RequestQuarantined, "admit", "", "the request is quarantined because servers crashed while running it")
+	default:
+		return fault.Newf(fault.PromptQuarantined, "admit", "", "requests with a part of this prompt are quarantined because servers crashed while running them").WithRetryAt(refusal.Until)
+	}
 }
 
-// RecentDeaths returns the recent deaths of servers that were running requests of this
-// node.
-func (h *Handler) RecentDeaths(now time.Time) []quarantine.Suspicion {
-	d := h.crashDetector
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var all []quarantine.Suspicion
-	kept := d.recentDeaths[:0]
-	for _, x := range d.recentDeaths {
-		if now.Sub(x.at) <= deathReportTTL {
-			kept = append(kept, x)
-			all = append(all, x.suspicion)
-		}
-	}
-	d.recentDeaths = kept
-	d.list.Expire(now)
-	return all
+// maySend reports whether the request may be sent to a server. again is set if a server was
+// lost while running it.
+func (d *crashDetector) maySend(x *exchange, again bool) bool {
+	return d.causes.MaySend(x.features, again, time.Now())
+}
+
+// recordSound records that the prompt of the request, or the request as a whole, does not crash
+// servers.
+func (d *crashDetector) recordSound(r crashcause.Request) { d.causes.RecordSound(r, time.Now()) }
+
+// CrashReport returns what this node knows of crashes of servers and their causes, for other
+// nodes.
+func (h *Handler) CrashReport(now time.Time) crashcause.Report {
+	h.crashDetector.causes.Expire(now)
+	return h.crashDetector.causes.Report(now)
 }
 
-// MergeDeaths records deaths reported by another node. Repeated reports have no
-// effect.
-func (h *Handler) MergeDeaths(all []quarantine.Suspicion, now time.Time) {
-	for _, s := range all {
-		h.crashDetector.recordDeath(s, now)
+// MergeCrashes applies what another node knows of crashes of servers and their causes.
+func (h *Handler) MergeCrashes(r crashcause.Report, from string, now time.Time) {
+	d := h.crashDetector
+	causes, crashed := d.causes.Merge(r, now, h.Fleet.ContactedSince)
+	for _, c := range causes {
+		d.log(c, from)
+	}
+	if crashed {
+		d.scheduleCauses()
 	}
 }
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cicadabeam/core/catalog"
+	"cicadabeam/core/crashcause"
 	"cicadabeam/core/deferral"
 	"cicadabeam/core/dispatch"
 	"cicadabeam/core/fault"
@@ -182,6 +183,9 @@
 	attempts     int
 	sentAttempts int // attempts whose request was sent at least in part
 	dispatched   dispatch.Attempts
+	features     crashcause.Request
+	whole        crashcause.Feature // of the request as a whole
+	lost         bool               // a connection ended while a server ran the request
 }
 
 // ServeHTTP implements http.Handler.
@@ -202,8 +206,9 @@
 		x.respondError(err)
 		return
 	}
-	if h.crashDetector.isQuarantined(x) {
-		x.respondError(fault.Newf(fault.RequestQuarantined, "admit", "", "the request is quarantined because servers crashed while running it"))
+	x.setFeatures()
+	if err := h.crashDetector.refusal(x); err != nil {
+		x.respondError(err)
 		return
 	}
 	budget := h.budget(x.service.Name)
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -162,9 +162,9 @@
 		s.resumeFrom = kvSource{}
 	}
 	switch {
-	case a.outcome == broken && s.h.crashDetector.isQuarantined(s.exchange):
+	case !s.h.crashDetector.maySend(s.exchange, a.outcome == broken):
 		s.denied = "quarantine"
-		s.fail("answer", "the request is quarantined because servers crashed while running it")
+		s.fail("answer", errQuarantined.Error())
 		return false
 	case a.outcome == broken && !s.route.Kind.Retryable():
 		s.denied = "kind"
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -51,6 +51,9 @@
 	started         time.Time
 	reportDue       time.Time // when the server is queried for its runs
 	responseStarted bool
+	events          int
+	firstEventAt    time.Time
+	soundRecorded   bool
 	outcome         outcome
 	err             error
 	response        *http.Response // head of the signed event stream, nil before it has arrived
@@ -104,10 +107,14 @@
 	}
 	a.conn = c
 	request, ok := s.request(a.member, s.forwardMeta(a))
-	if !ok || !a.member.Usable(time.Now()) {
+	maySend := s.h.crashDetector.maySend(s.exchange, false)
+	if !ok || !maySend || !a.member.Usable(time.Now()) {
 		s.h.Pool.Put(c)
 		a.keepConn = true
 		a.err = errors.New("the server is no longer usable or the deadline has passed")
+		if !maySend {
+			a.err = errQuarantined
+		}
 		return false
 	}
 	a.removeInterrupt = context.AfterFunc(s.ctx, c.Interrupt)
@@ -167,7 +174,7 @@
 		a.member.RecordFailure(now)
 	case s.ctx.Err() == nil && !errors.Is(a.err, os.ErrDeadlineExceeded):
 		s.h.recordLoss(a.member, now)
-		s.h.crashDetector.scheduleEvaluation(s.exchange, a.member, int(s.lastEvent), a.err)
+		s.h.crashDetector.scheduleEvaluation(s.exchange, a.member, !a.established(now), a.err)
 	}
 }
 
@@ -339,6 +346,7 @@
 // handleEvent handles an event of an attempt. It returns false if the attempt has ended.
 func (s *stream) handleEvent(a *streamAttempt, e sse.Event) bool {
 	s.onProgress(a)
+	s.recordEstablished(a)
 	s.maintainCopy(a)
 	known := e.ID >= 0 && e.ID <= s.lastEvent
 	if e.ID >= 0 && s.lastEvent > 0 && e.ID > s.lastEvent+1 {
@@ -355,6 +363,24 @@
 	return a.err == nil
 }
 
+// established reports whether the run has gone on for so long that its start did not crash the
+// server.
+func (a *streamAttempt) established(now time.Time) bool {
+	return a.events >= soundEvents && now.Sub(a.firstEventAt) >= soundTime
+}
+
+// recordEstablished counts an event and records once that the run is established.
+func (s *stream) recordEstablished(a *streamAttempt) {
+	now := time.Now()
+	if a.events++; a.events == 1 {
+		a.firstEventAt = now
+	}
+	if !a.soundRecorded && a.established(now) {
+		a.soundRecorded = true
+		s.h.crashDetector.recordSound(s.promptOnly())
+	}
+}
+
 // stallTimeout returns the maximum time between two events of an attempt.
 func (s *stream) stallTimeout(a *streamAttempt) time.Duration {
 	now := time.Now()
@@ -428,6 +454,7 @@
 	a.outcome = answered
 	s.h.releaseCopy(a)
 	a.member.RecordSuccess(time.Since(a.started), time.Now())
+	s.h.crashDetector.recordSound(s.features)
 	s.h.Recorder.Record("answered", Fields{
 		"request": s.meta.ID, "route": s.route.Name, "server": a.member.ID(), "status": a.response.StatusCode, "attempts": s.attempts, "last": s.lastEvent,
 		"ms": ms(time.Since(s.arrived)), "resumes": s.resumes, "first_ms": ms(s.firstEventAt.Sub(s.arrived)), "pause_ms": ms(s.maxEventGap),
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -14,7 +14,9 @@
 var (
 	errNoResponse = errors.New("the server did not start its response in time")
 	errMoved      = errors.New("the server was silent and another one has taken the stream over")
-	errWentOn     = errors.New("the server before went on")
+	// errQuarantined ends a request that may not be sent any more.
+	errQuarantined = errors.New("the request is quarantined because servers crashed while running it or others with a part of its prompt")
+	errWentOn      = errors.New("the server before went on")
 )
 
 // move tries to move a stream from the server of attempt a, which sends nothing but may be
@@ -68,7 +70,7 @@
 	switch {
 	case s.ctx.Err() != nil:
 		return nil, "deadline"
-	case s.h.crashDetector.isQuarantined(s.exchange):
+	case !s.h.crashDetector.maySend(s.exchange, true):
 		return nil, "quarantine"
 	case !s.route.Kind.Retryable():
 		return nil, "kind"
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -144,7 +144,7 @@
 // mayHedge reports whether the request may be sent to a second server while the first
 // has not responded.
 func (x *exchange) mayHedge() bool {
-	return x.attempts < x.route.Attempts && x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount(), max(x.sentAttempts, 1))
+	return x.h.crashDetector.maySend(x, x.lost) && x.attempts < x.route.Attempts && x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount(), max(x.sentAttempts, 1))
 }
 
 // startAttempt sends the request to another server. It reports whether a server was
@@ -250,7 +250,7 @@
 	default:
 		x.h.recordLoss(a.member, now)
 		if a.outcome == broken {
-			x.h.crashDetector.scheduleEvaluation(x, a.member, 0, a.err)
+			x.h.crashDetector.scheduleEvaluation(x, a.member, true, a.err)
 		}
 	}
 	if a.outcome != answered {
@@ -292,6 +292,7 @@
 		a.member.RecordFailure(now)
 	default:
 		a.member.RecordSuccess(elapsed, now)
+		x.h.crashDetector.recordSound(x.features)
 	}
 }
 
@@ -323,6 +324,7 @@
 		return false
 	case broken:
 		x.sentAttempts++
+		x.lost = x.lost || a.connectionFailed
 		return false
 	default:
 		x.sentAttempts++
@@ -339,6 +341,9 @@
 	if x.dispatched.MayRun() && !x.route.Kind.Retryable() {
 		return false
 	}
+	if !x.h.crashDetector.maySend(x, x.lost) {
+		return false
+	}
 	return x.mayRetry()
 }
 
--- a/test/relay/move_test.go
+++ b/test/relay/move_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"cicadabeam/core/quarantine"
+	"cicadabeam/core/crashcause"
 	"cicadabeam/test/standin/backend"
 )
 
@@ -103,14 +103,12 @@
 		started <- h.startServer("report", "b", backend.Stream(10, 0, 0, nil))
 		d := xxhash.New()
 		_, _ = d.WriteString("ndox\x00POST\x00test.example\x00/long/1\x00")
-		var all []quarantine.Suspicion
-		for i := range 4 {
-			all = append(all, quarantine.Suspicion{Fingerprint: quarantine.Fingerprint(d.Sum64()), Server: fmt.Sprint("s", i), Tokens: 5})
-		}
-		h.handler.MergeDeaths(all, time.Now())
+		whole := []crashcause.Feature{crashcause.WholeRequest(d.Sum64())}
+		known := crashcause.CauseReport{Features: whole, Remaining: whole, Left: time.Minute}
+		h.handler.MergeCrashes(crashcause.Report{Causes: []crashcause.CauseReport{known}}, "peer", time.Now())
+		h.checkResponse(h.send(http.MethodPost, "/long/1", setTokenUsage), 422, "")
 	})
 	h.checkResponse(h.sendLong("/long/1"), 200, eventText(1, 10))
-	h.checkResponse(h.send(http.MethodPost, "/long/1", setTokenUsage), 422, "")
 	h.checkRequestCount(<-started, 0)
 }
 
