relay: name the part in refusals; requests without prompts take no room

A refusal with prompt_quarantined says which part of the prompt it is for, so that the page for operators leads from it to the decision and the crashes.

Old entries are removed once a second, not for each report.

--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -93,6 +93,9 @@
 		delete(l.causes, first.key())
 	}
 	l.causes[key] = c
+	for _, f := range c.features {
+		l.concerned[f] = true
+	}
 }
 
 // dropExplained drops the causes whose crashes a new cause explains, besides others.
@@ -154,19 +157,18 @@
 
 // Refusal says until when requests are refused because of a cause.
 type Refusal struct {
-	Until time.Time
-	// Whole is set if the cause is the request as a whole.
-	Whole bool
+	Until    time.Time
+	Features []Feature // of the cause
 }
 
 // Refuses reports whether a request is to be refused. After the quarantine of a cause it lets
 // one request at a time through.
-func (l *List) Refuses(r Request, whole Feature, now time.Time) (x Refusal, refused bool) {
+func (l *List) Refuses(r Request, now time.Time) (x Refusal, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.causes {
 		if until := c.blockedUntil(r, now); until.After(x.Until) {
-			x = Refusal{Until: until, Whole: len(c.remaining) == 1 && c.remaining[0] == whole}
+			x = Refusal{Until: until, Features: slices.Clone(c.remaining)}
 		}
 	}
 	if !x.Until.IsZero() {
--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -105,11 +105,15 @@
 	crashes map[string]*Crash // by server
 	sound   map[Feature]time.Time
 	causes  map[string]*cause // by key
+	// concerned are the features of the requests that may have caused crashes.
+	concerned map[Feature]bool
 }
 
 // New returns an empty list.
 func New() *List {
-	return &List{crashes: make(map[string]*Crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause)}
+	return &List{
+		crashes: make(map[string]*Crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
+	}
 }
 
 // RecordCrash records a crash. Several requests that ran on a server, and repeated reports of
@@ -133,6 +137,9 @@
 			continue
 		}
 		known.Requests = append(known.Requests, r)
+		for _, f := range r.Features {
+			l.concerned[f] = true
+		}
 		l.renewCauses(r, known.At)
 	}
 }
@@ -156,6 +163,9 @@
 func (l *List) RecordSound(r Request, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(r.Features) == 1 && !l.concerned[r.Features[0]] {
+		return // its only feature is that of the request as a whole, which rarely comes again
+	}
 	l.recordSound(r.Class, at)
 	for _, f := range r.Features {
 		l.recordSound(f, at)
@@ -201,9 +211,16 @@
 func (l *List) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	clear(l.concerned)
 	for id, c := range l.crashes {
 		if now.Sub(c.At) > crashRetention {
 			delete(l.crashes, id)
+			continue
+		}
+		for _, r := range c.Requests {
+			for _, f := range r.Features {
+				l.concerned[f] = true
+			}
 		}
 	}
 	for f, at := range l.sound {
@@ -214,6 +231,10 @@
 	for key, c := range l.causes {
 		if c.expired(now) {
 			delete(l.causes, key)
+			continue
+		}
+		for _, f := range c.features {
+			l.concerned[f] = true
 		}
 	}
 }
--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 }
 
 func refuses(l *crashcause.List, r crashcause.Request, now time.Time) bool {
-	_, refused := l.Refuses(r, 0, now)
+	_, refused := l.Refuses(r, now)
 	return refused
 }
 
@@ -104,8 +105,8 @@
 		crash(l, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), request(7, "first"))
 	}
 	l.Evaluate(at(3 * time.Second))
-	r, refused := l.Refuses(request(7, "first"), crashcause.WholeRequest(7), at(4*time.Second))
-	if !refused || !r.Whole {
+	r, refused := l.Refuses(request(7, "first"), at(4*time.Second))
+	if !refused || !slices.Equal(r.Features, []crashcause.Feature{crashcause.WholeRequest(7)}) {
 		t.Errorf("got %v, %v; want a refusal of the whole request", r, refused)
 	}
 	if refuses(l, request(8, "first"), at(4*time.Second)) {
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -49,7 +49,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var r Report
-	concerned := make(map[Feature]bool)
+	reported := make(map[Feature]bool)
 	for _, c := range l.crashes {
 		age := now.Sub(c.At)
 		if age > reportWindow || len(r.Crashes) == maxReportedCrashes {
@@ -57,9 +57,9 @@
 		}
 		r.Crashes = append(r.Crashes, CrashReport{Server: c.Server, Age: age, Requests: slices.Clone(c.Requests), LostWith: slices.Clone(c.LostWith)})
 		for _, x := range c.Requests {
-			concerned[x.Class] = true
+			reported[x.Class] = true
 			for _, f := range x.Features {
-				concerned[f] = true
+				reported[f] = true
 			}
 		}
 	}
@@ -68,10 +68,10 @@
 			Features: slices.Clone(c.features), Remaining: slices.Clone(c.remaining), Age: now.Sub(c.since), Left: c.until.Sub(now), Crashes: c.crashes,
 		})
 		for _, f := range c.features {
-			concerned[f] = true
+			reported[f] = true
 		}
 	}
-	for f := range concerned {
+	for f := range reported {
 		if at, known := l.sound[f]; known && len(r.Sound) < maxReportedSound {
 			r.Sound = append(r.Sound, SoundReport{Feature: f, Age: now.Sub(at)})
 		}
--- a/core/crashcause/simulation_test.go
+++ b/core/crashcause/simulation_test.go
@@ -155,7 +155,7 @@
 	if counted {
 		s.soundSent++
 	}
-	if _, refused := s.lists[q.node].Refuses(q.features, q.whole, s.now); first && refused {
+	if _, refused := s.lists[q.node].Refuses(q.features, s.now); first && refused {
 		if !q.bad {
 			s.soundDenied++
 		}
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -28,6 +28,8 @@
 	// last of them, from which a stream does not count as starting any more.
 	soundEvents = 8
 	soundTime   = time.Second
+	// expiryInterval is the time between two removals of old entries.
+	expiryInterval = time.Second
 	// maxPartNames limits the names of prompt parts that are kept for the log.
 	maxPartNames = 1024
 )
@@ -38,7 +40,8 @@
 	causes *crashcause.List
 	mu     sync.Mutex
 	names  map[crashcause.Feature]string
-	due    bool // the causes are to be determined after evaluationDelay
+	due    bool      // the causes are to be determined after evaluationDelay
+	expiry time.Time // when old entries are removed next
 }
 
 func newCrashDetector(h *Handler) *crashDetector {
@@ -160,15 +163,21 @@
 
 // refusal returns the error for a request that is known to crash servers, or nil.
 func (d *crashDetector) refusal(x *exchange) *fault.Error {
-	refusal, refused := d.causes.Refuses(x.features, x.whole, time.Now())
-	switch {
-	case !refused:
+	refusal, refused := d.causes.Refuses(x.features, time.Now())
+	if !refused {
 		return nil
-	case refusal.Whole:
+	}
+	var parts []string
+	for _, id := range x.meta.PromptParts {
+		if slices.Contains(refusal.Features, crashcause.PromptPart(x.meta.Model, id)) {
+			parts = append(parts, id)
+		}
+	}
+	if len(parts) == 0 {
 		return fault.Newf(fault.RequestQuarantined, "admit", "", "the request is quarantined because servers crashed while running it")
-	default:
-		return fault.Newf(fault.PromptQuarantined, "admit", "", "requests with a part of this prompt are quarantined because servers crashed while running them").WithRetryAt(refusal.Until)
 	}
+	err := fault.Newf(fault.PromptQuarantined, "admit", "", "requests with the prompt part %s are quarantined because servers crashed while running them", strings.Join(parts, ", "))
+	return err.WithRetryAt(refusal.Until)
 }
 
 // maySend reports whether the request may be sent to a server. again is set if a server was
@@ -184,8 +193,17 @@
 // CrashReport returns what this node knows of crashes of servers and their causes, for other
 // nodes.
 func (h *Handler) CrashReport(now time.Time) crashcause.Report {
-	h.crashDetector.causes.Expire(now)
-	return h.crashDetector.causes.Report(now)
+	d := h.crashDetector
+	d.mu.Lock()
+	expire := !now.Before(d.expiry)
+	if expire {
+		d.expiry = now.Add(expiryInterval)
+	}
+	d.mu.Unlock()
+	if expire {
+		d.causes.Expire(now)
+	}
+	return d.causes.Report(now)
 }
 
 // MergeCrashes applies what another node knows of crashes of servers and their causes.
