relay: log responses that could not be written, and how a caller left

New event "response not sent"; "caller left" and "broken off" have connection, the state that the kernel tells, and "broken off" has caller_left. explain tells a response that was not sent. Logic unchanged; error responses now have a Content-Length of their own, as they are flushed.

--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -136,7 +136,7 @@
 	}
 	last := r.lines[len(r.lines)-1]
 	for _, l := range r.lines {
-		if l.is("answered") || l.is("refused") || l.is("broken off") || l.is("caller left") {
+		if l.is("answered") || l.is("refused") || l.is("broken off") || l.is("caller left") || l.is("response not sent") {
 			last = l
 		}
 	}
@@ -183,6 +183,8 @@
 		return fmt.Sprintf("The caller received the response of server %s with status %s after %s ms.", f["server"], f["status"], f["ms"])
 	case l.is("broken off"):
 		return fmt.Sprintf("The caller had received the response up to event %s when its connection was closed after %s ms: %s.", f["last"], f["ms"], f["reason"])
+	case l.is("response not sent"):
+		return fmt.Sprintf("The response could not be sent to the caller after %s ms: %s.", f["ms"], f["error"])
 	case l.is("caller left"):
 		return fmt.Sprintf("The caller disconnected after %s ms.", f["ms"])
 	case l.is("refused"):
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -329,8 +329,20 @@
 	if encodeErr != nil {
 		b = []byte("{}")
 	}
+	header.Set("Content-Length", strconv.Itoa(len(b)))
 	x.w.WriteHeader(status)
-	_, _ = x.w.Write(b)
+	x.writeBody(b)
+}
+
+// writeBody writes the rest of a response to the caller.
+func (x *exchange) writeBody(b []byte) {
+	_, err := x.w.Write(b)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		x.h.Recorder.Record("response not sent", Fields{"request": x.meta.ID, "error": err.Error(), "ms": ms(time.Since(x.arrived)), "stopping": x.stopping()})
+	}
 }
 
 // errorBody is the body of an error response.
@@ -378,7 +390,7 @@
 	case x.callerLeft():
 		x.h.Recorder.Record("caller left", Fields{
 			"request": x.meta.ID, "ms": ms(time.Since(x.arrived)), "attempts": x.attempts, "revision": x.revision(),
-			"left_ms": ms(time.Until(x.deadline)),
+			"left_ms": ms(time.Until(x.deadline)), "connection": x.connectionState(),
 		})
 		panic(http.ErrAbortHandler)
 	case !x.dispatched.Close():
--- a/io/relay/read_delay.go
+++ b/io/relay/read_delay.go
@@ -23,8 +23,8 @@
 // body is still arriving, the latter nothing about one that is read late for another reason.
 func (h *Handler) readDelay(r *http.Request) time.Duration {
 	stall := h.StallDetector.RecentStall(h.Uptime())
-	c, ok := r.Context().Value(connKey{}).(net.Conn)
-	if !ok {
+	c := callerConn(r)
+	if c == nil {
 		return stall
 	}
 	waited, known := tcp.SinceLastReceived(c)
@@ -33,3 +33,12 @@
 	}
 	return max(waited, stall)
 }
+
+// callerConn returns the connection that a request came on, nil if it isn't known.
+func callerConn(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return c
+}
+
+// connectionState returns the state of the caller's connection for the log.
+func (x *exchange) connectionState() string { return tcp.State(callerConn(x.r)) }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -228,7 +228,7 @@
 	s.h.Recorder.Record("broken off", Fields{
 		"request": s.meta.ID, "step": step, "reason": reason, "last": s.lastEvent, "attempts": s.attempts, "ms": ms(time.Since(s.arrived)),
 		"code": fault.ServerFailed, "revision": s.revision(), "server_silent": s.serverSilent, "denied": s.denied,
-		"stopping": s.stopping(),
+		"stopping": s.stopping(), "caller_left": s.callerLeft(), "connection": s.connectionState(),
 	})
 	panic(http.ErrAbortHandler)
 }
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -369,7 +369,7 @@
 			x.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 		}
 		x.w.WriteHeader(a.status())
-		_, _ = x.w.Write(a.body)
+		x.writeBody(a.body)
 		return
 	}
 	x.writeLongResponse(a)
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -32,19 +32,53 @@
 // whether or not the process has read it since. It reports false if the kernel does not
 // tell. The time is rounded to the kernel's clock, some milliseconds.
 func SinceLastReceived(c net.Conn) (time.Duration, bool) {
+	info := readInfo(c)
+	if info == nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
+// States of a connection, as the kernel numbers them.
+const (
+	stateEstablished = 1
+	stateClosed      = 7
+	stateCloseWait   = 8
+)
+
+// State returns the state of a connection: established, close-wait if the peer sends nothing
+// more, closed if it was reset, or other.
+func State(c net.Conn) string {
+	info := readInfo(c)
+	switch {
+	case info == nil:
+		return "unknown"
+	case info.State == stateEstablished:
+		return "established"
+	case info.State == stateCloseWait:
+		return "close-wait"
+	case info.State == stateClosed:
+		return "closed"
+	default:
+		return "other"
+	}
+}
+
+// readInfo returns what the kernel tells of a connection, nil if it does not.
+func readInfo(c net.Conn) *unix.TCPInfo {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, false
+		return nil
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return 0, false
+		return nil
 	}
 	var info *unix.TCPInfo
 	var optionErr error
 	err = raw.Control(func(fd uintptr) { info, optionErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
 	if err != nil || optionErr != nil {
-		return 0, false
+		return nil
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+	return info
 }
