relay: answer callers that close only their sending side

Callers saw: a whole request, then an end of the connection without an answer or a refusal, at once, for reads, purchases and streams alike. A purchase may have run.

Cause: net/http cancels the context of a request when reading from the caller ends, and callerLeft took that for the departure of the caller: the handler panicked with ErrAbortHandler. Until something is written, a caller that has stopped sending can't be told from one that has left.

A stream is not opened any more if its request ended while the connection was made.

Ruled out: to go on with reads and streams until a write fails. Before the first event there is nothing to write, and servers would work for callers that left.

--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -104,10 +104,10 @@
 	}
 	a.conn = c
 	request, ok := s.request(a.member, s.forwardMeta(a))
-	if !ok || !a.member.Usable(time.Now()) {
+	if !ok || !a.member.Usable(time.Now()) || s.ctx.Err() != nil {
 		s.h.Pool.Put(c)
 		a.keepConn = true
-		a.err = errors.New("the server is no longer usable or the deadline has passed")
+		a.err = errors.New("the server is no longer usable or the request has ended")
 		return false
 	}
 	a.removeInterrupt = context.AfterFunc(s.ctx, c.Interrupt)
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -193,6 +193,11 @@
 	}
 	stop := context.AfterFunc(ctx, c.Interrupt)
 	defer stop()
+	if x.callerLeft() {
+		x.h.putBack(c, stop)
+		a.err = errors.New("the caller left before the request was sent")
+		return
+	}
 	if !x.dispatched.Begin() {
 		x.h.putBack(c, stop)
 		a.err = errors.New("a response was sent to the caller before the request could be sent")
@@ -333,7 +338,7 @@
 
 // shouldRetry reports whether another server is tried after an attempt.
 func (x *exchange) shouldRetry() bool {
-	if len(x.tried) >= maxUnaryAttempts || x.ctx.Err() != nil {
+	if len(x.tried) >= maxUnaryAttempts || x.ctx.Err() != nil || x.callerLeft() {
 		return false
 	}
 	if x.dispatched.MayRun() && !x.route.Kind.Retryable() {
