caller: no empty success for callers that close their sending side

Callers of serve that had sent a whole request and then closed only their sending side got status 200 with an empty body, for calls that may run once only and for answers alike.

The error is written now (502 caller_left, ran unknown); the log still says 499. A call goes on as before and can be asked for again with its idempotency key.

TestCallerThatClosesItsSendingSideGetsNoEmptySuccess failed before: got status 200, want 502.

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -86,7 +86,7 @@
 	RetryBudgetSpent:       http.StatusServiceUnavailable,
 	PlatformUnavailable:    http.StatusServiceUnavailable,
 	OutcomeUnknown:         http.StatusBadGateway,
-	CallerLeft:             http.StatusBadGateway, // not received, the caller has disconnected
+	CallerLeft:             http.StatusBadGateway, // received only by a caller that still reads
 	Draining:               http.StatusServiceUnavailable,
 	NotReady:               http.StatusServiceUnavailable,
 	Superseded:             http.StatusConflict,
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -48,12 +48,9 @@
 	}
 }
 
-// writeError writes an error response and returns its status. It writes nothing if
-// the caller has disconnected.
+// writeError writes an error response and returns its status for the log. A caller that has
+// only closed its sending side reads the response; without one it would get an empty 200.
 func writeError(w http.ResponseWriter, err error) int {
-	if errors.Is(err, context.Canceled) {
-		return statusClientClosedRequest
-	}
 	f := fault.From(err)
 	if !f.RetryAt().IsZero() {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfterSeconds(f.RetryAt())))
@@ -61,6 +58,9 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(f.Status())
 	_ = json.NewEncoder(w).Encode(errorBody{Error: newErrorDetail(f)})
+	if errors.Is(err, context.Canceled) {
+		return statusClientClosedRequest
+	}
 	return f.Status()
 }
 
