--- a/cmd/entry/http_server_test.go
+++ b/cmd/entry/http_server_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -40,3 +42,35 @@
 		t.Error("the server still runs after its shutdown")
 	}
 }
+
+// The first request of a connection that was accepted before comes while the server drains.
+func TestDrainAnswersFirstRequestOfConnection(t *testing.T) {
+	s, err := newHTTPServer(context.Background(), "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok")
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.run() }()
+	c, err := net.Dial("tcp", s.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	time.Sleep(50 * time.Millisecond) // accepted
+	drained := make(chan struct{})
+	go func() { defer close(drained); s.shutdown(time.Now().Add(5 * time.Second)) }()
+	time.Sleep(100 * time.Millisecond)
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("the request got no response: %v", err)
+	}
+	_ = r.Body.Close()
+	select {
+	case <-drained:
+	case <-time.After(2 * time.Second):
+		t.Error("the server has not ended 2 s after its last request")
+	}
+}
