node: answer requests that are read while a stopping node waits for others

The same fault as in the entry host: serve ended its servers with http.Server.Shutdown, which drops the requests that it reads, although the node meant to refuse them. The server that drains is now a package, io/httpserver, that both use; it also lets responses close their connections from the start of a drain on, as Shutdown did.

--- a/cmd/entry/drain.go
+++ b/cmd/entry/drain.go
@@ -51,6 +51,6 @@
 		}
 		sleep(ctx, drainPollInterval)
 	}
-	n.callers.drain(end) // a request may have begun since the last look
+	n.callers.Drain(end) // a request may have begun since the last look
 	return errDrained
 }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -27,6 +27,7 @@
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
 	"cicadabeam/io/http1"
+	"cicadabeam/io/httpserver"
 	"cicadabeam/io/relay"
 	"cicadabeam/platform"
 )
@@ -52,7 +53,7 @@
 	pool      *http1.Pool
 	store     *platform.StoreClient
 	handler   *relay.Handler
-	callers   *httpServer
+	callers   *httpserver.Server
 	// configurationWatcher and serverWatcher follow the store's tables.
 	configurationWatcher *tableWatcher
 	serverWatcher        *tableWatcher
@@ -170,7 +171,7 @@
 	if n.callers, err = newHTTPServer(requests, n.settings.callers, n.handler); err != nil {
 		return err
 	}
-	g.Add(n.callers.run, func(error) { n.callers.shutdown(time.Now().Add(lastResponseTimeout)) })
+	g.Add(n.callers.Run, func(error) { n.callers.Shutdown(time.Now().Add(lastResponseTimeout)) })
 	if err := addHTTP(requests, &g, n.settings.readiness, n.readinessHandler()); err != nil {
 		return err
 	}
@@ -188,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	g.Add(s.run, func(error) { s.shutdown(time.Now()) })
+	g.Add(s.Run, func(error) { s.Shutdown(time.Now()) })
 	return nil
 }
 
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -38,6 +38,7 @@
 	"cicadabeam/core/route"
 	"cicadabeam/io/caller"
 	"cicadabeam/io/engine"
+	"cicadabeam/io/httpserver"
 	"cicadabeam/io/operator"
 	"cicadabeam/io/peer"
 	"cicadabeam/io/service"
@@ -91,8 +92,9 @@
 	stop         context.CancelFunc
 }
 
-// shutdownTimeout limits how long a stopping node waits for the requests that it is
-// refusing.
+// shutdownTimeout limits how long a stopping node waits for requests that arrived while it was
+// stopping, which it refuses. The connections of those that a drain did not wait for are closed
+// then.
 const shutdownTimeout = 500 * time.Millisecond
 
 type state string
@@ -189,21 +191,11 @@
 		ReadHeaderTimeout: n.settings.HeaderTimeout(),
 		IdleTimeout:       n.settings.IdleTimeout(),
 	}
-	g.Add(func() error { return s.Serve(l) }, func(error) { shutdownServer(s) })
+	x := httpserver.New(l, s)
+	g.Add(x.Run, func(error) { x.Shutdown(time.Now().Add(shutdownTimeout)) })
 	return nil
 }
 
-// shutdownServer waits up to shutdownTimeout for requests that arrived while the node
-// was stopping; they are being refused. It then closes the connections of requests that
-// a drain did not wait for.
-func shutdownServer(s *http.Server) {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(shutdownTimeout))
-	defer cancel()
-	if s.Shutdown(ctx) != nil {
-		_ = s.Close()
-	}
-}
-
 func (n *Node) peerRejected(from string, err error) {
 	n.log.WithFields(log.Fields{"step": "handshake", "peer": from, "error": err.Error()}).Warn("peer connection rejected")
 }
--- a/cmd/entry/http_server_test.go
+++ b/io/httpserver/server_test.go
@@ -1,8 +1,7 @@
-package entry
+package httpserver
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -10,18 +9,24 @@
 	"time"
 )
 
+func listen(t *testing.T, h http.Handler) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(l, &http.Server{Handler: h})
+}
+
 func TestShutdownAnswersRequestInProgress(t *testing.T) {
 	started := make(chan struct{})
-	s, err := newHTTPServer(context.Background(), "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := listen(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(started)
 		time.Sleep(100 * time.Millisecond)
 		_, _ = io.WriteString(w, "ok")
 	}))
-	if err != nil {
-		t.Fatal(err)
-	}
 	ended := make(chan struct{})
-	go func() { defer close(ended); _ = s.run() }()
+	go func() { defer close(ended); _ = s.Run() }()
 	answered := make(chan error, 1)
 	go func() {
 		r, err := http.Get("http://" + s.listener.Addr().String())
@@ -32,7 +37,7 @@
 		answered <- err
 	}()
 	<-started
-	s.shutdown(time.Now().Add(5 * time.Second))
+	s.Shutdown(time.Now().Add(5 * time.Second))
 	if err := <-answered; err != nil {
 		t.Errorf("the request in progress got no response: %v", err)
 	}
@@ -45,13 +50,10 @@
 
 // The first request of a connection that was accepted before comes while the server drains.
 func TestDrainAnswersFirstRequestOfConnection(t *testing.T) {
-	s, err := newHTTPServer(context.Background(), "127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := listen(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok")
 	}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = s.run() }()
+	go func() { _ = s.Run() }()
 	c, err := net.Dial("tcp", s.listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -59,7 +61,7 @@
 	defer func() { _ = c.Close() }()
 	time.Sleep(50 * time.Millisecond) // accepted
 	drained := make(chan struct{})
-	go func() { defer close(drained); s.shutdown(time.Now().Add(5 * time.Second)) }()
+	go func() { defer close(drained); s.Shutdown(time.Now().Add(5 * time.Second)) }()
 	time.Sleep(100 * time.Millisecond)
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
@@ -68,6 +70,9 @@
 		t.Fatalf("the request got no response: %v", err)
 	}
 	_ = r.Body.Close()
+	if !r.Close {
+		t.Error("the response does not close its connection")
+	}
 	select {
 	case <-drained:
 	case <-time.After(2 * time.Second):
