--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -108,10 +108,10 @@
 	a.conn = c
 	request, ok := s.request(a.member, s.forwardMeta(a))
 	maySend := s.h.crashDetector.maySend(s.exchange, false)
-	if !ok || !maySend || !a.member.Usable(time.Now()) {
+	if !ok || !maySend || !a.member.Usable(time.Now()) || s.ctx.Err() != nil {
 		s.h.Pool.Put(c)
 		a.keepConn = true
-		a.err = errors.New("the server is no longer usable or the deadline has passed")
+		a.err = errors.New("the server is no longer usable or the request has ended")
 		if !maySend {
 			a.err = errQuarantined
 		}
