core/deferral: a server that wants a rest of over a minute gets one request after it

Seen by a server: of a wish for an hour, a host kept a minute, then sent as many requests at a time as 0.7 of what it had running at the refusal, though the design says one, and came back each minute. The users allow two in the whole rest. Cause: the wish was cut to a minute before the state of the server saw it.

One request is sent after the first minute. If it is served, the limit is as after any rest; if the server repeats the wish, that is kept to its end (an hour at most). A stream that has begun doesn't exceed the one. Rests over a minute, and those of other servers, delay the requests that follow no longer than a rest of a minute does.

TestParseWish has the whole wish up to an hour now, as the minute is the state's (TestLongWishIsTriedOnce).

--- a/core/deferral/deferral_test.go
+++ b/core/deferral/deferral_test.go
@@ -18,10 +18,11 @@
 		"1":                             {Wait: time.Second, Reading: "exact"},
 		" 2.5 ":                         {Wait: 2500 * time.Millisecond, Reading: "exact"},
 		"60":                            {Wait: time.Minute, Reading: "exact"},
-		"60.1":                          {Wait: time.Minute, Reading: "capped"},
-		"94608000":                      {Wait: time.Minute, Reading: "capped"},
-		"1e999":                         {Wait: time.Minute, Reading: "capped"},
-		"inf":                           {Wait: time.Minute, Reading: "capped"},
+		"60.1":                          {Wait: 60100 * time.Millisecond, Reading: "capped"},
+		"3600":                          {Wait: time.Hour, Reading: "capped"},
+		"94608000":                      {Wait: time.Hour, Reading: "capped"},
+		"1e999":                         {Wait: time.Hour, Reading: "capped"},
+		"inf":                           {Wait: time.Hour, Reading: "capped"},
 		"-1":                            {Reading: "negative"},
 		"-1e999":                        {Reading: "negative"},
 		"nan":                           {Wait: time.Second, Reading: "malformed"},
@@ -69,6 +70,38 @@
 	}
 }
 
+// A wish above a minute is not believed at once: one request finds out whether the server
+// takes any. If it repeats the wish, it gets nothing until the end of that.
+func TestLongWishIsTriedOnce(t *testing.T) {
+	var s deferral.State
+	if rest := s.Defer(3*time.Hour, 10, start); rest != time.Minute {
+		t.Errorf("the first rest lasts %v, want a minute", rest)
+	}
+	s.Defer(3*time.Hour, 9, start.Add(time.Millisecond)) // was on its way
+	trial := start.Add(61 * time.Second)
+	if s.Active(trial) || !s.OnTrial(trial) || s.Limit(trial) != 1 {
+		t.Errorf("got active %v, on trial %v and a limit of %d requests after a minute, want one request", s.Active(trial), s.OnTrial(trial), s.Limit(trial))
+	}
+	served := s
+	if served.RecordSuccess(start.Add(-time.Second)); !served.OnTrial(trial) {
+		t.Error("a request that the server had before it refused ends the trial")
+	}
+	if served.RecordSuccess(trial); served.OnTrial(trial) || served.Limit(trial) != 6 {
+		t.Errorf("got a limit of %d requests after the server served one, want 6", served.Limit(trial))
+	}
+	if rest := s.Defer(3*time.Hour, 1, trial); rest != 3*time.Hour {
+		t.Errorf("the repeated wish holds for %v, want 3h", rest)
+	}
+	s.Defer(3*time.Hour, 1, trial.Add(time.Millisecond)) // was on its way
+	end := trial.Add(3 * time.Hour)
+	if !s.Active(end.Add(-time.Second)) || s.Active(end.Add(time.Second)) || s.OnTrial(end.Add(time.Second)) {
+		t.Errorf("the wish ends at %v, want 3h after it was repeated", s.Until().Sub(trial))
+	}
+	if n := s.Limit(end.Add(9 * time.Minute)); n != 3 {
+		t.Errorf("got %d requests at a time 9 minutes later, want 3", n)
+	}
+}
+
 // A server that has not refused gets as much as others get that did, without a rest, and no
 // limit that it has is changed.
 func TestServerIsRestrainedBecauseOthersRefused(t *testing.T) {
--- a/core/deferral/wish.go
+++ b/core/deferral/wish.go
@@ -12,8 +12,9 @@
 //
 //	w := deferral.ParseWish("2.5")
 //	var s deferral.State
-//	s.Defer(w.Wait, running, now)            // s refused one of running requests
+//	rest := s.Defer(w.Wait, running, now)    // s refused one of running requests
 //	s.Restrain(w.Wait, running, now)         // others did
+//	s.RecordSuccess(sent)                    // s served a request
 //	if s.Active(now) || running >= s.Limit(now) { ... } // no candidate
 //	at := deferral.RetryAt(s.Until(), now, rand.Float64())
 package deferral
@@ -27,8 +28,8 @@
 )
 
 const (
-	// maxWait limits a wish, so that no server is lost for good by one bad response.
-	maxWait = time.Minute
+	// maxWait limits a wish.
+	maxWait = time.Hour
 	// unreadableWait is the wait if a wish can't be read. A date can't be either, as servers
 	// and nodes share no clock.
 	unreadableWait = time.Second
@@ -42,7 +43,7 @@
 
 // ParseWish reads a number of seconds, which may have a fraction. A negative number is no
 // wish, a number above maxWait is cut to it, and a text that is no number gives
-// unreadableWait.
+// unreadableWait. State believes what exceeds trialRest only if the server repeats it.
 func ParseWish(text string) Wish {
 	text = strings.TrimSpace(text)
 	if text == "" {
@@ -57,8 +58,8 @@
 		return Wish{Wait: unreadableWait, Reading: "malformed"}
 	case seconds < 0:
 		return Wish{Reading: "negative"}
-	case seconds > maxWait.Seconds():
-		return Wish{Wait: maxWait, Reading: "capped"}
+	case seconds > trialRest.Seconds():
+		return Wish{Wait: time.Duration(min(seconds, maxWait.Seconds()) * float64(time.Second)), Reading: "capped"}
 	default:
 		return Wish{Wait: time.Duration(seconds * float64(time.Second)), Reading: "exact"}
 	}
--- a/core/fleet/deferral.go
+++ b/core/fleet/deferral.go
@@ -7,10 +7,10 @@
 )
 
 // Defer records that a server turned a request of this node away and wants no requests for a
-// time. If another one of its service does too, the service is asked for more than it can
+// time, and returns for how long it gets none. If another one of its service does too, the service is asked for more than it can
 // take: the rest of its servers get no more than this one had, before they refuse in turn.
-func (f *Fleet) Defer(m *Member, wait time.Duration, now time.Time) {
-	running := m.deferFor(wait, now)
+func (f *Fleet) Defer(m *Member, wait time.Duration, now time.Time) time.Duration {
+	running, rest := m.deferFor(wait, now)
 	f.mu.RLock()
 	all := f.services[m.service()]
 	f.mu.RUnlock()
@@ -21,19 +21,20 @@
 		}
 	}
 	if wait <= 0 || active < 2 {
-		return
+		return rest
 	}
 	for _, x := range all {
 		x.restrain(running, wait, now)
 	}
+	return rest
 }
 
-// deferFor returns the number of this node's requests on the server.
-func (m *Member) deferFor(wait time.Duration, now time.Time) int {
+// deferFor returns the number of this node's requests on the server, and how much of the wish
+// is believed.
+func (m *Member) deferFor(wait time.Duration, now time.Time) (running int, rest time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.deferral.Defer(wait, m.running, now)
-	return m.running
+	return m.running, m.deferral.Defer(wait, m.running, now)
 }
 
 func (m *Member) defers(now time.Time) bool {
--- a/core/fleet/deferral_test.go
+++ b/core/fleet/deferral_test.go
@@ -91,3 +91,49 @@
 		}
 	}
 }
+
+// Guards against all requests at once after the first minute of a wish for a longer rest.
+func TestServerWithLongWishGetsOneRequest(t *testing.T) {
+	f := fleet.New(topology)
+	addServers(f, 1, "orders", "a", 12)
+	q := plainQuery(start)
+	var running []*fleet.Member
+	for range 10 {
+		running = append(running, f.Reserve(q))
+	}
+	for _, m := range running {
+		f.Defer(m, time.Hour, start)
+		m.Release(q, false)
+	}
+	q.Now, q.Begun = start.Add(time.Minute), true
+	m := f.Reserve(q)
+	if m == nil || f.Reserve(q) != nil {
+		t.Fatal("the server does not get exactly one request a minute after it refused")
+	}
+	f.Defer(m, time.Hour, q.Now)
+	m.Release(q, false)
+	if q.Now = start.Add(time.Hour); f.Reserve(q) != nil {
+		t.Error("the server gets a request within the rest that it asked for again")
+	}
+	q.Now = start.Add(61 * time.Minute)
+	if m = f.Reserve(q); m == nil {
+		t.Fatal("the server gets no request after its rest")
+	}
+}
+
+// Guards against servers that get next to nothing for hours because others asked for long rests.
+func TestLongWishesRestrainOthersBriefly(t *testing.T) {
+	f := fleet.New(topology)
+	addServers(f, 3, "orders", "a", 12)
+	for _, id := range []string{"orders-a-0", "orders-a-1"} {
+		f.Defer(f.Find(id), time.Hour, start)
+	}
+	now := start.Add(35 * time.Minute)
+	q := plainQuery(now)
+	q.Exclude = map[string]bool{"orders-a-0": true, "orders-a-1": true}
+	for i := range 5 {
+		if f.Reserve(q) == nil {
+			t.Fatalf("the third server gets %d requests at a time, want 5", i)
+		}
+	}
+}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -269,7 +269,7 @@
 func (m *Member) reserve(q Query) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || (!q.Begun && m.running >= m.deferral.Limit(q.Now)) {
+	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || m.limitedLocked(q) {
 		return false
 	}
 	m.running++
@@ -278,6 +278,12 @@
 	return true
 }
 
+// limitedLocked reports whether the server gets no further request at the same time, because
+// of what it refused before. A stream that has begun may exceed the limit, unless that is a trial.
+func (m *Member) limitedLocked(q Query) bool {
+	return m.running >= m.deferral.Limit(q.Now) && (!q.Begun || m.deferral.OnTrial(q.Now))
+}
+
 // Release ends a reservation. promptProcessed is set if PromptProcessed was called.
 func (m *Member) Release(q Query, promptProcessed bool) {
 	m.mu.Lock()
@@ -358,6 +364,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.recordOutcome(0, now)
+	m.deferral.RecordSuccess(now.Add(-elapsed))
 	m.backoffUntil = time.Time{}
 	m.unreachableCount = 0
 	if m.answerTime == 0 {
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -61,9 +61,9 @@
 	}
 	if meta.Deferral != "" {
 		w := deferral.ParseWish(meta.Deferral)
-		h.Fleet.Defer(m, w.Wait, now)
+		rest := h.Fleet.Defer(m, w.Wait, now)
 		h.Recorder.Record("server deferred", Fields{
-			"server": m.ID(), "address": m.Address(), "request": request, "text": meta.Deferral, "reading": w.Reading, "wait_ms": ms(w.Wait),
+			"server": m.ID(), "address": m.Address(), "request": request, "text": meta.Deferral, "reading": w.Reading, "wait_ms": ms(rest),
 		})
 	}
 }
