fleet: a wish for rest holds although the server's address has changed

Seen by a server: it refuses a request that was on its way as its registry entry got another address, asks for rest, and the host sends on. Cause: the wish was kept with the record of the old address only, as statements that a server leaves aren't.

Before: TestWishOfServerWhoseAddressChanged 'the server gets a request before the time that it asked for'.

--- a/core/fleet/deferral.go
+++ b/core/fleet/deferral.go
@@ -11,6 +11,9 @@
 // take: the rest of its servers get no more than this one had, before they refuse in turn.
 func (f *Fleet) Defer(m *Member, wait time.Duration, now time.Time) time.Duration {
 	running, rest := m.deferFor(wait, now)
+	if x := f.Find(m.ID()); x != nil && x != m && x.key() == m.key() { // its address has changed since
+		_, rest = x.deferFor(wait, now)
+	}
 	f.mu.RLock()
 	all := f.services[m.service()]
 	f.mu.RUnlock()
--- a/core/fleet/deferral_test.go
+++ b/core/fleet/deferral_test.go
@@ -137,3 +137,25 @@
 		}
 	}
 }
+
+// Guards against wishes that get lost as the registry changes the address while a request is
+// on its way.
+func TestWishOfServerWhoseAddressChanged(t *testing.T) {
+	f := fleet.New(topology)
+	f.Upsert(leaver)
+	m := f.Reserve(plainQuery(start))
+	moved := leaver
+	moved.Address = "10.0.0.2:80"
+	f.Upsert(moved)
+	f.Defer(m, time.Minute, start)
+	if now := start.Add(30 * time.Second); f.Reserve(plainQuery(now)) != nil {
+		t.Error("the server gets a request before the time that it asked for")
+	}
+	again := leaver
+	again.StartedMS++
+	f.Upsert(again)
+	f.Defer(m, time.Minute, start)
+	if f.Reserve(plainQuery(start)) == nil {
+		t.Error("the server's next start gets no request because of a late response of the one before")
+	}
+}
