test/relay: what servers say in responses to queries about runs

Proof that reports, copies and removals of copies are paths on which a server's leaving and its wish for rest are read; only lists of prompts had a test. No fault found.

--- a/test/relay/leaving_stream_test.go
+++ b/test/relay/leaving_stream_test.go
@@ -142,3 +142,56 @@
 		}
 	}
 }
+
+// What a server says of itself counts in its responses to queries about runs too: for a
+// report, for a copy, and for the removal of a copy.
+func TestServerSpeaksOfItselfInResponsesToQueries(t *testing.T) {
+	const handle = `{"Handle":"h-1","Created":3}`
+	ok := backend.Respond(http.StatusOK, handle)
+	leaving, refused := backend.Leaving(ok), backend.Refuse("30")
+	for name, x := range map[string]struct {
+		path  string
+		step  backend.Step
+		event string
+	}{
+		"report, leaving":          {"/v1/report", leaving, "server leaving"},
+		"report, rest":             {"/v1/report", refused, "server deferred"},
+		"copy, leaving":            {"/v1/kv-move", leaving, "server leaving"},
+		"copy, rest":               {"/v1/kv-move", refused, "server deferred"},
+		"removal of copy, leaving": {"/v1/kv-handle/h-1", leaving, "server leaving"},
+		"removal of copy, rest":    {"/v1/kv-handle/h-1", refused, "server deferred"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			pause := 20 * time.Millisecond
+			stream := backend.ForPath("/v1/kv-move", ok, backend.Stream(streamEvents, 0, pause, nil))
+			if x.path == "/v1/report" {
+				stream = backend.Delay(3500*time.Millisecond, backend.Stream(streamEvents, 0, 0, nil))
+			}
+			s := h.startServer("report", "a", backend.ForPath(x.path, x.step, stream))
+			backup := h.startServer("report", "b", backend.Stream(streamEvents, 0, 0, nil))
+			done := make(chan result, 1)
+			go func() {
+				done <- h.send(http.MethodPost, "/long/1", func(r *http.Request) {
+					r.Header.Set("X-Token-Usage", "100,10")
+					r.Header.Set("X-Deadline-Ms", "6000")
+				})
+			}()
+			if !cluster.Await(time.Second, func() bool { return len(s.Requests()) == 1 }) {
+				t.Fatal("the server got no request")
+			}
+			if x.path != "/v1/report" {
+				h.startServer("report", "b", backend.Stream(streamEvents, 0, 0, nil))
+				h.loseServer(backup)
+			}
+			h.checkResponse(<-done, 200, eventText(1, streamEvents))
+			if !cluster.Await(time.Second, func() bool { return h.recorded(x.event, "server:"+s.Address()) }) {
+				t.Errorf("no event %q of the server; it got %d requests for %s", x.event, len(requestsFor(s, x.path)), x.path)
+			}
+			if h.fleet.FindUsable(s.Address(), time.Now()) != nil {
+				t.Error("the server still gets requests")
+			}
+		})
+	}
+}
