relay: read the wish for rest of a server that refuses at the deadline

Seen by a server: it refuses a request whose time ran out in its queue and asks for rest, and the host sends on. Cause: the time limit that is forwarded begins at the server when the request arrives, so the server's refusal is on its way as the host closes the connection. The connection is kept for 0.1 s after a deadline, for what the head of a response says of its server; the caller doesn't wait for it.

Before: TestWishOfServerThatRefusesAtTheDeadline/buy 'got status 200, body "ok", error <nil>; want status 503', 'the server got 2 requests, want 1'; /read and /report likewise.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -69,6 +69,7 @@
 	reusableUntil time.Time   // end of the period in which it may be reused while idle
 	noReuse       atomic.Bool // closed, or to be closed after the response
 	interrupted   atomic.Bool
+	readsResponse bool       // a part of the next response has been read
 	bodyResult    chan error // receives the result of sending a large body; nil if none is pending
 	observe       func(*http.Response)
 }
@@ -147,6 +148,7 @@
 	defer func() { c.source.budget = nil }()
 	for range maxResponsesRead {
 		c.source.budget = &heads
+		c.readsResponse = false
 		r, err := c.readHead(method, deadline)
 		if err != nil {
 			return nil, errors.Wrapf(err, "read response from %s", c.address)
@@ -179,6 +181,7 @@
 func (c *Conn) readHead(method string, deadline time.Time) (*http.Response, error) {
 	c.SetReadDeadline(deadline)
 	if _, err := c.reader.Peek(1); err == nil {
+		c.readsResponse = true
 		if limit := time.Now().Add(maxHeadTime); limit.Before(deadline) {
 			c.SetReadDeadline(limit)
 		}
@@ -187,6 +190,30 @@
 	return r, c.slowError(err, deadline)
 }
 
+// ObserveLate waits until a time for the response to a request that was given up while nothing
+// of it had arrived, calls the function of Observe with its head, and closes the connection.
+func (c *Conn) ObserveLate(method string, until time.Time) {
+	defer c.Close()
+	if c.readsResponse {
+		return
+	}
+	c.source.budget = &byteBudget{left: maxHeadBytes, err: errHeadTooLarge}
+	for time.Now().Before(until) {
+		_ = c.net.SetReadDeadline(until)
+		_, err := c.reader.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // an Interrupt may have come late
+		}
+		if err != nil {
+			return
+		}
+		if r, err := http.ReadResponse(c.reader, &http.Request{Method: method}); err == nil && c.observe != nil {
+			c.observe(r)
+		}
+		return
+	}
+}
+
 // slowError replaces a timeout by errHeadTooSlow if it is due to maxHeadTime.
 func (c *Conn) slowError(err error, deadline time.Time) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) && !c.interrupted.Load() {
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -40,6 +40,21 @@
 	return c, err
 }
 
+// lateResponseTime is how long after the deadline of a request the refusal of its server is
+// awaited: the server's deadline is later by the time that the request took to travel.
+const lateResponseTime = 100 * time.Millisecond
+
+// abandon closes the connection of a request that got no response. If that is because its
+// deadline has passed, the caller does not wait for what the server may still say of itself.
+func (x *exchange) abandon(c *http1.Conn) {
+	now := time.Now()
+	if now.Before(x.deadline) || errors.Is(x.ctx.Err(), context.Canceled) {
+		c.Close()
+		return
+	}
+	go c.ObserveLate(x.r.Method, now.Add(lateResponseTime))
+}
+
 // observe records what the server that sent a response says of itself.
 func (h *Handler) observe(m *fleet.Member, r *http.Response) {
 	meta := h.Codec.DecodeResponse(r)
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -160,7 +160,12 @@
 // recordLoss handles a connection that ended during an attempt. A deadline that has passed
 // says nothing about the server.
 func (s *stream) recordLoss(a *streamAttempt) {
-	a.conn.Close()
+	if a.response == nil {
+		a.keepConn = true
+		s.abandon(a.conn)
+	} else {
+		a.conn.Close()
+	}
 	now := time.Now()
 	switch {
 	case a.responseLost.Load():
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -206,7 +206,7 @@
 	}
 	a.response, a.err = c.ReadResponse(x.r.Method, x.meta.ID, x.h.Codec.RequestID, x.deadline)
 	if a.err != nil {
-		c.Close()
+		x.abandon(c)
 		return
 	}
 	x.readResponseBody(a, c, stop)
--- a/test/relay/deferral_test.go
+++ b/test/relay/deferral_test.go
@@ -157,3 +157,34 @@
 		t.Errorf("%d requests reached servers %d times, want at most %d", requests, n, requests+20)
 	}
 }
+
+// refuseAtDeadline refuses a request as its time limit, as sent to the server, has passed. The
+// refusal is on its way as the host ends the request, by as much as both took to travel.
+func refuseAtDeadline(retryAfter string) backend.Step {
+	return func(c *backend.Conn, r *http.Request, body []byte) bool {
+		left, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+		time.Sleep(time.Duration(left)*time.Millisecond + 20*time.Millisecond)
+		return backend.Refuse(retryAfter)(c, r, body)
+	}
+}
+
+// Guards against wishes that are not read because the host's time limit ends as the server's does.
+func TestWishOfServerThatRefusesAtTheDeadline(t *testing.T) {
+	for _, path := range []string{"/buy/", "/read/", "/report/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			s := h.startServer(strings.Split(path, "/")[1], "a", refuseAtDeadline("30"), backend.Respond(200, "ok"))
+			soon := func(r *http.Request) {
+				setTokenUsage(r)
+				r.Header.Set("X-Deadline-Ms", "300")
+			}
+			if got := h.send(http.MethodPost, path+"1", soon); got.status != 504 && got.status != 503 {
+				t.Errorf("got status %d, want 504 or 503", got.status)
+			}
+			time.Sleep(100 * time.Millisecond)
+			h.checkResponse(h.send(http.MethodPost, path+"2", setTokenUsage), 503, "")
+			h.checkRequestCount(s, 1)
+		})
+	}
+}
