--- a/core/fleet/overload_test.go
+++ b/core/fleet/overload_test.go
@@ -245,7 +245,7 @@
 }
 
 // The share of requests that callers get served is nearly that of nodes that ignore the
-// wishes, and no server gets a third request in a rest.
+// wishes, no server gets a third request in a rest, and callers don't return together.
 func TestOverloadOfServersThatAskForRest(t *testing.T) {
 	calls := overload{
 		nodes: 8, servers: 6, slots: 6, queue: 4, load: 1.5, serviceTime: 50 * time.Millisecond,
@@ -270,6 +270,9 @@
 				if now.servedShare() < 0.7*before.servedShare() {
 					t.Errorf("seed %d: %.3f of the requests are served, %.3f where wishes are ignored", seed, now.servedShare(), before.servedShare())
 				}
+				if now.worstReturn > max(2*before.worstReturn, 30) {
+					t.Errorf("seed %d: %d callers came back within 20 ms, %d where wishes are ignored", seed, now.worstReturn, before.worstReturn)
+				}
 			}
 		})
 	}
