records: which changes are written again after a restore does not depend on the time of day

Seen by an operator of `serve`: the host's clock was set right by more than a minute after a change of the configuration, the platform's store came back without it, and the change's audit entry was gone for good; the leader wrote the configuration itself again, with a note. Cause: the age of the change was that of the entry's time of day.

Before: TestRecentChangesIgnoreTimeOfDay 'got 1 changes to write again, want that of revision 1 only' (it was the one of two minutes ago).

--- a/core/records/configs.go
+++ b/core/records/configs.go
@@ -132,7 +132,7 @@
 	var conflict *ConflictError
 	switch {
 	case err == nil:
-		c.recent.add(recentChange{next: next, entry: a, era: at.Era})
+		c.recent.add(recentChange{next: next, entry: a, at: time.Now(), era: at.Era})
 		return a, nil
 	case errors.As(err, &conflict):
 		return AuditEntry{}, c.revisionConflict(ctx, a.Revision)
@@ -178,7 +178,7 @@
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		at, err := c.table.Commit(ctx, t)
 		if err == nil {
-			c.recent.add(recentChange{next: next, entry: a, era: at.Era})
+			c.recent.add(recentChange{next: next, entry: a, at: time.Now(), era: at.Era})
 			return a, nil
 		}
 		var conflict *ConflictError
--- a/core/records/restore.go
+++ b/core/records/restore.go
@@ -107,6 +107,7 @@
 type recentChange struct {
 	next  *config.Config
 	entry AuditEntry
+	at    time.Time // when the store acknowledged it, by this node's monotonic clock
 	era   uint64
 }
 
@@ -123,12 +124,13 @@
 	c.all = c.all[max(0, len(c.all)-maxRecentChanges):]
 }
 
-func (c *recentChanges) before(era uint64) []recentChange {
+// before returns the changes that were written in eras before one and may be missing from a copy.
+func (c *recentChanges) before(era uint64, now time.Time) []recentChange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var all []recentChange
 	for _, x := range c.all {
-		if x.era < era {
+		if x.era < era && now.Sub(x.at) <= MaxCopyAge {
 			all = append(all, x)
 		}
 	}
@@ -139,10 +141,7 @@
 // this node had written, with their audit entries, unless the store has them.
 func (c *ConfigStore) Rewrite(ctx context.Context) (Rewritten, error) {
 	var r Rewritten
-	for _, x := range c.recent.before(c.table.Eras().Current()) {
-		if x.entry.At.Before(time.Now().Add(-MaxCopyAge)) {
-			continue
-		}
+	for _, x := range c.recent.before(c.table.Eras().Current(), time.Now()) {
 		written, err := c.reinstate(ctx, x.next, x.entry)
 		if err != nil {
 			r.Failed++
