records: what was written again after a restore may be lost to the next one

Seen by a caller of `serve`: the platform's store came back older twice, the second time a minute or more after a call was claimed and from a copy between the first return and the second write of its claim; a retry of the call found no claim and could run again. Likewise a change's audit entry. Cause: the minute in which a node writes again counted from the first write, also for rows that it had written again since.

Before: TestRecordsWrittenAgainAreRecent 'got 0 claims to write again after the second restore, want 1', and of changes the same.

--- a/core/records/recent.go
+++ b/core/records/recent.go
@@ -84,6 +84,16 @@
 	x.era, x.rejected = era, false
 }
 
+// rewritten records that a claim was written again, unless this node has written another state
+// of it since.
+func (c *recentClaims) rewritten(x recentClaim, era uint64, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if y := c.claims[x.rowKey]; y != nil && y.row.ID == x.row.ID && y.row.State == x.row.State {
+		y.era, y.at = era, now
+	}
+}
+
 func (c *recentClaims) reject(x *recentClaim) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/records/restore.go
+++ b/core/records/restore.go
@@ -88,6 +88,9 @@
 	c.enqueue(p)
 	select {
 	case w := <-p.done:
+		if w.ok && w.err == nil {
+			c.recent.rewritten(x, w.revision.Era, time.Now())
+		}
 		return w.ok, w.err
 	case <-ctx.Done():
 		return false, ctx.Err()
@@ -124,6 +127,17 @@
 	c.all = c.all[max(0, len(c.all)-maxRecentChanges):]
 }
 
+// rewritten records that a change was written again.
+func (c *recentChanges) rewritten(change string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.all {
+		if c.all[i].entry.Change == change {
+			c.all[i].at = now
+		}
+	}
+}
+
 // before returns the changes that were written in eras before one and may be missing from a copy.
 func (c *recentChanges) before(era uint64, now time.Time) []recentChange {
 	c.mu.Lock()
@@ -148,6 +162,7 @@
 			return r, err
 		}
 		if written {
+			c.recent.rewritten(x.entry.Change, time.Now())
 			r.Written++
 		}
 	}
