entry: the log is limited over all events, and what is dropped is counted and told

Cause: limits by event only, and reports made only with the next line.

Limits of all events together, with a reserve for each, so that a flood hides no rare event; a counter by event and reason; a report each second. TestBlockedOutputDoesNotBlockWriters also checks the counter against the report.

--- a/cmd/entry/log.go
+++ b/cmd/entry/log.go
@@ -2,16 +2,15 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"cicadabeam/io/relay"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
-	"golang.org/x/time/rate"
-
-	"cicadabeam/io/relay"
 )
 
 const (
@@ -27,14 +26,16 @@
 // logWriter writes log lines to an output without blocking the goroutines that log.
 type logWriter struct {
 	out     io.Writer
+	node    string
+	onDrop  func() // called for each dropped line
 	mu      sync.Mutex
 	buffer  bytes.Buffer
 	wake    chan struct{}
 	dropped atomic.Int64
 }
 
-func newLogWriter(out io.Writer) *logWriter {
-	return &logWriter{out: out, wake: make(chan struct{}, 1)}
+func newLogWriter(out io.Writer, node string, onDrop func()) *logWriter {
+	return &logWriter{out: out, node: node, onDrop: onDrop, wake: make(chan struct{}, 1)}
 }
 
 // Write implements io.Writer. b holds whole lines.
@@ -43,6 +44,7 @@
 	defer w.mu.Unlock()
 	if w.buffer.Len()+len(b) > maxBufferedBytes {
 		w.dropped.Add(1)
+		w.onDrop()
 		return len(b), nil
 	}
 	w.buffer.Write(b)
@@ -73,58 +75,65 @@
 	w.buffer.Reset()
 	w.mu.Unlock()
 	if n := w.dropped.Swap(0); n > 0 {
-		b = append(b, []byte("level=warn message=\"lines dropped\" count="+itoa(n)+"\n")...)
+		b = fmt.Appendf(b, "timestamp=%s level=warn message=\"lines dropped\" count=%d event=any node=%s\n", time.Now().Format(time.RFC3339Nano), n, w.node)
 	}
 	if len(b) > 0 {
 		_, _ = w.out.Write(b)
 	}
 }
 
-const (
-	// maxLinesPerSecond and maxLineBurst limit the log lines of each event. Under any load
-	// the system is designed for, a node writes fewer. Lines beyond the limit are dropped
-	// and counted.
-	maxLinesPerSecond = 400
-	maxLineBurst      = 2000
-	// dropReportInterval is the minimum time between reports of dropped lines.
-	dropReportInterval = time.Second
-)
+// dropReportInterval is the time between reports of dropped lines.
+const dropReportInterval = time.Second
 
 // recorder writes events to the log and counts them in the metrics.
 type recorder struct {
-	log             log.Interface
-	metrics         *metrics
-	mu              sync.Mutex
-	limits          map[string]*rate.Limiter
-	dropped         map[string]int
-	dropsReportedAt time.Time
+	log     log.Interface
+	metrics *metrics
+	limit   *lineLimit
+
+	mu                sync.Mutex
+	droppedReportedAt time.Time
 }
 
 func newRecorder(l log.Interface, m *metrics) *recorder {
-	return &recorder{log: l, metrics: m, limits: make(map[string]*rate.Limiter), dropped: make(map[string]int)}
+	return &recorder{log: l, metrics: m, limit: newLineLimit()}
 }
 
-// allow reports whether a line of an event may be written. It also returns the number of
-// dropped lines by event, at most once per dropReportInterval, or else nil.
-func (r *recorder) allow(event string, now time.Time) (bool, map[string]int) {
+// run reports dropped lines until done is closed, also when nothing is logged any more.
+func (r *recorder) run(done <-chan struct{}) {
+	t := time.NewTicker(dropReportInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-t.C:
+			r.reportDropped()
+		}
+	}
+}
+
+// reportDroppedIfDue reports dropped lines, at most once per dropReportInterval.
+func (r *recorder) reportDroppedIfDue(now time.Time) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	l := r.limits[event]
-	if l == nil {
-		l = rate.NewLimiter(maxLinesPerSecond, maxLineBurst)
-		r.limits[event] = l
+	due := now.Sub(r.droppedReportedAt) >= dropReportInterval
+	r.mu.Unlock()
+	if due {
+		r.reportDropped()
 	}
-	ok := l.AllowN(now, 1)
-	if !ok {
-		r.dropped[event]++
+}
+
+func (r *recorder) reportDropped() {
+	all := r.limit.takeDropped()
+	if len(all) == 0 {
+		return
 	}
-	if len(r.dropped) == 0 || now.Sub(r.dropsReportedAt) < dropReportInterval {
-		return ok, nil
+	r.mu.Lock()
+	r.droppedReportedAt = time.Now()
+	r.mu.Unlock()
+	for e, n := range all {
+		r.log.WithFields(log.Fields{"event": e, "count": n}).Warn("lines dropped")
 	}
-	dropped := r.dropped
-	r.dropped = make(map[string]int)
-	r.dropsReportedAt = now
-	return ok, dropped
 }
 
 func newLogger(w *logWriter, level, node string) log.Interface {
@@ -138,11 +147,12 @@
 	if ms, found := f["ms"].(int64); found {
 		r.metrics.observe(event, time.Duration(ms)*time.Millisecond)
 	}
-	ok, dropped := r.allow(event, time.Now())
-	for e, n := range dropped {
-		r.log.WithFields(log.Fields{"event": e, "count": n}).Warn("lines dropped")
-	}
+	now := time.Now()
+	ok := r.limit.allow(event, now)
 	if ok {
 		r.log.WithFields(log.Fields(f)).Info(event)
+	} else {
+		r.metrics.countDropped(event, "limit")
 	}
+	r.reportDroppedIfDue(now)
 }
--- a/cmd/entry/log_test.go
+++ b/cmd/entry/log_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"bytes"
+	"fmt"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cicadabeam/io/relay"
 )
 
@@ -26,7 +32,8 @@
 
 func TestBlockedOutputDoesNotBlockWriters(t *testing.T) {
 	out := &blockedWriter{unblocked: make(chan struct{})}
-	w := newLogWriter(out)
+	var dropped atomic.Int64
+	w := newLogWriter(out, "node-1", func() { dropped.Add(1) })
 	done, finished := make(chan struct{}), make(chan struct{})
 	go func() { w.run(done); close(finished) }()
 	line := []byte(strings.Repeat("x", 199) + "\n")
@@ -45,13 +52,16 @@
 	if !strings.Contains(out.written.String(), "lines dropped") || out.written.Len() > 3*maxBufferedBytes {
 		t.Errorf("%d bytes were written: too many, or without a report of the dropped lines", out.written.Len())
 	}
+	if n := dropped.Load(); n < 10000 || !strings.Contains(out.written.String(), fmt.Sprintf("count=%d ", n)) {
+		t.Errorf("%d lines were counted as dropped, and the report says %q", n, out.written.String()[max(0, out.written.Len()-200):])
+	}
 }
 
 func TestLinesPerEventAreLimited(t *testing.T) {
 	m := newMetrics()
 	defer m.close()
 	var b bytes.Buffer
-	w := newLogWriter(&b)
+	w := newLogWriter(&b, "node-1", func() {})
 	r := newRecorder(newLogger(w, "info", "node-1"), m)
 	for range 10000 {
 		r.Record("attempt", relay.Fields{"request": "r"})
@@ -66,3 +76,36 @@
 		t.Error("a line of another event or the report of the dropped lines is missing")
 	}
 }
+
+var droppedLine = regexp.MustCompile(`message="lines dropped" count=(\d+) event=attempt`)
+
+// Guards against lines of which nobody hears because nothing is logged after the burst, and
+// against lines that no metric counts.
+func TestDroppedLinesAreReportedAtTheEndOfTheBurst(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	m := &metrics{scope: scope, counters: make(map[string]tally.Counter), histograms: make(map[string]tally.Histogram)}
+	var b bytes.Buffer
+	w := newLogWriter(&b, "node-1", func() {})
+	r := newRecorder(newLogger(w, "info", "node-1"), m)
+	done := make(chan struct{})
+	defer close(done)
+	go r.run(done)
+	const lines = 10000
+	for range lines {
+		r.Record("attempt", relay.Fields{"request": "r"})
+	}
+	time.Sleep(dropReportInterval + 200*time.Millisecond)
+	w.flush()
+	reported := 0
+	for _, x := range droppedLine.FindAllStringSubmatch(b.String(), -1) {
+		n, _ := strconv.Atoi(x[1])
+		reported += n
+	}
+	if written := strings.Count(b.String(), "message=attempt"); written+reported != lines {
+		t.Errorf("%d lines were written and %d reported as dropped, want %d together", written, reported, lines)
+	}
+	counted := scope.Snapshot().Counters()["log_lines_dropped+event=attempt,reason=limit"]
+	if counted == nil || counted.Value() != int64(reported) {
+		t.Errorf("the metric counts %v dropped lines, want %d", counted, reported)
+	}
+}
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -57,6 +56,12 @@
 	c.Inc(1)
 }
 
+// countDropped counts a log line of an event that was not written, because of a limit or of
+// the output.
+func (m *metrics) countDropped(event, reason string) {
+	m.scope.Tagged(map[string]string{"event": eventLabel(event), "reason": reason}).Counter("log_lines_dropped").Inc(1)
+}
+
 func (m *metrics) observe(event string, d time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -69,5 +74,3 @@
 }
 
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
-
-func itoa(n int64) string { return strconv.FormatInt(n, 10) }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -85,9 +85,10 @@
 // New returns a node that is not listening yet. It logs to out.
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
-		settings: s, logWriter: newLogWriter(out), metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: fleet.NewPromptIndex(), pool: http1.NewPool(),
+		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: fleet.NewPromptIndex(), pool: http1.NewPool(),
 		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
+	n.logWriter = newLogWriter(out, s.name, func() { n.metrics.countDropped("any", "output") })
 	n.eras = freshness.NewEras(uptime, n.handleRise)
 	n.store = platform.NewStoreClient(s.platform, s.name).WithEras(n.eras)
 	n.hosts = records.NewHostStore(platform.NewTable(n.store))
@@ -132,7 +133,9 @@
 	logDone := make(chan struct{})
 	stopLog := make(chan struct{})
 	go func() { n.logWriter.run(stopLog); close(logDone) }()
+	go n.recorder.run(stopLog)
 	defer func() {
+		n.recorder.reportDropped()
 		close(stopLog)
 		select {
 		case <-logDone:
--- a/cmd/entry/watch_test.go
+++ b/cmd/entry/watch_test.go
@@ -31,7 +31,7 @@
 func newTestNode() *Node {
 	m := &metrics{scope: tally.NoopScope, counters: make(map[string]tally.Counter), histograms: make(map[string]tally.Histogram)}
 	return &Node{
-		settings: &Settings{name: "node-1"}, metrics: m, recorder: newRecorder(newLogger(newLogWriter(io.Discard), "error", "node-1"), m),
+		settings: &Settings{name: "node-1"}, metrics: m, recorder: newRecorder(newLogger(newLogWriter(io.Discard, "node-1", func() {}), "error", "node-1"), m),
 		fleet: fleet.New(fleet.Topology{}), tracker: freshness.New(), eras: freshness.NewEras(uptime, nil), serverWatcher: &tableWatcher{}, synced: make(chan struct{}),
 	}
 }
