command: status says what was never reached, and when entry hosts were last heard of

Before: TestStatusOfWhatWasNeverReached 'the status says "never ago"', 'the status lacks "heard 4s ago"'.

--- a/cmd/command/cmd_status.go
+++ b/cmd/command/cmd_status.go
@@ -45,7 +45,7 @@
 
 func printNode(e *Env, x operator.Status) {
 	_, _ = fmt.Fprintf(e.out, "%s %s in %s, %s: %s, version %s, up %s\n", color.CyanString("node"), x.Node, x.DataCentre, x.Region, x.State, x.Version, timeSince(x.Started))
-	_, _ = fmt.Fprintf(e.out, "configuration revision %d; platform reached %s ago\n", x.Revision, timeSince(x.PlatformReached))
+	_, _ = fmt.Fprintf(e.out, "configuration revision %d; platform %s\n", x.Revision, lastContact("reached", x.PlatformReached))
 	_, _ = fmt.Fprintf(e.out, "requests %d running, %d waiting; calls %d; answers %d held, %d copies, %d taken over\n", x.Requests, x.Waiting, x.Calls, x.Answers.Held, x.Answers.Copies, x.Answers.Takeovers)
 	_, _ = fmt.Fprintf(e.out, "unprotected answers %s; quarantined requests %s; retries %d, denied %s\n", redUnlessZero(x.Unprotected), redUnlessZero(x.Quarantined), x.RetriesSpent, redUnlessZero(int(x.RetriesDenied)))
 }
@@ -60,11 +60,11 @@
 		case n.Leaving:
 			state = color.YellowString("leaving")
 		}
-		revision := n.Revision
+		revision, heard := n.Revision, ", "+lastContact("heard", n.Heard)
 		if n.Name == x.Node {
-			revision = x.Revision
+			revision, heard = x.Revision, ""
 		}
-		_, _ = fmt.Fprintf(e.out, "  %-24s %-14s %-10s revision %d\n", n.Name, n.DataCentre, state, revision)
+		_, _ = fmt.Fprintf(e.out, "  %-24s %-14s %-10s revision %d%s\n", n.Name, n.DataCentre, state, revision, heard)
 	}
 }
 
@@ -97,11 +97,14 @@
 	return fmt.Sprintf("reported %d running %d waiting, %.1f s ago", s.Running, s.Waiting, s.ReportAge)
 }
 
-func timeSince(t time.Time) string {
-	if t.IsZero() {
-		return "never"
+func timeSince(t time.Time) string { return time.Since(t).Round(time.Second).String() }
+
+// lastContact returns how long ago something was last reached or heard of.
+func lastContact(verb string, at time.Time) string {
+	if at.IsZero() {
+		return "never " + verb
 	}
-	return time.Since(t).Round(time.Second).String()
+	return verb + " " + timeSince(at) + " ago"
 }
 
 func redUnlessZero(n int) string {
