--- a/cmd/command/cmd_explain.go
+++ b/cmd/command/cmd_explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,7 +13,7 @@
 var CmdExplain = &Cmd{
 	name:        "explain",
 	description: "reconstruct the course of a request from logs",
-	long:        "Prints the log lines of a request from the logs of all nodes in the order of their times, a summary, and related events logged by the node that first logged the request. Without files, or with -, it reads standard input.",
+	long:        "Prints the log lines of a request from the logs of all nodes in the order of their times, a summary, what is missing from the logs, and related events logged by the node that first logged the request. Logs may be compressed with gzip. Without files, or with -, it reads standard input.",
 	action:      func() action { return &explainRequest{} },
 }
 
@@ -36,7 +37,8 @@
 		}
 	}
 	if !r.Found() {
-		return exitWith(ExitFailure, errors.Newf("no log line belongs to request %s", x.Arguments.Request))
+		gaps := strings.Join(append([]string{""}, r.Gaps()...), "\n")
+		return exitWith(ExitFailure, errors.Newf("no log line belongs to request %s%s", x.Arguments.Request, gaps))
 	}
 	return r.Write(e.out)
 }
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -9,9 +9,12 @@
 
 import (
 	"bufio"
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -25,6 +28,8 @@
 	// maxEventAge is how long before the end of a request an event may have occurred
 	// that could have affected it.
 	maxEventAge = 10 * time.Second
+	// droppedReportDelay is how long after lines were dropped a node may log how many.
+	droppedReportDelay = 2 * time.Second
 )
 
 // line is a parsed log line.
@@ -38,32 +43,71 @@
 
 // Report collects the log lines of one request.
 type Report struct {
-	id      string
-	lines   []line
-	events  []line // lines without a request: about servers, nodes, configuration and store
-	skipped int    // lines that could not be parsed
+	id        string
+	lines     []line
+	events    []line // lines without a request: about servers, nodes, configuration and store
+	skipped   int    // lines that could not be parsed
+	truncated int    // compressed logs without their end
 }
 
 // New returns an empty report for the request with the given ID.
 func New(id string) *Report { return &Report{id: id} }
 
-// AddLog adds the lines of a log. Lines that do not come from an entry host are skipped.
+// AddLog adds the lines of a log, which may be compressed with gzip. Lines that do not come
+// from an entry host are skipped and counted.
 func (r *Report) AddLog(f io.Reader) error {
-	b := bufio.NewScanner(f)
-	b.Buffer(nil, maxLine)
-	for b.Scan() {
-		r.addLine(b.Text())
+	b := bufio.NewReaderSize(f, maxLine)
+	if magic, err := b.Peek(len(gzipMagic)); err == nil && string(magic) == gzipMagic {
+		z, err := gzip.NewReader(b)
+		if err != nil {
+			return errors.Wrap(err, "read the log")
+		}
+		b = bufio.NewReaderSize(z, maxLine)
+	}
+	for {
+		text, err := b.ReadSlice('\n')
+		tooLong := errors.Is(err, bufio.ErrBufferFull)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			_, err = b.ReadSlice('\n')
+		}
+		switch {
+		case tooLong:
+			r.skipped++
+		case len(text) > 0:
+			r.addLine(bytes.TrimRight(text, "\r\n"))
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case errors.Is(err, io.ErrUnexpectedEOF):
+			r.truncated++
+			return nil
+		case err != nil:
+			return errors.Wrap(err, "read the log")
+		}
 	}
-	return errors.Wrap(b.Err(), "read the log")
 }
 
-func (r *Report) addLine(text string) {
-	// Skip a prefix, such as the timestamp of a log collector.
-	if i := strings.Index(text, "timestamp="); i > 0 {
-		text = text[i:]
+// gzipMagic begins a file that is compressed with gzip.
+const gzipMagic = "\x1f\x8b"
+
+var (
+	timestampKey = []byte("timestamp=")
+	requestKey   = []byte(" request=")
+)
+
+func (r *Report) addLine(text []byte) {
+	i := bytes.Index(text, timestampKey)
+	if i < 0 {
+		r.skipped++
+		return
+	}
+	text = text[i:] // without a prefix, such as the timestamp of a log collector
+	if r.isOfOtherRequest(text) {
+		return
 	}
-	l := line{text: text, fields: make(map[string]string)}
-	d := logfmt.NewDecoder(strings.NewReader(text))
+	l := line{text: string(text), fields: make(map[string]string)}
+	d := logfmt.NewDecoder(bytes.NewReader(text))
 	for d.ScanRecord() {
 		for d.ScanKeyval() {
 			l.fields[string(d.Key())] = string(d.Value())
@@ -83,6 +127,13 @@
 	}
 }
 
+// isOfOtherRequest reports whether a line names a request and not this one. Most lines do, and
+// are not parsed.
+func (r *Report) isOfOtherRequest(text []byte) bool {
+	_, value, found := bytes.Cut(text, requestKey)
+	return found && len(value) > 0 && value[0] != ' ' && !bytes.Contains(text, []byte(r.id))
+}
+
 // Found reports whether any log line belongs to the request.
 func (r *Report) Found() bool { return len(r.lines) > 0 }
 
@@ -97,6 +148,9 @@
 		b.WriteString(l.text + "\n")
 	}
 	b.WriteString("\n" + r.Summary() + "\n")
+	for _, gap := range r.Gaps() {
+		b.WriteString(gap + "\n")
+	}
 	if relatedEvents := r.relatedEvents(); len(relatedEvents) > 0 {
 		b.WriteString("\nRelated events logged by the node:\n")
 		for _, l := range relatedEvents {
@@ -107,6 +161,51 @@
 	return err
 }
 
+// Gaps describes what is missing from the logs, so that lines of the request may be missing too.
+func (r *Report) Gaps() []string {
+	var all []string
+	if r.skipped > 0 {
+		all = append(all, fmt.Sprintf("Lines of the logs that could not be read and were skipped: %d.", r.skipped))
+	}
+	if r.truncated > 0 {
+		all = append(all, fmt.Sprintf("Compressed logs that end early: %d.", r.truncated))
+	}
+	dropped := make(map[string]int)
+	var nodes []string
+	for _, l := range r.events {
+		if !l.is("lines dropped") || !r.near(l) {
+			continue
+		}
+		n, _ := strconv.Atoi(l.fields["count"])
+		if dropped[l.fields["node"]] == 0 {
+			nodes = append(nodes, l.fields["node"])
+		}
+		dropped[l.fields["node"]] += n
+	}
+	for _, node := range nodes {
+		all = append(all, fmt.Sprintf("Lines that %s did not log around that time: %d. Lines of the request may be among them.", node, dropped[node]))
+	}
+	return all
+}
+
+// near reports whether an event may concern the lines of the request: if there are none, any
+// event may.
+func (r *Report) near(l line) bool {
+	if len(r.lines) == 0 {
+		return true
+	}
+	begin, end := r.lines[0].at, r.lines[0].at
+	for _, x := range r.lines {
+		if x.at.Before(begin) {
+			begin = x.at
+		}
+		if x.at.After(end) {
+			end = x.at
+		}
+	}
+	return !l.at.Before(begin.Add(-maxEventAge)) && !l.at.After(end.Add(droppedReportDelay))
+}
+
 // relatedEvents returns the events that may have affected the request.
 func (r *Report) relatedEvents() []line {
 	if len(r.lines) == 0 {
