explain: why a caller was refused under overload, and why it was told that time

Cause: lines about servers that name the request in whose response they said it count as lines of that request, no line named the service, and none the Retry-After.

Before: TestExplain/refused-under-overload lacks 'The caller was told to come back after 7310 ms' and the three related lines.

--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -41,6 +41,10 @@
 
 func (l line) is(event string) bool { return l.fields["message"] == event }
 
+// ofServer reports whether a line is about a server although it names the request in whose
+// response the server said it.
+func (l line) ofServer() bool { return l.is("server deferred") || l.is("server leaving") }
+
 // Report collects the log lines of one request.
 type Report struct {
 	id        string
@@ -94,6 +98,7 @@
 var (
 	timestampKey = []byte("timestamp=")
 	requestKey   = []byte(" request=")
+	serverEvents = [][]byte{[]byte(`message="server deferred"`), []byte(`message="server leaving"`)}
 )
 
 func (r *Report) addLine(text []byte) {
@@ -122,7 +127,7 @@
 	switch {
 	case l.fields["request"] == r.id:
 		r.lines = append(r.lines, l)
-	case l.fields["request"] == "":
+	case l.fields["request"] == "" || l.ofServer():
 		r.events = append(r.events, l)
 	}
 }
@@ -131,7 +136,15 @@
 // are not parsed.
 func (r *Report) isOfOtherRequest(text []byte) bool {
 	_, value, found := bytes.Cut(text, requestKey)
-	return found && len(value) > 0 && value[0] != ' ' && !bytes.Contains(text, []byte(r.id))
+	if !found || len(value) == 0 || value[0] == ' ' || bytes.Contains(text, []byte(r.id)) {
+		return false
+	}
+	for _, e := range serverEvents {
+		if bytes.Contains(text, e) {
+			return false
+		}
+	}
+	return true
 }
 
 // Found reports whether any log line belongs to the request.
@@ -213,21 +226,32 @@
 	}
 	node := r.lines[0].fields["node"]
 	end := r.lines[len(r.lines)-1].at
-	servers := make(map[string]bool)
+	servers, services := make(map[string]bool), make(map[string]bool)
 	for _, l := range r.lines {
 		servers[l.fields["server"]] = true
+		services[l.fields["service"]] = true
 	}
 	var all []line
 	for _, l := range r.events {
 		global := l.is("store lost") || l.is("store regained") || l.is("configuration") && l.fields["newer"] == "true" || l.is("history lost") || l.is("draining") || l.is("started")
 		onServer := l.fields["server"] != "" && servers[l.fields["server"]]
-		if l.fields["node"] == node && (global || onServer) && !l.at.After(end) && end.Sub(l.at) <= maxEventAge {
+		ofService := l.ofServer() && l.fields["service"] != "" && services[l.fields["service"]]
+		if l.fields["node"] == node && (global || onServer || ofService) && !l.at.After(end) && end.Sub(l.at) <= l.effect() {
 			all = append(all, l)
 		}
 	}
 	return all
 }
 
+// effect returns for how long an event may affect requests.
+func (l line) effect() time.Duration {
+	wait, err := strconv.ParseInt(l.fields["wait_ms"], 10, 64)
+	if err != nil {
+		return maxEventAge
+	}
+	return max(maxEventAge, time.Duration(wait)*time.Millisecond)
+}
+
 // Summary returns a summary of the attempts and the outcome of the request.
 func (r *Report) Summary() string {
 	if len(r.lines) == 0 {
@@ -289,7 +313,11 @@
 		if f["ran"] == "not_run" {
 			ran = "the request did not run and will not run"
 		}
-		return fmt.Sprintf("The node itself responded with status %s (%s, step %s) after %s ms; %s: %s.", f["status"], f["code"], f["step"], f["ms"], ran, f["reason"])
+		back := ""
+		if f["retry_after_ms"] != "" {
+			back = fmt.Sprintf(" The caller was told to come back after %s ms.", f["retry_after_ms"])
+		}
+		return fmt.Sprintf("The node itself responded with status %s (%s, step %s) after %s ms; %s: %s.%s", f["status"], f["code"], f["step"], f["ms"], ran, f["reason"], back)
 	default:
 		return "The logs don't show how the request ended."
 	}
--- a/core/fleet/deferral.go
+++ b/core/fleet/deferral.go
@@ -15,7 +15,7 @@
 		_, rest = x.deferFor(wait, now)
 	}
 	f.mu.RLock()
-	all := f.services[m.service()]
+	all := f.services[m.Service()]
 	f.mu.RUnlock()
 	active := 0
 	for _, x := range all {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -200,7 +200,7 @@
 
 // unlist removes a server from those of its service and of its address.
 func (f *Fleet) unlist(m *Member) {
-	f.services[m.service()] = without(f.services[m.service()], m)
+	f.services[m.Service()] = without(f.services[m.Service()], m)
 	address := m.server.Address
 	if f.addresses[address] = without(f.addresses[address], m); len(f.addresses[address]) == 0 {
 		delete(f.addresses, address)
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -100,7 +100,8 @@
 // DataCentre returns the server's data centre.
 func (m *Member) DataCentre() string { return m.server.DataCentre }
 
-func (m *Member) service() string { return m.server.Service }
+// Service returns the name of the server's service.
+func (m *Member) Service() string { return m.server.Service }
 
 // update applies the fields of a registry entry that may change. The ID, service and
 // address do not change. It reports whether anything changed.
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -121,7 +121,7 @@
 // data centre remained reachable. Such a loss may be caused by the request that it was
 // running.
 func (f *Fleet) IsIsolatedLoss(m *Member, now time.Time) bool {
-	return f.outages.count(outageKey{m.service(), m.DataCentre()}, now) <= 1
+	return f.outages.count(outageKey{m.Service(), m.DataCentre()}, now) <= 1
 }
 
 // RecordLoss records that a server could not be reached, or that its connection broke during a
@@ -131,7 +131,7 @@
 	if !m.markUnreachable(now) {
 		return false
 	}
-	return f.outages.record(outageKey{m.service(), m.DataCentre()}, m.ID(), loss{at: now, own: true})
+	return f.outages.record(outageKey{m.Service(), m.DataCentre()}, m.ID(), loss{at: now, own: true})
 }
 
 // RecentLosses returns the age of each recent loss detected by this node, by server ID, for
@@ -153,7 +153,7 @@
 			continue
 		}
 		m.recordPeerLoss(at)
-		if f.outages.record(outageKey{m.service(), m.DataCentre()}, id, loss{at: at}) {
+		if f.outages.record(outageKey{m.Service(), m.DataCentre()}, id, loss{at: at}) {
 			added = append(added, m)
 		}
 	}
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -70,7 +70,7 @@
 	now := time.Now()
 	request := h.Codec.RequestID(r.Header)
 	if meta.Leaving && h.Fleet.RecordLeaving(m, now) {
-		h.Recorder.Record("server leaving", Fields{"server": m.ID(), "address": m.Address(), "request": request, "status": r.StatusCode, "from": "response"})
+		h.Recorder.Record("server leaving", Fields{"server": m.ID(), "service": m.Service(), "address": m.Address(), "request": request, "status": r.StatusCode, "from": "response"})
 		h.Pool.CloseIdle(m.Address())
 		h.NotifyPeers()
 	}
@@ -78,7 +78,7 @@
 		w := deferral.ParseWish(meta.Deferral)
 		rest := h.Fleet.Defer(m, w.Wait, now)
 		h.Recorder.Record("server deferred", Fields{
-			"server": m.ID(), "address": m.Address(), "request": request, "text": meta.Deferral, "reading": w.Reading, "wait_ms": ms(rest),
+			"server": m.ID(), "service": m.Service(), "address": m.Address(), "request": request, "text": meta.Deferral, "reading": w.Reading, "wait_ms": ms(rest),
 		})
 	}
 }
