--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -233,7 +233,7 @@
 	CachedOn        string
 	ReturningCaller bool
 	// Begun is set if the caller has received a part of the answer in this request. What the
-	// server gets at a time after it refused requests is not limited then.
+	// server gets at a time after it refused requests is not limited then, unless it is on trial.
 	Begun bool
 	// MaxConnections limits the connections from this node to one server.
 	MaxConnections int
