--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -138,7 +138,7 @@
 // lost server that were lost within lostTogetherWindow of it.
 func (f *Fleet) LostWith(m *Member) []string {
 	var all []string
-	for _, id := range f.outages.lostWith(outageKey{m.service(), m.DataCentre()}, m.ID()) {
+	for _, id := range f.outages.lostWith(outageKey{m.Service(), m.DataCentre()}, m.ID()) {
 		if x := f.Find(id); x != nil {
 			all = append(all, x.Incarnation())
 		}
@@ -160,7 +160,7 @@
 	if !m.markUnreachable(now) {
 		return false
 	}
-	return f.outages.record(outageKey{m.service(), m.DataCentre()}, m.ID(), loss{at: now, own: true})
+	return f.outages.record(outageKey{m.Service(), m.DataCentre()}, m.ID(), loss{at: now, own: true})
 }
 
 // RecentLosses returns the age of each recent loss detected by this node, by server ID, for
@@ -182,7 +182,7 @@
 			continue
 		}
 		m.recordPeerLoss(at)
-		if f.outages.record(outageKey{m.service(), m.DataCentre()}, id, loss{at: at}) {
+		if f.outages.record(outageKey{m.Service(), m.DataCentre()}, id, loss{at: at}) {
 			added = append(added, m)
 		}
 	}
--- a/core/records/restore.go
+++ b/core/records/restore.go
@@ -88,6 +88,9 @@
 	c.enqueue(p)
 	select {
 	case w := <-p.done:
+		if w.ok && w.err == nil {
+			c.recent.rewritten(x, w.revision.Era, time.Now())
+		}
 		return w.ok, w.err
 	case <-ctx.Done():
 		return false, ctx.Err()
@@ -107,6 +110,7 @@
 type recentChange struct {
 	next  *config.Config
 	entry AuditEntry
+	at    time.Time // when the store acknowledged it, by this node's monotonic clock
 	era   uint64
 }
 
@@ -123,12 +127,24 @@
 	c.all = c.all[max(0, len(c.all)-maxRecentChanges):]
 }
 
-func (c *recentChanges) before(era uint64) []recentChange {
+// rewritten records that a change was written again.
+func (c *recentChanges) rewritten(change string, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.all {
+		if c.all[i].entry.Change == change {
+			c.all[i].at = now
+		}
+	}
+}
+
+// before returns the changes that were written in eras before one and may be missing from a copy.
+func (c *recentChanges) before(era uint64, now time.Time) []recentChange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var all []recentChange
 	for _, x := range c.all {
-		if x.era < era {
+		if x.era < era && now.Sub(x.at) <= MaxCopyAge {
 			all = append(all, x)
 		}
 	}
@@ -139,16 +155,14 @@
 // this node had written, with their audit entries, unless the store has them.
 func (c *ConfigStore) Rewrite(ctx context.Context) (Rewritten, error) {
 	var r Rewritten
-	for _, x := range c.recent.before(c.table.Eras().Current()) {
-		if x.entry.At.Before(time.Now().Add(-MaxCopyAge)) {
-			continue
-		}
+	for _, x := range c.recent.before(c.table.Eras().Current(), time.Now()) {
 		written, err := c.reinstate(ctx, x.next, x.entry)
 		if err != nil {
 			r.Failed++
 			return r, err
 		}
 		if written {
+			c.recent.rewritten(x.entry.Change, time.Now())
 			r.Written++
 		}
 	}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -226,6 +226,7 @@
 	retryAfterNotReady = 500 * time.Millisecond
 	retryAfterStale    = 400 * time.Millisecond
 	retryAfterNoServer = 300 * time.Millisecond
+	minRetryAfter      = 50 * time.Millisecond
 )
 
 // notRunError returns the error for a request that ran on no server. Status 503 tells the
@@ -320,7 +321,7 @@
 func (x *exchange) respondError(err *fault.Error) {
 	status := err.Status()
 	f := Fields{
-		"request": x.meta.ID, "route": x.route.Name, "kind": x.route.Kind.String(), "status": status, "code": err.Code(), "step": err.Step(),
+		"request": x.meta.ID, "route": x.route.Name, "service": x.service.Name, "kind": x.route.Kind.String(), "status": status, "code": err.Code(), "step": err.Step(),
 		"peer": err.Peer(), "ran": err.Ran(), "reason": err.Message(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)), "revision": x.revision(),
 	}
 	event := "refused"
@@ -328,11 +329,13 @@
 		event = "caller left"
 		f["left_ms"], f["connection"] = ms(time.Until(x.deadline)), x.connectionState()
 	}
-	x.h.Recorder.Record(event, f)
 	header := x.w.Header()
 	if at := err.RetryAt(); !at.IsZero() && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
-		header.Set("Retry-After", retryAfterSeconds(time.Until(at)))
+		wait := max(time.Until(at), minRetryAfter)
+		header.Set("Retry-After", retryAfterSeconds(wait))
+		f["retry_after_ms"] = ms(wait)
 	}
+	x.h.Recorder.Record(event, f)
 	if x.h.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
@@ -366,9 +369,7 @@
 	Ran     string `json:"ran"`
 }
 
-func retryAfterSeconds(d time.Duration) string {
-	return strconv.FormatFloat(max(d, 50*time.Millisecond).Seconds(), 'f', 2, 64)
-}
+func retryAfterSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
 
 func ms(d time.Duration) int64 { return d.Milliseconds() }
 
