--- a/cmd/entry/gateways_test.go
+++ b/cmd/entry/gateways_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"cicadabeam/core/crashcause"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/retrybudget"
@@ -15,18 +17,20 @@
 
 func (discardRecorder) Record(string, relay.Fields) {}
 
+// newAggregatingNode returns a node of a data centre with one server in data centre a.
+func newAggregatingNode(dataCentre string) *Node {
+	n := &Node{settings: &Settings{topology: fleet.Topology{DataCentre: dataCentre}}, fleet: fleet.New(fleet.Topology{DataCentre: dataCentre})}
+	limits := relay.Limits{RetryLimit: retrybudget.Limit{Window: time.Second}}
+	n.handler = relay.New(relay.Dependencies{Fleet: n.fleet, Catalog: freshness.New(), Recorder: discardRecorder{}, Limits: limits, NotifyPeers: func() {}})
+	n.peers.init()
+	n.fleet.Upsert(fleet.Server{ID: "s1", Service: "orders", Address: "10.0.0.1:80", DataCentre: "a", Slots: 6})
+	return n
+}
+
 // Aggregates tell other data centres which servers leave.
 func TestAggregatesNameLeavingServers(t *testing.T) {
 	now := time.Now()
-	node := func(dataCentre string) *Node {
-		n := &Node{settings: &Settings{topology: fleet.Topology{DataCentre: dataCentre}}, fleet: fleet.New(fleet.Topology{DataCentre: dataCentre})}
-		limits := relay.Limits{RetryLimit: retrybudget.Limit{Window: time.Second}}
-		n.handler = relay.New(relay.Dependencies{Fleet: n.fleet, Catalog: freshness.New(), Recorder: discardRecorder{}, Limits: limits})
-		n.peers.init()
-		n.fleet.Upsert(fleet.Server{ID: "s1", Service: "orders", Address: "10.0.0.1:80", DataCentre: "a", Slots: 6})
-		return n
-	}
-	from, to := node("a"), node("b")
+	from, to := newAggregatingNode("a"), newAggregatingNode("b")
 	from.fleet.RecordLeaving(from.fleet.Find("s1"), now.Add(-time.Second))
 	x := from.aggregateOwnDataCentre(now)
 	to.applyAggregates(map[string]neighbour.DataCentreReport{"a": x}, now)
@@ -34,3 +38,19 @@
 		t.Errorf("the server is still used after the aggregate %+v", x)
 	}
 }
+
+// Aggregates tell other data centres which servers crashed and what crashes them.
+func TestAggregatesCarryCrashesAndCauses(t *testing.T) {
+	now := time.Now()
+	from, to := newAggregatingNode("a"), newAggregatingNode("b")
+	part := []crashcause.Feature{crashcause.PromptPart("m", "9d40c3b1")}
+	from.handler.MergeCrashes(crashcause.Report{
+		Crashes: []crashcause.CrashReport{{Server: "s1/0", Age: time.Second, Requests: []crashcause.Request{crashcause.NewRequest("m", part...)}}},
+		Causes:  []crashcause.CauseReport{{Features: part, Remaining: part, Left: time.Minute}},
+	}, "peer", now)
+	to.applyAggregates(map[string]neighbour.DataCentreReport{"a": from.aggregateOwnDataCentre(now)}, now)
+	got := to.handler.CrashReport(now)
+	if len(got.Crashes) != 1 || len(got.Causes) != 1 || !slices.Equal(got.Causes[0].Remaining, part) {
+		t.Errorf("the other data centre knows %+v", got)
+	}
+}
