crashcause: remember what ran well for as long as the crashes

A part that ran well after each of three crashes, minutes apart, was quarantined: what ran well was forgotten after two minutes, crashes after ten.

--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -223,11 +223,6 @@
 			}
 		}
 	}
-	for f, at := range l.sound {
-		if now.Sub(at) > 2*soundMemory {
-			delete(l.sound, f)
-		}
-	}
 	for key, c := range l.causes {
 		if c.expired(now) {
 			delete(l.causes, key)
@@ -237,4 +232,9 @@
 			l.concerned[f] = true
 		}
 	}
+	for f, at := range l.sound {
+		if age := now.Sub(at); age > 2*soundMemory && !l.concerned[f] || age > crashRetention+soundMemory {
+			delete(l.sound, f)
+		}
+	}
 }
--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -98,6 +98,20 @@
 	}
 }
 
+func TestSoundRunBetweenCrashesIsNotForgotten(t *testing.T) {
+	l := crashcause.New()
+	for i := range 4 {
+		now := at(time.Duration(i) * 3 * time.Minute)
+		crash(l, fmt.Sprint("s", i), now, request(uint64(i), "rare"))
+		l.RecordSound(request(uint64(10+i), "rare"), now.Add(30*time.Second))
+		l.Expire(now.Add(170 * time.Second))
+	}
+	crash(l, "s9", at(12*time.Minute), request(9, "rare"))
+	if found := l.Evaluate(at(12 * time.Minute)); len(found) > 0 {
+		t.Errorf("got causes %v", found)
+	}
+}
+
 func TestRepeatedRequestIsRefusedAsWhole(t *testing.T) {
 	l := crashcause.New()
 	l.RecordSound(request(100, "first"), at(0))
