crashcause: hosts report their own evidence only, and only what is not disproved

Cause: each host repeated all that it knew of crashes, up to 64 with 16 requests each, in every report for 5 s, to each of some 40 peers.

A host reports only the requests that it had itself on a server, without the features that it knows to have run well, for 2 s; aggregates carry those of their data centre. A crash knows its features as a set, so that an evaluation doesn't compare all requests of all servers that were lost together.

--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -147,6 +147,7 @@
 		addWork(x.Work, p.report.Work)
 		addUsage(x.Usage, p.report.Usage)
 		mergeLosses(x.Lost, p.report.Lost, now.Sub(p.reportedAt))
+		x.Crashes.Add(p.report.Crashes, now.Sub(p.reportedAt))
 	}
 	return x
 }
--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -124,7 +124,7 @@
 }
 
 // causesOf returns the known causes that explain a crash.
-func (l *List) causesOf(c *Crash) []*cause {
+func (l *List) causesOf(c *crash) []*cause {
 	var all []*cause
 	for _, x := range l.causes {
 		if slices.ContainsFunc(c.Requests, x.matches) {
--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -98,11 +98,20 @@
 	LostWith []string
 }
 
+// crash is a crash with what is known of it from this node and others.
+type crash struct {
+	Crash
+	features map[Feature]bool // of all requests
+	own      []Request        // that this node had on the server
+}
+
+func (c *crash) has(f Feature) bool { return c.features[f] }
+
 // List holds the crashes, the features of requests that ran well, and the causes. It is safe
 // for concurrent use.
 type List struct {
 	mu      sync.Mutex
-	crashes map[string]*Crash // by server
+	crashes map[string]*crash // by server
 	sound   map[Feature]time.Time
 	causes  map[string]*cause // by key
 	// concerned are the features of the requests that may have caused crashes.
@@ -112,19 +121,25 @@
 // New returns an empty list.
 func New() *List {
 	return &List{
-		crashes: make(map[string]*Crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
+		crashes: make(map[string]*crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
 	}
 }
 
-// RecordCrash records a crash. Several requests that ran on a server, and repeated reports of
-// one crash, are merged. A crash under a cause that is tried again renews the quarantine.
+// RecordCrash records a crash of a server that ran requests of this node. Several requests that
+// ran on a server are merged. A crash under a cause that is tried again renews the quarantine.
 func (l *List) RecordCrash(c Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	known := l.mergeCrash(c)
+	known.own = append(known.own, c.Requests[:min(len(c.Requests), max(0, maxRequestsPerCrash-len(known.own)))]...)
+}
+
+// mergeCrash adds what is known of a crash.
+func (l *List) mergeCrash(c Crash) *crash {
 	known := l.crashes[c.Server]
 	if known == nil {
 		l.makeRoom()
-		known = &Crash{Server: c.Server, At: c.At}
+		known = &crash{Crash: Crash{Server: c.Server, At: c.At}, features: make(map[Feature]bool)}
 		l.crashes[c.Server] = known
 	}
 	for _, s := range c.LostWith {
@@ -133,15 +148,22 @@
 		}
 	}
 	for _, r := range c.Requests {
-		if len(r.Features) == 0 || len(known.Requests) == maxRequestsPerCrash || slices.ContainsFunc(known.Requests, r.equal) {
+		if !known.lacks(r) || len(known.Requests) == maxRequestsPerCrash {
 			continue
 		}
 		known.Requests = append(known.Requests, r)
 		for _, f := range r.Features {
+			known.features[f] = true
 			l.concerned[f] = true
 		}
 		l.renewCauses(r, known.At)
 	}
+	return known
+}
+
+// lacks reports whether a request is not known to have been on the server.
+func (c *crash) lacks(r Request) bool {
+	return len(r.Features) > 0 && !slices.ContainsFunc(c.Requests, r.equal)
 }
 
 // makeRoom removes the oldest crash if the list is full.
@@ -149,7 +171,7 @@
 	if len(l.crashes) < maxCrashes {
 		return
 	}
-	var oldest *Crash
+	var oldest *crash
 	for _, c := range l.crashes {
 		if oldest == nil || c.At.Before(oldest.At) {
 			oldest = c
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -11,7 +11,7 @@
 type suspect struct {
 	feature  Feature
 	class    Feature
-	crashes  []*Crash // in order of time
+	crashes  []*crash // in order of time
 	requests int
 	// unexplained counts the crashes that no known cause explains.
 	unexplained int
@@ -62,7 +62,7 @@
 	}
 	var ranked []suspect
 	for _, s := range all {
-		slices.SortFunc(s.crashes, func(a, b *Crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server)) })
+		slices.SortFunc(s.crashes, func(a, b *crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server)) })
 		if last := len(s.crashes) - 1; last+1 >= crashThreshold && s.crashes[last].At.Sub(s.crashes[0].At) >= minCrashSpan {
 			ranked = append(ranked, *s)
 		}
@@ -73,13 +73,13 @@
 	return ranked
 }
 
-func (l *List) addSuspicion(all map[Feature]*suspect, f, class Feature, c *Crash, explained bool) {
+func (l *List) addSuspicion(all map[Feature]*suspect, f, class Feature, c *crash, explained bool) {
 	s := all[f]
 	if s == nil {
 		s = &suspect{feature: f, class: class}
 		all[f] = s
 	}
-	if !slices.Contains(s.crashes, c) {
+	if last := len(s.crashes) - 1; last < 0 || s.crashes[last] != c {
 		if !l.suspected(f, c) {
 			return
 		}
@@ -94,7 +94,7 @@
 // suspected reports whether a feature may be the cause of a crash: no request with it has run
 // well since shortly before, and if other servers were lost with this one, requests with the
 // feature were starting on them too.
-func (l *List) suspected(f Feature, c *Crash) bool {
+func (l *List) suspected(f Feature, c *crash) bool {
 	if l.soundSince(f, c.At.Add(-soundMemory)) {
 		return false
 	}
@@ -112,10 +112,6 @@
 	return known && at.After(t)
 }
 
-func (c *Crash) has(f Feature) bool {
-	return slices.ContainsFunc(c.Requests, func(r Request) bool { return r.has(f) })
-}
-
 // inCommon returns the feature of a suspect and further ones that nearly all different requests
 // with it have in common.
 func (l *List) inCommon(s suspect) []Feature {
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -7,9 +7,9 @@
 
 const (
 	// reportWindow is how long crashes are reported to other nodes.
-	reportWindow       = 5 * time.Second
-	maxReportedCrashes = 64
-	maxReportedSound   = 256
+	reportWindow       = 2 * time.Second
+	maxReportedCrashes = 32
+	maxReportedSound   = 32
 )
 
 // Report is what a node reports to others. Times are ages, as clocks differ.
@@ -43,8 +43,9 @@
 	Crashes   int
 }
 
-// Report returns what this node knows: recent crashes, the causes, and when requests with the
-// features of these last ran well.
+// Report returns what this node tells others: the requests that it had on servers that have just
+// crashed, without the features that it knows to be no cause, and all causes. For the features of
+// both it tells when requests with them last ran well.
 func (l *List) Report(now time.Time) Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,15 +53,19 @@
 	reported := make(map[Feature]bool)
 	for _, c := range l.crashes {
 		age := now.Sub(c.At)
-		if age > reportWindow || len(r.Crashes) == maxReportedCrashes {
+		if age > reportWindow {
 			continue
 		}
-		r.Crashes = append(r.Crashes, CrashReport{Server: c.Server, Age: age, Requests: slices.Clone(c.Requests), LostWith: slices.Clone(c.LostWith)})
-		for _, x := range c.Requests {
+		for f := range c.features {
+			reported[f] = true
+		}
+		own := l.unproven(c)
+		if len(own) == 0 || len(r.Crashes) == maxReportedCrashes {
+			continue
+		}
+		r.Crashes = append(r.Crashes, CrashReport{Server: c.Server, Age: age, Requests: own, LostWith: slices.Clone(c.LostWith)})
+		for _, x := range own {
 			reported[x.Class] = true
-			for _, f := range x.Features {
-				reported[f] = true
-			}
 		}
 	}
 	for _, c := range l.causes {
@@ -72,27 +77,50 @@
 		}
 	}
 	for f := range reported {
-		if at, known := l.sound[f]; known && len(r.Sound) < maxReportedSound {
+		if at, known := l.sound[f]; known && now.Sub(at) < soundMemory && len(r.Sound) < maxReportedSound {
 			r.Sound = append(r.Sound, SoundReport{Feature: f, Age: now.Sub(at)})
 		}
 	}
 	return r
 }
 
+// unproven returns the requests that this node had on a server, with those of their features
+// that may have caused its crash.
+func (l *List) unproven(c *crash) []Request {
+	var all []Request
+	for _, r := range c.own {
+		r.Features = slices.DeleteFunc(slices.Clone(r.Features), func(f Feature) bool { return l.soundSince(f, c.At.Add(-soundMemory)) })
+		if len(r.Features) > 0 {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// Add adds the crashes of another node's report that was received some time ago.
+func (r *Report) Add(x Report, age time.Duration) {
+	for _, c := range x.Crashes {
+		if c.Age += age; c.Age <= reportWindow && len(r.Crashes) < maxReportedCrashes {
+			r.Crashes = append(r.Crashes, c)
+		}
+	}
+}
+
 // Merge applies another node's report. known reports whether this node has heard of a server
 // since a time; crashes of such servers are not recorded. Merge returns the causes that are new,
 // and whether a crash is.
 func (l *List) Merge(r Report, now time.Time, contacted func(server string, since time.Time) bool) (causes []Cause, crashed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, c := range r.Crashes {
 		at := now.Add(-c.Age)
 		if c.Age > crashRetention || contacted(c.Server, at) {
 			continue
 		}
-		crashed = l.isNewCrash(c) || crashed
-		l.RecordCrash(Crash{Server: c.Server, At: at, Requests: c.Requests, LostWith: c.LostWith})
+		known := l.crashes[c.Server]
+		crashed = crashed || known == nil || slices.ContainsFunc(c.Requests, known.lacks)
+		l.mergeCrash(Crash{Server: c.Server, At: at, Requests: c.Requests, LostWith: c.LostWith})
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for _, s := range r.Sound {
 		l.recordSound(s.Feature, now.Add(-s.Age))
 	}
@@ -104,13 +132,6 @@
 	return causes, crashed
 }
 
-func (l *List) isNewCrash(c CrashReport) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := l.crashes[c.Server]
-	return known == nil || slices.ContainsFunc(c.Requests, func(r Request) bool { return !slices.ContainsFunc(known.Requests, r.equal) })
-}
-
 // mergeCause applies a cause that another node reported and returns it if it is new or was
 // renewed. Of two versions of a cause the one that was renewed more often holds, otherwise the
 // features that remain in both.
