http1: close idle connections on which the server sends

Seen by a host: a server that goes on sending after a complete response fills the kernel's buffers of the pooled connection until its reuse period ends (2 s by default), some 4 MB at 2 MB a second, unless a request comes for it. Cause: only Get looked at an idle connection. The pool looks at all of them each second.

Before: TestEndlessBytesOnIdleConnection 'the connection is still open'.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -236,7 +236,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, expireInterval)
 		now := time.Now()
-		n.pool.CloseExpired(now)
+		n.pool.CloseUnusable(now)
 		n.fleet.Expire(now)
 		n.prompts.Expire(now)
 		n.metrics.gauge("running", float64(n.handler.Running()))
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -95,14 +95,15 @@
 	p.idle[c.address] = append(conns, c)
 }
 
-// CloseExpired closes the idle connections whose reuse period has ended.
-func (p *Pool) CloseExpired(now time.Time) {
+// CloseUnusable closes the idle connections whose reuse period has ended, that the server has
+// closed, or on which it sends something.
+func (p *Pool) CloseUnusable(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
 		var kept []*Conn
 		for _, c := range conns {
-			if now.Before(c.reusableUntil) {
+			if now.Before(c.reusableUntil) && c.isIdle() {
 				kept = append(kept, c)
 				continue
 			}
--- a/test/relay/endless_test.go
+++ b/test/relay/endless_test.go
@@ -175,6 +175,24 @@
 	}
 }
 
+// Guards against an idle connection that takes bytes until its reuse period ends, as no further
+// request comes.
+func TestEndlessBytesOnIdleConnection(t *testing.T) {
+	h := newHarness(t)
+	e := &backend.Endless{Head: backend.Head("Keep-Alive: timeout=10\r\nContent-Length: 2\r\n") + "ok", Repeat: filler, Pause: 10 * time.Millisecond}
+	h.startServer("buy", "a", e.Step())
+	sound := h.startServer("read", "a", backend.Respond(200, "ok"))
+	h.checkResponse(h.send(http.MethodPost, "/buy/1", nil), 200, "ok")
+	h.checkResponse(h.send(http.MethodGet, "/read/1", nil), 200, "ok")
+	time.Sleep(50 * time.Millisecond)
+	h.handler.Pool.CloseUnusable(time.Now())
+	h.checkEnded(e)
+	h.checkResponse(h.send(http.MethodGet, "/read/2", nil), 200, "ok")
+	if n := sound.ConnectionCount(); n != 1 {
+		t.Errorf("the sound server got %d connections, want 1", n)
+	}
+}
+
 // A server that fails a read with a long body is given up without reading all of it.
 func TestFailureWithEndlessBodyIsRetried(t *testing.T) {
 	h := newHarness(t)
