sse: an event without end was read up to 2 MiB, not 1 MiB

Cause: the limit counts what has been read. A body in chunks fills the whole buffer that it is given, in net/http, and the buffer doubles at 1 MiB; the error comes when that is full. With comments before, 1.5 MiB. A read now ends at most 1 KiB behind the limit.

Test: TestReadsOfEndlessEventStayWithinLimit, before: "after 0 bytes: 2097152 bytes were read, want at most 1049600", and 1572879 after comments.

--- a/io/sse/events.go
+++ b/io/sse/events.go
@@ -105,7 +105,9 @@
 		copy(grown, r.buffer)
 		r.buffer = grown
 	}
-	n, err := r.source.Read(r.buffer[len(r.buffer):cap(r.buffer)])
+	free := r.buffer[len(r.buffer):cap(r.buffer)]
+	left := maxEventSize + initialBufferSize/4 - r.idle - len(r.buffer)
+	n, err := r.source.Read(free[:min(len(free), left)])
 	r.buffer = r.buffer[:len(r.buffer)+n]
 	r.err = err
 }
--- a/io/sse/events_test.go
+++ b/io/sse/events_test.go
@@ -73,6 +73,36 @@
 	}
 }
 
+// A body in chunks fills the buffer that it is given, however large.
+func TestReadsOfEndlessEventStayWithinLimit(t *testing.T) {
+	const event, comments, limit = "id: 1\ndata: a\n\n", 1 << 19, 1<<20 + 1<<10
+	for _, test := range []struct {
+		prefix string
+		max    int // bytes
+	}{{"", limit}, {event, limit + len(event)}, {event + strings.Repeat(": ok\n\n\n\n", comments/8), limit + len(event)}} {
+		source := &countingReader{source: io.MultiReader(strings.NewReader(test.prefix), repeated("x"))}
+		r := sse.NewReader(source)
+		err := error(nil)
+		for err == nil {
+			_, err = r.Next()
+		}
+		if source.read > test.max {
+			t.Errorf("after %d bytes: %d bytes were read, want at most %d", len(test.prefix), source.read, test.max)
+		}
+	}
+}
+
+type countingReader struct {
+	source io.Reader
+	read   int // bytes
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.source.Read(p)
+	c.read += n
+	return n, err
+}
+
 // An event that proceeds ends a sequence of comments, however many there are in all.
 func TestCommentsBetweenEvents(t *testing.T) {
 	part := strings.Repeat(": alive\n\n", 60_000) + "data: a\n\n"
