soak: bytes of an endless response that no host has read don't count as read

Cause: the check counts what the server wrote. A suspended host reads nothing, and the kernel takes over 4 MB for it, nearly all of it as sent by the proxy of the link. Measured in a trial, one host suspended for 4 s beside servers that send such responses, with the queues of /proc/net/tcp sampled: 7 of the responses were over the limit, with 4.2 to 4.4 MB written; e.g. 4222464 bytes written, 3851264 waiting as sent to the host and 123748 as received and unread. Some in the queues are those of two responses at once.

A server now writes on only while at most 256 KiB from its address wait, so that what it has written is what was read, and up to 0.4 MiB. The limit is 2 MiB instead of 3 MiB.

Ruled out: setting small buffers at the server (its own is at 16 KiB already); those of the proxy can't be set. Subtracting the queues from what was written fails for two responses at once, whose queues can't be told apart.

--- a/test/soak/endless.go
+++ b/test/soak/endless.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -11,10 +14,15 @@
 
 const (
 	// maxEndlessBytes limits what a server can write of a response without end before the
-	// host closes the connection, with what waits in the buffers on the way.
-	maxEndlessBytes = 3 << 20
+	// host closes the connection.
+	maxEndlessBytes = 2 << 20
+	// maxQueuedBytes limits what waits in the kernel between a server and the hosts, which is
+	// looked at each queueCheckBytes.
+	maxQueuedBytes  = 256 << 10
+	queueCheckBytes = 64 << 10
 	// endlessPause is the time between two writes of such a response.
-	endlessPause = 2 * time.Millisecond
+	endlessPause       = 2 * time.Millisecond
+	queueCheckInterval = 10 * time.Millisecond
 	// maxEndlessTime limits how long the fault waits for the end of such responses.
 	maxEndlessTime = 10 * time.Second
 )
@@ -69,9 +77,48 @@
 func (s *incarnation) sendEndless(e *backend.Endless, c *backend.Conn, r *http.Request) bool {
 	s.endlessResponses.Add(1)
 	defer s.endlessResponses.Add(-1)
+	ip, _, _ := net.SplitHostPort(s.address)
+	checked := int64(0)
+	e.Before = func() {
+		if e.Written() < checked+queueCheckBytes {
+			return
+		}
+		checked = e.Written()
+		for queuedBytes(net.ParseIP(ip)) > maxQueuedBytes {
+			time.Sleep(queueCheckInterval)
+		}
+	}
 	e.Step()(c, r, nil)
 	if n := e.Written(); n > maxEndlessBytes {
 		s.addViolation("a host read %d bytes of a response without end to %s from %s", n, r.Header.Get("X-Request-Id"), s.id)
 	}
 	return false
 }
+
+// queuedBytes returns how many bytes from an address wait in the kernel, sent or received.
+func queuedBytes(from net.IP) int64 {
+	all, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	ip := from.To4()
+	prefix := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
+	total := int64(0)
+	for line := range bytes.Lines(all) {
+		f := strings.Fields(string(line)) // number, local and remote address, state, queues
+		var sent, received int64
+		if len(f) < 5 {
+			continue
+		}
+		if _, err := fmt.Sscanf(f[4], "%x:%x", &sent, &received); err != nil {
+			continue
+		}
+		if strings.HasPrefix(f[1], prefix) {
+			total += sent
+		}
+		if strings.HasPrefix(f[2], prefix) {
+			total += received
+		}
+	}
+	return total
+}
--- a/test/standin/backend/endless.go
+++ b/test/standin/backend/endless.go
@@ -19,6 +19,7 @@
 	Head    string        // written once; $ID stands for the ID of the request
 	Repeat  string        // written without end
 	Pause   time.Duration // before each write of Repeat
+	Before  func()        // called before each write; nil for none
 	written atomic.Int64
 	closed  atomic.Int64
 }
@@ -37,6 +38,9 @@
 		}
 		text := strings.ReplaceAll(e.Head, "$ID", r.Header.Get("X-Request-Id"))
 		for e.written.Load() < maxWritten {
+			if e.Before != nil {
+				e.Before()
+			}
 			n, err := io.WriteString(c, text)
 			e.written.Add(int64(n))
 			if err != nil {
