--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -47,6 +47,7 @@
 	ServerLeaving bool   // the response says that the server leaves
 	Body          string // the part that was received
 	Truncated     bool   // the response was truncated
+	Parts         string // the parts of the prompt before its own
 	LastEventID   int    // for a resumed stream, the Last-Event-Id that the caller sent; 0 otherwise
 }
 
@@ -77,12 +78,15 @@
 	pickHost func(r *rand.Rand) string // returns the address of a host
 	pickKey  func() string
 	results  *resultLog
+	kinds    []string
+	parts    string // the parts of all its prompts before their own
+	maxPause time.Duration
 	count    int
 }
 
 func newCaller(name string, seed uint64, pick func(r *rand.Rand) string, key func() string, l *resultLog) *caller {
 	return &caller{
-		name: name, random: rand.New(rand.NewPCG(seed, 7)), pickHost: pick, pickKey: key, results: l,
+		name: name, random: rand.New(rand.NewPCG(seed, 7)), pickHost: pick, pickKey: key, results: l, kinds: []string{buy, read, report, once}, maxPause: maxCallerPause,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
 	}
 }
@@ -96,9 +100,9 @@
 			return
 		default:
 		}
-		kind := []string{buy, read, report, once}[c.random.IntN(4)]
+		kind := c.kinds[c.random.IntN(len(c.kinds))]
 		c.send(kind)
-		time.Sleep(time.Duration(c.random.Float64() * float64(maxCallerPause)))
+		time.Sleep(time.Duration(c.random.Float64() * float64(c.maxPause)))
 	}
 }
 
@@ -118,7 +122,7 @@
 
 func (c *caller) sendOnce(kind, path string, lastEventID int) (x Result) {
 	x = Result{
-		ID: fmt.Sprintf("%s-%d-%d", c.name, c.count, c.random.Uint32()), Kind: kind, Path: path, Host: c.pickHost(c.random), Key: c.pickKey(), Sent: time.Now(), LastEventID: lastEventID,
+		ID: fmt.Sprintf("%s-%d-%d", c.name, c.count, c.random.Uint32()), Kind: kind, Path: path, Host: c.pickHost(c.random), Key: c.pickKey(), Sent: time.Now(), Parts: c.parts, LastEventID: lastEventID,
 	}
 	defer func() { x.Finished = time.Now() }()
 	method := http.MethodPost
@@ -149,7 +153,7 @@
 	if isStream(x.Kind) {
 		deadline = streamDeadline
 		r.Header.Set("X-Token-Usage", "800,90")
-		r.Header.Set("X-Prefix-Hash", fmt.Sprintf("%x:800", x.Path))
+		r.Header.Set("X-Prefix-Hash", fmt.Sprintf("%s%x:800", x.Parts, x.Path))
 	}
 	if x.LastEventID > 0 {
 		r.Header.Set("Last-Event-Id", fmt.Sprint(x.LastEventID))
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -36,6 +36,7 @@
 		c.checkResult(x)
 	}
 	c.checkNotices(arrivals)
+	c.checkParts(arrivals)
 	e.logFault("%d paths from a host to a server that it said leaves, %d rests", c.leavingPaths, c.rests)
 	return c.violations
 }
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -105,6 +105,9 @@
 	faultLog     []string
 	startTime    time.Time
 	addressOf    map[string]*serverAddress // by server ID
+	crashes      []time.Time               // by the part that crashes servers
+	quietEnd     time.Time                 // end of the time without other faults
+	restarts     sync.WaitGroup            // of servers that crashed
 }
 
 func newTestEnv(binary, dir string, seed uint64, hosts int) (*testEnv, error) {
@@ -168,6 +171,7 @@
 	e.addressOf[id] = a
 	e.mu.Unlock()
 	s := &incarnation{id: id, service: service, address: a.link.Address(), born: time.Now(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
+	s.crash = sync.OnceFunc(func() { e.crashOnPart(s, a) })
 	b, err := backend.Start(a.listen, s.handleWithNotices)
 	if err != nil {
 		return err
@@ -183,6 +187,7 @@
 	for _, h := range e.hosts {
 		h.Kill()
 	}
+	e.restarts.Wait()
 	for _, a := range e.addresses {
 		if a.current != nil {
 			a.current.backend.Close()
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -36,6 +36,7 @@
 	Executed     bool
 	Remaining    time.Duration // the remaining time that was sent to the server
 	Leaving      bool          // the response says that the server leaves
+	CrashingPart bool          // the prompt holds the part that crashes servers
 	Wish         time.Duration // the rest that the server asked for as it refused the request
 }
 
@@ -67,6 +68,7 @@
 	arrivals *arrivalLog
 	// addViolation records a violation that the server has seen.
 	addViolation func(format string, args ...any)
+	crash        func() // ends the server
 
 	endlessResponses atomic.Int64 // those that are being sent
 	mu               sync.Mutex
@@ -194,8 +196,8 @@
 	}
 	leaving, _ := s.notices.current()
 	return Arrival{
-		Leaving: leaving,
-		ID:      r.Header.Get("X-Request-Id"), Path: r.URL.Path, Key: r.Header.Get("Authorization"), Organisation: r.Header.Get("X-Tenant"),
+		Leaving: leaving, CrashingPart: hasCrashingPart(r),
+		ID: r.Header.Get("X-Request-Id"), Path: r.URL.Path, Key: r.Header.Get("Authorization"), Organisation: r.Header.Get("X-Tenant"),
 		Forged:  r.Header.Get("X-Hold") != "" || r.Header.Get("X-Tenant") == forged || r.Header.Get("Kv-From") == forged,
 		Service: s.service, Server: s.id, At: time.Now(), Remaining: time.Duration(ms) * time.Millisecond,
 	}
@@ -265,6 +267,11 @@
 			return false
 		}
 		_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
+		if err == nil && hasCrashingPart(r) {
+			time.Sleep(streamInterval)
+			s.crash()
+			return false
+		}
 		if err == nil && i == endlessAt {
 			return s.sendEndless(endlessEvents(int(s.randomFloat()*endlessEventVariants), e), c, r)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -109,12 +109,19 @@
 		g.Go(func() { c.run(stop) })
 	}
 	e.injectFaults(harmlessFaults, time.Now().Add(d/2))
+	if seed >= firstSeedWithParts {
+		e.startPartCallers(seed, &g, stop)
+	}
 	until := time.Now().Add(d)
 	var beside sync.WaitGroup
 	beside.Go(func() { e.injectRestores(until) })
 	beside.Go(func() { e.injectNotices(seed, until) })
 	e.injectFaults(faults, until)
 	beside.Wait()
+	if seed >= firstSeedWithParts {
+		time.Sleep(quietTime)
+		e.quietEnd = time.Now()
+	}
 	e.checkRecovery()
 	e.checkRestoreLines()
 	t.Logf("seed %d: the store came back older %d times", seed, e.store.Era()-1)
