node: answer requests that a drain did not wait for

Callers of serve saw: a whole request, then an end of the connection without an answer or a refusal, if it was still in progress when the wait of a drain was over; calls, answers and streams alike. The log called it caller_left.

Cause: an end of our own took effect by closing the callers' connections. The contexts of requests did not end before, so that no handler could answer, and net/http then cancelled them as if the caller had left.

A stopping node now cancels the contexts of requests, with a cause, after it has waited for those that it still refuses, and waits 0.3 s for the answers: draining, 502 if the request may have run and 503 if it has not. A stream that has begun ends with an error event.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -92,10 +92,13 @@
 	stop         context.CancelFunc
 }
 
-// shutdownTimeout limits how long a stopping node waits for requests that arrived while it was
-// stopping, which it refuses. The connections of those that a drain did not wait for are closed
-// then.
-const shutdownTimeout = 500 * time.Millisecond
+const (
+	// shutdownTimeout limits how long a stopping node waits for requests that arrived while it
+	// was stopping, which it refuses. Those that a drain did not wait for are cancelled then.
+	shutdownTimeout = 500 * time.Millisecond
+	// lastResponseTimeout limits the time in which cancelled requests are answered.
+	lastResponseTimeout = 300 * time.Millisecond
+)
 
 type state string
 
@@ -185,14 +188,20 @@
 	if c != nil {
 		l = tls.NewListener(l, c)
 	}
+	requests, cancel := context.WithCancelCause(context.Background())
 	s := &http.Server{
 		Handler:           h,
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		MaxHeaderBytes:    n.settings.MaxHeaderBytes(),
 		ReadHeaderTimeout: n.settings.HeaderTimeout(),
 		IdleTimeout:       n.settings.IdleTimeout(),
 	}
 	x := httpserver.New(l, s)
-	g.Add(x.Run, func(error) { x.Shutdown(time.Now().Add(shutdownTimeout)) })
+	g.Add(x.Run, func(error) {
+		x.Drain(time.Now().Add(shutdownTimeout))
+		cancel(caller.ErrStopping)
+		x.Shutdown(time.Now().Add(lastResponseTimeout))
+	})
 	return nil
 }
 
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -48,6 +48,24 @@
 	}
 }
 
+// ErrStopping is the cause with which the context of requests is to be cancelled when the node
+// stops.
+var ErrStopping = errors.New("the node is stopping")
+
+// requestError returns the error of a request. If the request ended because the node stops, it
+// says so.
+func (x *exchange) requestError(err error) error {
+	if !errors.Is(err, context.Canceled) || !errors.Is(context.Cause(x.r.Context()), ErrStopping) {
+		return err
+	}
+	f := fault.From(err)
+	stopping := fault.Newf(fault.Draining, f.Step(), f.Peer(), "%v", ErrStopping).WithRan(f.Ran())
+	if f.Ran() == fault.NotRun {
+		return stopping.WithRetryAt(time.Now().Add(time.Second))
+	}
+	return stopping.WithStatus(http.StatusBadGateway)
+}
+
 // writeError writes an error response and returns its status for the log. A caller that has
 // only closed its sending side reads the response; without one it would get an empty 200.
 func writeError(w http.ResponseWriter, err error) int {
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -116,7 +116,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{w: w, r: r, config: h.backend.Config()}
 		x.summary = RequestSummary{RequestID: uuid.NewString(), Method: r.Method, Path: r.URL.Path, StartedAt: time.Now()}
-		err := h.authenticate(x, next)
+		err := x.requestError(h.authenticate(x, next))
 		if err != nil && !x.headerWritten {
 			x.summary.Status = writeError(w, err)
 		}
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -154,6 +154,7 @@
 	if !s.x.headerWritten {
 		return err
 	}
+	err = s.x.requestError(err)
 	s.appendEvent("", errorBody{Error: newErrorDetail(fault.From(err))})
 	_ = s.flush()
 	return err
--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -288,3 +288,42 @@
 	}
 	checkPurchases(t, c, p)
 }
+
+// A drain ends while calls and answers are still in progress.
+func TestDrainAnswersRequestsThatCannotFinish(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, cluster.Layout{EnginesPerDataCentre: 1, AppsPerDataCentre: 1, ExtraSettings: "[drain]\ngrace = 200ms\nwait = 1s\n"})
+	must(t, setAppFaults(c, application.Faults{BeforeMS: 3000}))
+	must(t, c.Engine(0).SetFaults(engine.Faults{PrefillMS: 5000}))
+	n := c.Node(0)
+	requests := map[string]func() (int, error){
+		"purchase": func() (int, error) {
+			r := n.CallService(testContext(t), http.MethodPost, purchasePath, "late", "litres=20")
+			return r.Status, r.Err
+		},
+		"lookup": func() (int, error) {
+			r := n.CallService(testContext(t), http.MethodPost, "/services/lookup/1", "", "")
+			return r.Status, r.Err
+		},
+		"completion": func() (int, error) {
+			x := n.Complete(testContext(t), cluster.CompletionRequest{Text: "tokens=5", NoStream: true})
+			return x.Status, x.Err
+		},
+		"stream": func() (int, error) {
+			x := n.Complete(testContext(t), cluster.CompletionRequest{Text: "tokens=5"})
+			return x.Status, x.Err
+		},
+	}
+	var wg sync.WaitGroup
+	for name, send := range requests {
+		wg.Go(func() {
+			if status, err := send(); err != nil || status != http.StatusBadGateway {
+				t.Errorf("%s: got status %d, error %v; want status 502", name, status, err)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	n.Terminate()
+	wg.Wait()
+	<-n.Exited()
+}
