peer: limit the time of writes to a node that takes nothing

A call to a node that accepts connections and reads nothing, as a frozen one does, did not end at its timeout if the request filled the buffers between them. Later calls on that connection waited behind it. An answer whose copy is sent there is not released to its caller meanwhile.

Cause: net/rpc writes a request before it returns a call that could be waited for, and its connection had no write deadline.

--- a/io/peer/traffic.go
+++ b/io/peer/traffic.go
@@ -3,8 +3,13 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 )
 
+// writeTimeout limits the time of a write, as net/rpc doesn't: a node that takes nothing from
+// its connections would hold up calls to it for good.
+const writeTimeout = callTimeout
+
 // Traffic counts the bytes on all connections to other nodes.
 type Traffic struct {
 	sent     atomic.Int64
@@ -17,7 +22,8 @@
 // Received returns the number of bytes received so far.
 func (t *Traffic) Received() int64 { return t.received.Load() }
 
-// count returns a connection like c whose bytes are counted.
+// count returns a connection like c whose bytes are counted and whose writes are limited in
+// time.
 func (t *Traffic) count(c net.Conn) net.Conn { return &countedConn{Conn: c, traffic: t} }
 
 type countedConn struct {
@@ -32,6 +38,7 @@
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n, err := c.Conn.Write(b)
 	c.traffic.sent.Add(int64(n))
 	return n, err
