httpserver: test that a shutdown loses no request that is handled

That closing a connection and beginning a request exclude each other was not tested: without the check in begin the tests passed. TestShutdownLosesNoRequestThatIsHandled fails without it, with requests that were handled and got no response.

--- a/io/httpserver/server_test.go
+++ b/io/httpserver/server_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -79,3 +81,54 @@
 		t.Error("the server has not ended 2 s after its last request")
 	}
 }
+
+// Callers send one request after the other on kept connections until these are closed.
+func TestShutdownLosesNoRequestThatIsHandled(t *testing.T) {
+	for range 20 {
+		var handled sync.Map
+		s := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handled.Store(r.URL.Path, true)
+			_, _ = io.WriteString(w, "ok")
+		}))
+		go func() { _ = s.Run() }()
+		var g sync.WaitGroup
+		for n := range 32 {
+			g.Go(func() {
+				if path := sendUntilClosed(s.listener.Addr().String(), n); path != "" {
+					if _, found := handled.Load(path); found {
+						t.Errorf("%s was handled and got no response", path)
+					}
+				}
+			})
+		}
+		time.Sleep(30 * time.Millisecond)
+		s.Shutdown(time.Now().Add(5 * time.Second))
+		g.Wait()
+	}
+}
+
+// sendUntilClosed sends requests on one connection until it is closed. It returns the path of
+// the request that got no response, "" if all got one.
+func sendUntilClosed(address string, caller int) string {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	reader := bufio.NewReader(c)
+	for i := 0; ; i++ {
+		path := fmt.Sprintf("/%d/%d", caller, i)
+		_, _ = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path)
+		r, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return path
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return path
+		}
+		if r.Close {
+			return ""
+		}
+	}
+}
