caller: a body that does not arrive holds back no refusal

Callers of serve who had sent the head of a request and not all of its body got no refusal (no key, not ready, not found) until the body came, however long that took; a connection without a key was held for as long.

Cause: the silence of the caller held back an answer that did not depend on it. net/http reads the rest of a body before it sends a response, and only readBody set a read deadline. Refusals that come before it now limit this time to 0.5 s, as in the relay.

TestMissingBodyDoesNotHoldBackRefusal failed before: no response within 3 s.

--- a/io/caller/half_closed_test.go
+++ b/io/caller/half_closed_test.go
@@ -69,3 +69,24 @@
 		t.Errorf("got status %d, want 502", r.StatusCode)
 	}
 }
+
+func TestMissingBodyDoesNotHoldBackRefusal(t *testing.T) {
+	b := waitingBackend{}
+	s := httptest.NewServer(New(b, Limits{MaxBodyBytes: 1 << 20, BodyReadTimeout: time.Second, WriteTimeout: time.Second}, b))
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprint(conn, "POST /services/shop/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	if r.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want 503", r.StatusCode)
+	}
+}
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -105,6 +105,7 @@
 	config        *config.Config
 	summary       RequestSummary
 	headerWritten bool
+	bodyLimited   bool // the time for reading the rest of the request is limited
 }
 
 // handlerFunc handles an authenticated request.
@@ -118,6 +119,7 @@
 		x.summary = RequestSummary{RequestID: uuid.NewString(), Method: r.Method, Path: r.URL.Path, StartedAt: time.Now()}
 		err := x.requestError(h.authenticate(x, next))
 		if err != nil && !x.headerWritten {
+			x.limitUnreadBody()
 			x.summary.Status = writeError(w, err)
 		}
 		x.summary.Err = err
@@ -164,6 +166,7 @@
 // readBody reads the request body within the limits on size and time.
 func (h *Handler) readBody(x *exchange) ([]byte, error) {
 	c := http.NewResponseController(x.w)
+	x.bodyLimited = true
 	_ = c.SetReadDeadline(time.Now().Add(h.limits.BodyReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.limits.MaxBodyBytes))
 	if err == nil {
@@ -180,6 +183,18 @@
 	return nil, fault.Newf(fault.BadRequest, "read-body", "", "the request body could not be read completely: %v", err)
 }
 
+// unreadBodyTimeout limits the time for which a refusal that is sent before the body has been
+// read waits for the rest of the body.
+const unreadBodyTimeout = 500 * time.Millisecond
+
+// limitUnreadBody limits the time in which net/http reads the rest of a body before it sends
+// the response.
+func (x *exchange) limitUnreadBody() {
+	if !x.bodyLimited && x.r.ContentLength != 0 {
+		_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 func (h *Handler) createCompletion(x *exchange) error {
 	r, err := h.parseAnswerRequest(x)
 	if err != nil {
