neighbour, peer: a lack of file descriptors does not end a host

What callers would see: if another host connected while there was no file descriptor left, the host stopped, and cut or ended all requests in progress.

Cause: the servers for other hosts took any error of Accept for the end of their listener, and a host stops when one of its servers ends. They now try again, as net/http does for callers' connections.

--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -165,7 +165,7 @@
 		return errors.Wrap(err, "neighbour: register")
 	}
 	for {
-		c, err := l.Accept()
+		c, err := tcp.Accept(l)
 		if err != nil {
 			return errors.Wrap(err, "neighbour: accept")
 		}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -12,6 +12,7 @@
 	"cicadabeam/core/claim"
 	"cicadabeam/core/holder"
 	"cicadabeam/core/replication"
+	"cicadabeam/io/tcp"
 )
 
 // methods holds the methods that net/rpc exposes to other nodes.
@@ -89,7 +90,7 @@
 // Serve accepts connections until Close.
 func (s *Server) Serve() error {
 	for {
-		c, err := s.listener.Accept()
+		c, err := tcp.Accept(s.listener)
 		if err != nil {
 			return err
 		}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -5,6 +5,7 @@
 //
 //	d := net.Dialer{Control: tcp.UserTimeout(2 * time.Second)}
 //	waited, known := tcp.SinceLastReceived(conn)
+//	c, err := tcp.Accept(listener)
 package tcp
 
 import (
@@ -39,6 +40,21 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
 
+// acceptRetryDelay is the delay before another connection is accepted if there was no file
+// descriptor for one.
+const acceptRetryDelay = 20 * time.Millisecond
+
+// Accept waits for the next connection to a listener, also while there are no file descriptors.
+func Accept(l net.Listener) (net.Conn, error) {
+	for {
+		c, err := l.Accept()
+		if !errors.Is(err, unix.EMFILE) && !errors.Is(err, unix.ENFILE) {
+			return c, err
+		}
+		time.Sleep(acceptRetryDelay)
+	}
+}
+
 // States of a connection, as the kernel numbers them.
 const (
 	stateEstablished = 1
