--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -37,7 +37,8 @@
 	}
 	c.checkNotices(arrivals)
 	c.checkParts(arrivals)
-	e.logFault("%d paths from a host to a server that it said leaves, %d rests", c.leavingPaths, c.rests)
+	c.checkUnframed()
+	e.logFault("%d paths from a host to a server that it said leaves, %d rests, %d responses without length, %d crashes by a part", c.leavingPaths, c.rests, c.unframed, len(e.crashes))
 	return c.violations
 }
 
@@ -49,6 +50,7 @@
 	violations []string
 
 	leavingPaths, rests int // checked by checkNotices
+	unframed            int // responses checked by checkUnframed
 }
 
 func (c *checker) addViolation(format string, args ...any) {
--- a/test/soak/crashing_part.go
+++ b/test/soak/crashing_part.go
@@ -56,11 +56,15 @@
 	e.mu.Lock()
 	e.crashes = append(e.crashes, from)
 	e.mu.Unlock()
-	s.backend.Close()
+	if s.unframed { // a stream that ends between events would be complete
+		s.backend.Reset()
+	} else {
+		s.backend.Close()
+	}
 	time.AfterFunc(entryTTL, func() { e.store.Remove("servers", s.id) })
 	e.restarts.Go(func() {
 		defer func() { e.recordFault(fault{}, from) }()
-		if a.faultMu.TryLock() {
+		if a.link != nil && a.faultMu.TryLock() {
 			a.link.Disable()
 			time.Sleep(crashedTime)
 			e.recordError(a.link.Enable())
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -70,6 +71,7 @@
 	faultMu sync.Mutex // held by its current fault
 	current *incarnation
 
+	unframed     bool // its servers send responses without length or chunks
 	disruptionMu sync.Mutex
 	disruptions  []span // of the link or the connections
 }
@@ -89,6 +91,7 @@
 	store     *store.Store
 	hosts     []*host
 	addresses []*serverAddress
+	unframed  []*serverAddress // without links and faults
 	arrivals  *arrivalLog
 	results   *resultLog
 	stalls    stallMeter
@@ -105,6 +108,7 @@
 	faultLog     []string
 	startTime    time.Time
 	addressOf    map[string]*serverAddress // by server ID
+	whole        map[string]bool           // complete responses without length, by request ID
 	crashes      []time.Time               // by the part that crashes servers
 	quietEnd     time.Time                 // end of the time without other faults
 	restarts     sync.WaitGroup            // of servers that crashed
@@ -118,7 +122,7 @@
 	e := &testEnv{
 		dir: dir, random: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 9)), store: x, arrivals: &arrivalLog{}, results: &resultLog{},
 		revoked: make(map[string]time.Time), draining: make(map[string]time.Time), startTime: time.Now(),
-		addressOf: make(map[string]*serverAddress),
+		addressOf: make(map[string]*serverAddress), whole: make(map[string]bool),
 	}
 	for i := range initialKeys {
 		e.keys = append(e.keys, fmt.Sprint("key-", i))
@@ -129,6 +133,11 @@
 			return e, err
 		}
 	}
+	if seed >= firstSeedWithParts {
+		if err := e.addUnframedServers(seed); err != nil {
+			return e, err
+		}
+	}
 	for i := range hosts {
 		if err := e.addHost(binary, i); err != nil {
 			return e, err
@@ -170,7 +179,7 @@
 	id := fmt.Sprintf("i-%d", e.incarnations)
 	e.addressOf[id] = a
 	e.mu.Unlock()
-	s := &incarnation{id: id, service: service, address: a.link.Address(), born: time.Now(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
+	s := &incarnation{id: id, service: service, address: a.address(), unframed: a.unframed, recordWhole: e.recordWhole, born: time.Now(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
 	s.crash = sync.OnceFunc(func() { e.crashOnPart(s, a) })
 	b, err := backend.Start(a.listen, s.handleWithNotices)
 	if err != nil {
@@ -188,11 +197,13 @@
 		h.Kill()
 	}
 	e.restarts.Wait()
-	for _, a := range e.addresses {
+	for _, a := range slices.Concat(e.addresses, e.unframed) {
 		if a.current != nil {
 			a.current.backend.Close()
 		}
-		a.link.Disable()
+		if a.link != nil {
+			a.link.Disable()
+		}
 	}
 	e.store.Close()
 }
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -69,6 +69,8 @@
 	// addViolation records a violation that the server has seen.
 	addViolation func(format string, args ...any)
 	crash        func() // ends the server
+	unframed     bool
+	recordWhole  func(id string)
 
 	endlessResponses atomic.Int64 // those that are being sent
 	mu               sync.Mutex
@@ -157,6 +159,9 @@
 	}
 	a.Executed = true
 	s.arrivals.add(a)
+	if s.unframed {
+		return s.sendUnframed(c, r)
+	}
 	if r.Header.Get("X-Token-Usage") != "" {
 		return s.stream(c, r)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -115,6 +115,7 @@
 	until := time.Now().Add(d)
 	var beside sync.WaitGroup
 	beside.Go(func() { e.injectRestores(until) })
+	beside.Go(func() { e.breakUnframed(until) })
 	beside.Go(func() { e.injectNotices(seed, until) })
 	e.injectFaults(faults, until)
 	beside.Wait()
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -96,6 +96,19 @@
 	s.CloseConnections()
 }
 
+// Reset closes the listener and resets the connections.
+func (s *Server) Reset() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 // CloseConnections closes the connections and keeps the listener open.
 func (s *Server) CloseConnections() {
 	s.mu.Lock()
