serve: find the message that crashes engines

What callers saw: requests that differ but share a message of the chat crashed one engine after another through `serve`, each two of them, and sound requests on these engines lost their servers again and again; some were then refused as if they had crashed the engines.

Cause: core/quarantine knows whole requests only. Requests that share a message have different fingerprints, so the evidence of each began anew.

Now the messages before the last one are features of a chat request, beside the request as a whole, and core/crashcause finds those that crash engines, from three crashes on. The runner records crashes of starting attempts, sound runs and refuses; nodes exchange crashes and causes in crash reports and heartbeats. Requests with such a message get 503 prompt_quarantined with a Retry-After before anything runs. A request that one more crash would convict waits for the evaluation (250 ms) before it goes to another engine. Engines keep their names when they restart, unlike the servers of `entry`: crashcause.NewForReusedNames tells crashes of one name apart by time.

core/quarantine stays as it is for whole requests: it quarantines after two crashes, crashcause after three. Requests without messages before the last one are left to it.

--- a/cmd/node/backend.go
+++ b/cmd/node/backend.go
@@ -11,7 +11,6 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
 	"cicadabeam/core/holder"
-	"cicadabeam/core/quarantine"
 	"cicadabeam/core/route"
 	"cicadabeam/io/caller"
 )
@@ -30,9 +29,12 @@
 	return n.concurrencyLimiter.Acquire(o.Name(), o.MaxRunning())
 }
 
-// IsQuarantined implements caller.Backend.
-func (n *Node) IsQuarantined(f quarantine.Fingerprint) bool {
-	return n.quarantine.IsQuarantined(f, time.Now())
+// CheckQuarantine implements caller.Backend.
+func (n *Node) CheckQuarantine(r holder.Request) error {
+	if n.quarantine.IsQuarantined(r.Fingerprint, time.Now()) {
+		return fault.Newf(fault.RequestQuarantined, "admit", "", "this request crashed the backend servers that ran it")
+	}
+	return n.crashes.Check(r.Service, r.Request.SharedMessages(), r.Fingerprint)
 }
 
 // StartAnswer implements caller.Backend.
--- a/cmd/node/heartbeat.go
+++ b/cmd/node/heartbeat.go
@@ -82,6 +82,7 @@
 		Leaving:     n.state.Load() == draining,
 		Notices:     n.loads.Notices(now),
 		Quarantined: n.quarantine.Entries(now),
+		Crashes:     n.crashes.Report(now),
 	}
 }
 
@@ -133,6 +134,7 @@
 	}
 	changed := n.loads.ApplyNotices(h.Notices...)
 	changed = n.quarantine.Merge(h.Quarantined) || changed
+	changed = n.mergeCrashes(h.Crashes, h.From, now) || changed
 	if changed {
 		n.triggerHeartbeat()
 	}
--- a/cmd/node/loops.go
+++ b/cmd/node/loops.go
@@ -37,6 +37,7 @@
 	n.holder.Maintain(now)
 	n.calls.Expire(now)
 	n.quarantine.Expire(now)
+	n.crashes.Expire(now)
 	n.updateGauges()
 }
 
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -57,6 +57,7 @@
 	nodes              *membership.Table
 	loads              *balance.Table
 	quarantine         *quarantine.List
+	crashes            *generation.CrashDetector
 	router             *route.Router
 	concurrencyLimiter *admit.ConcurrencyLimiter
 	rateLimiter        *admit.RateLimiter
@@ -122,7 +123,8 @@
 	n.router = route.New(n.loads, n)
 	n.service = service.New(n)
 	n.replicator = replication.New(n.peers, n.nodes)
-	n.runner = generation.New(n.engine, n.replicator, n.loads, n.router, n.quarantine, n)
+	n.crashes = generation.NewCrashDetector(n)
+	n.runner = generation.New(n.engine, n.replicator, n.loads, n.router, n.quarantine, n.crashes, n)
 	n.holder = holder.New(n.nodes, n.peers, n.replicator, n.produce)
 	n.calls = claim.New(s.Self().Name, n.incarnation, n.claims, n.peers, n.service)
 	return n
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -68,7 +68,7 @@
 	s.Gauge("requests_running").Update(float64(n.concurrencyLimiter.Running()))
 	s.Gauge("requests_waiting").Update(float64(n.router.Waiting()))
 	s.Gauge("calls_running").Update(float64(n.calls.Running()))
-	s.Gauge("quarantined").Update(float64(len(n.quarantine.Entries(time.Now()))))
+	s.Gauge("quarantined").Update(float64(n.quarantined(time.Now())))
 	s.Gauge("retries_denied").Update(float64(n.runner.RetryBudget().Denied()))
 	s.Gauge("peer_sent_bytes").Update(float64(n.traffic.Sent()))
 	s.Gauge("peer_received_bytes").Update(float64(n.traffic.Received()))
--- a/cmd/node/operators.go
+++ b/cmd/node/operators.go
@@ -46,7 +46,7 @@
 		State: string(n.state.Load().(state)), Revision: n.revision(),
 		PlatformReached: n.platform.LastResponse(), PlatformReads: n.platform.Reads(), PlatformWrites: n.platform.Writes(),
 		Requests: n.concurrencyLimiter.Running(), Waiting: n.router.Waiting(), Calls: n.calls.Running(),
-		Answers: n.holder.Counts(), Unprotected: n.replicator.Unprotected(), Quarantined: len(n.quarantine.Entries(now)),
+		Answers: n.holder.Counts(), Unprotected: n.replicator.Unprotected(), Quarantined: n.quarantined(now),
 		RetriesSpent: n.runner.RetryBudget().Spent(), RetriesDenied: n.runner.RetryBudget().Denied(),
 		PeerSentBytes: n.traffic.Sent(), PeerReceivedByte: n.traffic.Received(),
 		HeapBytes: m.HeapAlloc, Goroutines: runtime.NumGoroutine(),
--- a/core/completion/request.go
+++ b/core/completion/request.go
@@ -164,6 +164,31 @@
 	return r.model + "/" + strconv.FormatUint(xxhash.Sum64(p), 16)
 }
 
+// maxSharedMessages is the maximum number of messages that SharedMessages returns.
+const maxSharedMessages = 14
+
+// SharedMessages returns hashes of the messages before the last one, which other requests may
+// have too. Of a long conversation it returns the first and the last ones. The prompt of a text
+// completion has none.
+func (r *Request) SharedMessages() []string {
+	var messages []json.RawMessage
+	if r.path != ChatPath || json.Unmarshal(r.fields["messages"], &messages) != nil || len(messages) < 2 {
+		return nil
+	}
+	messages = messages[:len(messages)-1]
+	if n := len(messages); n > maxSharedMessages {
+		messages = append(messages[:maxSharedMessages/2], messages[n-maxSharedMessages/2:]...)
+	}
+	var all []string
+	for _, m := range messages {
+		var b bytes.Buffer
+		if json.Compact(&b, m) == nil {
+			all = append(all, strconv.FormatUint(xxhash.Sum64(b.Bytes()), 16))
+		}
+	}
+	return all
+}
+
 // ReachedMaxTokens reports whether tokens reaches the maximum that the caller set. It is false
 // if the caller set none.
 func (r *Request) ReachedMaxTokens(tokens int) bool {
--- a/core/completion/request_test.go
+++ b/core/completion/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -86,3 +87,34 @@
 		}
 	})
 }
+
+func TestMessagesBeforeTheLastOneAreShared(t *testing.T) {
+	long := make([]string, 40)
+	for i := range long {
+		long[i] = fmt.Sprintf(`{"role":"user","content":"%d"}`, i)
+	}
+	bodies := map[string]int{
+		`{"model":"m","messages":[{"role":"user","content":"q"}]}`:                                          0,
+		`{"model":"m","messages":[{"role":"system","content":"s"},{"role":"user","content":"q"}]}`:          1,
+		`{"model":"m","messages":[{"role":"system", "content": "s"},{"role":"user"},{"role":"assistant"}]}`: 2,
+		`{"model":"m","messages":[` + strings.Join(long, ",") + `]}`:                                        14,
+	}
+	got := make(map[int][]string)
+	for body, want := range bodies {
+		r, err := completion.Parse(completion.ChatPath, []byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[want] = r.SharedMessages()
+		if len(got[want]) != want {
+			t.Errorf("%s: got %d messages, want %d", body, len(got[want]), want)
+		}
+	}
+	if got[1][0] != got[2][0] {
+		t.Error("white space changes the hash of a message")
+	}
+	r, err := completion.Parse(completion.TextPath, []byte(`{"model":"m","prompt":"p"}`))
+	if err != nil || len(r.SharedMessages()) > 0 {
+		t.Errorf("a text completion has shared messages %v, error %v", r.SharedMessages(), err)
+	}
+}
--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -85,11 +85,7 @@
 				first = x
 			}
 		}
-		for id, x := range l.crashes {
-			if slices.Contains(l.causesOf(x), first) {
-				delete(l.crashes, id)
-			}
-		}
+		l.deleteCrashes(func(x *Crash) bool { return slices.Contains(l.causesOf(x), first) })
 		delete(l.causes, first.key())
 	}
 	l.causes[key] = c
@@ -99,7 +95,7 @@
 func (l *List) dropExplained(x *cause) {
 	only, shared := make(map[*cause]int), make(map[*cause]int)
 	total := 0
-	for _, c := range l.crashes {
+	for c := range l.allCrashes() {
 		all := l.causesOf(c)
 		explains := slices.Contains(all, x)
 		if explains {
@@ -193,6 +189,32 @@
 	return true
 }
 
+// RetryAt returns when a request is tried again that a known cause applies to, or the zero time.
+func (l *List) RetryAt(r Request) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var at time.Time
+	for _, c := range l.causes {
+		if c.matches(r) && c.until.After(at) {
+			at = c.until
+		}
+	}
+	return at
+}
+
+// Quarantined returns the number of quarantined causes.
+func (l *List) Quarantined(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, c := range l.causes {
+		if len(c.remaining) > 0 && now.Before(c.until) {
+			n++
+		}
+	}
+	return n
+}
+
 // blockedUntil returns until when a request is refused because of the cause, or the zero time.
 func (c *cause) blockedUntil(r Request, now time.Time) time.Time {
 	switch {
--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -24,6 +24,7 @@
 package crashcause
 
 import (
+	"iter"
 	"slices"
 	"strconv"
 	"sync"
@@ -45,6 +46,12 @@
 	soundMemory = time.Minute
 	// crashRetention is how long crashes are kept.
 	crashRetention = 10 * time.Minute
+	// sameCrashWindow is the time between two reports that are of one crash, if servers keep
+	// their names when they restart.
+	sameCrashWindow = 2 * time.Second
+	// lostTogetherWindow is the time between two crashes that may have another cause than
+	// requests.
+	lostTogetherWindow = 500 * time.Millisecond
 
 	maxCrashes          = 512
 	maxRequestsPerCrash = 16
@@ -101,15 +108,23 @@
 // List holds the crashes, the features of requests that ran well, and the causes. It is safe
 // for concurrent use.
 type List struct {
-	mu      sync.Mutex
-	crashes map[string]*Crash // by server
-	sound   map[Feature]time.Time
-	causes  map[string]*cause // by key
+	mu          sync.Mutex
+	namesReused bool
+	crashes     map[string][]*Crash // by server
+	sound       map[Feature]time.Time
+	causes      map[string]*cause // by key
 }
 
-// New returns an empty list.
+// New returns an empty list for servers that have another name after a restart.
 func New() *List {
-	return &List{crashes: make(map[string]*Crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause)}
+	return &List{crashes: make(map[string][]*Crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause)}
+}
+
+// NewForReusedNames returns an empty list for servers that keep their names when they restart.
+func NewForReusedNames() *List {
+	l := New()
+	l.namesReused = true
+	return l
 }
 
 // RecordCrash records a crash. Several requests that ran on a server, and repeated reports of
@@ -117,16 +132,14 @@
 func (l *List) RecordCrash(c Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.crashes[c.Server]
+	known := l.find(c.Server, c.At)
 	if known == nil {
 		l.makeRoom()
 		known = &Crash{Server: c.Server, At: c.At}
-		l.crashes[c.Server] = known
+		l.crashes[c.Server] = append(l.crashes[c.Server], known)
 	}
 	for _, s := range c.LostWith {
-		if !slices.Contains(known.LostWith, s) && len(known.LostWith) < maxRequestsPerCrash {
-			known.LostWith = append(known.LostWith, s)
-		}
+		known.addLostWith(s)
 	}
 	for _, r := range c.Requests {
 		if len(r.Features) == 0 || len(known.Requests) == maxRequestsPerCrash || slices.ContainsFunc(known.Requests, r.equal) {
@@ -137,18 +150,72 @@
 	}
 }
 
+// find returns the recorded crash of a server at a time, or nil.
+func (l *List) find(server string, at time.Time) *Crash {
+	for _, c := range l.crashes[server] {
+		if !l.namesReused || c.At.Sub(at).Abs() <= sameCrashWindow {
+			return c
+		}
+	}
+	return nil
+}
+
+// allCrashes iterates over the recorded crashes.
+func (l *List) allCrashes() iter.Seq[*Crash] {
+	return func(yield func(*Crash) bool) {
+		for _, all := range l.crashes {
+			for _, c := range all {
+				if !yield(c) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// deleteCrashes deletes the crashes for which del returns true.
+func (l *List) deleteCrashes(del func(*Crash) bool) {
+	for server, all := range l.crashes {
+		if all = slices.DeleteFunc(all, del); len(all) == 0 {
+			delete(l.crashes, server)
+			continue
+		}
+		l.crashes[server] = all
+	}
+}
+
 // makeRoom removes the oldest crash if the list is full.
 func (l *List) makeRoom() {
-	if len(l.crashes) < maxCrashes {
-		return
-	}
+	n := 0
 	var oldest *Crash
-	for _, c := range l.crashes {
-		if oldest == nil || c.At.Before(oldest.At) {
+	for c := range l.allCrashes() {
+		if n++; oldest == nil || c.At.Before(oldest.At) {
 			oldest = c
 		}
 	}
-	delete(l.crashes, oldest.Server)
+	if n >= maxCrashes {
+		l.deleteCrashes(func(c *Crash) bool { return c == oldest })
+	}
+}
+
+// RelateCrashes records that servers may have been lost for another cause than requests, if they
+// crashed at about the same time and related returns true for them.
+func (l *List) RelateCrashes(related func(a, b string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for a := range l.allCrashes() {
+		for b := range l.allCrashes() {
+			if a.Server != b.Server && a.At.Sub(b.At).Abs() <= lostTogetherWindow && related(a.Server, b.Server) {
+				a.addLostWith(b.Server)
+			}
+		}
+	}
+}
+
+func (c *Crash) addLostWith(server string) {
+	if !slices.Contains(c.LostWith, server) && len(c.LostWith) < maxRequestsPerCrash {
+		c.LostWith = append(c.LostWith, server)
+	}
 }
 
 // RecordSound records that a request ran well at a time: it was completed, or its server went
@@ -201,11 +268,7 @@
 func (l *List) Expire(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, c := range l.crashes {
-		if now.Sub(c.At) > crashRetention {
-			delete(l.crashes, id)
-		}
-	}
+	l.deleteCrashes(func(c *Crash) bool { return now.Sub(c.At) > crashRetention })
 	for f, at := range l.sound {
 		if now.Sub(at) > 2*soundMemory {
 			delete(l.sound, f)
--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -172,6 +172,42 @@
 	}
 }
 
+func TestCrashesOfServerThatKeepsItsName(t *testing.T) {
+	for name, x := range map[string]struct {
+		spacing time.Duration
+		want    int
+	}{
+		"repeated reports of one crash": {500 * time.Millisecond, 0},
+		"crashes after restarts":        {4 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := crashcause.NewForReusedNames()
+			l.RecordSound(request(100, "first"), at(0))
+			for i := range uint64(3) {
+				crash(l, "s", at(time.Duration(i)*x.spacing), request(i, "first", "bad"))
+			}
+			if found := l.Evaluate(at(10 * time.Second)); len(found) != x.want {
+				t.Errorf("got causes %v, want %d", found, x.want)
+			}
+		})
+	}
+}
+
+func TestRelatedCrashesAtOneMomentAreNoEvidence(t *testing.T) {
+	for _, related := range []bool{true, false} {
+		l := crashcause.NewForReusedNames()
+		for i := range uint64(4) {
+			now := at(time.Duration(i) * 10 * time.Second)
+			crash(l, "a", now, request(i, "first"))
+			crash(l, "b", now.Add(100*time.Millisecond), request(100+i, "other"))
+		}
+		l.RelateCrashes(func(string, string) bool { return related })
+		if found := l.Evaluate(at(time.Minute)); (len(found) == 0) != related {
+			t.Errorf("related %v: got causes %v", related, found)
+		}
+	}
+}
+
 func TestReportedCausesAreApplied(t *testing.T) {
 	l := quarantined(t)
 	never := func(string, time.Time) bool { return false }
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -49,7 +49,7 @@
 // most crashes, and of these the ones that the fewest requests have.
 func (l *List) suspects(now time.Time) []suspect {
 	all := make(map[Feature]*suspect)
-	for c := range maps.Values(l.crashes) {
+	for c := range l.allCrashes() {
 		if now.Sub(c.At) > crashRetention {
 			continue
 		}
@@ -99,7 +99,7 @@
 		return false
 	}
 	for _, id := range c.LostWith {
-		other := l.crashes[id]
+		other := l.find(id, c.At)
 		if other == nil || !other.has(f) {
 			return false
 		}
@@ -107,6 +107,22 @@
 	return true
 }
 
+// Suspects reports whether one more crash may be enough for a feature of a request to be taken
+// for a cause.
+func (l *List) Suspects(r Request, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(r.Features, func(f Feature) bool {
+		n := 0
+		for c := range l.allCrashes() {
+			if now.Sub(c.At) <= crashRetention && c.has(f) && l.suspected(f, c) {
+				n++
+			}
+		}
+		return n >= crashThreshold-1
+	})
+}
+
 func (l *List) soundSince(f Feature, t time.Time) bool {
 	at, known := l.sound[f]
 	return known && at.After(t)
@@ -167,7 +183,7 @@
 // inAllRequests reports whether all requests of a class that may have caused crashes have the
 // features.
 func (l *List) inAllRequests(features []Feature, class Feature) bool {
-	for _, c := range l.crashes {
+	for c := range l.allCrashes() {
 		for _, r := range c.Requests {
 			if r.Class == class && !r.hasAll(features) {
 				return false
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -50,7 +50,7 @@
 	defer l.mu.Unlock()
 	var r Report
 	concerned := make(map[Feature]bool)
-	for _, c := range l.crashes {
+	for c := range l.allCrashes() {
 		age := now.Sub(c.At)
 		if age > reportWindow || len(r.Crashes) == maxReportedCrashes {
 			continue
@@ -88,7 +88,7 @@
 		if c.Age > crashRetention || contacted(c.Server, at) {
 			continue
 		}
-		crashed = l.isNewCrash(c) || crashed
+		crashed = l.isNewCrash(c, at) || crashed
 		l.RecordCrash(Crash{Server: c.Server, At: at, Requests: c.Requests, LostWith: c.LostWith})
 	}
 	l.mu.Lock()
@@ -104,10 +104,10 @@
 	return causes, crashed
 }
 
-func (l *List) isNewCrash(c CrashReport) bool {
+func (l *List) isNewCrash(c CrashReport, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.crashes[c.Server]
+	known := l.find(c.Server, at)
 	return known == nil || slices.ContainsFunc(c.Requests, func(r Request) bool { return !slices.ContainsFunc(known.Requests, r.equal) })
 }
 
--- a/core/generation/attempt.go
+++ b/core/generation/attempt.go
@@ -28,12 +28,15 @@
 // with the returned Finish.
 func (r *Runner) attempt(ctx context.Context, x *runState) (answer.Finish, error) {
 	x.attempts++
-	x.attemptTokens = 0
+	x.attemptTokens, x.attemptChunks, x.established = 0, 0, false
 	lease, err := r.reserve(ctx, x)
 	if err != nil {
 		return answer.Finish{}, err
 	}
 	defer lease.Release()
+	if e := r.crashes.checkAttempt(x.features, x.serverCrashed); e != nil {
+		return answer.Finish{}, e
+	}
 	s := lease.Server()
 	r.observer.AttemptStarted(x.job, s.Name(), x.attempts)
 	finish, err := r.stream(ctx, x, s)
@@ -44,6 +47,9 @@
 	if err != nil && ctx.Err() == nil {
 		r.handleFailure(ctx, x, s, err)
 	}
+	if err == nil {
+		r.crashes.recordSound(x.features.request)
+	}
 	return finish, err
 }
 
@@ -81,11 +87,13 @@
 		if f.Ran() == fault.NotRun {
 			return // The server had already crashed before the attempt.
 		}
+		x.serverCrashed = true
+		r.crashes.recordCrash(x.features, s.Name(), !x.established, now)
 		d := quarantine.Suspicion{Fingerprint: x.job.Fingerprint, Server: s.Name(), Tokens: x.attemptTokens}
 		shouldEvaluate := r.quarantine.RecordDeath(d, now)
 		r.observer.ServerDied(d)
-		if shouldEvaluate {
-			r.evaluateQuarantine(ctx, x)
+		if shouldEvaluate || r.crashes.suspects(x.features) {
+			r.evaluateCrashes(ctx, x, shouldEvaluate)
 		}
 	case Unresponsive:
 		r.loads.SetDown(s.Name(), now.Add(downAfterCrash))
@@ -93,17 +101,19 @@
 	}
 }
 
-// evaluateQuarantine waits for the crash reports of other nodes and quarantines the
-// request if it caused the crashes. The other nodes are informed before the caller
-// gets the error, so that a retry through any of them is rejected.
-func (r *Runner) evaluateQuarantine(ctx context.Context, x *runState) {
+// evaluateCrashes waits for the crash reports of other nodes and quarantines the request if it,
+// or a message that it shares with others, caused the crashes. Of a quarantined request the
+// other nodes are informed before the caller gets the error, so that a retry through any of
+// them is rejected.
+func (r *Runner) evaluateCrashes(ctx context.Context, x *runState, wholeRequest bool) {
 	t := time.NewTimer(crashReportWait)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	if r.quarantine.Evaluate(x.job.Fingerprint, time.Now()) {
+	r.crashes.evaluate()
+	if wholeRequest && r.quarantine.Evaluate(x.job.Fingerprint, time.Now()) {
 		r.observer.RequestQuarantined(x.job.Fingerprint)
 	}
 }
@@ -233,6 +243,7 @@
 	}
 	x.lastProductive = x.attempts
 	x.attemptTokens = c.Completion
+	r.recordEstablished(x, time.Now())
 	if !x.interruptedAt.IsZero() {
 		r.observer.AnswerResumed(x.job, s.Name(), time.Since(x.interruptedAt))
 		x.interruptedAt = time.Time{}
@@ -240,3 +251,15 @@
 	r.replicator.Replicate(x.job.Answer)
 	return nil
 }
+
+// recordEstablished counts a chunk with text and records once that the attempt is established.
+func (r *Runner) recordEstablished(x *runState, now time.Time) {
+	if x.attemptChunks++; x.attemptChunks == 1 {
+		x.firstChunkAt = now
+	}
+	if x.established || x.attemptChunks < soundChunks || now.Sub(x.firstChunkAt) < soundTime {
+		return
+	}
+	x.established = true
+	r.crashes.recordSound(x.features.messagesOnly())
+}
--- a/core/generation/runner.go
+++ b/core/generation/runner.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	r := generation.New(engine, replicator, loads, router, quarantined, observer)
+//	r := generation.New(engine, replicator, loads, router, quarantined, crashDetector, observer)
 //	go r.Run(ctx, generation.Job{...})
 package generation
 
@@ -62,14 +62,15 @@
 	loads      *balance.Table
 	router     *route.Router
 	quarantine *quarantine.List
+	crashes    *CrashDetector
 	observer   Observer
 	budget     *budget.Budget
 }
 
 // New returns a runner.
-func New(e Engine, r Replicator, l *balance.Table, x *route.Router, q *quarantine.List, o Observer) *Runner {
+func New(e Engine, r Replicator, l *balance.Table, x *route.Router, q *quarantine.List, d *CrashDetector, o Observer) *Runner {
 	return &Runner{
-		engine: e, replicator: r, loads: l, router: x, quarantine: q, observer: o,
+		engine: e, replicator: r, loads: l, router: x, quarantine: q, crashes: d, observer: o,
 		budget: budget.New(retryRatio, retryBurst),
 	}
 }
@@ -80,10 +81,15 @@
 // runState is the state of one call of Run.
 type runState struct {
 	job            Job
+	features       crashFeatures
 	excluded       map[string]bool
-	attempts       int  // attempts so far, also the number of the current one
-	lastProductive int  // number of the last attempt that produced text
-	attemptTokens  int  // tokens produced by the current attempt
+	attempts       int // attempts so far, also the number of the current one
+	lastProductive int // number of the last attempt that produced text
+	attemptTokens  int // tokens produced by the current attempt
+	attemptChunks  int // chunks with text of the current attempt
+	firstChunkAt   time.Time
+	established    bool // the current attempt does not count as starting any more
+	serverCrashed  bool // a server crashed while running the request
 	reachedServer  bool // an attempt reached a server or may have done so
 	lastResult     time.Time
 	interruptedAt  time.Time // when output was interrupted, zero if it is not
@@ -98,6 +104,7 @@
 // ended, the node is no longer its holder, or ctx is done.
 func (r *Runner) Run(ctx context.Context, j Job) {
 	x := &runState{job: j, excluded: make(map[string]bool), lastResult: time.Now()}
+	x.features = newCrashFeatures(j.Service, j.Request.SharedMessages(), j.Fingerprint)
 	r.budget.Deposit()
 	for {
 		if _, u, done := j.Answer.Progress(); done || j.Request.ReachedMaxTokens(u.Completion) {
@@ -138,6 +145,9 @@
 	case x.attemptsUsedUp():
 		return f
 	}
+	if e := r.crashes.checkAttempt(x.features, x.serverCrashed); e != nil {
+		return e.WithRan(f.Ran())
+	}
 	deadline := x.job.Service.QueueDeadline(time.Now())
 	if r.acquireRetry(ctx, deadline) {
 		return nil
@@ -164,7 +174,7 @@
 // isTerminal reports whether f ends the answer without another attempt.
 func isTerminal(f *fault.Error) bool {
 	switch f.Code() {
-	case fault.ServerRefused, fault.NoServer, fault.Superseded, fault.Overloaded:
+	case fault.ServerRefused, fault.NoServer, fault.Superseded, fault.Overloaded, fault.PromptQuarantined:
 		return true
 	default:
 		return false
--- a/core/generation/runner_test.go
+++ b/core/generation/runner_test.go
@@ -17,6 +17,7 @@
 	"cicadabeam/core/balance"
 	"cicadabeam/core/completion"
 	"cicadabeam/core/config"
+	"cicadabeam/core/crashcause"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
 	"cicadabeam/core/quarantine"
@@ -80,6 +81,7 @@
 }
 func (h *harness) ServerDied(quarantine.Suspicion)               {}
 func (h *harness) RequestQuarantined(quarantine.Fingerprint)     {}
+func (h *harness) CausesFound([]crashcause.Cause)                {}
 func (h *harness) AnswerEnded(_ generation.Job, f answer.Finish) { h.finish = f }
 func (h *harness) Replicate(a *answer.Answer)                    {}
 func (h *harness) Probe(ctx context.Context, s config.Server) generation.Health {
@@ -131,7 +133,7 @@
 		t.Fatal(err)
 	}
 	loads := balance.New()
-	r := generation.New(h, h, loads, route.New(loads, h), quarantine.New(), h)
+	r := generation.New(h, h, loads, route.New(loads, h), quarantine.New(), generation.NewCrashDetector(h), h)
 	for h.spendBudget && r.RetryBudget().TryWithdraw() {
 	}
 	a := answer.New(answer.Header{ID: "a", Path: completion.ChatPath}, "n", 1)
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -24,7 +24,6 @@
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/holder"
-	"cicadabeam/core/quarantine"
 )
 
 // Backend is the interface of the node to the handler.
@@ -39,7 +38,8 @@
 	// fault if a limit is exceeded. release must be called when the request has
 	// ended.
 	Admit(o config.Organisation) (release func(), err error)
-	IsQuarantined(f quarantine.Fingerprint) bool
+	// CheckQuarantine returns a fault if the request is quarantined.
+	CheckQuarantine(r holder.Request) error
 	StartAnswer(ctx context.Context, r holder.Request) (*holder.Reader, error)
 	ResumeAnswer(ctx context.Context, r holder.Request) (*holder.Reader, error)
 	CallAtMostOnce(ctx context.Context, c claim.Call) (claim.Response, error)
@@ -185,8 +185,8 @@
 	if err != nil {
 		return err
 	}
-	if h.backend.IsQuarantined(r.Fingerprint) {
-		return fault.Newf(fault.RequestQuarantined, "admit", "", "this request crashed the backend servers that ran it")
+	if err := h.backend.CheckQuarantine(r); err != nil {
+		return err
 	}
 	release, err := h.admit(x)
 	if err != nil {
--- a/io/peer/message.go
+++ b/io/peer/message.go
@@ -4,6 +4,7 @@
 	"cicadabeam/core/answer"
 	"cicadabeam/core/balance"
 	"cicadabeam/core/claim"
+	"cicadabeam/core/crashcause"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/holder"
 	"cicadabeam/core/membership"
@@ -24,13 +25,16 @@
 	Loads       []balance.Report
 	Notices     []balance.LeaveNotice
 	Quarantined []quarantine.Entry
+	Crashes     crashcause.Report
 }
 
 // CrashReport is sent to all nodes immediately when a server has died or a request has been
 // quarantined.
 type CrashReport struct {
+	From        string
 	Suspicions  []quarantine.Suspicion
 	Quarantined []quarantine.Entry
+	Crashes     crashcause.Report
 }
 
 // HeartbeatReply is the reply to a Heartbeat.
--- a/test/cluster/caller.go
+++ b/test/cluster/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,6 +22,7 @@
 type CompletionRequest struct {
 	Organisation   string // the first of Organisations by default
 	Text           string
+	Before         []string // messages before the one with Text
 	IdempotencyKey string
 	Marker         string // added to the text; IdempotencyKey by default, or a new UUID without a key
 	LastEventID    string
@@ -119,7 +121,10 @@
 
 func (c CompletionRequest) request(ctx context.Context, base, marker string) (*http.Request, error) {
 	text := c.Text + " marker=" + marker
-	b := chatBody{Model: "ledger", Stream: !c.NoStream, MaxTokens: c.MaxTokens, Messages: []chatMessage{{Role: "user", Content: text}}}
+	b := chatBody{Model: "ledger", Stream: !c.NoStream, MaxTokens: c.MaxTokens}
+	for _, x := range append(slices.Clone(c.Before), text) {
+		b.Messages = append(b.Messages, chatMessage{Role: "user", Content: x})
+	}
 	path := "/v1/chat/completions"
 	if c.Path != "" {
 		path = c.Path
