--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -24,6 +24,7 @@
 package crashcause
 
 import (
+	"iter"
 	"slices"
 	"strconv"
 	"sync"
@@ -45,6 +46,12 @@
 	soundMemory = time.Minute
 	// crashRetention is how long crashes are kept.
 	crashRetention = 10 * time.Minute
+	// sameCrashWindow is the time between two reports that are of one crash, if servers keep
+	// their names when they restart.
+	sameCrashWindow = 2 * time.Second
+	// lostTogetherWindow is the time between two crashes that may have another cause than
+	// requests.
+	lostTogetherWindow = 500 * time.Millisecond
 
 	maxCrashes          = 512
 	maxRequestsPerCrash = 16
@@ -110,21 +117,29 @@
 // List holds the crashes, the features of requests that ran well, and the causes. It is safe
 // for concurrent use.
 type List struct {
-	mu      sync.Mutex
-	crashes map[string]*crash // by server
-	sound   map[Feature]time.Time
-	causes  map[string]*cause // by key
+	mu          sync.Mutex
+	namesReused bool
+	crashes     map[string][]*crash // by server
+	sound       map[Feature]time.Time
+	causes      map[string]*cause // by key
 	// concerned are the features of the requests that may have caused crashes.
 	concerned map[Feature]bool
 }
 
-// New returns an empty list.
+// New returns an empty list for servers that have another name after a restart.
 func New() *List {
 	return &List{
-		crashes: make(map[string]*crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
+		crashes: make(map[string][]*crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
 	}
 }
 
+// NewForReusedNames returns an empty list for servers that keep their names when they restart.
+func NewForReusedNames() *List {
+	l := New()
+	l.namesReused = true
+	return l
+}
+
 // RecordCrash records a crash of a server that ran requests of this node. Several requests that
 // ran on a server are merged. A crash under a cause that is tried again renews the quarantine.
 func (l *List) RecordCrash(c Crash) {
@@ -136,16 +151,14 @@
 
 // mergeCrash adds what is known of a crash.
 func (l *List) mergeCrash(c Crash) *crash {
-	known := l.crashes[c.Server]
+	known := l.find(c.Server, c.At)
 	if known == nil {
 		l.makeRoom()
 		known = &crash{Crash: Crash{Server: c.Server, At: c.At}, features: make(map[Feature]bool)}
-		l.crashes[c.Server] = known
+		l.crashes[c.Server] = append(l.crashes[c.Server], known)
 	}
 	for _, s := range c.LostWith {
-		if !slices.Contains(known.LostWith, s) && len(known.LostWith) < maxRequestsPerCrash {
-			known.LostWith = append(known.LostWith, s)
-		}
+		known.addLostWith(s)
 	}
 	for _, r := range c.Requests {
 		if !known.lacks(r) || len(known.Requests) == maxRequestsPerCrash {
@@ -166,18 +179,72 @@
 	return len(r.Features) > 0 && !slices.ContainsFunc(c.Requests, r.equal)
 }
 
+// find returns the recorded crash of a server at a time, or nil.
+func (l *List) find(server string, at time.Time) *crash {
+	for _, c := range l.crashes[server] {
+		if !l.namesReused || c.At.Sub(at).Abs() <= sameCrashWindow {
+			return c
+		}
+	}
+	return nil
+}
+
+// allCrashes iterates over the recorded crashes.
+func (l *List) allCrashes() iter.Seq[*crash] {
+	return func(yield func(*crash) bool) {
+		for _, all := range l.crashes {
+			for _, c := range all {
+				if !yield(c) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// deleteCrashes deletes the crashes for which del returns true.
+func (l *List) deleteCrashes(del func(*crash) bool) {
+	for server, all := range l.crashes {
+		if all = slices.DeleteFunc(all, del); len(all) == 0 {
+			delete(l.crashes, server)
+			continue
+		}
+		l.crashes[server] = all
+	}
+}
+
 // makeRoom removes the oldest crash if the list is full.
 func (l *List) makeRoom() {
-	if len(l.crashes) < maxCrashes {
-		return
-	}
+	n := 0
 	var oldest *crash
-	for _, c := range l.crashes {
-		if oldest == nil || c.At.Before(oldest.At) {
+	for c := range l.allCrashes() {
+		if n++; oldest == nil || c.At.Before(oldest.At) {
 			oldest = c
 		}
 	}
-	delete(l.crashes, oldest.Server)
+	if n >= maxCrashes {
+		l.deleteCrashes(func(c *crash) bool { return c == oldest })
+	}
+}
+
+// RelateCrashes records that servers may have been lost for another cause than requests, if they
+// crashed at about the same time and related returns true for them.
+func (l *List) RelateCrashes(related func(a, b string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for a := range l.allCrashes() {
+		for b := range l.allCrashes() {
+			if a.Server != b.Server && a.At.Sub(b.At).Abs() <= lostTogetherWindow && related(a.Server, b.Server) {
+				a.addLostWith(b.Server)
+			}
+		}
+	}
+}
+
+func (c *crash) addLostWith(server string) {
+	if !slices.Contains(c.LostWith, server) && len(c.LostWith) < maxRequestsPerCrash {
+		c.LostWith = append(c.LostWith, server)
+	}
 }
 
 // RecordSound records that a request ran well at a time: it was completed, or its server went
@@ -185,15 +252,25 @@
 func (l *List) RecordSound(r Request, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(r.Features) == 1 && !l.concerned[r.Features[0]] {
-		return // its only feature is that of the request as a whole, which rarely comes again
-	}
 	l.recordSound(r.Class, at)
 	for _, f := range r.Features {
 		l.recordSound(f, at)
 	}
 }
 
+// RecordSoundIfSuspected is like RecordSound for the features of requests that may have caused
+// crashes, and without effect for others. It is to be used for requests whose features rarely
+// come again.
+func (l *List) RecordSoundIfSuspected(r Request, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range r.Features {
+		if l.concerned[f] {
+			l.recordSound(f, at)
+		}
+	}
+}
+
 func (l *List) recordSound(f Feature, at time.Time) {
 	last, known := l.sound[f]
 	if !known && len(l.sound) >= maxSound {
@@ -234,15 +311,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	clear(l.concerned)
-	for id, c := range l.crashes {
-		if now.Sub(c.At) > crashRetention {
-			delete(l.crashes, id)
-			continue
-		}
-		for _, r := range c.Requests {
-			for _, f := range r.Features {
-				l.concerned[f] = true
-			}
+	l.deleteCrashes(func(c *crash) bool { return now.Sub(c.At) > crashRetention })
+	for c := range l.allCrashes() {
+		for f := range c.features {
+			l.concerned[f] = true
 		}
 	}
 	for key, c := range l.causes {
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -51,7 +51,7 @@
 	defer l.mu.Unlock()
 	var r Report
 	reported := make(map[Feature]bool)
-	for _, c := range l.crashes {
+	for c := range l.allCrashes() {
 		age := now.Sub(c.At)
 		if age > reportWindow {
 			continue
@@ -117,7 +117,7 @@
 		if c.Age > crashRetention || contacted(c.Server, at) {
 			continue
 		}
-		known := l.crashes[c.Server]
+		known := l.find(c.Server, at)
 		crashed = crashed || known == nil || slices.ContainsFunc(c.Requests, known.lacks)
 		l.mergeCrash(Crash{Server: c.Server, At: at, Requests: c.Requests, LostWith: c.LostWith})
 	}
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -186,9 +186,18 @@
 	return d.causes.MaySend(x.features, again, time.Now())
 }
 
-// recordSound records that the prompt of the request, or the request as a whole, does not crash
-// servers.
-func (d *crashDetector) recordSound(r crashcause.Request) { d.causes.RecordSound(r, time.Now()) }
+// recordSound records that the request did not crash its server. An established run says nothing
+// of the request as a whole, which may crash servers later.
+func (d *crashDetector) recordSound(x *exchange, completed bool) {
+	switch {
+	case len(x.meta.PromptParts) == 0 && completed:
+		d.causes.RecordSoundIfSuspected(x.features, time.Now())
+	case completed:
+		d.causes.RecordSound(x.features, time.Now())
+	case len(x.meta.PromptParts) > 0:
+		d.causes.RecordSound(x.promptOnly(), time.Now())
+	}
+}
 
 // CrashReport returns what this node knows of crashes of servers and their causes, for other
 // nodes.
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -382,7 +382,7 @@
 	}
 	if !a.soundRecorded && a.established(now) {
 		a.soundRecorded = true
-		s.h.crashDetector.recordSound(s.promptOnly())
+		s.h.crashDetector.recordSound(s.exchange, false)
 	}
 }
 
@@ -459,7 +459,7 @@
 	a.outcome = answered
 	s.h.releaseCopy(a)
 	a.member.RecordSuccess(time.Since(a.started), time.Now())
-	s.h.crashDetector.recordSound(s.features)
+	s.h.crashDetector.recordSound(s.exchange, true)
 	s.h.Recorder.Record("answered", Fields{
 		"request": s.meta.ID, "route": s.route.Name, "server": a.member.ID(), "status": a.response.StatusCode, "attempts": s.attempts, "last": s.lastEvent,
 		"ms": ms(time.Since(s.arrived)), "resumes": s.resumes, "first_ms": ms(s.firstEventAt.Sub(s.arrived)), "pause_ms": ms(s.maxEventGap),
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -297,7 +297,7 @@
 		a.member.RecordFailure(now)
 	default:
 		a.member.RecordSuccess(elapsed, now)
-		x.h.crashDetector.recordSound(x.features)
+		x.h.crashDetector.recordSound(x, true)
 	}
 }
 
