crashcause: a cause that is found again isn't undone by its older release

What would be seen: a part that was released because a request with it ran well, and that crashes servers again later, is found again by one host and released again by the report of another that still has the old release; of two versions the one with more crashes held, whatever its age. The newer version holds now; of two that hosts find within 3 s from the same crashes, what remains in both, as before.

TestCauseFoundAgainOutlivesItsOlderRelease failed before: "a request with the part is not refused". A released cause is no longer logged as a new one.

Features with fewer crashes than a cause needs are left out of the evaluation at once.

--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -242,6 +242,30 @@
 	young.Merge(crashcause.Report{Causes: []crashcause.CauseReport{{}}}, at(7*time.Second), never)
 }
 
+func TestCauseFoundAgainOutlivesItsOlderRelease(t *testing.T) {
+	never := func(string, time.Time) bool { return false }
+	l := quarantined(t)
+	l.RecordSound(request(9, "bad"), at(10*time.Second))
+	released := l.Report(at(11 * time.Second))
+	l.RecordSound(request(100, "first"), at(110*time.Second))
+	for i := range uint64(3) {
+		crash(l, fmt.Sprint("t", i), at(2*time.Minute+time.Duration(i)*time.Second), request(i, "first", "bad"))
+	}
+	now := at(2*time.Minute + 5*time.Second)
+	if found := l.Evaluate(now); len(found) != 1 {
+		t.Fatalf("got causes %v, want one", found)
+	}
+	other := crashcause.New()
+	if causes, _ := other.Merge(released, at(11*time.Second), never); len(causes) > 0 {
+		t.Errorf("the released cause is new to another node: %v", causes)
+	}
+	l.Merge(other.Report(now), now, never)
+	other.Merge(l.Report(now), now, never)
+	if !refuses(l, request(9, "bad"), now) || !refuses(other, request(9, "bad"), now) {
+		t.Error("a request with the part is not refused")
+	}
+}
+
 func TestCrashOfServerInContactIsNotRecorded(t *testing.T) {
 	l, other := quarantined(t), crashcause.New()
 	r := l.Report(at(4 * time.Second))
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -48,6 +48,12 @@
 // suspects returns the features with enough crashes, the likeliest ones first: those with the
 // most crashes, and of these the ones that the fewest requests have.
 func (l *List) suspects(now time.Time) []suspect {
+	crashes := make(map[Feature]int)
+	for c := range l.allCrashes() {
+		for f := range c.features {
+			crashes[f]++
+		}
+	}
 	all := make(map[Feature]*suspect)
 	for c := range l.allCrashes() {
 		if now.Sub(c.At) > crashRetention {
@@ -56,7 +62,9 @@
 		explained := len(l.causesOf(c)) > 0
 		for _, r := range c.Requests {
 			for _, f := range r.Features {
-				l.addSuspicion(all, f, r.Class, c, explained)
+				if crashes[f] >= crashThreshold {
+					l.addSuspicion(all, f, r.Class, c, explained)
+				}
 			}
 		}
 	}
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -7,9 +7,12 @@
 
 const (
 	// reportWindow is how long crashes are reported to other nodes.
-	reportWindow       = 2 * time.Second
-	maxReportedCrashes = 32
-	maxReportedSound   = 32
+	reportWindow = 2 * time.Second
+	// foundTogetherWindow is the time between two findings of a cause that nodes make from the
+	// same crashes, including the age of reports.
+	foundTogetherWindow = 3 * time.Second
+	maxReportedCrashes  = 32
+	maxReportedSound    = 32
 )
 
 // Report is what a node reports to others. Times are ages, as clocks differ.
@@ -106,9 +109,9 @@
 	}
 }
 
-// Merge applies another node's report. known reports whether this node has heard of a server
-// since a time; crashes of such servers are not recorded. Merge returns the causes that are new,
-// and whether a crash is.
+// Merge applies another node's report. contacted reports whether a server has sent this node
+// anything since a time; crashes of such servers are not recorded. Merge returns the causes that
+// are new or were renewed, and whether a crash is new.
 func (l *List) Merge(r Report, now time.Time, contacted func(server string, since time.Time) bool) (causes []Cause, crashed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,7 +128,7 @@
 		l.recordSound(s.Feature, now.Add(-s.Age))
 	}
 	for _, c := range r.Causes {
-		if x := l.mergeCause(c, now); x != nil {
+		if x := l.mergeCause(c, now); x != nil && len(x.remaining) > 0 {
 			causes = append(causes, Cause{Features: slices.Clone(x.remaining), Until: x.until})
 		}
 	}
@@ -133,7 +136,7 @@
 }
 
 // mergeCause applies a cause that another node reported and returns it if it is new or was
-// renewed. Of two versions of a cause the one that was renewed more often holds, otherwise the
+// renewed. Of two versions of a cause the newer one holds; of two that nodes found together, the
 // features that remain in both.
 func (l *List) mergeCause(r CauseReport, now time.Time) *cause {
 	if len(r.Features) == 0 || len(r.Features) > maxFeatures {
@@ -151,10 +154,10 @@
 		}
 		l.addCause(x)
 		return x
-	case r.Crashes > known.crashes:
+	case x.since.Sub(known.since) > foundTogetherWindow:
 		*known = *x
 		return known
-	case r.Crashes == known.crashes:
+	case known.since.Sub(x.since) <= foundTogetherWindow:
 		known.remaining = slices.DeleteFunc(known.remaining, func(f Feature) bool { return !slices.Contains(r.Remaining, f) })
 	}
 	return nil
