crashcause: hosts try a cause again one after the other

What would be seen: hosts that learn of a cause from a report took over the time at which it is tried again, so that all of them let a request through at the same moment: as many servers crash as there are hosts.

A host that learns of a cause waits 10 s to 2.5 minutes longer than the one that it has it from, and knows the outcome by then.

--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -14,6 +14,9 @@
 	firstQuarantine  = 5 * time.Minute
 	maxQuarantine    = time.Hour
 	quarantineSpread = 0.5
+	// trialHeadStart is how much later than the node that reported a cause another one tries it
+	// again at the earliest. It knows the outcome of that node's trial by then.
+	trialHeadStart = 10 * time.Second
 	// trialTimeout is how long a node waits for the outcome of the request that it let
 	// through before it lets another one through.
 	trialTimeout = 30 * time.Second
--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -242,6 +242,27 @@
 	young.Merge(crashcause.Report{Causes: []crashcause.CauseReport{{}}}, at(7*time.Second), never)
 }
 
+func TestNodesTryCauseAgainOneAfterTheOther(t *testing.T) {
+	l := quarantined(t)
+	r := l.Report(at(4 * time.Second))
+	nodes := []*crashcause.List{l}
+	for range 400 {
+		x := crashcause.New()
+		x.Merge(r, at(4*time.Second), func(string, time.Time) bool { return false })
+		nodes = append(nodes, x)
+	}
+	now := at(4 * time.Second).Add(r.Causes[0].Left + 5*time.Second)
+	tried := 0
+	for _, x := range nodes {
+		if !refuses(x, request(9, "bad"), now) {
+			tried++
+		}
+	}
+	if tried != 1 {
+		t.Errorf("%d of %d nodes let a request through within 5 s, want 1", tried, len(nodes))
+	}
+}
+
 func TestCauseFoundAgainOutlivesItsOlderRelease(t *testing.T) {
 	never := func(string, time.Time) bool { return false }
 	l := quarantined(t)
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -1,6 +1,7 @@
 package crashcause
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -142,7 +143,8 @@
 	if len(r.Features) == 0 || len(r.Features) > maxFeatures {
 		return nil
 	}
-	x := &cause{features: r.Features, remaining: slices.Clone(r.Remaining), since: now.Add(-r.Age), until: now.Add(r.Left), crashes: r.Crashes}
+	x := &cause{features: r.Features, remaining: slices.Clone(r.Remaining), since: now.Add(-r.Age), crashes: r.Crashes}
+	x.until = now.Add(r.Left + trialHeadStart + time.Duration(quarantineSpread*rand.Float64()*float64(firstQuarantine)))
 	if x.expired(now) {
 		return nil
 	}
