relay: limit what is logged and kept of the names of prompt parts

Callers name the parts: a header of 64 KB could have put as much into each "server died" line and, for a thousand parts, into memory. A request has 16 parts of 64 bytes in the log; all its parts, up to 32, count as features.

--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -56,7 +56,7 @@
 	maxCrashes          = 512
 	maxRequestsPerCrash = 16
 	maxSound            = 8192
-	maxFeatures         = 16
+	maxFeatures         = 32
 )
 
 // Feature is a property that requests may have in common.
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -30,8 +30,11 @@
 	soundTime   = time.Second
 	// expiryInterval is the time between two removals of old entries.
 	expiryInterval = time.Second
-	// maxPartNames limits the names of prompt parts that are kept for the log.
-	maxPartNames = 1024
+	// maxPartNames limits the names of prompt parts that are kept for the log, maxLoggedParts
+	// those of one request, and maxNameBytes their length.
+	maxPartNames   = 1024
+	maxLoggedParts = 16
+	maxNameBytes   = 64
 )
 
 // crashDetector detects what crashes servers and refuses the requests that would do so.
@@ -84,7 +87,7 @@
 	if !starting {
 		r = x.wholeOnly()
 	}
-	id, parts := x.meta.ID, x.meta.PromptParts
+	id, parts := x.meta.ID, partNames(x.meta.PromptParts)
 	d.keepNames(x)
 	time.AfterFunc(crashProbeDelay, func() { d.recordCrash(r, id, parts, m) })
 }
@@ -156,9 +159,18 @@
 		clear(d.names)
 	}
 	d.names[x.whole] = "request " + x.whole.String()
-	for _, id := range x.meta.PromptParts {
-		d.names[crashcause.PromptPart(x.meta.Model, id)] = id
+	for i, name := range partNames(x.meta.PromptParts) {
+		d.names[crashcause.PromptPart(x.meta.Model, x.meta.PromptParts[i])] = name
+	}
+}
+
+// partNames returns the parts of a prompt in the form in which they are logged.
+func partNames(parts []string) []string {
+	var all []string
+	for _, id := range parts[:min(len(parts), maxLoggedParts)] {
+		all = append(all, strings.Clone(id[:min(len(id), maxNameBytes)]))
 	}
+	return all
 }
 
 // refusal returns the error for a request that is known to crash servers, or nil.
@@ -173,6 +185,7 @@
 			parts = append(parts, id)
 		}
 	}
+	parts = partNames(parts)
 	if len(parts) == 0 {
 		return fault.Newf(fault.RequestQuarantined, "admit", "", "the request is quarantined because servers crashed while running it")
 	}
