operator: a body that does not arrive holds back no refusal

An operator or a probe that had sent the head of a request and not all of its body got no refusal (no secret, not found) until the body came, and the connection was held for as long: the same cause as in the callers' interface, the silence of one side holds back an answer that does not depend on it. The time is limited to 0.5 s.

--- a/io/operator/handler.go
+++ b/io/operator/handler.go
@@ -18,6 +18,7 @@
 	"net/http/pprof"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -88,7 +89,12 @@
 	Winner   *records.AuditEntry `json:"winner,omitempty"`
 }
 
+// unreadBodyTimeout limits the time in which net/http reads the rest of a body before it sends an
+// error.
+const unreadBodyTimeout = 500 * time.Millisecond
+
 func writeError(w http.ResponseWriter, err error) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	var conflict *records.RevisionConflictError
 	var problems inifile.Problems
 	switch {
