crashcause: the first part isn't quarantined for a part that comes with it

Cause: on one of the servers that crashed only a sound request was known, so that the first part had one crash more than the part that causes them. And requests without shared parts counted as ones that can be compared, so that the first part did not look like one that all requests have.

Of suspects with nearly as many crashes the narrower one is taken now, if requests without it were on the same servers; requests without shared parts are a class of their own.

TestFirstPartWithMoreCrashesThanTheCauseIsNotQuarantined failed before: "a request without the part is refused".

Failed try: narrowing without looking at what else was on the servers; two parts without other traffic then took 6 late requests in virtual time.

--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -223,6 +223,32 @@
 	}
 }
 
+// Of one crash the request with the part that caused it is not known.
+func TestFirstPartWithMoreCrashesThanTheCauseIsNotQuarantined(t *testing.T) {
+	for name, sound := range map[string]bool{"no request has run well": false, "requests without the parts have run well": true} {
+		t.Run(name, func(t *testing.T) {
+			l := crashcause.New()
+			if sound {
+				l.RecordSound(request(100, "elsewhere"), at(0))
+			}
+			for i := range uint64(6) {
+				all := []crashcause.Request{request(10*i, "first")}
+				if i != 3 {
+					all = append(all, request(10*i+1, "first", "bad"))
+				}
+				crash(l, fmt.Sprint("s", i), at(time.Duration(i)*time.Second), all...)
+			}
+			l.Evaluate(at(6 * time.Second))
+			if refuses(l, request(1000, "first"), at(6*time.Second)) {
+				t.Error("a request without the part is refused")
+			}
+			if !refuses(l, request(1000, "first", "bad"), at(6*time.Second)) {
+				t.Error("a request with the part is not refused")
+			}
+		})
+	}
+}
+
 func TestReportedCausesAreApplied(t *testing.T) {
 	l := quarantined(t)
 	never := func(string, time.Time) bool { return false }
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -21,7 +21,9 @@
 // none.
 func (l *List) nextCause(now time.Time) (Cause, bool) {
 	var broad *Cause
-	for _, s := range l.suspects(now) {
+	suspects := l.suspects(now)
+	for _, s := range suspects {
+		s = l.narrowest(s, suspects)
 		c := Cause{Features: l.inCommon(s), Servers: s.servers()}
 		switch {
 		case s.unexplained == 0 || l.covered(c.Features):
@@ -37,6 +39,52 @@
 	return *broad, true
 }
 
+// narrowest returns the suspect with the fewest requests of those that nearly all crashes of s
+// have, that come with the feature of s only, and beside which other requests with that feature
+// were on the same servers; or s. Not all requests on a server that crashed may be known, so that
+// s may have more crashes although it is not the cause.
+func (l *List) narrowest(s suspect, all []suspect) suspect {
+	best := s
+	for _, x := range all {
+		if x.class != s.class || x.requests >= best.requests || float64(len(x.crashes)) < commonShare*float64(len(s.crashes)) {
+			continue
+		}
+		if x.isShared() && x.isAccompanied(s.feature) && slices.Contains(l.inCommon(x), s.feature) {
+			best = x
+		}
+	}
+	return best
+}
+
+// isAccompanied reports whether other requests with a feature were on at least half of the servers
+// that crashed.
+func (s suspect) isAccompanied(f Feature) bool {
+	n := 0
+	for _, c := range s.crashes {
+		if slices.ContainsFunc(c.Requests, func(r Request) bool { return r.has(f) && !r.has(s.feature) }) {
+			n++
+		}
+	}
+	return 2*n >= len(s.crashes)
+}
+
+// isShared reports whether different requests have the feature.
+func (s suspect) isShared() bool {
+	var first *Request
+	for _, c := range s.crashes {
+		for i, r := range c.Requests {
+			switch {
+			case !r.has(s.feature):
+			case first == nil:
+				first = &c.Requests[i]
+			case !first.equal(r):
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (s suspect) servers() []string {
 	var all []string
 	for _, c := range s.crashes {
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -61,7 +61,11 @@
 	for _, id := range x.meta.PromptParts {
 		features = append(features, crashcause.PromptPart(x.meta.Model, id))
 	}
-	x.features = crashcause.NewRequest(x.service.Name+"\x00"+x.meta.Model, features...)
+	class := x.service.Name + "\x00" + x.meta.Model
+	if len(x.meta.PromptParts) == 0 {
+		class += "\x00no shared parts" // requests with shared parts can't be compared with these
+	}
+	x.features = crashcause.NewRequest(class, features...)
 }
 
 // promptOnly returns the request without the feature of the request as a whole.
