test/relay: scripted servers have loopback addresses of their own

Cause, as far as traced: test processes run side by side and take ephemeral ports of 127.0.0.1; a server that ends frees its port, and hosts and relays of other tests go on sending there.

Each scripted server has an address of 127.64.0.0/10 now. No check is changed.

--- a/test/relay/crashing_part_test.go
+++ b/test/relay/crashing_part_test.go
@@ -47,6 +47,7 @@
 type partFleet struct {
 	h        *harness
 	answer   func(crash backend.Step) backend.Step // the response to a prompt with badPart
+	address  string                                // of new servers
 	restarts sync.WaitGroup
 	mu       sync.Mutex
 	closed   bool
@@ -66,7 +67,7 @@
 }
 
 func newPartFleet(t *testing.T, answer func(crash backend.Step) backend.Step) *partFleet {
-	f := &partFleet{h: newHarness(t), answer: answer}
+	f := &partFleet{h: newHarness(t), answer: answer, address: ownAddress()}
 	t.Cleanup(f.close)
 	for i := range 12 {
 		f.start([]string{"a", "b", "c"}[i%3], false)
@@ -85,7 +86,7 @@
 }
 
 func (f *partFleet) start(dataCentre string, restarted bool) {
-	b, err := backend.Start("127.0.0.1:0", backend.NotExecuted())
+	b, err := backend.Start(f.address, backend.NotExecuted())
 	if err != nil {
 		f.h.t.Error(err)
 		return
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -131,7 +132,7 @@
 // startServer starts and registers a scripted server of a service in a data centre.
 func (h *harness) startServer(service, dataCentre string, steps ...backend.Step) *backend.Server {
 	h.t.Helper()
-	s, err := backend.Start("127.0.0.1:0", steps...)
+	s, err := backend.Start(ownAddress(), steps...)
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -194,6 +195,12 @@
 	}
 }
 
+// ownAddress returns a loopback address of its own, so that no other test or process takes the
+// port of a server that has ended for its own.
+func ownAddress() string {
+	return fmt.Sprintf("127.%d.%d.%d:0", 64+rand.IntN(64), rand.IntN(256), 1+rand.IntN(254))
+}
+
 func (h *harness) checkRequestCount(s *backend.Server, n int) {
 	h.t.Helper()
 	if got := len(s.Requests()); got != n {
