relay: notice the end of a server under a request however it shows

Cause: the only evidence of a crash was an address that takes no connection 0.3 s after the connection of an attempt ended. Nothing was evaluated after the caller had left or the deadline had passed; a server that had asked for a rest was not asked; a process that had taken the address acquitted the request; a response that ends with its connection counted as a sound run.

Change: the server of an attempt without a complete response is watched for six seconds (io/relay/crash_watch.go). It has ended if it takes no connection, if another one has its address, or if its registry entry is missing and it has sent nothing since. A caller that left causes no probe unless a loss is known. Crashes that are noticed late are reported to other hosts from then on. A response that ends with its connection counts as sound 2.5 s later, if its server remains.

Ruled out: asking the address by a health check (it waits for a slot, costs a call and says nothing of the process before).

--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -98,6 +98,8 @@
 type Crash struct {
 	Server string
 	At     time.Time
+	// Noticed is when it became known that the server ended, zero if that was at once.
+	Noticed time.Time
 	// Requests may have caused the crash.
 	Requests []Request
 	// LostWith names the other servers of the service and data centre that were lost at about
@@ -154,9 +156,12 @@
 	known := l.find(c.Server, c.At)
 	if known == nil {
 		l.makeRoom()
-		known = &crash{Crash: Crash{Server: c.Server, At: c.At}, features: make(map[Feature]bool)}
+		known = &crash{Crash: Crash{Server: c.Server, At: c.At, Noticed: c.At}, features: make(map[Feature]bool)}
 		l.crashes[c.Server] = append(l.crashes[c.Server], known)
 	}
+	if c.Noticed.After(known.Noticed) {
+		known.Noticed = c.Noticed
+	}
 	for _, s := range c.LostWith {
 		known.addLostWith(s)
 	}
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// reportWindow is how long crashes are reported to other nodes.
+	// reportWindow is how long crashes are reported to other nodes after they were noticed.
 	reportWindow = 2 * time.Second
 	// foundTogetherWindow is the time between two findings of a cause that nodes make from the
 	// same crashes, including the age of reports.
@@ -26,7 +26,8 @@
 // CrashReport reports a crash.
 type CrashReport struct {
 	Server   string
-	Age      time.Duration
+	Age      time.Duration // of the crash
+	Noticed  time.Duration // since the reporting node noticed it
 	Requests []Request
 	LostWith []string
 }
@@ -56,8 +57,7 @@
 	var r Report
 	reported := make(map[Feature]bool)
 	for c := range l.allCrashes() {
-		age := now.Sub(c.At)
-		if age > reportWindow {
+		if now.Sub(c.Noticed) > reportWindow {
 			continue
 		}
 		for f := range c.features {
@@ -67,7 +67,9 @@
 		if len(own) == 0 || len(r.Crashes) == maxReportedCrashes {
 			continue
 		}
-		r.Crashes = append(r.Crashes, CrashReport{Server: c.Server, Age: age, Requests: own, LostWith: slices.Clone(c.LostWith)})
+		r.Crashes = append(r.Crashes, CrashReport{
+			Server: c.Server, Age: now.Sub(c.At), Noticed: now.Sub(c.Noticed), Requests: own, LostWith: slices.Clone(c.LostWith),
+		})
 		for _, x := range own {
 			reported[x.Class] = true
 		}
@@ -104,7 +106,8 @@
 // Add adds the crashes of another node's report that was received some time ago.
 func (r *Report) Add(x Report, age time.Duration) {
 	for _, c := range x.Crashes {
-		if c.Age += age; c.Age <= reportWindow && len(r.Crashes) < maxReportedCrashes {
+		c.Age += age
+		if c.Noticed += age; c.Noticed <= reportWindow && len(r.Crashes) < maxReportedCrashes {
 			r.Crashes = append(r.Crashes, c)
 		}
 	}
@@ -123,7 +126,7 @@
 		}
 		known := l.find(c.Server, at)
 		crashed = crashed || known == nil || slices.ContainsFunc(c.Requests, known.lacks)
-		l.mergeCrash(Crash{Server: c.Server, At: at, Requests: c.Requests, LostWith: c.LostWith})
+		l.mergeCrash(Crash{Server: c.Server, At: at, Noticed: now.Add(-c.Noticed), Requests: c.Requests, LostWith: c.LostWith})
 	}
 	for _, s := range r.Sound {
 		l.recordSound(s.Feature, now.Add(-s.Age))
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -327,8 +327,8 @@
 	m.unreachableCount = 0
 }
 
-// contactedSince reports whether the server sent anything after t.
-func (m *Member) contactedSince(t time.Time) bool {
+// ContactedSince reports whether the server sent anything to this node after t.
+func (m *Member) ContactedSince(t time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.lastContact.After(t)
--- a/core/fleet/outage.go
+++ b/core/fleet/outage.go
@@ -62,14 +62,14 @@
 	return !known || l.at.Sub(before.at) > outageWindow
 }
 
-// lostWith returns the other servers that were lost within lostTogetherWindow of a lost one.
-func (o *outages) lostWith(k outageKey, id string) []string {
+// lostWith returns the servers other than the given one that were lost within lostTogetherWindow
+// of a time.
+func (o *outages) lostWith(k outageKey, id string, at time.Time) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	lost, known := o.lost[k][id]
 	var all []string
 	for other, l := range o.lost[k] {
-		if known && other != id && l.at.Sub(lost.at).Abs() <= lostTogetherWindow {
+		if other != id && l.at.Sub(at).Abs() <= lostTogetherWindow {
 			all = append(all, other)
 		}
 	}
@@ -135,10 +135,11 @@
 }
 
 // LostWith returns the incarnations of the other servers of the service and data centre of a
-// lost server that were lost within lostTogetherWindow of it.
-func (f *Fleet) LostWith(m *Member) []string {
+// server that was lost at a time, that were lost within lostTogetherWindow of it. Losses are
+// kept for little longer than that.
+func (f *Fleet) LostWith(m *Member, at time.Time) []string {
 	var all []string
-	for _, id := range f.outages.lostWith(outageKey{m.Service(), m.DataCentre()}, m.ID()) {
+	for _, id := range f.outages.lostWith(outageKey{m.Service(), m.DataCentre()}, m.ID(), at) {
 		if x := f.Find(id); x != nil {
 			all = append(all, x.Incarnation())
 		}
@@ -150,7 +151,7 @@
 func (f *Fleet) ContactedSince(incarnation string, t time.Time) bool {
 	id := incarnation[:max(0, strings.LastIndexByte(incarnation, incarnationSeparator))]
 	m := f.Find(id)
-	return m != nil && m.Incarnation() == incarnation && m.contactedSince(t)
+	return m != nil && m.Incarnation() == incarnation && m.ContactedSince(t) && !m.Superseded(time.Now())
 }
 
 // RecordLoss records that a server could not be reached, or that its connection broke during a
@@ -178,7 +179,7 @@
 	for id, age := range losses {
 		m := f.Find(id)
 		at := now.Add(-age)
-		if m == nil || !m.Remains(now) || m.contactedSince(at) {
+		if m == nil || !m.Remains(now) || m.ContactedSince(at) {
 			continue
 		}
 		m.recordPeerLoss(at)
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -1,9 +1,6 @@
 package relay
 
 import (
-	"context"
-	"errors"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -13,14 +10,9 @@
 
 	"cicadabeam/core/crashcause"
 	"cicadabeam/core/fault"
-	"cicadabeam/core/fleet"
-	"cicadabeam/io/http1"
 )
 
 const (
-	// crashProbeDelay is the delay before a server whose connection ended is probed. Other
-	// servers that were lost with it are known by then.
-	crashProbeDelay = 300 * time.Millisecond
 	// evaluationDelay is the delay before the causes of crashes are determined, in which other
 	// nodes report the requests that they had on the servers.
 	evaluationDelay = 250 * time.Millisecond
@@ -56,8 +48,8 @@
 	d := xxhash.New()
 	_, _ = d.WriteString(x.organisation.Name + "\x00" + x.r.Method + "\x00" + x.r.Host + "\x00" + x.target() + "\x00")
 	_, _ = d.Write(x.body)
-	x.whole = crashcause.WholeRequest(d.Sum64())
-	features := []crashcause.Feature{x.whole}
+	x.whole = []crashcause.Feature{crashcause.WholeRequest(d.Sum64())}
+	features := slices.Clone(x.whole)
 	for _, id := range x.meta.PromptParts {
 		features = append(features, crashcause.PromptPart(x.meta.Model, id))
 	}
@@ -71,50 +63,15 @@
 // promptOnly returns the request without the feature of the request as a whole.
 func (x *exchange) promptOnly() crashcause.Request {
 	r := x.features
-	r.Features = slices.DeleteFunc(slices.Clone(r.Features), func(f crashcause.Feature) bool { return f == x.whole })
+	r.Features = slices.DeleteFunc(slices.Clone(r.Features), func(f crashcause.Feature) bool { return slices.Contains(x.whole, f) })
 	return r
 }
 
-// wholeOnly returns the request with no feature but that of the request as a whole.
+// wholeOnly returns the request with no features but those of the request as a whole.
 func (x *exchange) wholeOnly() crashcause.Request {
-	return crashcause.Request{Class: x.features.Class, Features: []crashcause.Feature{x.whole}}
-}
-
-// scheduleEvaluation is called when a connection ended during a request. Unless the request
-// ended or timed out, it checks after crashProbeDelay whether the server is gone. If so, the
-// request may have crashed it. starting is set if the server had just begun to respond.
-func (d *crashDetector) scheduleEvaluation(x *exchange, m *fleet.Member, starting bool, err error) {
-	if x.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		return
-	}
 	r := x.features
-	if !starting {
-		r = x.wholeOnly()
-	}
-	id, parts := x.meta.ID, partNames(x.meta.PromptParts)
-	d.keepNames(x)
-	time.AfterFunc(crashProbeDelay, func() { d.recordCrash(r, id, parts, m) })
-}
-
-func (d *crashDetector) recordCrash(r crashcause.Request, request string, parts []string, m *fleet.Member) {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
-	defer cancel()
-	c, err := d.h.connectForQuery(ctx, m, http1.ForceNew)
-	if err == nil {
-		d.h.Pool.Put(c)
-		return
-	}
-	if errors.Is(err, errDeclines) {
-		d.h.Recorder.Record("loss not evaluated", Fields{"request": request, "server": m.ID(), "error": err.Error()})
-		return
-	}
-	crash := crashcause.Crash{Server: m.Incarnation(), At: time.Now(), Requests: []crashcause.Request{r}, LostWith: d.h.Fleet.LostWith(m)}
-	d.causes.RecordCrash(crash)
-	d.h.Recorder.Record("server died", Fields{
-		"request": request, "server": m.ID(), "parts": strings.Join(parts, ","), "starting": len(r.Features) > 1 || len(parts) == 0, "lost_with": len(crash.LostWith),
-	})
-	d.h.NotifyPeers()
-	d.scheduleCauses()
+	r.Features = slices.DeleteFunc(slices.Clone(r.Features), func(f crashcause.Feature) bool { return !slices.Contains(x.whole, f) })
+	return r
 }
 
 // scheduleCauses determines the causes of crashes after evaluationDelay.
@@ -162,7 +119,9 @@
 	if len(d.names) > maxPartNames {
 		clear(d.names)
 	}
-	d.names[x.whole] = "request " + x.whole.String()
+	for _, f := range x.whole {
+		d.names[f] = "request " + f.String()
+	}
 	for i, name := range partNames(x.meta.PromptParts) {
 		d.names[crashcause.PromptPart(x.meta.Model, x.meta.PromptParts[i])] = name
 	}
--- /dev/null
+++ b/io/relay/crash_watch.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"cicadabeam/core/crashcause"
+	"cicadabeam/core/fleet"
+	"cicadabeam/io/http1"
+)
+
+// serverChecks are the times after the end of an attempt at which it is checked whether its server
+// has ended. Other servers that were lost at the same moment are known by the first one, a server
+// that was replaced or has left the registry by the last one.
+var serverChecks = []time.Duration{300 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second, 6 * time.Second}
+
+// endedAttempt is an attempt that ended without a complete response.
+type endedAttempt struct {
+	request  crashcause.Request
+	id       string
+	parts    []string
+	member   *fleet.Member
+	at       time.Time
+	byServer bool // the server ended it, not the caller or the deadline
+	lostWith []string
+	sound    func() // called once it is known that the server has not ended
+}
+
+// soundCheck is the index of the check after which a server that has not ended is taken for sound.
+const soundCheck = 2
+
+// recordCompleted records that a request got a complete response. Where that ended with its
+// connection, as it does if the server's process ends, it is awaited whether the server remains.
+func (d *crashDetector) recordCompleted(x *exchange, m *fleet.Member, r *http.Response) {
+	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
+		d.recordSound(x, true)
+		return
+	}
+	a := d.newEndedAttempt(x, m, true)
+	a.byServer, a.sound = true, func() { d.recordSound(x, true) }
+	d.scheduleCheck(a, 0)
+}
+
+func (d *crashDetector) newEndedAttempt(x *exchange, m *fleet.Member, starting bool) *endedAttempt {
+	d.keepNames(x)
+	a := &endedAttempt{request: x.features, id: x.meta.ID, parts: partNames(x.meta.PromptParts), member: m, at: time.Now()}
+	if !starting {
+		a.request = x.wholeOnly()
+	}
+	return a
+}
+
+// watchServer finds out after an attempt without a complete response whether its server has
+// ended. If so, the request may have crashed it. starting is set if the server had not begun to
+// respond, or just had.
+func (d *crashDetector) watchServer(x *exchange, m *fleet.Member, starting bool, err error) {
+	a := d.newEndedAttempt(x, m, starting)
+	a.byServer = x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	d.scheduleCheck(a, 0)
+}
+
+func (d *crashDetector) scheduleCheck(a *endedAttempt, n int) {
+	time.AfterFunc(time.Until(a.at.Add(serverChecks[n])), func() {
+		if n == 0 {
+			a.lostWith = d.h.Fleet.LostWith(a.member, a.at)
+		}
+		ended := d.hasEnded(a, n)
+		if !ended && n == soundCheck && a.sound != nil {
+			a.sound()
+		}
+		switch {
+		case ended:
+			d.recordCrash(a)
+		case n+1 < len(serverChecks):
+			d.scheduleCheck(a, n+1)
+		}
+	})
+}
+
+// hasEnded reports at a check whether the server of an attempt has ended. One that accepts
+// connections has not, unless the registry shows another one in its place.
+func (d *crashDetector) hasEnded(a *endedAttempt, check int) bool {
+	now := time.Now()
+	if a.member.EndedUnannounced(a.at.Add(serverChecks[0]), now) {
+		return true
+	}
+	suspected := check == 0 && !a.member.ContactedSince(a.at)
+	if !a.byServer {
+		suspected = check <= soundCheck && a.member.LostSince(a.at)
+	}
+	if !suspected {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), now.Add(probeTimeout))
+	defer cancel()
+	c, err := d.h.connectForQuery(ctx, a.member, http1.ForceNew)
+	if err == nil {
+		d.h.Pool.Put(c)
+		return false
+	}
+	return !errors.Is(err, errDeclines)
+}
+
+func (d *crashDetector) recordCrash(a *endedAttempt) {
+	now := time.Now()
+	crash := crashcause.Crash{Server: a.member.Incarnation(), At: a.at, Noticed: now, Requests: []crashcause.Request{a.request}, LostWith: a.lostWith}
+	d.causes.RecordCrash(crash)
+	d.h.Recorder.Record("server died", Fields{
+		"request": a.id, "server": a.member.ID(), "parts": strings.Join(a.parts, ","), "starting": len(a.request.Features) > len(a.parts) || len(a.parts) == 0,
+		"lost_with": len(a.lostWith), "noticed_ms": ms(now.Sub(a.at)), "ended_by_server": a.byServer,
+	})
+	d.h.NotifyPeers()
+	d.scheduleCauses()
+}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -184,8 +184,8 @@
 	sentAttempts int // attempts whose request was sent at least in part
 	dispatched   dispatch.Attempts
 	features     crashcause.Request
-	whole        crashcause.Feature // of the request as a whole
-	lost         bool               // a connection ended while a server ran the request
+	whole        []crashcause.Feature // of the request as a whole
+	lost         bool                 // a connection ended while a server ran the request
 }
 
 // ServeHTTP implements http.Handler.
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -174,13 +174,14 @@
 		a.conn.Close()
 	}
 	now := time.Now()
-	switch {
-	case a.responseLost.Load():
+	if a.responseLost.Load() {
 		a.member.RecordFailure(now)
-	case s.ctx.Err() == nil && !errors.Is(a.err, os.ErrDeadlineExceeded):
+		return
+	}
+	if s.ctx.Err() == nil && !errors.Is(a.err, os.ErrDeadlineExceeded) {
 		s.h.recordLoss(a.member, now)
-		s.h.crashDetector.scheduleEvaluation(s.exchange, a.member, !a.established(now), a.err)
 	}
+	s.h.crashDetector.watchServer(s.exchange, a.member, !a.established(now), a.err)
 }
 
 // forward forwards the response to an attempt until it ends. It returns false if the server
@@ -459,7 +460,7 @@
 	a.outcome = answered
 	s.h.releaseCopy(a)
 	a.member.RecordSuccess(time.Since(a.started), time.Now())
-	s.h.crashDetector.recordSound(s.exchange, true)
+	s.h.crashDetector.recordCompleted(s.exchange, a.member, a.response)
 	s.h.Recorder.Record("answered", Fields{
 		"request": s.meta.ID, "route": s.route.Name, "server": a.member.ID(), "status": a.response.StatusCode, "attempts": s.attempts, "last": s.lastEvent,
 		"ms": ms(time.Since(s.arrived)), "resumes": s.resumes, "first_ms": ms(s.firstEventAt.Sub(s.arrived)), "pause_ms": ms(s.maxEventGap),
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -246,17 +246,18 @@
 // recordOutcome determines the outcome of an attempt and records it for the server.
 func (x *exchange) recordOutcome(a *attempt, elapsed time.Duration) {
 	now := time.Now()
+	interrupted := a.outcome == broken
 	switch {
 	case a.outcome == answered:
 		x.evaluateResponse(a, elapsed, now)
-	case x.callerLeft(), !a.connectionFailed, a.outcome == notOffered && x.ctx.Err() != nil:
-	case errors.Is(a.err, os.ErrDeadlineExceeded) && a.outcome == broken:
+	case x.callerLeft() && (a.outcome == notOffered || x.route.Kind != catalog.AtMostOnce), !a.connectionFailed, a.outcome == notOffered && x.ctx.Err() != nil:
+	case errors.Is(a.err, os.ErrDeadlineExceeded) && interrupted:
 		x.recordTimeout(a, elapsed, now)
 	default:
 		x.h.recordLoss(a.member, now)
-		if a.outcome == broken {
-			x.h.crashDetector.scheduleEvaluation(x, a.member, true, a.err)
-		}
+	}
+	if interrupted {
+		x.h.crashDetector.watchServer(x, a.member, true, a.err)
 	}
 	if a.outcome != answered {
 		a.closeUnread()
@@ -297,7 +298,7 @@
 		a.member.RecordFailure(now)
 	default:
 		a.member.RecordSuccess(elapsed, now)
-		x.h.crashDetector.recordSound(x, true)
+		x.h.crashDetector.recordCompleted(x, a.member, a.response)
 	}
 }
 
