crashcause: crashes beside other losses count once they are many

Cause: a crash counted for nothing if another server of the service and data centre was lost within half a second on which the request was not known to be. What shields sound requests from blame in an outage shielded the cause as often as it came.

Change: such crashes are kept apart. From five different moments, more than half a second apart, they count together, if other requests of the class have run well meanwhile and none with the feature has. Five, as three more sends are allowed after the third crash and a sound request has as many attempts at most.

Ruled out: to weigh crashes by the share of servers lost (needs the number of servers that others see), and to count them without sound requests beside (TestCrashesWithOthersLostAreNoEvidence: in an outage of everything nothing can be told).

--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -36,6 +36,9 @@
 const (
 	// crashThreshold is the number of crashes from which features are taken for a cause.
 	crashThreshold = 3
+	// outageThreshold is the number of different moments of crashes from which features are taken
+	// for a cause although other servers were lost each time.
+	outageThreshold = 5
 	// minCrashSpan is the minimum time between the first and the last of these crashes.
 	minCrashSpan = 300 * time.Millisecond
 	// commonShare is the share of the crashes with the most frequent feature from which
@@ -264,11 +267,12 @@
 }
 
 // RecordSoundIfSuspected is like RecordSound for the features of requests that may have caused
-// crashes, and without effect for others. It is to be used for requests whose features rarely
+// crashes, and without effect for other features. It is to be used for requests whose features rarely
 // come again.
 func (l *List) RecordSoundIfSuspected(r Request, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.recordSound(r.Class, at)
 	for _, f := range r.Features {
 		if l.concerned[f] {
 			l.recordSound(f, at)
--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -150,6 +150,35 @@
 	}
 }
 
+// Other servers are lost at each moment at which one crashes under the request.
+func TestRequestAtManyLossesIsTheCause(t *testing.T) {
+	for _, x := range []struct {
+		moments int
+		sound   bool // other requests run well meanwhile
+		want    int
+	}{{4, true, 0}, {5, true, 1}, {9, false, 0}} {
+		l := crashcause.New()
+		for i := range x.moments {
+			if x.sound {
+				l.RecordSound(request(100, "first"), at(time.Duration(i)*time.Second))
+			}
+			for j := range 2 { // servers of one moment
+				l.RecordCrash(crashcause.Crash{
+					Server: fmt.Sprint("s", i, j), At: at(time.Duration(i) * time.Second), LostWith: []string{fmt.Sprint("s", i, "other")},
+					Requests: []crashcause.Request{request(7, "first"), request(uint64(1000+2*i+j), "first")},
+				})
+			}
+		}
+		found := l.Evaluate(at(10 * time.Second))
+		if len(found) != x.want {
+			t.Errorf("%d moments, sound requests %v: got causes %v, want %d", x.moments, x.sound, found, x.want)
+		}
+		if refuses(l, request(8, "first"), at(10*time.Second)) {
+			t.Errorf("%d moments, sound requests %v: another request is refused", x.moments, x.sound)
+		}
+	}
+}
+
 func TestServersLostTogetherUnderPartAreEvidence(t *testing.T) {
 	l := crashcause.New()
 	l.RecordSound(request(100, "first"), at(0))
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -9,9 +9,11 @@
 
 // suspect is a feature of requests that were starting on servers as these crashed.
 type suspect struct {
-	feature  Feature
-	class    Feature
-	crashes  []*crash // in order of time
+	feature Feature
+	class   Feature
+	crashes []*crash // in order of time
+	// shielded are the crashes that may have the cause that other servers were lost for.
+	shielded []*crash
 	requests int
 	// unexplained counts the crashes that no known cause explains.
 	unexplained int
@@ -118,8 +120,13 @@
 	}
 	var ranked []suspect
 	for _, s := range all {
-		slices.SortFunc(s.crashes, func(a, b *crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server)) })
-		if last := len(s.crashes) - 1; last+1 >= crashThreshold && s.crashes[last].At.Sub(s.crashes[0].At) >= minCrashSpan {
+		sortByTime(s.crashes)
+		last := len(s.crashes) - 1
+		switch {
+		case last+1 >= crashThreshold && s.crashes[last].At.Sub(s.crashes[0].At) >= minCrashSpan:
+			s.shielded = nil
+			ranked = append(ranked, *s)
+		case len(s.shielded) > 0 && l.outlastsOutages(s):
 			ranked = append(ranked, *s)
 		}
 	}
@@ -129,17 +136,52 @@
 	return ranked
 }
 
+func sortByTime(all []*crash) {
+	slices.SortFunc(all, func(a, b *crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server)) })
+}
+
+// outlastsOutages reports whether a suspect had servers crash at so many different moments that
+// it is unlikely to be there by chance, although other servers were lost at each of them. It adds
+// these crashes to the others of the suspect.
+func (l *List) outlastsOutages(s *suspect) bool {
+	all := append(slices.Clone(s.crashes), s.shielded...)
+	sortByTime(all)
+	if moments(all) < outageThreshold {
+		return false
+	}
+	s.crashes = all
+	return l.comparable(*s)
+}
+
+// moments returns the number of times, more than lostTogetherWindow apart, at which servers
+// crashed.
+func moments(all []*crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range all {
+		if n == 0 || c.At.Sub(last) > lostTogetherWindow {
+			n++
+			last = c.At
+		}
+	}
+	return n
+}
+
 func (l *List) addSuspicion(all map[Feature]*suspect, f, class Feature, c *crash, explained bool) {
 	s := all[f]
 	if s == nil {
 		s = &suspect{feature: f, class: class}
 		all[f] = s
 	}
-	if last := len(s.crashes) - 1; last < 0 || s.crashes[last] != c {
-		if !l.suspected(f, c) {
+	if !s.contains(c) {
+		if l.acquitted(f, c) {
 			return
 		}
-		s.crashes = append(s.crashes, c)
+		if l.shielded(f, c) {
+			s.shielded = append(s.shielded, c)
+		} else {
+			s.crashes = append(s.crashes, c)
+		}
 		if !explained {
 			s.unexplained++
 		}
@@ -147,20 +189,29 @@
 	s.requests++
 }
 
-// suspected reports whether a feature may be the cause of a crash: no request with it has run
-// well since shortly before, and if other servers were lost with this one, requests with the
-// feature were starting on them too.
-func (l *List) suspected(f Feature, c *crash) bool {
-	if l.soundSince(f, c.At.Add(-soundMemory)) {
-		return false
-	}
+// contains reports whether the crash that was added last is c.
+func (s *suspect) contains(c *crash) bool {
+	isLast := func(all []*crash) bool { return len(all) > 0 && all[len(all)-1] == c }
+	return isLast(s.crashes) || isLast(s.shielded)
+}
+
+// suspected reports whether a feature may be the cause of a crash by the evidence of that crash
+// alone.
+func (l *List) suspected(f Feature, c *crash) bool { return !l.acquitted(f, c) && !l.shielded(f, c) }
+
+// acquitted reports whether a request with a feature has run well since shortly before a crash.
+func (l *List) acquitted(f Feature, c *crash) bool { return l.soundSince(f, c.At.Add(-soundMemory)) }
+
+// shielded reports whether other servers were lost with one that crashed, and no requests with a
+// feature are known to have been starting on them.
+func (l *List) shielded(f Feature, c *crash) bool {
 	for _, id := range c.LostWith {
 		other := l.find(id, c.At)
 		if other == nil || !other.has(f) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // Suspects reports whether one more crash may be enough for a feature of a request to be taken
@@ -196,7 +247,7 @@
 			}
 			requests = append(requests, r)
 			for _, f := range r.Features {
-				if l.suspected(f, c) {
+				if !l.acquitted(f, c) && (len(s.shielded) > 0 || !l.shielded(f, c)) {
 					count[f]++
 				}
 			}
--- a/test/relay/crashing_request_test.go
+++ b/test/relay/crashing_request_test.go
@@ -169,6 +169,13 @@
 		{name: "caller leaves before the end", run: crashAfter(30*time.Millisecond, nil), restart: time.Second, leave: 20 * time.Millisecond},
 		{name: "deadline passes before the end", run: crashAfter(80*time.Millisecond, nil), restart: time.Second, timeout: "50"},
 		{name: "response that ends with its connection", run: crashAfter(20*time.Millisecond, backend.WriteRaw("HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\n\r\nhalf", false)), restart: time.Second},
+		{name: "three other servers are lost at each of these moments", restart: time.Second / 2, run: func(f *requestFleet, s *crashServer) backend.Step {
+			crash := crashAfter(20*time.Millisecond, nil)(f, s)
+			return func(c *backend.Conn, r *http.Request, body []byte) bool {
+				f.crashBeside(s, 3)
+				return crash(c, r, body)
+			}
+		}},
 		{name: "server that wanted a rest", restart: time.Second, run: func(f *requestFleet, s *crashServer) backend.Step {
 			crash := crashAfter(20*time.Millisecond, nil)(f, s)
 			return func(c *backend.Conn, r *http.Request, body []byte) bool {
