quarantine: requests at many correlated deaths are the cause

The same cause in serve: deaths of engines beside others within 300 ms never counted against a request, however often it was there. A request with early deaths at five different moments is quarantined now. Before: core/quarantine TestEvaluate, "another server dies with each of five", returned false.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -17,6 +17,7 @@
 package quarantine
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -37,7 +38,10 @@
 	// correlationWindow of a death for it to count as part of a correlated failure.
 	minCorrelatedDeaths = 1
 	correlationWindow   = 300 * time.Millisecond
-	retention           = 30 * time.Minute
+	// outageThreshold is the number of different moments of early deaths from which a request is
+	// quarantined although each death was part of a correlated failure.
+	outageThreshold = 5
+	retention       = 30 * time.Minute
 )
 
 // Fingerprint identifies a request by a hash of its organisation and body.
@@ -105,12 +109,13 @@
 // if two of them died after a similar number of tokens. It is also the cause if the
 // last server died early, unless that server died at about the same time as another
 // one or another request that ran on the same servers is a likelier cause. Deaths
-// that were part of a correlated failure are not counted.
+// that were part of a correlated failure are not counted, unless the request was there at
+// outageThreshold of them or more.
 func (l *List) Evaluate(f Fingerprint, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.suspects[f]
-	if s == nil || !l.isCause(f, l.withoutCorrelated(s)) {
+	if s == nil || !l.isCause(f, l.withoutCorrelated(s)) && l.earlyMoments(s) < outageThreshold {
 		return now.Before(l.quarantinedUntil[f])
 	}
 	l.quarantinedUntil[f] = now.Add(retention)
@@ -180,6 +185,27 @@
 	return others >= minCorrelatedDeaths
 }
 
+// earlyMoments returns the number of times, more than correlationWindow apart, at which servers
+// died early while running the request.
+func (l *List) earlyMoments(s *suspect) int {
+	var times []time.Time
+	for server, tokens := range s.tokens {
+		if tokens <= maxEarlyTokens {
+			times = append(times, l.deaths[server])
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, t := range times {
+		if n == 0 || t.Sub(last) > correlationWindow {
+			n++
+			last = t
+		}
+	}
+	return n
+}
+
 // IsSuspect reports whether any server died while running the request.
 func (l *List) IsSuspect(f Fingerprint) bool {
 	l.mu.Lock()
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -42,6 +43,8 @@
 			[]death{{1, "a", 1, 0}, {2, "c", 95, 0}, {1, "b", 0, 2 * time.Millisecond}},
 			map[quarantine.Fingerprint]bool{1: false},
 		},
+		"another server dies with each of four": {beside(4), map[quarantine.Fingerprint]bool{1: false, 2: false}},
+		"another server dies with each of five": {beside(5), map[quarantine.Fingerprint]bool{1: true, 2: false}},
 		"two simultaneous deaths": {
 			[]death{{1, "a", 95, 0}, {1, "b", 0, 2 * time.Millisecond}},
 			map[quarantine.Fingerprint]bool{1: false},
@@ -68,3 +71,14 @@
 		})
 	}
 }
+
+// beside returns n early deaths under request 1, each with that of a server that ran request 2
+// for long.
+func beside(n int) []death {
+	var all []death
+	for i := range n {
+		at := time.Duration(i) * time.Second
+		all = append(all, death{1, fmt.Sprint("a", i), 0, at}, death{2, fmt.Sprint("b", i), 100 * (i + 1), at})
+	}
+	return all
+}
