crashcause: a frequent part isn't the cause for being known on more lost servers

Nor was the narrower part preferred elsewhere: it had to come beside other requests on half of the servers, or be in three quarters of the requests, and could miss both.

Change: before a part is taken for the cause, the parts within its requests are compared by its own crashes, whatever else was lost. One that nearly all of them have is the likelier cause also if its share of the requests does not explain that.

Before: TestFirstPartOfManyRequestsOnFewServersIsNotQuarantined and TestFirstPartIsNotQuarantinedBecauseItIsKnownOnAllLostServers failed.

--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -278,6 +278,51 @@
 	}
 }
 
+// On few of the servers other requests were known beside those with the part, but there were
+// many of these.
+func TestFirstPartOfManyRequestsOnFewServersIsNotQuarantined(t *testing.T) {
+	l := crashcause.New()
+	l.RecordSound(request(100, "elsewhere"), at(0))
+	for i := range uint64(9) {
+		var all []crashcause.Request
+		if i < 8 {
+			all = append(all, request(1000+i, "first", "bad"))
+		}
+		if i >= 6 {
+			all = append(all, request(10*i, "first"), request(10*i+1, "first"), request(10*i+2, "first"))
+		}
+		crash(l, fmt.Sprint("s", i), at(time.Duration(i)*200*time.Millisecond), all...)
+	}
+	l.Evaluate(at(3 * time.Second))
+	if refuses(l, request(5000, "first"), at(3*time.Second)) {
+		t.Error("a request without the part is refused")
+	}
+	if !refuses(l, request(5000, "first", "bad"), at(3*time.Second)) {
+		t.Error("a request with the part is not refused")
+	}
+}
+
+// Servers are lost together: on each of them some request with the first part is known, on a few
+// none with the part that crashes servers.
+func TestFirstPartIsNotQuarantinedBecauseItIsKnownOnAllLostServers(t *testing.T) {
+	l := crashcause.New()
+	for i := range uint64(8) {
+		all := []crashcause.Request{request(10*i, "first")}
+		if i%4 != 0 {
+			all = append(all, request(10*i+1, "first", "bad"))
+		}
+		moment := i / 4
+		l.RecordCrash(crashcause.Crash{
+			Server: fmt.Sprint("s", i), At: at(time.Duration(moment) * time.Second), Requests: all,
+			LostWith: []string{fmt.Sprint("s", 4*moment), fmt.Sprint("s", 4*moment+1)},
+		})
+	}
+	l.Evaluate(at(3 * time.Second))
+	if refuses(l, request(5000, "first"), at(3*time.Second)) {
+		t.Error("a request without the part is refused")
+	}
+}
+
 func TestReportedCausesAreApplied(t *testing.T) {
 	l := quarantined(t)
 	never := func(string, time.Time) bool { return false }
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -23,9 +23,8 @@
 // none.
 func (l *List) nextCause(now time.Time) (Cause, bool) {
 	var broad *Cause
-	suspects := l.suspects(now)
-	for _, s := range suspects {
-		s = l.narrowest(s, suspects)
+	for _, s := range l.suspects(now) {
+		s = l.narrowest(s)
 		c := Cause{Features: l.inCommon(s), Servers: s.servers()}
 		switch {
 		case s.unexplained == 0 || l.covered(c.Features):
@@ -42,22 +41,63 @@
 }
 
 // narrowest returns the suspect with the fewest requests of those that nearly all crashes of s
-// have, that come with the feature of s only, and beside which other requests with that feature
-// were on the same servers; or s. Not all requests on a server that crashed may be known, so that
-// s may have more crashes although it is not the cause.
-func (l *List) narrowest(s suspect, all []suspect) suspect {
+// have and that come with the feature of s only, or s. Not all requests on a server that crashed
+// may be known, so that s may have more crashes although it is not the cause. A narrower feature is
+// the likelier cause if other requests with that of s were on the same servers, or if its share of
+// the crashes is not explained by its share of the requests.
+func (l *List) narrowest(s suspect) suspect {
 	best := s
-	for _, x := range all {
-		if x.class != s.class || x.requests >= best.requests || float64(len(x.crashes)) < commonShare*float64(len(s.crashes)) {
+	common := l.inCommon(s)
+	for _, x := range l.within(s) {
+		if x.requests >= best.requests || float64(len(x.crashes)) < commonShare*float64(len(s.crashes)) || !x.isShared() {
 			continue
 		}
-		if x.isShared() && x.isAccompanied(s.feature) && slices.Contains(l.inCommon(x), s.feature) {
+		likelier := x.isAccompanied(s.feature) || !slices.Contains(common, x.feature)
+		if likelier && slices.Contains(l.inCommon(x), s.feature) {
 			best = x
 		}
 	}
 	return best
 }
 
+// within returns the other features of the requests with the feature of a suspect, with those of
+// its crashes that they were in. That other servers were lost says nothing between them: on these
+// some request with the more frequent feature is likely to be known.
+func (l *List) within(s suspect) []suspect {
+	all := make(map[Feature]*suspect)
+	for _, c := range s.crashes {
+		for _, r := range c.Requests {
+			if !r.has(s.feature) {
+				continue
+			}
+			for _, f := range r.Features {
+				if f != s.feature && !l.acquitted(f, c) {
+					all[f] = all[f].with(f, r.Class, c)
+				}
+			}
+		}
+	}
+	var found []suspect
+	for _, f := range slices.Sorted(maps.Keys(all)) {
+		x := all[f]
+		x.shielded, x.unexplained = x.crashes, s.unexplained
+		found = append(found, *x)
+	}
+	return found
+}
+
+// with adds a request that was on a server as it crashed.
+func (s *suspect) with(f, class Feature, c *crash) *suspect {
+	if s == nil {
+		s = &suspect{feature: f, class: class}
+	}
+	if !s.contains(c) {
+		s.crashes = append(s.crashes, c)
+	}
+	s.requests++
+	return s
+}
+
 // isAccompanied reports whether other requests with a feature were on at least half of the servers
 // that crashed.
 func (s suspect) isAccompanied(f Feature) bool {
