relay: a request to a server that was lost before is no evidence

An attempt that was sent while contact with its server was lost counts now only if the server takes no connection right after.

--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -349,6 +349,9 @@
 	return m.lostAt.After(t) && !m.lastContact.After(m.lostAt)
 }
 
+// Lost reports whether contact with the server was lost and has not been regained.
+func (m *Member) Lost() bool { return m.LostSince(time.Time{}) }
+
 // recordPeerLoss records that another node lost contact with the server.
 func (m *Member) recordPeerLoss(at time.Time) {
 	m.mu.Lock()
--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -26,6 +26,9 @@
 	member   *fleet.Member
 	at       time.Time
 	byServer bool // the server ended it, not the caller or the deadline
+	// unsure is set if contact with the server had been lost before the request was sent. It may
+	// have reached nothing.
+	unsure   bool
 	lostWith []string
 	sound    func() // called once it is known that the server has not ended
 }
@@ -56,9 +59,10 @@
 
 // watchServer finds out after an attempt without a complete response whether its server has
 // ended. If so, the request may have crashed it. starting is set if the server had not begun to
-// respond, or just had.
-func (d *crashDetector) watchServer(x *exchange, m *fleet.Member, starting bool, err error) {
+// respond, or just had, and lost if contact with the server had been lost before.
+func (d *crashDetector) watchServer(x *exchange, m *fleet.Member, starting, lost bool, err error) {
 	a := d.newEndedAttempt(x, m, starting)
+	a.unsure = lost
 	a.byServer = x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	d.scheduleCheck(a, 0)
 }
@@ -85,12 +89,12 @@
 // connections has not, unless the registry shows another one in its place.
 func (d *crashDetector) hasEnded(a *endedAttempt, check int) bool {
 	now := time.Now()
-	if a.member.EndedUnannounced(a.at.Add(serverChecks[0]), now) {
+	if !a.unsure && a.member.EndedUnannounced(a.at.Add(serverChecks[0]), now) {
 		return true
 	}
 	suspected := check == 0 && !a.member.ContactedSince(a.at)
 	if !a.byServer {
-		suspected = check <= soundCheck && a.member.LostSince(a.at)
+		suspected = check <= soundCheck && !a.unsure && a.member.LostSince(a.at)
 	}
 	if !suspected {
 		return false
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -50,6 +50,7 @@
 	copies          *kvbackup.Run // copies that replace a lost backup, nil if the server can't make any
 	started         time.Time
 	reportDue       time.Time // when the server is queried for its runs
+	serverLost      bool      // contact with the server had been lost before the request was sent
 	responseStarted bool
 	events          int
 	firstEventAt    time.Time
@@ -120,6 +121,7 @@
 	a.removeInterrupt = context.AfterFunc(s.ctx, c.Interrupt)
 	s.dispatched.Begin()
 	a.outcome = broken
+	a.serverLost = a.member.Lost()
 	s.attempts++
 	s.sentAttempts++
 	if a.err = c.Send(request, s.deadline); a.err != nil {
@@ -181,7 +183,7 @@
 	if s.ctx.Err() == nil && !errors.Is(a.err, os.ErrDeadlineExceeded) {
 		s.h.recordLoss(a.member, now)
 	}
-	s.h.crashDetector.watchServer(s.exchange, a.member, !a.established(now), a.err)
+	s.h.crashDetector.watchServer(s.exchange, a.member, !a.established(now), a.serverLost, a.err)
 }
 
 // forward forwards the response to an attempt until it ends. It returns false if the server
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -48,6 +48,7 @@
 	// connectionFailed is set if no connection could be made or it ended before the
 	// head of the response was read.
 	connectionFailed bool
+	serverLost       bool // contact with the server had been lost before the request was sent
 }
 
 func (a *attempt) status() int {
@@ -205,6 +206,7 @@
 	}
 	a.outcome = broken
 	a.connectionFailed = true
+	a.serverLost = a.member.Lost()
 	if a.err = c.Send(request, x.deadline); a.err != nil {
 		c.Close()
 		return
@@ -257,7 +259,7 @@
 		x.h.recordLoss(a.member, now)
 	}
 	if interrupted {
-		x.h.crashDetector.watchServer(x, a.member, true, a.err)
+		x.h.crashDetector.watchServer(x, a.member, true, a.serverLost, a.err)
 	}
 	if a.outcome != answered {
 		a.closeUnread()
