relay: await the evaluation of crashes before another server is tried

Change: a request, or its next attempt, waits while an evaluation is due of crashes under features that one more crash would make a cause. Others don't wait: a feature with a sound run within a minute is not suspected.

--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -37,6 +37,8 @@
 	names  map[crashcause.Feature]string
 	due    bool      // the causes are to be determined after evaluationDelay
 	expiry time.Time // when old entries are removed next
+
+	evaluations evaluations
 }
 
 func newCrashDetector(h *Handler) *crashDetector {
--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -64,6 +64,9 @@
 	a := d.newEndedAttempt(x, m, starting)
 	a.unsure = lost
 	a.byServer = x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if a.byServer {
+		d.evaluations.expect(a.request, a.at.Add(serverChecks[0]+evaluationDelay+evaluationSlack))
+	}
 	d.scheduleCheck(a, 0)
 }
 
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -207,6 +207,7 @@
 		return
 	}
 	x.setFeatures()
+	h.crashDetector.awaitEvaluation(ctx, x)
 	if err := h.crashDetector.refusal(x); err != nil {
 		x.respondError(err)
 		return
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -349,6 +349,7 @@
 	if x.dispatched.MayRun() && !x.route.Kind.Retryable() {
 		return false
 	}
+	x.h.crashDetector.awaitEvaluation(x.ctx, x)
 	if !x.h.crashDetector.maySend(x, x.lost) {
 		return false
 	}
--- a/test/relay/crashing_request_test.go
+++ b/test/relay/crashing_request_test.go
@@ -255,3 +255,27 @@
 		t.Errorf("%d of %d sound requests were served, want nine tenths", served, sent)
 	}
 }
+
+// Guards against requests that are sent while it is being found out whether others like them have
+// just crashed servers.
+func TestRequestAwaitsTheEvaluationOfCrashes(t *testing.T) {
+	t.Parallel()
+	f := &requestFleet{h: newHarness(t), service: "read", run: crashAfter(20*time.Millisecond, nil), restart: time.Second, servers: make(map[string]*crashServer)}
+	t.Cleanup(f.close)
+	for i := range 20 {
+		f.start([]string{"a", "b"}[i%2], ownAddress())
+	}
+	_ = roundTrip(f.request(true, 0)) // two attempts
+	time.Sleep(time.Second)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() { _ = roundTrip(f.request(true, 0)) })
+		time.Sleep(60 * time.Millisecond)
+	}
+	wg.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.crashes); n > 4 {
+		t.Errorf("%d servers ended, want 4 at most", n)
+	}
+}
