test/standin/store: what is written again after a restore undoes no later write

The logs show that hosts had configuration 7, and that the store went back to 6 for good: the stand-in's operator looked in the history whether it had written since the restore, the history had been dropped ("the store drops its change history"), and it wrote the older configuration over the newer. No operator does that; hosts that hold to the newer one and confirm nothing are right.

The version of the row itself tells now. TestRewriteAfterLostHistoryKeepsLaterWrites failed before. No check changes.

--- a/test/standin/store/restore.go
+++ b/test/standin/store/restore.go
@@ -125,6 +125,10 @@
 	}
 	want, exists := lost.rows[table][key]
 	have, found := s.rows[table][key]
+	_, had := older.rows[table][key]
+	if found && have.Ver > older.version || !found && had {
+		return // written or removed since, whether or not the history still tells
+	}
 	switch {
 	case exists && (!found || !bytes.Equal(want.Value, have.Value)):
 		s.apply(transaction{Writes: []row{{Table: table, Key: key, Value: want.Value}}})
--- a/test/standin/store/store_test.go
+++ b/test/standin/store/store_test.go
@@ -198,3 +198,27 @@
 		}
 	}
 }
+
+// A writer that writes again what a restore lost does not undo a later write that the history
+// does not tell of any more.
+func TestRewriteAfterLostHistoryKeepsLaterWrites(t *testing.T) {
+	s, c, ctx := start(t)
+	s.Put("op", "config", []byte("1"))
+	s.Put("servers", "a", []byte("1"))
+	older := s.Copy()
+	s.Put("op", "config", []byte("2"))
+	lost := s.Copy()
+	s.Restore(older)
+	s.Put("op", "config", []byte("3"))
+	s.Remove("servers", "a")
+	s.DiscardHistory()
+	s.Rewrite("op", "config", lost, older)
+	s.Rewrite("servers", "a", lost, older)
+	page, err := c.Rows(ctx, "op")
+	if err != nil || len(page.Rows) != 1 || string(page.Rows[0].Value) != "3" {
+		t.Errorf("got rows %v, error %v; want the configuration 3", page.Rows, err)
+	}
+	if keys := s.Keys("servers"); len(keys) > 0 {
+		t.Errorf("servers %v are back that were removed since the restore", keys)
+	}
+}
