serverlimit: all hosts together keep to the limit that a server names

Cause: the field was not read. Hosts place requests by load and by what a server refused; neither bounds a rate over all hosts.

Change: core/serverlimit. Each host sends at its part of the limit: a fifth is divided equally, the rest by demand, which the hosts tell each other in the reports that they exchange. A host's own demand counts as of 1.5 s ago, so that the parts add up to no more than the limit while demand rises; parts of less than one request are used by chance; what the others report to have sent bounds the sum; hosts that hear few of the others use as much less. Every request to a server passes it: first attempts, second ones, resumed runs and moves. Servers without a limit come first. What no server takes is refused at once with a Retry-After that grows with demand over limit. The limit ends with a signed response that does not name it, and the newest statement holds on all hosts.

Ruled out: a bucket on each host (59 hosts with a saved request each send 59 where 32 are allowed); one host that hands out permits (a call for each request and a gap when it is lost); turns by the time of day (it jumps).

--- a/core/fleet/deferral.go
+++ b/core/fleet/deferral.go
@@ -86,8 +86,8 @@
 	return now, true, m.running >= m.deferral.Limit(now)
 }
 
-// Relief returns the earliest time at which a server of a service may take requests again,
-// if all that stay have turned requests away and take none now.
+// Relief returns the earliest time at which a server of a service may take requests again, if all
+// that stay have turned requests away, or named limits, and take none now.
 func (f *Fleet) Relief(service string, now time.Time) (earliest time.Time, found bool) {
 	f.mu.RLock()
 	all := f.services[service]
@@ -97,6 +97,12 @@
 		if !remains {
 			continue
 		}
+		if limitedUntil, limited := f.limitRelief(m, now); limited {
+			holdsBack = true
+			if limitedUntil.After(at) {
+				at = limitedUntil
+			}
+		}
 		if !holdsBack {
 			return time.Time{}, false
 		}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -18,6 +18,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cicadabeam/core/serverlimit"
 )
 
 // Server is a backend server as given in its registry entry.
@@ -76,11 +78,13 @@
 	peerWork   map[string]map[string]Work // last report of each node, by server ID
 
 	lastPeerWork atomic.Pointer[time.Time] // time of the last work report from another node
+
+	limits *serverlimit.Table // of servers, by incarnation
 }
 
 // New returns an empty fleet.
 func New(t Topology) *Fleet {
-	return &Fleet{topology: t, members: make(map[string]*Member), addresses: make(map[string][]*Member), services: make(map[string][]*Member), peerWork: make(map[string]map[string]Work)}
+	return &Fleet{topology: t, members: make(map[string]*Member), addresses: make(map[string][]*Member), services: make(map[string][]*Member), peerWork: make(map[string]map[string]Work), limits: serverlimit.NewTable()}
 }
 
 // Upsert adds a server or updates its state. It reports whether anything changed.
@@ -235,6 +239,8 @@
 	// Begun is set if the caller has received a part of the answer in this request. What the
 	// server gets at a time after it refused requests is not limited then, unless it is on trial.
 	Begun bool
+	// Nodes is the number of nodes that share the limits that servers name.
+	Nodes int
 	// MaxConnections limits the connections from this node to one server.
 	MaxConnections int
 	// Exclude lists servers on which the request has already failed.
@@ -250,7 +256,7 @@
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
 	for _, c := range f.ranked(q) {
-		if c.member.reserve(q) {
+		if c.member.reserve(q) && f.withinLimit(c.member, q) {
 			return c.member
 		}
 	}
@@ -363,7 +369,7 @@
 		if q.AvoidDataCentre != "" && m.DataCentre() == q.AvoidDataCentre {
 			c += avoidPenalty
 		}
-		found = append(found, candidate{m, c, q.rank(m.ID())})
+		found = append(found, candidate{m, c + f.limitPenalty(m, q.Now), q.rank(m.ID())})
 	}
 	if q.ReturningCaller && q.CachedOn == "" {
 		q.equalizeNearBest(found)
--- /dev/null
+++ b/core/serverlimit/simulation_test.go
@@ -0,0 +1,133 @@
+package serverlimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cicadabeam/core/serverlimit"
+)
+
+const (
+	window   = 4 * time.Second
+	known    = 4 * time.Second // after the limit was first named
+	exchange = 500 * time.Millisecond
+	lag      = time.Second // of a report
+	name     = "server/1"
+	length   = 20 * time.Second
+)
+
+// scenario is a load of requests for one server with a limit.
+type scenario struct {
+	nodes int
+	limit float64
+	rate  float64 // requests a second over all nodes
+	// busy returns the number of nodes that get the requests, from the first one on.
+	busy func(at time.Duration) (first, n int)
+	// hears reports whether a node hears another one.
+	hears func(at time.Duration, a, b int) bool
+}
+
+func spread(x scenario) func(time.Duration) (int, int) {
+	return func(time.Duration) (int, int) { return 0, x.nodes }
+}
+
+// run returns when requests were sent to the server.
+func run(x scenario) []time.Duration {
+	start := time.Unix(1e9, 0)
+	var tables []*serverlimit.Table
+	for range x.nodes {
+		tables = append(tables, serverlimit.NewTable())
+	}
+	type late struct {
+		from int
+		r    serverlimit.Report
+		at   time.Duration
+	}
+	var pending []late
+	var sent []time.Duration
+	const step = 10 * time.Millisecond
+	owed := 0.0
+	for at := time.Duration(0); at < length; at += step {
+		now := start.Add(at)
+		if at%exchange == 0 {
+			for i, t := range tables {
+				pending = append(pending, late{i, t.Report(now), at + lag})
+			}
+		}
+		for len(pending) > 0 && pending[0].at <= at {
+			p := pending[0]
+			pending = pending[1:]
+			for i, t := range tables {
+				if i != p.from && (x.hears == nil || x.hears(at, i, p.from)) {
+					t.Merge(fmt.Sprint(p.from), p.r, 1, now.Add(-lag))
+				}
+			}
+		}
+		owed += x.rate * step.Seconds()
+		for ; owed >= 1; owed-- {
+			first, n := x.busy(at)
+			t := tables[(first+rand.IntN(n))%x.nodes]
+			if t.Allow(name, x.nodes, now) {
+				t.Name(name, x.limit, now)
+				sent = append(sent, at)
+			}
+		}
+	}
+	return sent
+}
+
+func between(sent []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range sent {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
+func TestNodesTogetherKeepToTheLimit(t *testing.T) {
+	half := func(at time.Duration, a, b int) bool { return at < 8*time.Second || at > 16*time.Second || a%2 == b%2 }
+	killed := func(at time.Duration, a, b int) bool { return at < 8*time.Second || b%3 > 0 }
+	for _, base := range []scenario{{nodes: 1}, {nodes: 7}, {nodes: 59}} {
+		for _, limit := range []float64{0.5, 4.6, 60} {
+			base.limit, base.rate = limit, max(40, 5*limit)
+			for kind, change := range map[string]func(x *scenario){
+				"spread":   func(x *scenario) { x.busy = spread(*x) },
+				"one node": func(x *scenario) { x.busy = func(time.Duration) (int, int) { return 0, 1 } },
+				"moving": func(x *scenario) {
+					x.busy = func(at time.Duration) (int, int) { return int(at / (3 * time.Second)), 1 + x.nodes/8 }
+				},
+				"bursts": func(x *scenario) {
+					x.busy = func(at time.Duration) (int, int) { return 0, 1 + (x.nodes-1)*int(at/(5*time.Second)%2) }
+				},
+				"halves cut off": func(x *scenario) { x.busy, x.hears = spread(*x), half },
+				"nodes lost":     func(x *scenario) { x.busy, x.hears = spread(*x), killed },
+			} {
+				if base.nodes > 7 && kind != "spread" && kind != "halves cut off" {
+					continue
+				}
+				x := base
+				change(&x)
+				sent := run(x)
+				allowed := int(1.5*limit*window.Seconds()) + 5
+				worst := 0
+				for at := known; at < length-window; at += 100 * time.Millisecond {
+					worst = max(worst, between(sent, at, at+window))
+				}
+				if worst > allowed {
+					t.Errorf("%d nodes, limit %v, %s: %d requests in %v, want at most %d", x.nodes, limit, kind, worst, window, allowed)
+				}
+				use := float64(between(sent, 6*time.Second, length)) / limit / (length - 6*time.Second).Seconds()
+				if kind == "spread" || kind == "one node" {
+					if use < 0.5 {
+						t.Errorf("%d nodes, limit %v, %s: %.2f of the limit is used, want half", x.nodes, limit, kind, use)
+					}
+				}
+				t.Logf("%d nodes, limit %v, %s: worst %d of %d, use %.2f", x.nodes, limit, kind, worst, allowed, use)
+			}
+		}
+	}
+}
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -22,6 +22,7 @@
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/serverlimit"
 	"cicadabeam/io/tcp"
 )
 
@@ -61,6 +62,7 @@
 	Usage         map[string]retrybudget.Usage // by service
 	Prompts       map[string]string            // server that processed a prompt recently, by prompt
 	Crashes       crashcause.Report            // recent crashes of servers, and what causes them
+	Limits        serverlimit.Report           // that servers named, and the node's use of these servers
 	Lost          map[string]time.Duration     // time since the node lost contact with a server, by server ID
 	Handed        map[string]DataCentreReport  // aggregated reports, by data centre
 	// LeavingServers said recently that they leave, to this node or to one that told it.
@@ -78,6 +80,7 @@
 	// LeavingServers said recently that they leave; the ages are those at this report.
 	LeavingServers []fleet.LeavingServer
 	Crashes        crashcause.Report
+	Limits         serverlimit.Report
 }
 
 // ConfigurationReply carries a configuration in the form in which the operator wrote it.
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -53,6 +53,7 @@
 	ServerID    string // ID that the server gives itself, "" if it gives none
 	Leaving     bool   // the server leaves and wants no further requests
 	Deferral    string // in a refusal, for how long the server wants no requests; see core/deferral
+	Limit       string // the requests a second that the server takes from all nodes; see core/serverlimit
 	Load        fleet.Load
 	HasLoad     bool
 }
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -9,6 +9,7 @@
 
 	"cicadabeam/core/deferral"
 	"cicadabeam/core/fleet"
+	"cicadabeam/core/serverlimit"
 	"cicadabeam/io/http1"
 )
 
@@ -58,7 +59,7 @@
 // observe records what the server that sent a response says of itself.
 func (h *Handler) observe(m *fleet.Member, r *http.Response) {
 	meta := h.Codec.DecodeResponse(r)
-	if !meta.Leaving && meta.Deferral == "" {
+	if !meta.Leaving && meta.Deferral == "" && meta.Limit == "" && !meta.Signed {
 		return
 	}
 	if meta.WrongServer { // the response is that of the server that has the address now
@@ -69,6 +70,7 @@
 	}
 	now := time.Now()
 	request := h.Codec.RequestID(r.Header)
+	h.observeLimit(m, meta, request, now)
 	if meta.Leaving && h.Fleet.RecordLeaving(m, now) {
 		h.Recorder.Record("server leaving", Fields{"server": m.ID(), "service": m.Service(), "address": m.Address(), "request": request, "status": r.StatusCode, "from": "response"})
 		h.Pool.CloseIdle(m.Address())
@@ -83,6 +85,29 @@
 	}
 }
 
+// observeLimit records which limit a server names in a response. A text that is no limit says
+// nothing, and neither does an unsigned response without one.
+func (h *Handler) observeLimit(m *fleet.Member, meta ResponseMeta, request string, now time.Time) {
+	f := Fields{"server": m.ID(), "service": m.Service(), "request": request, "text": meta.Limit}
+	limit, valid := serverlimit.Parse(meta.Limit)
+	switch {
+	case valid && h.Fleet.NameLimit(m, limit, now):
+		h.Recorder.Record("server limit", f)
+		h.NotifyPeers()
+	case meta.Limit == "" && meta.Signed && h.Fleet.EndLimit(m, now):
+		h.Recorder.Record("server limit ended", f)
+		h.NotifyPeers()
+	}
+}
+
+// MergeLimits applies the limits of servers that another node, or some, reported as of a time.
+func (h *Handler) MergeLimits(from string, r serverlimit.Report, nodes int, at time.Time) {
+	for _, server := range h.Fleet.MergeLimits(from, r, nodes, at) {
+		x := r[server]
+		h.Recorder.Record("server limit", Fields{"server": server, "limit": x.Limit, "ended": x.Ended, "age_ms": ms(x.Age), "from": from})
+	}
+}
+
 // MergeLeaving records which servers said that they leave, as reported by another node.
 func (h *Handler) MergeLeaving(all []fleet.LeavingServer, from string, now time.Time) {
 	for _, x := range h.Fleet.MergeLeaving(all, now) {
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -244,7 +244,7 @@
 	if !found || code == fault.Draining || code == fault.CallerLeft {
 		return notRunError(code, step, text, retryAfterNoServer)
 	}
-	err := fault.Newf(fault.ServerBusy, step, "", "all servers of the service turned requests away and take none now")
+	err := fault.Newf(fault.ServerBusy, step, "", "all servers of the service turned requests away, or named limits, and take none now")
 	return err.WithRetryAt(deferral.RetryAt(earliest, now, rand.Float64()))
 }
 
@@ -290,7 +290,7 @@
 }
 
 func (x *exchange) query() fleet.Query {
-	q := fleet.Query{Service: x.service.Name, Exclude: x.tried, MaxConnections: x.maxConnections(), Now: time.Now()}
+	q := fleet.Query{Service: x.service.Name, Exclude: x.tried, Nodes: x.h.NodeCount(), MaxConnections: x.maxConnections(), Now: time.Now()}
 	if e := x.service.Engine; e != nil && x.meta.PromptTokens > 0 {
 		q.PromptTokens = x.meta.PromptTokens
 		q.Memory = x.meta.PromptTokens + x.meta.OutputTokens
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -88,7 +88,7 @@
 		return nil
 	}
 	m := s.h.Fleet.FindUsable(source.server, q.Now)
-	if m == nil || !m.Reserve(q) {
+	if m == nil || !s.h.Fleet.ReserveServer(m, q) {
 		return nil
 	}
 	return s.newAttempt(m, q, source)
