crashcause: a crash after a burst at one moment tells the cause

Change: five crashes that nothing else explains, at one moment, and one more at another, whatever is lost beside it, are enough. A request awaits the evaluation of crashes also where earlier ones had other losses beside them.

Before: TestCrashAfterBurstTellsTheCause failed.

--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -179,6 +179,23 @@
 	}
 }
 
+// A burst of crashes at one moment, and one more later beside another loss.
+func TestCrashAfterBurstTellsTheCause(t *testing.T) {
+	l := crashcause.New()
+	l.RecordSound(request(100, "first"), at(0))
+	for i := range uint64(5) {
+		crash(l, fmt.Sprint("s", i), at(time.Second+time.Duration(i)*30*time.Millisecond), request(i, "first", "bad"))
+	}
+	if found := l.Evaluate(at(2 * time.Second)); len(found) > 0 {
+		t.Errorf("got causes %v after one moment", found)
+	}
+	l.RecordCrash(crashcause.Crash{Server: "s9", At: at(8 * time.Second), LostWith: []string{"other"}, Requests: []crashcause.Request{request(9, "first", "bad")}})
+	l.Evaluate(at(9 * time.Second))
+	if !refuses(l, request(10, "first", "bad"), at(9*time.Second)) || refuses(l, request(10, "first"), at(9*time.Second)) {
+		t.Error("the requests that are refused are not those with the part")
+	}
+}
+
 func TestServersLostTogetherUnderPartAreEvidence(t *testing.T) {
 	l := crashcause.New()
 	l.RecordSound(request(100, "first"), at(0))
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -161,9 +161,8 @@
 	var ranked []suspect
 	for _, s := range all {
 		sortByTime(s.crashes)
-		last := len(s.crashes) - 1
 		switch {
-		case last+1 >= crashThreshold && s.crashes[last].At.Sub(s.crashes[0].At) >= minCrashSpan:
+		case len(s.crashes) >= crashThreshold && span(s.crashes) >= minCrashSpan, len(s.crashes) >= outageThreshold && s.totalSpan() >= minCrashSpan:
 			s.shielded = nil
 			ranked = append(ranked, *s)
 		case len(s.shielded) > 0 && l.outlastsOutages(s):
@@ -176,6 +175,16 @@
 	return ranked
 }
 
+// span returns the time from the first to the last of some crashes in order of time.
+func span(all []*crash) time.Duration { return all[len(all)-1].At.Sub(all[0].At) }
+
+// totalSpan returns the time from the first to the last crash of a suspect, shielded or not.
+func (s *suspect) totalSpan() time.Duration {
+	all := append(slices.Clone(s.crashes), s.shielded...)
+	sortByTime(all)
+	return span(all)
+}
+
 func sortByTime(all []*crash) {
 	slices.SortFunc(all, func(a, b *crash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server)) })
 }
@@ -262,7 +271,7 @@
 	return slices.ContainsFunc(r.Features, func(f Feature) bool {
 		n := 0
 		for c := range l.allCrashes() {
-			if now.Sub(c.At) <= crashRetention && c.has(f) && l.suspected(f, c) {
+			if now.Sub(c.At) <= crashRetention && c.has(f) && !l.acquitted(f, c) {
 				n++
 			}
 		}
