--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -37,8 +37,9 @@
 	}
 	c.checkNotices(arrivals)
 	c.checkParts(arrivals)
+	c.checkLimits(arrivals)
 	c.checkUnframed()
-	e.logFault("%d paths from a host to a server that it said leaves, %d rests, %d responses without length, %d crashes by a part", c.leavingPaths, c.rests, c.unframed, len(e.crashes))
+	e.logFault("%d paths from a host to a server that it said leaves, %d rests, %d responses without length, %d limited servers, %d crashes by a part", c.leavingPaths, c.rests, c.unframed, c.limits, len(e.crashes))
 	return c.violations
 }
 
@@ -50,6 +51,7 @@
 	violations []string
 
 	leavingPaths, rests int // checked by checkNotices
+	limits              int // servers checked by checkLimits
 	unframed            int // responses checked by checkUnframed
 }
 
--- a/test/soak/notices.go
+++ b/test/soak/notices.go
@@ -99,6 +99,8 @@
 	mu      sync.Mutex
 	leaving bool
 	refused float64 // the fraction of requests that are refused with a wish for rest
+	limit   float64 // requests a second that the server takes, 0 if it names no limit
+	limited bool    // it names one or has named one
 }
 
 func (n *notices) leave() {
@@ -132,6 +134,9 @@
 	if leaving {
 		step = backend.Leaving(step)
 	}
+	if limit, field := s.notices.limitField(); limit > 0 {
+		step = backend.WithHeader(field, step)
+	}
 	return step(c, r, body)
 }
 
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -38,6 +38,7 @@
 	Leaving      bool          // the response says that the server leaves
 	CrashingPart bool          // the prompt holds the part that crashes servers
 	Wish         time.Duration // the rest that the server asked for as it refused the request
+	Limit        float64       // that the response names, 0 if none
 }
 
 // arrivalLog holds all arrivals.
@@ -200,8 +201,9 @@
 		ms = 0
 	}
 	leaving, _ := s.notices.current()
+	limit, _ := s.notices.limitField()
 	return Arrival{
-		Leaving: leaving, CrashingPart: hasCrashingPart(r),
+		Leaving: leaving, Limit: limit, CrashingPart: hasCrashingPart(r),
 		ID: r.Header.Get("X-Request-Id"), Path: r.URL.Path, Key: r.Header.Get("Authorization"), Organisation: r.Header.Get("X-Tenant"),
 		Forged:  r.Header.Get("X-Hold") != "" || r.Header.Get("X-Tenant") == forged || r.Header.Get("Kv-From") == forged,
 		Service: s.service, Server: s.id, At: time.Now(), Remaining: time.Duration(ms) * time.Millisecond,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -117,6 +117,9 @@
 	beside.Go(func() { e.injectRestores(until) })
 	beside.Go(func() { e.breakUnframed(until) })
 	beside.Go(func() { e.injectNotices(seed, until) })
+	if seed >= firstSeedWithLimits {
+		beside.Go(func() { e.injectLimits(seed, until) })
+	}
 	e.injectFaults(faults, until)
 	beside.Wait()
 	if seed >= firstSeedWithParts {
