entry: causes of crashes outlive all hosts

Cause: causes were in the memory of the hosts only. What must last has one place, the platform's store.

Change: a host writes a row for each cause that its own evidence finds, renews or releases, into the table of entry hosts, which each host reads anyway as it starts and some read every half minute. No call more at a start; one write for a cause and host that finds it. Rows that need not be known any more are removed by the host that reads them.

Ruled out: a table of its own (a read more for each start); writing by one host only (it may be among those killed).

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -96,7 +96,7 @@
 	n.recorder = newRecorder(newLogger(n.logWriter, s.logLevel, s.name), n.metrics)
 	n.handler = relay.New(relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
-		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StallDetector: &n.stallDetector, Ready: n.synced,
+		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
 	n.configurationWatcher.pollWait = n.configurationPollWait
--- a/cmd/node/hosts.go
+++ b/cmd/node/hosts.go
@@ -39,7 +39,7 @@
 }
 
 func (n *Node) readHostList(ctx context.Context, now time.Time) error {
-	hosts, err := n.hosts.List(ctx)
+	hosts, _, err := n.hosts.List(ctx)
 	if err != nil {
 		return err
 	}
--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -118,6 +118,7 @@
 	for other, n := range shared {
 		if other != x && only[other] == 0 && n < total {
 			other.remaining = nil
+			l.markChanged(other)
 		}
 	}
 }
@@ -150,6 +151,7 @@
 		if at.After(c.until) && c.matches(r) {
 			c.crashes++
 			c.quarantine(at)
+			l.markChanged(c)
 		}
 	}
 }
--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -28,6 +28,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -129,6 +130,9 @@
 	causes      map[string]*cause // by key
 	// concerned are the features of the requests that may have caused crashes.
 	concerned map[Feature]bool
+	// changed are the keys of the causes that this node's evidence has changed, for TakeChanges.
+	changed map[string]bool
+	dirty   atomic.Bool // there are any
 }
 
 // New returns an empty list for servers that have another name after a restart.
@@ -262,10 +266,20 @@
 	defer l.mu.Unlock()
 	l.recordSound(r.Class, at)
 	for _, f := range r.Features {
-		l.recordSound(f, at)
+		l.recordOwnSound(f, at)
 	}
 }
 
+// recordOwnSound is recordSound for a request of this node.
+func (l *List) recordOwnSound(f Feature, at time.Time) {
+	for _, c := range l.causes {
+		if slices.Contains(c.remaining, f) {
+			l.markChanged(c)
+		}
+	}
+	l.recordSound(f, at)
+}
+
 // RecordSoundIfSuspected is like RecordSound for the features of requests that may have caused
 // crashes, and without effect for other features. It is to be used for requests whose features rarely
 // come again.
@@ -275,7 +289,7 @@
 	l.recordSound(r.Class, at)
 	for _, f := range r.Features {
 		if l.concerned[f] {
-			l.recordSound(f, at)
+			l.recordOwnSound(f, at)
 		}
 	}
 }
@@ -308,6 +322,7 @@
 		}
 		x := newCause(c.Features, now)
 		l.addCause(x)
+		l.markChanged(x)
 		l.dropExplained(x)
 		c.Until = x.until
 		found = append(found, c)
--- a/core/records/hosts.go
+++ b/core/records/hosts.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/crashcause"
 )
 
 // hostsTable is the table of entry hosts; the key of a row is the host's name.
@@ -44,20 +46,25 @@
 	return err
 }
 
-// List returns the entry hosts by name. Rows that cannot be decoded, or whose key
-// is not the name of the host, are skipped.
-func (h *HostStore) List(ctx context.Context) ([]EntryHost, error) {
+// List returns the entry hosts by name, and the causes of crashes. Rows that cannot be decoded, or
+// whose key is not the name of the host or cause, are skipped.
+func (h *HostStore) List(ctx context.Context) ([]EntryHost, []crashcause.StoredCause, error) {
 	rows, err := h.table.List(ctx, hostsTable, "")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	hosts := make([]EntryHost, 0, len(rows))
+	var causes []crashcause.StoredCause
 	for _, r := range rows {
+		if c, found := decodeCause(r); found {
+			causes = append(causes, c)
+			continue
+		}
 		var x EntryHost
 		if json.Unmarshal(r.Value, &x) == nil && x.Name == r.Key {
 			x.Revision = r.Revision.Token()
 			hosts = append(hosts, x)
 		}
 	}
-	return hosts, nil
+	return hosts, causes, nil
 }
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -99,9 +99,36 @@
 		if len(found) > 0 {
 			d.h.NotifyPeers()
 		}
+		d.storeChanges()
 	})
 }
 
+// storeChanges hands the causes that this node has changed on to be stored.
+func (d *crashDetector) storeChanges() {
+	if d.h.StoreCauses == nil {
+		return
+	}
+	if changed := d.causes.TakeChanges(); len(changed) > 0 {
+		go d.h.StoreCauses(changed)
+	}
+}
+
+// MergeStoredCauses applies causes of crashes that were stored, and returns those that have expired.
+func (h *Handler) MergeStoredCauses(all []crashcause.StoredCause, now time.Time) (expired []crashcause.StoredCause) {
+	var valid []crashcause.StoredCause
+	for _, c := range all {
+		if c.Expired(now) {
+			expired = append(expired, c)
+			continue
+		}
+		valid = append(valid, c)
+	}
+	for _, c := range h.crashDetector.causes.MergeStored(valid, now) {
+		h.crashDetector.log(c, "store")
+	}
+	return expired
+}
+
 func (d *crashDetector) log(c crashcause.Cause, from string) {
 	d.mu.Lock()
 	var parts []string
@@ -179,6 +206,7 @@
 	case len(x.meta.PromptParts) > 0:
 		d.causes.RecordSound(x.promptOnly(), time.Now())
 	}
+	d.storeChanges()
 }
 
 // CrashReport returns what this node knows of crashes of servers and their causes, for other
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -55,6 +55,9 @@
 	// NotifyPeers is called when other nodes should be informed at once: an attempt was
 	// started on an engine, or a server was lost.
 	NotifyPeers func()
+	// StoreCauses stores causes of crashes that this node has found, renewed or released. It may
+	// block. If it is nil, they are not stored.
+	StoreCauses func(changed []crashcause.StoredCause)
 	// StallDetector detects stalls of the process.
 	StallDetector *freshness.StallDetector
 	// Ready is closed once the configuration and the servers have been loaded for the
--- a/test/entry/crashing_part_test.go
+++ b/test/entry/crashing_part_test.go
@@ -213,3 +213,32 @@
 		t.Errorf("%d requests with the part reached servers later than %v after the fifth crash, want at most %d; %d crashes", late, contactTime, lateRequests, crashes)
 	}
 }
+
+// Guards against a cause of crashes that is forgotten when all hosts end at once.
+func TestCauseOfCrashesOutlivesAllHosts(t *testing.T) {
+	t.Parallel()
+	s := start(t, 3)
+	e := s.addCrashingEngines(12)
+	for _, n := range s.nodes {
+		s.await(n.Name()+" serves streams", testTimeout, func() bool { served, _ := n.ask(firstPart); return served })
+	}
+	if !s.awaitQuarantine(12 * time.Second) {
+		t.Errorf("no host refuses the part")
+	}
+	time.Sleep(shareTime)
+	for _, n := range s.nodes {
+		n.Kill()
+	}
+	for _, n := range s.nodes {
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range s.nodes {
+		s.await(n.Name()+" is ready", testTimeout, n.Ready)
+	}
+	time.Sleep(shareTime)
+	for _, n := range s.nodes {
+		e.checkRefusesPart(n)
+	}
+}
