--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -35,6 +35,12 @@
 	return m.Reserve(q) && f.withinLimit(m, q)
 }
 
+// AllowQuery reports whether the limit that a server named, if any, allows a query now, and counts
+// it if so.
+func (f *Fleet) AllowQuery(m *Member, nodes int, now time.Time) bool {
+	return !f.limits.Any() || f.limits.Allow(m.Incarnation(), nodes, now)
+}
+
 // withinLimit reports whether the limit that a server named allows the request that it was
 // reserved for, and releases it if not.
 func (f *Fleet) withinLimit(m *Member, q Query) bool {
--- a/io/relay/first_event.go
+++ b/io/relay/first_event.go
@@ -139,7 +139,7 @@
 	}
 	if err == nil {
 		m.RecordContact(time.Now())
-		if f.reportDue(m, time.Now()) {
+		if f.reportDue(m, time.Now()) && f.h.Fleet.AllowQuery(m, f.h.NodeCount(), time.Now()) {
 			f.queryRuns(m, c)
 			return true
 		}
--- a/io/relay/prompts.go
+++ b/io/relay/prompts.go
@@ -49,6 +49,9 @@
 // queryServer sends a query to a server, unless that wants none, and returns the body of the
 // response.
 func (h *Handler) queryServer(ctx context.Context, m *fleet.Member, q *http1.Request, deadline time.Time) ([]byte, error) {
+	if !h.Fleet.AllowQuery(m, h.NodeCount(), time.Now()) {
+		return nil, errors.Wrapf(errDeclines, "query %s", m.ID())
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	c, err := h.connectForQuery(ctx, m, http1.AllowReuse)
