--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -244,10 +244,6 @@
 	return isLast(s.crashes) || isLast(s.shielded)
 }
 
-// suspected reports whether a feature may be the cause of a crash by the evidence of that crash
-// alone.
-func (l *List) suspected(f Feature, c *crash) bool { return !l.acquitted(f, c) && !l.shielded(f, c) }
-
 // acquitted reports whether a request with a feature has run well since shortly before a crash.
 func (l *List) acquitted(f Feature, c *crash) bool { return l.soundSince(f, c.At.Add(-soundMemory)) }
 
