crashcause: compare parts before all requests on lost servers are known

On one of the three servers the request with the part that was the cause was noticed later than others.

Change: a part within the requests is the likelier cause from three fifths of the crashes on, not three quarters.

Before: core/crashcause TestFirstPartIsNotQuarantinedBeforeAllRequestsAreKnown failed.

--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -45,6 +45,9 @@
 	// commonShare is the share of the crashes with the most frequent feature from which
 	// another feature belongs to the same cause.
 	commonShare = 0.75
+	// withinShare is the share of the crashes with a feature from which another one, within the
+	// requests with it, is the likelier cause: some of the requests on a server are not known yet.
+	withinShare = 0.6
 	// soundMemory is how long before a crash a request must have run well for its features
 	// not to be suspected of the crash.
 	soundMemory = time.Minute
--- a/core/crashcause/crashcause_test.go
+++ b/core/crashcause/crashcause_test.go
@@ -340,6 +340,22 @@
 	}
 }
 
+// Of three servers that crashed, the request with the part that caused it is known on two yet.
+func TestFirstPartIsNotQuarantinedBeforeAllRequestsAreKnown(t *testing.T) {
+	l := crashcause.New()
+	for i := range uint64(3) {
+		all := []crashcause.Request{request(10*i, "first"), request(10*i+1, "first")}
+		if i > 0 {
+			all = append(all, request(10*i+2, "first", "bad"))
+		}
+		crash(l, fmt.Sprint("s", i), at(time.Duration(i)*time.Second), all...)
+	}
+	l.Evaluate(at(3 * time.Second))
+	if refuses(l, request(5000, "first"), at(3*time.Second)) {
+		t.Error("a request without the part is refused")
+	}
+}
+
 func TestReportedCausesAreApplied(t *testing.T) {
 	l := quarantined(t)
 	never := func(string, time.Time) bool { return false }
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -49,7 +49,7 @@
 	best := s
 	common := l.inCommon(s)
 	for _, x := range l.within(s) {
-		if x.requests >= best.requests || float64(len(x.crashes)) < commonShare*float64(len(s.crashes)) || !x.isShared() {
+		if x.requests >= best.requests || float64(len(x.crashes)) < withinShare*float64(len(s.crashes)) || !x.isShared() {
 			continue
 		}
 		likelier := x.isAccompanied(s.feature) || !slices.Contains(common, x.feature)
