entry: causes of crashes are written again after a restore of the store

Before: test/entry TestCauseOfCrashesOutlivesAllHosts, which restores an older copy now before it kills the hosts, failed. After: passes.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"cicadabeam/core/crashcause"
 	"cicadabeam/core/records"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
@@ -274,19 +273,6 @@
 	return true
 }
 
-// storeCauses stores causes of crashes, so that they outlive all hosts, or removes those that need
-// not be known any more.
-func (n *Node) storeCauses(all []crashcause.StoredCause) {
-	for _, c := range all {
-		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(hostStoreTimeout))
-		err := n.hosts.PutCause(ctx, c)
-		cancel()
-		if err != nil {
-			n.recorder.Record("crash cause not stored", relay.Fields{"name": c.Name(), "error": err.Error()})
-		}
-	}
-}
-
 func (n *Node) listHosts(ctx context.Context) bool {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(hostStoreTimeout))
 	defer cancel()
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -81,6 +81,7 @@
 	directory            directory
 	registeredAt         time.Duration // uptime of the last registration; used by maintainRegistration only
 	peers                peers
+	causes               storedCauses
 }
 
 // New returns a node that is not listening yet. It logs to out.
--- a/test/entry/crashing_part_test.go
+++ b/test/entry/crashing_part_test.go
@@ -214,10 +214,12 @@
 	}
 }
 
-// Guards against a cause of crashes that is forgotten when all hosts end at once.
+// Guards against a cause of crashes that is forgotten when all hosts end at once, also after the
+// store came back from a copy without it.
 func TestCauseOfCrashesOutlivesAllHosts(t *testing.T) {
 	t.Parallel()
 	s := start(t, 3)
+	older := s.store.Copy()
 	e := s.addCrashingEngines(12)
 	for _, n := range s.nodes {
 		s.await(n.Name()+" serves streams", testTimeout, func() bool { served, _ := n.ask(firstPart); return served })
@@ -226,6 +228,12 @@
 		t.Errorf("no host refuses the part")
 	}
 	time.Sleep(shareTime)
+	lost := s.store.Copy()
+	s.store.Restore(older)
+	for _, id := range append(older.Keys("servers"), lost.Keys("servers")...) {
+		s.store.Rewrite("servers", id, lost, older)
+	}
+	time.Sleep(shareTime)
 	for _, n := range s.nodes {
 		n.Kill()
 	}
