--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -18,6 +18,9 @@
 // that was replaced or has left the registry by the last one.
 var serverChecks = []time.Duration{300 * time.Millisecond, time.Second, 2500 * time.Millisecond, 4 * time.Second, 6 * time.Second}
 
+// soundCheck is the index of the check after which a server that has not ended is taken for sound.
+const soundCheck = 2
+
 // endedAttempt is an attempt that ended without a complete response.
 type endedAttempt struct {
 	request  crashcause.Request
@@ -25,6 +28,7 @@
 	parts    []string
 	member   *fleet.Member
 	at       time.Time
+	starting bool // the server had not begun to respond, or just had
 	byServer bool // the server ended it, not the caller or the deadline
 	// unsure is set if contact with the server had been lost before the request was sent. It may
 	// have reached nothing.
@@ -33,9 +37,6 @@
 	sound    func() // called once it is known that the server has not ended
 }
 
-// soundCheck is the index of the check after which a server that has not ended is taken for sound.
-const soundCheck = 2
-
 // recordCompleted records that a request got a complete response. Where that ended with its
 // connection, as it does if the server's process ends, it is awaited whether the server remains.
 func (d *crashDetector) recordCompleted(x *exchange, m *fleet.Member, r *http.Response) {
@@ -50,7 +51,7 @@
 
 func (d *crashDetector) newEndedAttempt(x *exchange, m *fleet.Member, starting bool) *endedAttempt {
 	d.keepNames(x)
-	a := &endedAttempt{request: x.features, id: x.meta.ID, parts: partNames(x.meta.PromptParts), member: m, at: time.Now()}
+	a := &endedAttempt{request: x.features, id: x.meta.ID, parts: partNames(x.meta.PromptParts), member: m, at: time.Now(), starting: starting}
 	if !starting {
 		a.request = x.wholeOnly()
 	}
@@ -117,7 +118,7 @@
 	crash := crashcause.Crash{Server: a.member.Incarnation(), At: a.at, Noticed: now, Requests: []crashcause.Request{a.request}, LostWith: a.lostWith}
 	d.causes.RecordCrash(crash)
 	d.h.Recorder.Record("server died", Fields{
-		"request": a.id, "server": a.member.ID(), "parts": strings.Join(a.parts, ","), "starting": len(a.request.Features) > len(a.parts) || len(a.parts) == 0,
+		"request": a.id, "server": a.member.ID(), "parts": strings.Join(a.parts, ","), "starting": a.starting,
 		"lost_with": len(a.lostWith), "noticed_ms": ms(now.Sub(a.at)), "ended_by_server": a.byServer,
 	})
 	d.h.NotifyPeers()
