--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -143,7 +143,7 @@
 }
 
 func (s *system) register(id, service, address, state string) {
-	s.store.Put("servers", id, fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":"a","Slots":6,"State":%q,"born":5,"Seq":1}`, service, address, state))
+	s.store.Put("servers", id, fmt.Appendf(nil, `{"Service":%q,"Address":%q,"Zone":"a","Version":"v1","Slots":6,"State":%q,"born":5,"Seq":1}`, service, address, state))
 }
 
 // send sends a request to a node. The status is 0 without a complete response.
--- a/test/entry/leaving_test.go
+++ b/test/entry/leaving_test.go
@@ -36,7 +36,7 @@
 		t.Errorf("the leaving server got %d requests, want 1", got)
 	}
 	b.SetSteps(backend.Respond(200, "ok"))
-	s.store.Put("servers", "s2", fmt.Appendf(nil, `{"Service":"orders","Address":%q,"Zone":"a","Slots":6,"State":"ready","born":6,"Seq":1}`, b.Address()))
+	s.store.Put("servers", "s2", fmt.Appendf(nil, `{"Service":"orders","Address":%q,"Zone":"a","Version":"v1","Slots":6,"State":"ready","born":6,"Seq":1}`, b.Address()))
 	for _, n := range s.nodes {
 		s.awaitStatus(n, "/r1/", "", 200, testTimeout)
 	}
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -292,7 +292,7 @@
 // registryEntry returns the registry entry of the server.
 func (s *incarnation) registryEntry(state string) []byte {
 	b, _ := json.Marshal(map[string]any{
-		"Service": s.service, "Address": s.address, "Zone": "a", "Slots": 12, "State": state, "born": s.born.UnixMilli(), "Seq": 1,
+		"Service": s.service, "Address": s.address, "Zone": "a", "Version": "v1", "Slots": 12, "State": state, "born": s.born.UnixMilli(), "Seq": 1,
 	})
 	return b
 }
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -314,13 +314,18 @@
 // pause before each. If stopAfter is not 0, the step end replaces the rest of the stream
 // after the event of that number.
 func Stream(last, stopAfter int, pause time.Duration, end Step) Step {
+	return StreamOf("piece", last, stopAfter, pause, end)
+}
+
+// StreamOf is like Stream for events whose data is a name, a hyphen and their number.
+func StreamOf(name string, last, stopAfter int, pause time.Duration, end Step) Step {
 	return func(c *Conn, r *http.Request, body []byte) bool {
 		first := 0
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &first)
 		writeHead(c, r, http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
 		for i := first + 1; i <= last; i++ {
 			time.Sleep(pause)
-			if writeEvent(c, i) != nil {
+			if writeEvent(c, name, i) != nil {
 				return false
 			}
 			if stopAfter != 0 && i == stopAfter {
@@ -347,7 +352,7 @@
 func RestOfStream(first, last int) Step {
 	return func(c *Conn, _ *http.Request, _ []byte) bool {
 		for i := first; i <= last; i++ {
-			if writeEvent(c, i) != nil {
+			if writeEvent(c, "piece", i) != nil {
 				return false
 			}
 		}
@@ -356,8 +361,8 @@
 	}
 }
 
-func writeEvent(c io.Writer, i int) error {
-	e := fmt.Sprintf("id: %d\ndata: piece-%d\n\n", i, i)
+func writeEvent(c io.Writer, name string, i int) error {
+	e := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, name, i)
 	_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
 	return err
 }
--- a/test/standin/store/control.go
+++ b/test/standin/store/control.go
@@ -115,7 +115,7 @@
 	}
 	for name, leaving := range c.Servers {
 		state := map[bool]string{false: "ready", true: "draining"}[leaving]
-		value := fmt.Appendf(nil, `{"Service":"any","Address":"10.0.0.1:80","Zone":"any","Slots":1,"State":%q,"born":1}`, state)
+		value := fmt.Appendf(nil, `{"Service":"any","Address":"10.0.0.1:80","Zone":"any","Version":"v1","Slots":1,"State":%q,"born":1}`, state)
 		tableRows = append(tableRows, row{Table: table, Key: name, Value: value, Ver: 1})
 	}
 	return tableRows
