fleet, relay: a stream goes on at servers of the version that began it, within one response

Callers got streams whose events come from two software versions of a back end. Cause: a back end's version in its registry entry was not read, so that a stream that broke off, or whose server fell silent, went on wherever there was room. The version is part of a server's identity now; the first event that is passed on binds the stream, and reservations, moves, resumed runs, KV cache backups and copies look for that version only.

The version stands in the log events server, leg and broken off as 'software'.

--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -158,7 +158,7 @@
 	if n.fleet.Upsert(s) {
 		n.changeLog.add(s.ID, version)
 		n.recorder.Record("server", relay.Fields{
-			"server": s.ID, "service": s.Service, "address": s.Address, "leaving": s.Leaving, "version": version.Version, "era": version.Era, "from": from,
+			"server": s.ID, "service": s.Service, "address": s.Address, "software": s.Version, "leaving": s.Leaving, "version": version.Version, "era": version.Era, "from": from,
 		})
 	}
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -28,6 +28,7 @@
 	Service    string
 	Address    string // IP address and port
 	DataCentre string
+	Version    string // of its software, "" if unknown
 	Slots      int
 	Leaving    bool
 	StartedMS  int64 // Unix time in milliseconds, 0 if unknown
@@ -92,7 +93,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[s.ID]
-	if m != nil && m.identity() == (identity{s.Service, s.Address, s.StartedMS}) {
+	if m != nil && m.identity() == (identity{s.Service, s.Address, s.Version, s.StartedMS}) {
 		return m.update(s)
 	}
 	added := &Member{server: s, saidLeaving: f.leaving.contains(s.key())}
@@ -239,6 +240,8 @@
 	// Begun is set if the caller has received a part of the answer in this request. What the
 	// server gets at a time after it refused requests is not limited then, unless it is on trial.
 	Begun bool
+	// Version is the software version that the server must have, "" if any will do.
+	Version string
 	// Nodes is the number of nodes that share the limits that servers name.
 	Nodes int
 	// MaxConnections limits the connections from this node to one server.
@@ -264,8 +267,12 @@
 }
 
 // SelectBackup selects a server to hold a copy of the KV cache of a run on primary: the one
-// with the lowest cost, preferably in another data centre of the same region.
+// with the lowest cost, preferably in another data centre of the same region. It has primary's
+// software version, as the run can't go on at another one.
 func (f *Fleet) SelectBackup(q Query, primary *Member) *Member {
+	if q.Version = primary.Version(); q.Version == "" {
+		return nil
+	}
 	q.AvoidDataCentre = primary.DataCentre()
 	q.Exclude = withID(q.Exclude, primary.ID())
 	best := f.ranked(q)
@@ -359,7 +366,7 @@
 	q.peerWorkKnown = f.peerWorkKnown(q.Now)
 	out := f.outagesByDataCentre(q.Service, all, q.Now)
 	for _, m := range all {
-		if q.Exclude[m.ID()] || !m.usable(q.Now) {
+		if q.Exclude[m.ID()] || !m.matches(q) || !m.usable(q.Now) {
 			continue
 		}
 		c := m.cost(q) + f.topology.distance(m.DataCentre())
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -17,7 +17,7 @@
 func addServers(f *fleet.Fleet, n int, service, dataCentre string, slots int) {
 	for i := range n {
 		id := fmt.Sprintf("%s-%s-%d", service, dataCentre, i)
-		f.Upsert(fleet.Server{ID: id, Service: service, Address: id, DataCentre: dataCentre, Slots: slots})
+		f.Upsert(fleet.Server{ID: id, Service: service, Address: id, DataCentre: dataCentre, Version: "v1", Slots: slots})
 	}
 }
 
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -48,8 +48,8 @@
 )
 
 type identity struct {
-	service, address string
-	started          int64
+	service, address, version string
+	started                   int64
 }
 
 // Load is a server's report of its own load.
@@ -89,7 +89,7 @@
 }
 
 func (m *Member) identity() identity {
-	return identity{m.server.Service, m.server.Address, m.server.StartedMS}
+	return identity{m.server.Service, m.server.Address, m.server.Version, m.server.StartedMS}
 }
 
 // ID returns the server's ID.
@@ -111,7 +111,13 @@
 // Service returns the name of the server's service.
 func (m *Member) Service() string { return m.server.Service }
 
-// update applies the fields of a registry entry that may change. The ID, service and
+// Version returns the version of the server's software, "" if it is unknown.
+func (m *Member) Version() string { return m.server.Version }
+
+// matches reports whether the server has the software version that a query asks for, if any.
+func (m *Member) matches(q Query) bool { return q.Version == "" || q.Version == m.server.Version }
+
+// update applies the fields of a registry entry that may change. The ID, service, version and
 // address do not change. It reports whether anything changed.
 func (m *Member) update(s Server) bool {
 	m.mu.Lock()
@@ -278,7 +284,7 @@
 func (m *Member) reserve(q Query) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || m.limitedLocked(q) {
+	if !m.matches(q) || !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || m.limitedLocked(q) {
 		return false
 	}
 	m.running++
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -39,6 +39,8 @@
 	maxEventGap     time.Duration // longest time between two events
 	serverSilent    bool          // the deadline passed while the server sent nothing
 	denied          string        // what prevented a further attempt, "" if nothing did
+	bound           bool          // the caller has received a part of the answer
+	version         string        // software version of the servers that the part came from
 }
 
 // serveStream forwards an event stream.
@@ -62,9 +64,23 @@
 	}
 }
 
+// query returns the query for a server. A stream of which the caller has received a part goes on
+// at servers of the software version that made it, as what two versions write doesn't fit together.
+func (s *stream) query() fleet.Query {
+	q := s.exchange.query()
+	q.Version = s.version
+	return q
+}
+
+// mayGoOn reports whether servers may be looked for: nothing matches an unknown version.
+func (s *stream) mayGoOn() bool { return !s.bound || s.version != "" }
+
 // nextAttempt reserves a server for the next attempt, preferably the one with the KV
 // cache backup.
 func (s *stream) nextAttempt() *streamAttempt {
+	if !s.mayGoOn() {
+		return nil
+	}
 	q := s.query()
 	q.Begun = s.responseStarted
 	if a := s.reserveSource(q, s.resumeFrom); a != nil {
@@ -228,7 +244,7 @@
 	}
 	s.h.Recorder.Record("broken off", Fields{
 		"request": s.meta.ID, "step": step, "reason": reason, "last": s.lastEvent, "attempts": s.attempts, "ms": ms(time.Since(s.arrived)),
-		"code": fault.ServerFailed, "revision": s.revision(), "server_silent": s.serverSilent, "denied": s.denied,
+		"code": fault.ServerFailed, "revision": s.revision(), "server_silent": s.serverSilent, "denied": s.denied, "software": s.version,
 		"stopping": s.stopping(), "caller_left": s.callerLeft(), "connection": s.connectionState(),
 	})
 	panic(http.ErrAbortHandler)
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -417,10 +417,16 @@
 		return
 	}
 	s.responseStarted = true
+	s.bind(a.member.Version())
 	s.copyResponseHeaders(a.response)
 	s.w.WriteHeader(a.response.StatusCode)
 }
 
+// bind records the software version of the server whose events the caller gets.
+func (s *stream) bind(version string) {
+	s.bound, s.version = true, version
+}
+
 // recordEventTime records when the first event arrived and the maximum time between
 // events.
 func (s *stream) recordEventTime(now time.Time) {
@@ -471,7 +477,7 @@
 
 func (s *stream) logAttempt(a *streamAttempt) {
 	f := Fields{
-		"request": s.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "from_copy": a.fromBackup(), "last": s.lastEvent,
+		"request": s.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "software": a.member.Version(), "outcome": a.outcome.String(), "from_copy": a.fromBackup(), "last": s.lastEvent,
 		"ms": ms(time.Since(a.started)), "prompt_tokens": s.meta.PromptTokens, "output_tokens": s.meta.OutputTokens,
 	}
 	if a.backup != nil {
--- a/test/relay/crashing_request_test.go
+++ b/test/relay/crashing_request_test.go
@@ -65,7 +65,7 @@
 		return crash(c, r, body)
 	})
 	f.servers[s.id] = s
-	f.h.fleet.Upsert(fleet.Server{ID: s.id, Service: f.service, Address: b.Address(), DataCentre: dataCentre, Slots: 6, StartedMS: int64(f.started)})
+	f.h.fleet.Upsert(fleet.Server{ID: s.id, Service: f.service, Address: b.Address(), DataCentre: dataCentre, Version: "v1", Slots: 6, StartedMS: int64(f.started)})
 }
 
 // crash ends a server and starts another one. counted is set if the request was the cause.
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -142,7 +142,7 @@
 }
 
 func (h *harness) register(id, service, dataCentre, address string) {
-	h.fleet.Upsert(fleet.Server{ID: id, Service: service, Address: address, DataCentre: dataCentre, Slots: 6})
+	h.fleet.Upsert(fleet.Server{ID: id, Service: service, Address: address, DataCentre: dataCentre, Version: "v1", Slots: 6})
 }
 
 type result struct {
