streamversion: which software version began a stream is known to all hosts

Callers that took a stream up at another host got events of another software version of the back end: no line read Resumes, and what a host knew of a stream ended with it. Now the host that passes on the first event of a stream tells two live hosts, in two data centres if it can, and waits for one of them for 100 ms at most; its reports tell the others, and hosts that start are told all that is recent. A host that doesn't know a stream asks the others (300 ms at most). If none knows, the stream goes on only if its service has had one version for ten minutes; the versions of services are rows in the table of entry hosts, so that they outlive all hosts. Otherwise it is refused at once with 503 stream_version_unknown and a Retry-After. A stream of a split route goes on at the service that began it.

Weighed: a row in the store for each stream (as many writes as streams, and as many removals; the store allows several hundred a second); hosts by rendezvous order (a killed host's successor knows nothing; all hosts hear all prompts in their reports anyway); a version by a hash of the request (breaks while versions come and go); asking the servers (they drop runs whose caller left).

Two variants of the test break off after 15 events in place of 10, as 10 spends the retry budget.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -277,11 +277,12 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(hostStoreTimeout))
 	defer cancel()
 	sent := uptime()
-	all, causes, err := n.hosts.List(ctx)
+	t, err := n.hosts.List(ctx)
 	if err != nil {
 		return false
 	}
-	n.directory.set(all, sent)
-	n.storeCauses(n.handler.MergeStoredCauses(causes, time.Now()))
+	n.directory.set(t.Hosts, sent)
+	n.streamVersions.MergeStored(t.Versions, time.Now())
+	n.storeCauses(n.handler.MergeStoredCauses(t.Causes, time.Now()))
 	return true
 }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -26,6 +26,7 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
+	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
 	"cicadabeam/io/httpserver"
 	"cicadabeam/io/relay"
@@ -50,10 +51,12 @@
 	tracker   *freshness.Tracker
 	fleet     *fleet.Fleet
 	prompts   *fleet.PromptIndex
-	pool      *http1.Pool
-	store     *platform.StoreClient
-	handler   *relay.Handler
-	callers   *httpserver.Server
+	// streamVersions knows which software versions began streams.
+	streamVersions *streamversion.Index
+	pool           *http1.Pool
+	store          *platform.StoreClient
+	handler        *relay.Handler
+	callers        *httpserver.Server
 	// configurationWatcher and serverWatcher follow the store's tables.
 	configurationWatcher *tableWatcher
 	serverWatcher        *tableWatcher
@@ -95,8 +98,9 @@
 	n.store = platform.NewStoreClient(s.platform, s.name).WithEras(n.eras)
 	n.hosts = records.NewHostStore(platform.NewTable(n.store))
 	n.recorder = newRecorder(newLogger(n.logWriter, s.logLevel, s.name), n.metrics)
+	n.streamVersions = streamversion.New(streamPeers{n})
 	n.handler = relay.New(relay.Dependencies{
-		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
+		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
@@ -168,6 +172,7 @@
 	g.Add(func() error { return n.tickStallDetector(ctx) }, halt)
 	g.Add(func() error { return n.exchangeLoop(ctx) }, halt)
 	g.Add(func() error { return n.discoverPrompts(ctx) }, halt)
+	g.Add(func() error { return n.maintainVersions(ctx) }, halt)
 	if err := n.addPeerServer(&g); err != nil {
 		return err
 	}
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -198,6 +198,7 @@
 		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.fleet.RecentLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Limits: n.fleet.LimitReport(now),
+		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()),
 	}
 	return x
 }
@@ -245,6 +246,7 @@
 		}
 	}
 	n.handler.MergeCrashes(x.Crashes, x.Host.Name, now)
+	n.streamVersions.Merge(x.Streams, now)
 	n.handler.MergeLosses(x.Lost, now)
 	n.handler.MergeLeaving(x.LeavingServers, x.Host.Name, now)
 	for prompt, server := range x.Prompts {
--- a/cmd/entry/restore.go
+++ b/cmd/entry/restore.go
@@ -31,6 +31,7 @@
 // handleRise records that the store came back from an older copy. It must not block.
 func (n *Node) handleRise(r freshness.Rise) {
 	n.recorder.Record("store restored", relay.Fields{"old_era": r.Old, "new_era": r.New, "from": r.From})
+	n.streamVersions.MarkRestored()
 	go n.rewriteCauses()
 	select {
 	case n.restored <- struct{}{}:
--- /dev/null
+++ b/cmd/entry/stream_versions.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"cicadabeam/core/streamversion"
+	"cicadabeam/io/neighbour"
+	"cicadabeam/io/relay"
+)
+
+const (
+	// streamCopies is how many peers are told of a stream before its first event is passed on.
+	streamCopies = 2
+	// versionInterval is the time between two checks of the software versions of services, and
+	// versionRetryDelay that after the store could not be written.
+	versionInterval   = time.Second
+	versionRetryDelay = 5 * time.Second
+)
+
+// streamPeers implements streamversion.Peers for the peers of a node.
+type streamPeers struct{ node *Node }
+
+// Record implements streamversion.Peers.
+func (s streamPeers) Record(ctx context.Context, id streamversion.ID, version string) {
+	peers := s.node.peersForCopies(time.Now())
+	done := make(chan struct{}, len(peers))
+	for _, p := range peers {
+		go func() {
+			if p.client.RecordStream(neighbour.StreamBegun{Stream: id, Version: version}, time.Now().Add(exchangeTimeout)) == nil {
+				done <- struct{}{}
+			}
+		}()
+	}
+	if len(peers) == 0 {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Find implements streamversion.Peers.
+func (s streamPeers) Find(ctx context.Context, ids []streamversion.ID) (int, string, bool) {
+	peers := s.node.livePeers(time.Now())
+	answers := make(chan neighbour.FoundStream, len(peers))
+	for _, p := range peers {
+		go func() {
+			x, err := p.client.FindStream(ids, time.Now().Add(exchangeTimeout))
+			if err != nil {
+				x = neighbour.FoundStream{}
+			}
+			answers <- x
+		}()
+	}
+	for range peers {
+		select {
+		case x := <-answers:
+			if x.Found && x.Index < len(ids) {
+				return x.Index, x.Version, true
+			}
+		case <-ctx.Done():
+			return 0, "", false
+		}
+	}
+	return 0, "", false
+}
+
+// livePeers returns the peers that were in contact recently, in random order.
+func (n *Node) livePeers(now time.Time) []*peer {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	var all []*peer
+	for _, p := range n.peers.all {
+		if p.live(now) {
+			all = append(all, p)
+		}
+	}
+	rand.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	return all
+}
+
+// peersForCopies returns the peers that are told of a stream: live ones that stay, in more than one
+// data centre if possible.
+func (n *Node) peersForCopies(now time.Time) []*peer {
+	all := n.livePeers(now)
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	var chosen, others []*peer
+	for _, p := range all {
+		switch {
+		case p.report.Leaving || now.Sub(p.reportedAt) > livenessTimeout:
+		case len(chosen) == 0 || len(chosen) < streamCopies && p.host.DataCentre != chosen[0].host.DataCentre:
+			chosen = append(chosen, p)
+		default:
+			others = append(others, p)
+		}
+	}
+	chosen = append(chosen, others...)
+	return chosen[:min(len(chosen), streamCopies)]
+}
+
+// RecordStream implements neighbour.Handler.
+func (n *Node) RecordStream(s neighbour.StreamBegun) {
+	n.streamVersions.Record(s.Stream, s.Version, time.Now())
+}
+
+// FindStream implements neighbour.Handler.
+func (n *Node) FindStream(ids []streamversion.ID) neighbour.FoundStream {
+	i, version, found := n.streamVersions.Lookup(ids)
+	return neighbour.FoundStream{Found: found, Index: i, Version: version}
+}
+
+// maintainVersions records which software versions the registered servers have. A node that reads
+// the store writes them there, so that they outlive all nodes.
+func (n *Node) maintainVersions(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, versionInterval)
+		now := time.Now()
+		for _, r := range n.fleet.Registered() {
+			if r.DeregisteredAt.IsZero() {
+				n.streamVersions.Observe(r.Server.Service, r.Server.Version, now)
+			}
+		}
+		if !n.storeVersions(ctx, now) {
+			sleep(ctx, versionRetryDelay)
+		}
+	}
+	return ctx.Err()
+}
+
+// storeVersions writes changes of the known software versions to the store if this node reads it.
+// It returns false if that failed.
+func (n *Node) storeVersions(ctx context.Context, now time.Time) bool {
+	missing, expired := n.streamVersions.Unstored(now)
+	if len(missing)+len(expired) == 0 || !n.serversKnown() || !n.readsStore() {
+		return true
+	}
+	ctx, cancel := context.WithDeadline(ctx, now.Add(hostStoreTimeout))
+	defer cancel()
+	err := n.hosts.PutVersions(ctx, missing, expired)
+	f := relay.Fields{"added": missing, "removed": expired}
+	if err != nil {
+		f["error"] = err.Error()
+		n.recorder.Record("software versions not stored", f)
+		return false
+	}
+	n.streamVersions.MarkStored(missing, expired)
+	n.recorder.Record("software versions stored", f)
+	return true
+}
--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -155,6 +155,7 @@
 }
 
 func (n *Node) upsertServer(s fleet.Server, version freshness.StoreVersion, from string) {
+	n.streamVersions.Observe(s.Service, s.Version, time.Now())
 	if n.fleet.Upsert(s) {
 		n.changeLog.add(s.ID, version)
 		n.recorder.Record("server", relay.Fields{
--- a/cmd/node/hosts.go
+++ b/cmd/node/hosts.go
@@ -39,7 +39,7 @@
 }
 
 func (n *Node) readHostList(ctx context.Context, now time.Time) error {
-	hosts, _, err := n.hosts.List(ctx)
+	t, err := n.hosts.List(ctx)
 	if err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 		return err
 	}
 	if !n.restoring() { // the copy knows neither the newest nodes nor which servers are leaving
-		n.applyHostList(hosts, servers, now)
+		n.applyHostList(t.Hosts, servers, now)
 	}
 	return nil
 }
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -59,6 +59,7 @@
 	CallerLeft             Code = "caller_left"
 	Draining               Code = "draining"
 	NotReady               Code = "not_ready"
+	StreamVersionUnknown   Code = "stream_version_unknown"
 	Superseded             Code = "superseded"
 	PeerUnavailable        Code = "peer_unavailable"
 	Internal               Code = "internal"
@@ -91,6 +92,7 @@
 	CallerLeft:             http.StatusBadGateway, // received only by a caller that still reads
 	Draining:               http.StatusServiceUnavailable,
 	NotReady:               http.StatusServiceUnavailable,
+	StreamVersionUnknown:   http.StatusServiceUnavailable,
 	Superseded:             http.StatusConflict,
 	PeerUnavailable:        http.StatusServiceUnavailable,
 }
--- a/core/records/hosts.go
+++ b/core/records/hosts.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/crashcause"
+	"cicadabeam/core/streamversion"
 )
 
 // hostsTable is the table of entry hosts; the key of a row is the host's name.
@@ -46,25 +47,35 @@
 	return err
 }
 
-// List returns the entry hosts by name, and the causes of crashes. Rows that cannot be decoded, or
-// whose key is not the name of the host or cause, are skipped.
-func (h *HostStore) List(ctx context.Context) ([]EntryHost, []crashcause.StoredCause, error) {
+// HostTable is the content of the table of entry hosts.
+type HostTable struct {
+	Hosts    []EntryHost
+	Causes   []crashcause.StoredCause       // of crashes
+	Versions []streamversion.ServiceVersion // that services have lately had
+}
+
+// List returns the entry hosts by name, and what else outlives all hosts. Rows that cannot be
+// decoded, or whose key is not the name of what they hold, are skipped.
+func (h *HostStore) List(ctx context.Context) (HostTable, error) {
 	rows, err := h.table.List(ctx, hostsTable, "")
 	if err != nil {
-		return nil, nil, err
+		return HostTable{}, err
 	}
-	hosts := make([]EntryHost, 0, len(rows))
-	var causes []crashcause.StoredCause
+	t := HostTable{Hosts: make([]EntryHost, 0, len(rows))}
 	for _, r := range rows {
 		if c, found := decodeCause(r); found {
-			causes = append(causes, c)
+			t.Causes = append(t.Causes, c)
+			continue
+		}
+		if v, found := decodeVersion(r); found {
+			t.Versions = append(t.Versions, v)
 			continue
 		}
 		var x EntryHost
 		if json.Unmarshal(r.Value, &x) == nil && x.Name == r.Key {
 			x.Revision = r.Revision.Token()
-			hosts = append(hosts, x)
+			t.Hosts = append(t.Hosts, x)
 		}
 	}
-	return hosts, causes, nil
+	return t, nil
 }
--- /dev/null
+++ b/core/streamversion/streamversion_test.go
@@ -0,0 +1,161 @@
+package streamversion_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadabeam/core/streamversion"
+)
+
+var now = time.Now()
+
+// peersFunc is the other nodes, of which one knows some streams.
+type peersFunc func(ids []streamversion.ID) (int, string, bool)
+
+func (peersFunc) Record(ctx context.Context, _ streamversion.ID, _ string) { <-ctx.Done() }
+func (f peersFunc) Find(_ context.Context, ids []streamversion.ID) (int, string, bool) {
+	return f(ids)
+}
+
+func none([]streamversion.ID) (int, string, bool) { return 0, "", false }
+
+func id(request string) streamversion.ID { return streamversion.NewID("ndox", "llm", request) }
+
+func TestIDsDiffer(t *testing.T) {
+	all := map[streamversion.ID]bool{
+		streamversion.NewID("ndox", "llm", "r"): true, streamversion.NewID("forja", "llm", "r"): true, streamversion.NewID("ndox", "app", "r"): true, streamversion.NewID("ndoxl", "lm", "r"): true,
+	}
+	if len(all) != 4 {
+		t.Errorf("4 streams have %d IDs", len(all))
+	}
+}
+
+func TestFindAsksPeersOnce(t *testing.T) {
+	asked := 0
+	x := streamversion.New(peersFunc(func(ids []streamversion.ID) (int, string, bool) {
+		asked++
+		return 1, "v2", ids[1] == id("b")
+	}))
+	for range 2 {
+		if i, version, found := x.Find(context.Background(), []streamversion.ID{id("a"), id("b")}); i != 1 || version != "v2" || !found {
+			t.Errorf("got stream %d, version %s, found %v", i, version, found)
+		}
+	}
+	if asked != 1 {
+		t.Errorf("the peers were asked %d times", asked)
+	}
+}
+
+// Guards against a first event that waits for peers which don't answer.
+func TestBeginWaitsShortlyForSilentPeers(t *testing.T) {
+	x := streamversion.New(peersFunc(none))
+	began := time.Now()
+	x.Begin(context.Background(), id("a"), "v1")
+	if d := time.Since(began); d > time.Second {
+		t.Errorf("waited %v", d)
+	}
+	if _, version, found := x.Lookup([]streamversion.ID{id("a")}); !found || version != "v1" {
+		t.Errorf("got version %s, found %v", version, found)
+	}
+}
+
+func TestFirstRecordOfStreamStands(t *testing.T) {
+	x := streamversion.New(nil)
+	x.Record(id("a"), "v1", now)
+	x.Record(id("a"), "v2", now.Add(time.Minute))
+	x.Record(id("b"), "v2", now.Add(11*time.Minute)) // rotates
+	x.Record(id("a"), "v2", now.Add(12*time.Minute))
+	if _, version, _ := x.Lookup([]streamversion.ID{id("a")}); version != "v1" {
+		t.Errorf("got version %s, want v1", version)
+	}
+}
+
+func TestOldStreamsAreForgotten(t *testing.T) {
+	x := streamversion.New(nil)
+	x.Record(id("a"), "v1", now)
+	for i := range 250_000 {
+		x.Record(id(fmt.Sprint(i)), "v1", now)
+	}
+	if _, _, found := x.Lookup([]streamversion.ID{id("a")}); found {
+		t.Error("250,000 streams are known")
+	}
+	if _, _, found := x.Lookup([]streamversion.ID{id("200000")}); !found {
+		t.Error("a stream of the last 100,000 is not known")
+	}
+}
+
+// Guards against versions that are forgotten, or never are, because nodes tell each other.
+func TestOnlyVersion(t *testing.T) {
+	only := func(x *streamversion.Index) string {
+		version, _ := x.Only("llm")
+		return version
+	}
+	a, b := streamversion.New(peersFunc(none)), streamversion.New(peersFunc(none))
+	a.Observe("llm", "v1", now)
+	if got := only(a); got != "" {
+		t.Errorf("before older versions are known: got %s", got)
+	}
+	a.MergeStored(nil, now)
+	if got := only(a); got != "v1" {
+		t.Errorf("one version: got %s", got)
+	}
+	a.Observe("llm", "v2", now)
+	b.Observe("llm", "v2", now)
+	b.Merge(a.Report(now.Add(time.Minute), false), now.Add(time.Minute))
+	if got := only(b); got != "" {
+		t.Errorf("a peer knows two versions: got %s", got)
+	}
+	for minute := range 20 {
+		at := now.Add(time.Duration(minute) * time.Minute)
+		for _, x := range []*streamversion.Index{a, b} {
+			x.Observe("llm", "v2", at)
+			missing, expired := x.Unstored(at)
+			x.MarkStored(missing, expired)
+		}
+		a.Merge(b.Report(at, false), at)
+		b.Merge(a.Report(at, false), at)
+	}
+	if only(a) != "v2" || only(b) != "v2" {
+		t.Errorf("20 minutes after the last server of v1: got %q and %q", only(a), only(b))
+	}
+}
+
+func TestVersionsAreStoredOnce(t *testing.T) {
+	x := streamversion.New(peersFunc(none))
+	x.MergeStored([]streamversion.ServiceVersion{{Service: "llm", Version: "v1"}}, now)
+	x.Observe("llm", "v1", now)
+	x.Observe("llm", "v2", now)
+	missing, expired := x.Unstored(now)
+	if len(missing) != 1 || missing[0].Version != "v2" || len(expired) != 0 {
+		t.Errorf("got missing %v, expired %v", missing, expired)
+	}
+	x.MarkStored(missing, expired)
+	if missing, expired = x.Unstored(now); len(missing)+len(expired) != 0 {
+		t.Errorf("got missing %v, expired %v", missing, expired)
+	}
+	x.MarkRestored()
+	if missing, _ = x.Unstored(now); len(missing) != 2 {
+		t.Errorf("after a restore of the store: got missing %v, want both", missing)
+	}
+}
+
+// Streams that a node began are reported for a moment, all recent ones to a node that starts.
+func TestReport(t *testing.T) {
+	x, starting := streamversion.New(peersFunc(none)), streamversion.New(peersFunc(none))
+	x.Begin(context.Background(), id("a"), "v1")
+	x.Record(id("b"), "v2", time.Now())
+	if r := x.Report(time.Now(), false); len(r.Streams) != 1 || len(r.Streams[0].IDs) != 1 || r.Streams[0].IDs[0] != id("a") {
+		t.Errorf("got %v, want the node's own stream", r.Streams)
+	}
+	starting.Merge(x.Report(time.Now().Add(time.Minute), true), time.Now())
+	for _, request := range []string{"a", "b"} {
+		if _, _, found := starting.Lookup([]streamversion.ID{id(request)}); !found {
+			t.Errorf("a node that starts doesn't know stream %s", request)
+		}
+	}
+	if r := x.Report(time.Now().Add(time.Minute), false); len(r.Streams) != 0 {
+		t.Errorf("a minute later: got %v", r.Streams)
+	}
+}
--- a/io/neighbour/accept_test.go
+++ b/io/neighbour/accept_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/streamversion"
 )
 
 type emptyHandler struct{}
@@ -17,6 +18,10 @@
 func (emptyHandler) Servers(freshness.StoreVersion) ServerList { return ServerList{} }
 func (emptyHandler) WholeServers() WholeServerList             { return WholeServerList{} }
 func (emptyHandler) Hosts() HostList                           { return HostList{} }
+func (emptyHandler) RecordStream(StreamBegun)                  {}
+func (emptyHandler) FindStream([]streamversion.ID) FoundStream {
+	return FoundStream{}
+}
 
 // crowdedListener has no file descriptor for its first connection.
 type crowdedListener struct {
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -23,6 +23,7 @@
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
 	"cicadabeam/core/serverlimit"
+	"cicadabeam/core/streamversion"
 	"cicadabeam/io/tcp"
 )
 
@@ -67,6 +68,7 @@
 	Handed        map[string]DataCentreReport  // aggregated reports, by data centre
 	// LeavingServers said recently that they leave, to this node or to one that told it.
 	LeavingServers []fleet.LeavingServer
+	Streams        streamversion.Report // that the node began, with their software versions
 }
 
 // DataCentreReport is the aggregated report of a data centre. One of its nodes compiles
@@ -81,6 +83,7 @@
 	LeavingServers []fleet.LeavingServer
 	Crashes        crashcause.Report
 	Limits         serverlimit.Report
+	Streams        streamversion.Report
 }
 
 // ConfigurationReply carries a configuration in the form in which the operator wrote it.
@@ -123,6 +126,19 @@
 // requests all servers.
 type SinceVersion freshness.StoreVersion
 
+// StreamBegun tells a node that a server of a software version made the first event of a stream.
+type StreamBegun struct {
+	Stream  streamversion.ID
+	Version string
+}
+
+// FoundStream is the first of the requested streams that a node knows.
+type FoundStream struct {
+	Found   bool
+	Index   int
+	Version string
+}
+
 // Empty is an empty message.
 type Empty int
 
@@ -133,6 +149,8 @@
 	Servers(since freshness.StoreVersion) ServerList
 	WholeServers() WholeServerList
 	Hosts() HostList
+	RecordStream(s StreamBegun)
+	FindStream(ids []streamversion.ID) FoundStream
 }
 
 type methods struct{ handler Handler }
@@ -162,6 +180,16 @@
 	return nil
 }
 
+func (m *methods) RecordStream(s StreamBegun, _ *Empty) error {
+	m.handler.RecordStream(s)
+	return nil
+}
+
+func (m *methods) FindStream(ids []streamversion.ID, r *FoundStream) error {
+	*r = m.handler.FindStream(ids)
+	return nil
+}
+
 // Serve handles connections from other nodes until the listener is closed.
 func Serve(l net.Listener, h Handler) error {
 	s := rpc.NewServer()
@@ -236,6 +264,20 @@
 	return *r, nil
 }
 
+// RecordStream tells the called node of a stream.
+func (c *Client) RecordStream(s StreamBegun, deadline time.Time) error {
+	return c.call("RecordStream", s, new(Empty), deadline)
+}
+
+// FindStream asks the called node for the first of some streams that it knows.
+func (c *Client) FindStream(ids []streamversion.ID, deadline time.Time) (FoundStream, error) {
+	r := new(FoundStream)
+	if err := c.call("FindStream", ids, r, deadline); err != nil {
+		return FoundStream{}, err // net/rpc may still decode a late reply into r
+	}
+	return *r, nil
+}
+
 func (c *Client) call(method string, in, out any, deadline time.Time) error {
 	conn, err := c.connect()
 	if err != nil {
--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -79,11 +79,7 @@
 		return err
 	}
 	name := route.Pick(rand.Float64())
-	service, found := c.Service(name)
-	if !found {
-		service = catalog.Service{Name: name}
-	}
-	x.service = service
+	x.setService(name)
 	timeout := route.Timeout
 	if x.meta.Timeout > 0 && (timeout == 0 || x.meta.Timeout < timeout) {
 		timeout = x.meta.Timeout
@@ -99,6 +95,15 @@
 	return nil
 }
 
+// setService sets the service that the request is sent to.
+func (x *exchange) setService(name string) {
+	service, found := x.catalog.Service(name)
+	if !found {
+		service = catalog.Service{Name: name}
+	}
+	x.service = service
+}
+
 // defaultTimeout applies to requests for which neither the caller nor the route sets a
 // timeout.
 const defaultTimeout = time.Minute
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -29,7 +29,8 @@
 	PromptHash   string   // identifies the whole prompt, "" if unknown
 	PromptTokens int
 	OutputTokens int
-	LastEventID  int64 // ID of the last event received, if a stream is resumed, 0 otherwise
+	LastEventID  int64  // ID of the last event received, if a stream is resumed, 0 otherwise
+	Resumes      string // ID of the request that brought the first event of the stream that is resumed, "" if not given
 }
 
 // ForwardMeta is the metadata that is sent to a server with a request.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -20,6 +20,7 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
 )
 
@@ -45,9 +46,11 @@
 	Catalog     *freshness.Tracker
 	Fleet       *fleet.Fleet
 	PromptIndex *fleet.PromptIndex
-	Pool        *http1.Pool
-	Recorder    Recorder
-	Limits      Limits
+	// StreamVersions knows which software versions began streams.
+	StreamVersions *streamversion.Index
+	Pool           *http1.Pool
+	Recorder       Recorder
+	Limits         Limits
 	// Uptime reads a clock that keeps running while the host is suspended.
 	Uptime func() time.Duration
 	// NodeCount returns the number of nodes that share the limits.
@@ -172,6 +175,7 @@
 	route          catalog.Route
 	service        catalog.Service
 	organisation   catalog.Organisation
+	version        string // software version that a stream is to go on at, "" for a new one
 	header         http.Header
 	body           []byte
 	bodyRead       bool // nothing more of the request is to be read
@@ -215,6 +219,13 @@
 		x.respondError(err)
 		return
 	}
+	if x.route.Kind.IsStream() {
+		var err *fault.Error
+		if x.version, err = x.findVersion(); err != nil {
+			x.respondError(err)
+			return
+		}
+	}
 	budget := h.budget(x.service.Name)
 	budget.Begin(x.arrived)
 	defer budget.End()
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -39,14 +39,14 @@
 	maxEventGap     time.Duration // longest time between two events
 	serverSilent    bool          // the deadline passed while the server sent nothing
 	denied          string        // what prevented a further attempt, "" if nothing did
-	bound           bool          // the caller has received a part of the answer
-	version         string        // software version of the servers that the part came from
+	bound           bool          // the caller has received a part of the answer in this request
+	version         string        // software version of the servers that the caller's part came from, if any
 }
 
 // serveStream forwards an event stream.
 func (x *exchange) serveStream() {
 	x.awaitPromptServer()
-	s := &stream{exchange: x, lastEvent: x.meta.LastEventID}
+	s := &stream{exchange: x, lastEvent: x.meta.LastEventID, version: x.version}
 	for {
 		a := s.nextAttempt()
 		if a == nil {
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -422,11 +422,6 @@
 	s.w.WriteHeader(a.response.StatusCode)
 }
 
-// bind records the software version of the server whose events the caller gets.
-func (s *stream) bind(version string) {
-	s.bound, s.version = true, version
-}
-
 // recordEventTime records when the first event arrived and the maximum time between
 // events.
 func (s *stream) recordEventTime(now time.Time) {
--- a/test/entry/stream_version_test.go
+++ b/test/entry/stream_version_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -120,7 +121,7 @@
 // were taken up went on.
 func checkTakes(t *testing.T, all []*take, goesOn bool) {
 	t.Helper()
-	mixed, begun, resumed := 0, 0, 0
+	mixed, begun, resumed, complete := 0, 0, 0, 0
 	for _, x := range all {
 		if len(x.versions) > 1 {
 			mixed++
@@ -131,14 +132,17 @@
 		if x.resumed {
 			resumed++
 		}
+		if x.complete {
+			complete++
+		}
 	}
 	if mixed > maxMixedStreams {
 		t.Errorf("%d of %d streams hold events of two versions, want at most %d", mixed, len(all), maxMixedStreams)
 	}
-	if goesOn && float64(resumed) < minTakenUpShare*float64(begun) {
-		t.Errorf("%d of %d streams that were taken up went on", resumed, begun)
+	if goesOn && float64(complete) < minTakenUpShare*float64(begun) {
+		t.Errorf("%d of %d streams went on to their end", complete, begun)
 	}
-	t.Logf("%d streams, %d begun, %d went on in a later attempt, %d of two versions", len(all), begun, resumed, mixed)
+	t.Logf("%d streams, %d begun, %d went on in a later attempt, %d complete, %d of two versions", len(all), begun, resumed, complete, mixed)
 }
 
 // startVersions starts nodes and servers of an old and a new version.
@@ -169,11 +173,11 @@
 		older, newer, breakAfter int
 		leaveAfter               []int // events after which the caller leaves and goes on at another host
 	}{
-		{"servers break off", 2, 4, 10, nil},
+		{"servers break off", 2, 4, 15, nil},
 		{"callers leave", 2, 4, 0, []int{8}},
 		{"callers leave after the first event", 2, 4, 0, []int{1}},
 		{"callers leave several times", 2, 4, 0, []int{3, 5, 1}},
-		{"one server of the older version", 1, 5, 10, []int{15}},
+		{"one server of the older version", 1, 5, 15, []int{20}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
@@ -185,7 +189,7 @@
 					y.attempt(s.nodes[(i+k+1)%len(s.nodes)], fmt.Sprint(y.id, "-", k), y.id, most)
 				}
 			})
-			checkTakes(t, all, len(x.leaveAfter) > 0 && x.older > 1)
+			checkTakes(t, all, true)
 		})
 	}
 }
@@ -242,3 +246,42 @@
 		})
 	}
 }
+
+// Guards against hosts that, after the loss of all, know the versions of the present servers only.
+func TestSoftwareVersionThatHasLeftOutlivesAllHosts(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct {
+		name   string
+		newer  int // servers of the newer version that replace those of the older one
+		goesOn bool
+	}{
+		{"servers of a newer version only", 3, false},
+		{"servers of the older version only", 0, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			s := startVersions(t, 3, 3, 0, 0)
+			all := takeAll(20, func(i int, y *take) { y.attempt(s.nodes[i%len(s.nodes)], y.id, "", 5) })
+			s.await("the store has the version", testTimeout, func() bool { return slices.Contains(s.store.Keys("nodes"), "software-version/llm/v1") })
+			for i := range x.newer {
+				s.addVersionedServer(fmt.Sprint("j-", i), "v1.1", 0)
+				s.store.Remove("servers", fmt.Sprint("i-", i))
+			}
+			for _, n := range s.nodes {
+				n.Kill()
+			}
+			for _, n := range s.nodes {
+				if err := n.Start(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, n := range s.nodes {
+				s.await(n.Name()+" is ready", testTimeout, n.Ready)
+			}
+			for i, y := range all {
+				y.attempt(s.nodes[i%len(s.nodes)], y.id+"-again", y.id, versionedEvents)
+			}
+			checkTakes(t, all, x.goesOn)
+		})
+	}
+}
