--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -49,6 +49,8 @@
 	Truncated     bool   // the response was truncated
 	Parts         string // the parts of the prompt before its own
 	LastEventID   int    // for a resumed stream, the Last-Event-Id that the caller sent; 0 otherwise
+	Resumes       string // for a resumed stream, the request that brought its first event
+	Versions      string // lines with the software versions of the servers that the events came from
 }
 
 // resultLog holds the results of all requests.
@@ -106,23 +108,26 @@
 	}
 }
 
-// send sends a request. A truncated stream is resumed once.
+// send sends a request. A truncated stream is resumed until it is complete, or refused.
 func (c *caller) send(kind string) {
 	c.count++
 	path := fmt.Sprintf("/%s/%s-%d", kind, c.name, c.count)
-	x := c.sendOnce(kind, path, 0)
+	x := c.sendOnce(kind, path, 0, "")
 	c.results.add(x)
-	if kind != report || !x.Truncated {
-		return
-	}
-	if n := strings.Count(x.Body, "\n\n"); n > 0 {
-		c.results.add(c.sendOnce(kind, path, n))
+	first, received := x.ID, 0
+	for range maxAttempts - 1 {
+		received += strings.Count(x.Body, "\n\n")
+		if kind != report || !x.Truncated || received == 0 {
+			return
+		}
+		x = c.sendOnce(kind, path, received, first)
+		c.results.add(x)
 	}
 }
 
-func (c *caller) sendOnce(kind, path string, lastEventID int) (x Result) {
+func (c *caller) sendOnce(kind, path string, lastEventID int, resumes string) (x Result) {
 	x = Result{
-		ID: fmt.Sprintf("%s-%d-%d", c.name, c.count, c.random.Uint32()), Kind: kind, Path: path, Host: c.pickHost(c.random), Key: c.pickKey(), Sent: time.Now(), Parts: c.parts, LastEventID: lastEventID,
+		ID: fmt.Sprintf("%s-%d-%d", c.name, c.count, c.random.Uint32()), Kind: kind, Path: path, Host: c.pickHost(c.random), Key: c.pickKey(), Sent: time.Now(), Parts: c.parts, LastEventID: lastEventID, Resumes: resumes,
 	}
 	defer func() { x.Finished = time.Now() }()
 	method := http.MethodPost
@@ -144,7 +149,8 @@
 	x.HasRetryAfter = response.Header.Get("Retry-After") != ""
 	x.ServerLeaving = response.Header.Get("Server-Leaving") == "1"
 	b, err := io.ReadAll(bufio.NewReader(response.Body))
-	x.Body, x.Truncated = string(b), err != nil
+	x.Body, x.Truncated = versionLine.ReplaceAllString(string(b), ""), err != nil
+	x.Versions = string(b)
 	return x
 }
 
@@ -157,6 +163,7 @@
 	}
 	if x.LastEventID > 0 {
 		r.Header.Set("Last-Event-Id", fmt.Sprint(x.LastEventID))
+		r.Header.Set("Resumes", x.Resumes)
 	}
 	r.Host = "test.example"
 	r.Header.Set("X-Request-Id", x.ID)
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -39,7 +39,8 @@
 	c.checkParts(arrivals)
 	c.checkLimits(arrivals)
 	c.checkUnframed()
-	e.logFault("%d paths from a host to a server that it said leaves, %d rests, %d responses without length, %d limited servers, %d crashes by a part", c.leavingPaths, c.rests, c.unframed, c.limits, len(e.crashes))
+	c.checkVersions(results)
+	e.logFault("%d paths from a host to a server that it said leaves, %d rests, %d responses without length, %d limited servers, %d crashes by a part, %d streams taken up, %d of them went on, %d of two versions", c.leavingPaths, c.rests, c.unframed, c.limits, len(e.crashes), c.takenUp, c.wentOn, c.mixed)
 	return c.violations
 }
 
@@ -53,6 +54,8 @@
 	leavingPaths, rests int // checked by checkNotices
 	limits              int // servers checked by checkLimits
 	unframed            int // responses checked by checkUnframed
+	// streams counted by checkVersions
+	takenUp, wentOn, mixed int
 }
 
 func (c *checker) addViolation(format string, args ...any) {
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -85,6 +85,7 @@
 // testEnv is the system under test: the store, entry hosts and backend servers.
 type testEnv struct {
 	dir       string
+	seed      uint64
 	random    *rand.Rand // for the fault schedule
 	restores  *rand.Rand // for the restores of the store
 	restoring []span     // restores, until all have written again; under mu
@@ -120,7 +121,7 @@
 		return nil, err
 	}
 	e := &testEnv{
-		dir: dir, random: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 9)), store: x, arrivals: &arrivalLog{}, results: &resultLog{},
+		dir: dir, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), restores: rand.New(rand.NewPCG(seed, 9)), store: x, arrivals: &arrivalLog{}, results: &resultLog{},
 		revoked: make(map[string]time.Time), draining: make(map[string]time.Time), startTime: time.Now(),
 		addressOf: make(map[string]*serverAddress), whole: make(map[string]bool),
 	}
@@ -177,9 +178,10 @@
 	e.mu.Lock()
 	e.incarnations++
 	id := fmt.Sprintf("i-%d", e.incarnations)
+	version := softwareVersion(e.seed, e.incarnations)
 	e.addressOf[id] = a
 	e.mu.Unlock()
-	s := &incarnation{id: id, service: service, address: a.address(), unframed: a.unframed, recordWhole: e.recordWhole, born: time.Now(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
+	s := &incarnation{id: id, service: service, version: version, address: a.address(), unframed: a.unframed, recordWhole: e.recordWhole, born: time.Now(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
 	s.crash = sync.OnceFunc(func() { e.crashOnPart(s, a) })
 	b, err := backend.Start(a.listen, s.handleWithNotices)
 	if err != nil {
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -63,6 +63,7 @@
 type incarnation struct {
 	id       string
 	service  string
+	version  string
 	backend  *backend.Server
 	address  string // registered address, that of the link
 	born     time.Time
@@ -268,7 +269,7 @@
 		time.Sleep(streamInterval)
 		s.awaitSpeech()
 		s.setProgress(id, i)
-		e := fmt.Sprintf("id: %d\ndata: %s\n\n", i, EventData(r.URL.Path, i))
+		e := fmt.Sprintf("id: %d\nversion: %s\ndata: %s\n\n", i, s.version, EventData(r.URL.Path, i))
 		if i == breakAt { // truncate within the event
 			_, _ = fmt.Fprintf(c, "%x\r\n%s", len(e), e[:len(e)/2])
 			return false
@@ -292,7 +293,7 @@
 // registryEntry returns the registry entry of the server.
 func (s *incarnation) registryEntry(state string) []byte {
 	b, _ := json.Marshal(map[string]any{
-		"Service": s.service, "Address": s.address, "Zone": "a", "Version": "v1", "Slots": 12, "State": state, "born": s.born.UnixMilli(), "Seq": 1,
+		"Service": s.service, "Address": s.address, "Zone": "a", "Version": s.version, "Slots": 12, "State": state, "born": s.born.UnixMilli(), "Seq": 1,
 	})
 	return b
 }
