test/entry: hosts that are partitioned from all servers serve nobody, failing

Callers of such hosts are served 0.01 to 0.05 of their requests from 4 s after the beginning on, those of the others all (want two thirds as often at least), when connections hang or are reset.

The stand-in of servers tells hosts apart by their addresses, so an entry host has the setting source in [servers]: the address from which it opens connections. Kernel filters on the sockets of the stand-in, which would drop packets, are not supported on the test machine; connections that hang are accepted there and nothing passes over them.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -93,6 +93,7 @@
 		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: fleet.NewPromptIndex(), pool: http1.NewPool(),
 		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
+	n.pool.From(s.source)
 	n.logWriter = newLogWriter(out, s.name, func() { n.metrics.countDropped("any", "output") })
 	n.eras = freshness.NewEras(uptime, n.handleRise)
 	n.store = platform.NewStoreClient(s.platform, s.name).WithEras(n.eras)
--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net"
 	"os"
 	"strconv"
 	"time"
@@ -36,6 +37,7 @@
 	peers     string
 	metrics   string
 	platform  string // address of the platform's store
+	source    net.IP // from which connections to servers are opened, nil if the system chooses it
 	memoryMB  int
 	cores     int
 	grace     time.Duration
@@ -65,6 +67,7 @@
 	s.peers = x.Address("neighbours", true)
 	s.metrics = x.Address("metrics", false)
 	s.platform = d.Section("platform").Address("address", true)
+	s.readSource(d.Section("servers"))
 	x = d.Section("limits")
 	s.memoryMB = int(nonNegative(x, "memory-mb", defaultMemoryMB))
 	s.cores = int(nonNegative(x, "cores", 1))
@@ -78,6 +81,16 @@
 	return s, d.Err()
 }
 
+func (s *Settings) readSource(x *inifile.Section) {
+	text := x.Value("source", "")
+	if text == "" {
+		return
+	}
+	if s.source = net.ParseIP(text); s.source == nil {
+		x.AddProblem("source", "is %q; it must be an IP address of this host", text)
+	}
+}
+
 func (s *Settings) readLimits(x *inifile.Section) {
 	s.limits.MaxConfigAge = x.Duration("apply", defaultMaxConfigAge, time.Millisecond, maxDuration)
 	revoke := x.Duration("revoke", defaultMaxKeyAge, time.Millisecond, maxDuration)
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -74,8 +74,11 @@
 	observe       func(*http.Response)
 }
 
-func dial(ctx context.Context, address string) (*Conn, error) {
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	d := net.Dialer{Deadline: time.Now().Add(dialTimeout), KeepAliveConfig: keepAlive, Control: tcp.UserTimeout(tcpUserTimeout)}
+	if p.source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: p.source}
+	}
 	n, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -24,11 +25,16 @@
 	mu                sync.Mutex
 	idle              map[string][]*Conn
 	openedConnections int64
+	source            net.IP // from which connections are opened, nil if the system chooses it
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{idle: make(map[string][]*Conn)} }
 
+// From makes the pool open connections from an address of this host. It is called before the
+// pool is used.
+func (p *Pool) From(source net.IP) { p.source = source }
+
 // OpenedConnections returns the number of connections opened so far.
 func (p *Pool) OpenedConnections() int64 {
 	p.mu.Lock()
@@ -50,7 +56,7 @@
 		}
 		c.Close()
 	}
-	c, err := dial(ctx, address)
+	c, err := p.dial(ctx, address)
 	if err == nil {
 		p.mu.Lock()
 		p.openedConnections++
--- a/test/entryhost/host.go
+++ b/test/entryhost/host.go
@@ -83,6 +83,8 @@
 metrics = %s:8721
 [platform]
 address = %s
+[servers]
+source = %s
 [bounds]
 apply = %s
 strict-revocation = yes
@@ -95,7 +97,7 @@
 region = north
 [data-centre b]
 region = north
-`, name, dataCentre, h.callers, h.readiness, ip, ip, store, ApplyLimit, RevokeLimit, GracePeriod)
+`, name, dataCentre, h.callers, h.readiness, ip, ip, store, ip, ApplyLimit, RevokeLimit, GracePeriod)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -60,6 +60,9 @@
 	steps           []Step
 	requests        []Request
 	conns           map[net.Conn]bool
+	partition       Partition
+	partitioned     map[string]bool // IP addresses of callers
+	partitionedAt   time.Time
 	connectionCount int
 }
 
@@ -127,6 +130,11 @@
 			return
 		}
 		s.mu.Lock()
+		if s.resetsNew(c) {
+			s.mu.Unlock()
+			reset(c)
+			continue
+		}
 		s.conns[c] = true
 		s.connectionCount++
 		s.mu.Unlock()
@@ -134,8 +142,9 @@
 	}
 }
 
-func (s *Server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+func (s *Server) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	c := &partitionableConn{Conn: conn, server: s, opened: time.Now()}
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
