--- a/test/soak/unframed.go
+++ b/test/soak/unframed.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
