test: servers of the stand-in are reset below the partitions; harness knows its servers' versions

Since the stand-in can be partitioned, resets of its connections became plain ends (TestUnframed... failed for that reason), and the relay's harness did not record which versions its servers have.

--- a/cmd/entry/gateways_test.go
+++ b/cmd/entry/gateways_test.go
@@ -8,6 +8,7 @@
 	"cicadabeam/core/crashcause"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/partition"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
 	"cicadabeam/core/streamversion"
@@ -21,7 +22,7 @@
 
 // newAggregatingNode returns a node of a data centre with one server in data centre a.
 func newAggregatingNode(dataCentre string) *Node {
-	n := &Node{settings: &Settings{topology: fleet.Topology{DataCentre: dataCentre}}, streamVersions: streamversion.New(nil), fleet: fleet.New(fleet.Topology{DataCentre: dataCentre})}
+	n := &Node{settings: &Settings{topology: fleet.Topology{DataCentre: dataCentre}}, streamVersions: streamversion.New(nil), partition: partition.NewDetector(), fleet: fleet.New(fleet.Topology{DataCentre: dataCentre})}
 	limits := relay.Limits{RetryLimit: retrybudget.Limit{Window: time.Second}}
 	n.handler = relay.New(relay.Dependencies{Fleet: n.fleet, Catalog: freshness.New(), Recorder: discardRecorder{}, Limits: limits, NotifyPeers: func() {}})
 	n.peers.init()
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -31,6 +31,7 @@
 	t        testing.TB
 	tracker  *freshness.Tracker
 	fleet    *fleet.Fleet
+	versions *streamversion.Index
 	handler  *relay.Handler
 	frontend *httptest.Server
 	mu       sync.Mutex
@@ -101,10 +102,10 @@
 // newHarnessWith returns a harness whose relay has changed dependencies.
 func newHarnessWith(t testing.TB, change func(d *relay.Dependencies)) *harness {
 	t.Helper()
-	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1}
+	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1, versions: streamversion.New(nil)}
 	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north", "c": "north"}})
 	d := relay.Dependencies{
-		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), StreamVersions: streamversion.New(nil), Pool: http1.NewPool(), Recorder: h,
+		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), StreamVersions: h.versions, Pool: http1.NewPool(), Recorder: h,
 		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime:    func() time.Duration { h.mu.Lock(); defer h.mu.Unlock(); return h.uptime },
 		NodeCount: func() int { return h.nodes }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
@@ -144,6 +145,7 @@
 
 func (h *harness) register(id, service, dataCentre, address string) {
 	h.fleet.Upsert(fleet.Server{ID: id, Service: service, Address: address, DataCentre: dataCentre, Version: "v1", Slots: 6})
+	h.versions.Observe(service, "v1", time.Now())
 }
 
 type result struct {
--- a/test/relay/reset_test.go
+++ b/test/relay/reset_test.go
@@ -16,7 +16,7 @@
 
 // reset closes a connection so that its peer gets a reset.
 func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := backend.TCP(c); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
--- a/test/soak/unframed.go
+++ b/test/soak/unframed.go
@@ -102,7 +102,7 @@
 // breakOff sends half of a part and ends the connection, by a reset or not.
 func (s *incarnation) breakOff(c *backend.Conn, part string, end bool) {
 	_, _ = fmt.Fprint(c, part[:len(part)/2])
-	if t, ok := c.TCP(); ok && !end {
+	if t, ok := backend.TCP(c); ok && !end {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
--- a/test/standin/backend/endless.go
+++ b/test/standin/backend/endless.go
@@ -32,7 +32,7 @@
 // Step returns the step that writes.
 func (e *Endless) Step() Step {
 	return func(c *Conn, r *http.Request, _ []byte) bool {
-		if t, ok := c.TCP(); ok {
+		if t, ok := TCP(c); ok {
 			_ = t.SetWriteBuffer(16 << 10) // so that few of the bytes written wait in the kernel
 		}
 		text := strings.ReplaceAll(e.Head, "$ID", r.Header.Get("X-Request-Id"))
--- a/test/standin/backend/partition.go
+++ b/test/standin/backend/partition.go
@@ -96,16 +96,17 @@
 	return c.Conn.Write(b)
 }
 
-// TCP returns the TCP connection from the caller.
-func (c *Conn) TCP() (*net.TCPConn, bool) {
-	n := c.Conn
-	if h, ok := n.(*headerConn); ok {
-		n = h.Conn
+// TCP returns the TCP connection under the connection of a step, or under that of its caller.
+func TCP(c net.Conn) (*net.TCPConn, bool) {
+	switch x := c.(type) {
+	case *Conn:
+		return TCP(x.Conn)
+	case *headerConn:
+		return TCP(x.Conn)
+	case *partitionableConn:
+		return TCP(x.Conn)
 	}
-	if p, ok := n.(*partitionableConn); ok {
-		n = p.Conn
-	}
-	t, ok := n.(*net.TCPConn)
+	t, ok := c.(*net.TCPConn)
 	return t, ok
 }
 
