--- a/test/model/simulation.go
+++ b/test/model/simulation.go
@@ -149,7 +149,7 @@
 			x.engines[e.id] = e
 			x.order = append(x.order, e)
 			for _, f := range x.nodes {
-				f.Upsert(fleet.Server{ID: e.id, Service: "llm", Address: e.id, DataCentre: e.dataCentre, Slots: x.scenario.Slots})
+				f.Upsert(fleet.Server{ID: e.id, Service: "llm", Address: e.id, DataCentre: e.dataCentre, Version: "v1", Slots: x.scenario.Slots})
 			}
 		}
 	}
