slotshare: nodes divide the slots of brittle servers

Callers got 503s, 502s and, for the fall of servers, 422s: servers that say Server-Brittle and end when they turn more than that many requests away in a second fell over again and again. Cause: the header wasn't read, and each host sent by what it believed of the others' work some 0.2 s before. Now, while a service's servers say that they are brittle, each slot belongs to one host at a time (core/slotshare): a tenth of them divided equally, the rest by the requests a second that hosts report, one slot of each server left over for hosts that disagree. Requests beyond are refused at once, with a Retry-After of 0.3 to 1 s, before they are sent. The end of a brittle server that has just turned requests away is no evidence against the requests that it ran.

Weighed: a rate for each server (core/serverlimit: rejections come from requests that meet, so only a quarter of the slots would be used), less at a time after each rejection (seven hosts reject seven at once before any learns).

Fleets with more hosts than slots: some hosts have none then, and refuse until their requests are reported; not measured.

--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -138,7 +138,7 @@
 
 // aggregateOwnDataCentre aggregates the latest reports of the nodes of this data centre.
 func (n *Node) aggregateOwnDataCentre(now time.Time) neighbour.DataCentreReport {
-	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Crashes: n.handler.CrashReport(now), Limits: n.fleet.LimitReport(now), Streams: n.streamVersions.Report(now, false)}
+	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Crashes: n.handler.CrashReport(now), Limits: n.fleet.LimitReport(now), Streams: n.streamVersions.Report(now, false), Brittle: n.fleet.BrittleReport(now)}
 	for _, p := range n.peers.all {
 		if p.host.DataCentre != n.settings.topology.DataCentre || now.Sub(p.reportedAt) > livenessTimeout {
 			continue
@@ -149,6 +149,7 @@
 		mergeLosses(x.Lost, p.report.Lost, now.Sub(p.reportedAt))
 		x.Crashes.Add(p.report.Crashes, now.Sub(p.reportedAt))
 		x.Limits = x.Limits.Add(p.report.Limits, now.Sub(p.reportedAt))
+		x.Brittle = x.Brittle.Add(p.report.Brittle, now.Sub(p.reportedAt))
 		x.Streams.Streams = append(x.Streams.Streams, p.report.Streams.Streams...)
 	}
 	return x
@@ -202,6 +203,7 @@
 			n.fleet.RecordPeerWork("data centre "+name, x.Work, at)
 			n.handler.RecordPeerUsage("data centre "+name, x.Usage, x.Nodes, at)
 			n.handler.MergeLimits("data centre "+name, x.Limits, x.Nodes, at)
+			n.handler.MergeBrittle(name+"/", x.Brittle, x.Nodes, at)
 			n.handler.MergeLosses(x.Lost, at)
 			n.handler.MergeLeaving(x.LeavingServers, "data centre "+name, at)
 			n.handler.MergeCrashes(x.Crashes, "data centre "+name, at)
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -198,7 +198,7 @@
 		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Limits: n.fleet.LimitReport(now),
-		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now),
+		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Brittle: n.fleet.BrittleReport(now),
 	}
 	return x
 }
@@ -239,6 +239,7 @@
 	if !n.usesGateways() || x.Host.DataCentre == n.settings.topology.DataCentre {
 		n.fleet.RecordPeerWork(x.Host.Name, x.Work, now)
 		n.handler.MergeLimits(x.Host.Name, x.Limits, 1, now)
+		n.handler.MergeBrittle(x.Host.DataCentre+"/"+x.Host.Name, x.Brittle, 1, now)
 		if x.Leaving {
 			n.handler.RecordFinalUsage(x.Host.Name, x.Usage, now)
 		} else {
--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -60,6 +60,7 @@
 	s := &Settings{}
 	x := d.Section("node")
 	s.name = x.Required("name")
+	s.topology.Node = s.name
 	s.topology.DataCentre = x.Required("data-centre")
 	x = d.Section("listen")
 	s.callers = x.Address("callers", true)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"cicadabeam/core/serverlimit"
+	"cicadabeam/core/slotshare"
 )
 
 // Server is a backend server as given in its registry entry.
@@ -39,6 +40,7 @@
 // the region of each data centre.
 type Topology struct {
 	DataCentre string
+	Node       string            // name of this node
 	Regions    map[string]string // region by data centre
 }
 
@@ -82,11 +84,12 @@
 	lastPeerWork atomic.Pointer[time.Time] // time of the last work report from another node
 
 	limits *serverlimit.Table // of servers, by incarnation
+	slots  *slotshare.Table   // of brittle servers
 }
 
 // New returns an empty fleet.
 func New(t Topology) *Fleet {
-	return &Fleet{topology: t, members: make(map[string]*Member), addresses: make(map[string][]*Member), services: make(map[string][]*Member), peerWork: make(map[string]map[string]Work), limits: serverlimit.NewTable()}
+	return &Fleet{slots: slotshare.New(t.DataCentre + "/" + t.Node), topology: t, members: make(map[string]*Member), addresses: make(map[string][]*Member), services: make(map[string][]*Member), peerWork: make(map[string]map[string]Work), limits: serverlimit.NewTable()}
 }
 
 // Upsert adds a server or updates its state. It reports whether anything changed.
@@ -245,13 +248,15 @@
 	Now             time.Time
 
 	peerWorkKnown bool // work reports of other nodes are current
+	hasQuota      bool // the server is brittle: this node may have quota requests there at a time
+	quota         int
 }
 
 // Reserve selects a server and counts the request against it until Release. It returns
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
 	for _, c := range f.ranked(q) {
-		if c.member.reserve(q) && f.withinLimit(c.member, q) {
+		if f.reserve(c.member, q) && f.withinLimit(c.member, q) {
 			return c.member
 		}
 	}
--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -32,6 +32,7 @@
 // ReserveServer reserves a server for a request if it is usable and takes one more, regardless of
 // MaxConnections and of how much it turned away before. It reports whether it did.
 func (f *Fleet) ReserveServer(m *Member, q Query) bool {
+	q.quota, q.hasQuota = f.quota(m, q)
 	return m.Reserve(q) && f.withinLimit(m, q)
 }
 
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -78,6 +78,7 @@
 	failedAt              time.Time
 	backoffUntil          time.Time
 	unreachableCount      int
+	rejectedAt            time.Time     // when the server last turned a request away
 	lastContact           time.Time     // when the server last sent anything
 	lostAt                time.Time     // when this node or another last lost contact with it
 	answerTime            time.Duration // moving average of the response time
@@ -284,7 +285,7 @@
 func (m *Member) reserve(q Query) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.matches(q) || !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || m.limitedLocked(q) {
+	if !m.matches(q) || !m.usableLocked(q.Now) || (q.MaxConnections > 0 && m.running >= q.MaxConnections) || m.limitedLocked(q) || q.hasQuota && m.running >= q.quota {
 		return false
 	}
 	m.running++
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -24,6 +24,7 @@
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
 	"cicadabeam/core/serverlimit"
+	"cicadabeam/core/slotshare"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/tcp"
 )
@@ -70,7 +71,8 @@
 	// LeavingServers said recently that they leave, to this node or to one that told it.
 	LeavingServers []fleet.LeavingServer
 	Streams        streamversion.Report // that the node began, with their software versions
-	Partitioned    bool                 // the node reaches no server itself
+	Brittle        slotshare.Report
+	Partitioned    bool // the node reaches no server itself
 	// ServerAge is the time since a server last responded to the node itself, negative if none has.
 	ServerAge time.Duration
 }
@@ -88,6 +90,7 @@
 	Crashes        crashcause.Report
 	Limits         serverlimit.Report
 	Streams        streamversion.Report
+	Brittle        slotshare.Report
 }
 
 // ConfigurationReply carries a configuration in the form in which the operator wrote it.
--- a/io/relay/codec.go
+++ b/io/relay/codec.go
@@ -55,6 +55,7 @@
 	Leaving     bool   // the server leaves and wants no further requests
 	Deferral    string // in a refusal, for how long the server wants no requests; see core/deferral
 	Limit       string // the requests a second that the server takes from all nodes; see core/serverlimit
+	Brittle     bool   // the server ends if it has to turn too many requests away in a second
 	Load        fleet.Load
 	HasLoad     bool
 }
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -10,6 +10,7 @@
 	"cicadabeam/core/deferral"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/serverlimit"
+	"cicadabeam/core/slotshare"
 	"cicadabeam/io/http1"
 )
 
@@ -87,7 +88,7 @@
 // observe records what the server that sent a response says of itself.
 func (h *Handler) observe(m *fleet.Member, r *http.Response) {
 	meta := h.Codec.DecodeResponse(r)
-	if !meta.Leaving && meta.Deferral == "" && meta.Limit == "" && !meta.Signed {
+	if !meta.Leaving && meta.Deferral == "" && meta.Limit == "" && !meta.Brittle && !meta.Signed {
 		return
 	}
 	if meta.WrongServer { // the response is that of the server that has the address now
@@ -99,6 +100,7 @@
 	now := time.Now()
 	request := h.Codec.RequestID(r.Header)
 	h.observeLimit(m, meta, request, now)
+	h.observeBrittle(m, meta, now)
 	if meta.Leaving && h.Fleet.RecordLeaving(m, now) {
 		h.Recorder.Record("server leaving", Fields{"server": m.ID(), "service": m.Service(), "address": m.Address(), "request": request, "status": r.StatusCode, "from": "response"})
 		h.Pool.CloseIdle(m.Address())
@@ -128,6 +130,34 @@
 	}
 }
 
+// observeBrittle records whether a server says that it ends if it has to turn requests away.
+// An unsigned response that does not say so tells nothing.
+func (h *Handler) observeBrittle(m *fleet.Member, meta ResponseMeta, now time.Time) {
+	if meta.NotRun {
+		m.RecordRejection(now)
+	}
+	f := Fields{"service": m.Service(), "server": m.ID()}
+	switch {
+	case meta.Brittle && h.Fleet.NameBrittle(m, now):
+		h.Recorder.Record("servers brittle", f)
+		h.NotifyPeers()
+	case !meta.Brittle && meta.Signed && h.Fleet.EndBrittle(m, now):
+		h.Recorder.Record("servers brittle no more", f)
+		h.NotifyPeers()
+	}
+}
+
+// MergeBrittle applies what other nodes know of brittle servers, as of a time.
+func (h *Handler) MergeBrittle(from string, r slotshare.Report, nodes int, at time.Time) {
+	for _, service := range h.Fleet.MergeBrittle(from, r, nodes, at) {
+		event := "servers brittle"
+		if r[service].Ended {
+			event = "servers brittle no more"
+		}
+		h.Recorder.Record(event, Fields{"service": service, "from": from})
+	}
+}
+
 // MergeLimits applies the limits of servers that another node, or some, reported as of a time.
 func (h *Handler) MergeLimits(from string, r serverlimit.Report, nodes int, at time.Time) {
 	for _, server := range h.Fleet.MergeLimits(from, r, nodes, at) {
--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -115,6 +115,10 @@
 
 func (d *crashDetector) recordCrash(a *endedAttempt) {
 	now := time.Now()
+	if d.h.Fleet.Brittle(a.member.Service(), now) && a.member.RejectedBefore(a.at) {
+		d.h.Recorder.Record("brittle server ended", Fields{"request": a.id, "server": a.member.ID()})
+		return
+	}
 	crash := crashcause.Crash{Server: a.member.Incarnation(), At: a.at, Noticed: now, Requests: []crashcause.Request{a.request}, LostWith: a.lostWith}
 	d.causes.RecordCrash(crash)
 	d.h.Recorder.Record("server died", Fields{
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -229,6 +229,7 @@
 			return
 		}
 	}
+	h.Fleet.RecordRequest(x.service.Name, x.arrived)
 	budget := h.budget(x.service.Name)
 	budget.Begin(x.arrived)
 	defer budget.End()
@@ -245,6 +246,8 @@
 	retryAfterStale    = 400 * time.Millisecond
 	retryAfterNoServer = 300 * time.Millisecond
 	minRetryAfter      = 50 * time.Millisecond
+	// retryAfterBrittle is the time over which callers are spread that brittle servers have no room for.
+	retryAfterBrittle = 700 * time.Millisecond
 )
 
 // notRunError returns the error for a request that ran on no server. Status 503 tells the
@@ -257,6 +260,10 @@
 // for a time, the caller is told to come back after the first of these times.
 func (x *exchange) refusal(code fault.Code, step, text string) *fault.Error {
 	now := time.Now()
+	if code == fault.NoServer && x.h.Fleet.Brittle(x.service.Name, now) {
+		err := fault.Newf(fault.ServerBusy, step, "", "the servers of the service are brittle, and this entry host's part of their slots is in use")
+		return err.WithRetryAt(now.Add(retryAfterNoServer + rand.N(retryAfterBrittle)))
+	}
 	earliest, found := x.h.Fleet.Relief(x.service.Name, now)
 	if !found || code == fault.Draining || code == fault.CallerLeft {
 		return notRunError(code, step, text, retryAfterNoServer)
