relay: a server that has taken over an address is recognised by its response

Callers of other requests lost servers to a request that went on from one to the next: a server that ended under it was back on its address within 0.3 s under another ID, which the registry didn't know yet, so that the check whether the server has ended found the address open and took it for sound. The check asks for the server's health now and compares the ID in the response.

--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -59,13 +60,36 @@
 	if path == "" {
 		path = "/"
 	}
-	if c.Send(&http1.Request{Method: http.MethodGet, Target: path, Host: m.Address()}, deadline) != nil {
-		return false
-	}
-	_, err = c.ReadResponse(http.MethodGet, "", func(http.Header) string { return "" }, deadline)
+	_, err = queryHealth(c, m, path, deadline, h.Codec)
 	return err == nil
 }
 
+// queryHealth asks a server whether it is healthy, and returns the ID that the response gives, if any.
+func queryHealth(c *http1.Conn, m *fleet.Member, path string, deadline time.Time, codec Codec) (string, error) {
+	if err := c.Send(&http1.Request{Method: http.MethodGet, Target: path, Host: m.Address()}, deadline); err != nil {
+		return "", err
+	}
+	r, err := c.ReadResponse(http.MethodGet, "", func(http.Header) string { return "" }, deadline)
+	if err != nil {
+		return "", err
+	}
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxReportBytes)); err != nil {
+		return "", errors.Wrap(err, "read")
+	}
+	return codec.DecodeResponse(r).ServerID, nil
+}
+
+// healthPath returns the path at which servers of a service tell whether they are healthy, "" if
+// there is none.
+func (h *Handler) healthPath(service string) string {
+	c := h.Catalog.Catalog()
+	if c == nil {
+		return ""
+	}
+	s, _ := c.Service(service)
+	return s.HealthPath
+}
+
 func (h *Handler) partitioned() bool {
 	return h.Dependencies.Partitioned != nil && h.Dependencies.Partitioned()
 }
--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -90,7 +90,7 @@
 }
 
 // hasEnded reports at a check whether the server of an attempt has ended. One that accepts
-// connections has not, unless the registry shows another one in its place.
+// connections has not, unless the registry, or its response, shows another one in its place.
 func (d *crashDetector) hasEnded(a *endedAttempt, check int) bool {
 	now := time.Now()
 	if !a.unsure && a.member.EndedUnannounced(a.at.Add(serverChecks[0]), now) {
@@ -106,11 +106,28 @@
 	ctx, cancel := context.WithDeadline(context.Background(), now.Add(probeTimeout))
 	defer cancel()
 	c, err := d.h.connectForQuery(ctx, a.member, http1.ForceNew)
-	if err == nil {
-		d.h.Pool.Put(c)
+	if err != nil {
+		return !errors.Is(err, errDeclines) && !d.h.partitioned()
+	}
+	return d.h.answersForAnother(c, a.member, now.Add(probeTimeout))
+}
+
+// answersForAnother asks who is at the address of a server, and reports whether another one is. The
+// registry may not know a server yet that has taken over the address. The connection is put back, or
+// closed if there is no response until the deadline.
+func (h *Handler) answersForAnother(c *http1.Conn, m *fleet.Member, deadline time.Time) bool {
+	path := h.healthPath(m.Service())
+	if now := time.Now(); path == "" || h.Fleet.Brittle(m.Service(), now) || !h.Fleet.AllowQuery(m, h.NodeCount(), now) {
+		h.Pool.Put(c)
+		return false
+	}
+	id, err := queryHealth(c, m, path, deadline, h.Codec)
+	if err != nil {
+		c.Close()
 		return false
 	}
-	return !errors.Is(err, errDeclines) && !d.h.partitioned()
+	h.Pool.Put(c)
+	return id != "" && id != m.ID()
 }
 
 func (d *crashDetector) recordCrash(a *endedAttempt) {
--- a/test/relay/crashing_request_test.go
+++ b/test/relay/crashing_request_test.go
@@ -17,6 +17,7 @@
 	crashingStream = "4d1f09c2:7800" // the last part of a prompt
 	// requestContactTime is how long after the third crash the request may go on.
 	requestContactTime = 4 * time.Second
+	firstServers       = 20
 )
 
 // requestFleet is a fleet of servers in two data centres that one request crashes.
@@ -26,6 +27,7 @@
 	run      func(f *requestFleet, s *crashServer) backend.Step // the response to the request
 	restart  time.Duration                                      // from a crash to the start of another server
 	reuse    bool                                               // it takes the address
+	unlisted bool                                               // it is not registered, and the entry of the one before stays
 	mu       sync.Mutex
 	closed   bool
 	started  int
@@ -56,6 +58,12 @@
 		sound = backend.Stream(3, 0, 5*time.Millisecond, nil)
 	}
 	s.SetSteps(func(c *backend.Conn, r *http.Request, body []byte) bool {
+		if r.URL.Path == healthPath {
+			return backend.WithHeader("X-Instance-Id: "+s.id, backend.Respond(http.StatusOK, "ok"))(c, r, body)
+		}
+		if r.Header.Get("X-Expect-Instance") != s.id {
+			return backend.Misdirected()(c, r, body)
+		}
 		if r.URL.Path != crashingTarget && r.Header.Get("X-Prefix-Hash") != firstPart+","+crashingStream {
 			return sound(c, r, body)
 		}
@@ -65,6 +73,9 @@
 		return crash(c, r, body)
 	})
 	f.servers[s.id] = s
+	if f.unlisted && f.started > firstServers {
+		return
+	}
 	f.h.fleet.Upsert(fleet.Server{ID: s.id, Service: f.service, Address: b.Address(), DataCentre: dataCentre, Version: "v1", Slots: 6, StartedMS: int64(f.started)})
 }
 
@@ -88,7 +99,9 @@
 			address = s.Address()
 		}
 		f.start(s.dataCentre, address)
-		f.h.fleet.Deregister(s.id, time.Now())
+		if !f.unlisted {
+			f.h.fleet.Deregister(s.id, time.Now())
+		}
 	})
 }
 
@@ -161,11 +174,13 @@
 		run     func(f *requestFleet, s *crashServer) backend.Step
 		restart time.Duration
 		reuse   bool
+		unlist  bool
 		leave   time.Duration // after which the caller leaves
 		timeout string
 	}{
 		{name: "alone", run: crashAfter(20*time.Millisecond, nil), restart: time.Second},
 		{name: "server back on its address at once", run: crashAfter(20*time.Millisecond, nil), restart: 150 * time.Millisecond, reuse: true},
+		{name: "server back on its address at once, unknown to the registry", run: crashAfter(20*time.Millisecond, nil), restart: 150 * time.Millisecond, reuse: true, unlist: true},
 		{name: "caller leaves before the end", run: crashAfter(30*time.Millisecond, nil), restart: time.Second, leave: 20 * time.Millisecond},
 		{name: "deadline passes before the end", run: crashAfter(80*time.Millisecond, nil), restart: time.Second, timeout: "50"},
 		{name: "response that ends with its connection", run: crashAfter(20*time.Millisecond, backend.WriteRaw("HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\n\r\nhalf", false)), restart: time.Second},
@@ -187,12 +202,12 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
-			f := &requestFleet{h: newHarness(t), service: x.service, run: x.run, restart: x.restart, reuse: x.reuse, servers: make(map[string]*crashServer)}
+			f := &requestFleet{h: newHarness(t), service: x.service, run: x.run, restart: x.restart, reuse: x.reuse, unlisted: x.unlist, servers: make(map[string]*crashServer)}
 			if f.service == "" {
 				f.service = "read"
 			}
 			t.Cleanup(f.close)
-			for i := range 20 {
+			for i := range firstServers {
 				f.start([]string{"a", "b"}[i%2], ownAddress())
 			}
 			until := time.Now().Add(9 * time.Second)
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -60,6 +60,7 @@
 	priorityKey = "key-of-forja"
 	testTimeout = 2 * time.Second
 	longTimeout = 6 * time.Second
+	healthPath  = "/healthz"
 )
 
 // newRoute returns a route of the test catalog. The path prefix is the name of the route.
@@ -90,7 +91,7 @@
 			public, long, single, plain, newRoute("read", catalog.Idempotent, 2), newRoute("buy", catalog.AtMostOnce, 1),
 			newRoute("report", catalog.ResumableStream, 5), newRoute("once", catalog.PlainStream, 5),
 		},
-		Services: []catalog.Service{{Name: "public"}, {Name: "read"}, {Name: "buy"}, {Name: "report", Engine: engine}, {Name: "once", Engine: engine}},
+		Services: []catalog.Service{{Name: "public"}, {Name: "read", HealthPath: healthPath}, {Name: "buy"}, {Name: "report", Engine: engine}, {Name: "once", Engine: engine}},
 	})
 }
 
