entry: servers that only a peer reaches come after others; a host whose connections live on is not partitioned

With a path to some servers only, a host opened a connection through a peer for each request to the others (120 ms later where they hang), as a success through a peer took the server's back-off away, and three such servers made it give up connections that worked. For 2 s such a server is ranked behind others, and connections to it through a peer are reused.

--- a/cmd/entry/server_paths.go
+++ b/cmd/entry/server_paths.go
@@ -47,7 +47,12 @@
 }
 
 // MayReuse implements http1.Paths.
-func (s serverPaths) MayReuse(direct bool) bool { return direct != s.node.partition.Partitioned() }
+func (s serverPaths) MayReuse(address string, direct bool) bool {
+	if s.node.partition.Partitioned() {
+		return !direct
+	}
+	return direct || s.node.fleet.Indirect(address, time.Now())
+}
 
 type dialed struct {
 	conn   net.Conn
@@ -121,6 +126,7 @@
 		n.partition.RecordConnected()
 	case !partitioned:
 		n.partition.RecordReachedByPeer(address, time.Now())
+		n.fleet.RecordIndirect(address, time.Now())
 		n.recorder.Record("server reached by peer", relay.Fields{"address": address})
 		n.checkPartition(time.Now())
 	}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -77,6 +77,7 @@
 	failureShare          float64
 	failedAt              time.Time
 	backoffUntil          time.Time
+	indirectUntil         time.Time // see RecordIndirect
 	unreachableCount      int
 	rejectedAt            time.Time     // when the server last turned a request away
 	lastContact           time.Time     // when the server last sent anything
@@ -201,6 +202,9 @@
 	if q.Now.Before(m.backoffUntil) {
 		c += unreachablePenalty
 	}
+	if q.Now.Before(m.indirectUntil) {
+		c += indirectPenalty
+	}
 	if q.Capacity > 0 {
 		return c + m.engineCost(q)
 	}
--- a/core/partition/partition.go
+++ b/core/partition/partition.go
@@ -140,8 +140,9 @@
 			silent++
 		}
 	}
-	noResponse := silent >= needed && now.Sub(d.lastResponse) > silenceLimit && peers < peerContact
-	if d.partitioned || len(d.unreached) < needed && !noResponse {
+	noResponse := silent >= needed && peers < peerContact
+	responds := now.Sub(d.lastResponse) <= silenceLimit // over connections that live on, at least
+	if d.partitioned || responds || len(d.unreached) < needed && !noResponse {
 		return false
 	}
 	d.partitioned = true
--- a/core/partition/partition_test.go
+++ b/core/partition/partition_test.go
@@ -32,6 +32,21 @@
 	}
 }
 
+// Guards against nodes that give up connections which live on.
+func TestNodeWhoseConnectionsLiveOnIsNotPartitioned(t *testing.T) {
+	d := partition.NewDetector()
+	d.Begin("a", time.Now())(true, true)
+	for i := range 5 {
+		d.RecordReachedByPeer(fmt.Sprint(i), time.Now())
+	}
+	if d.Check(20, reachable, time.Now()) {
+		t.Error("partitioned although a server responds")
+	}
+	if !d.Check(20, reachable, time.Now().Add(time.Second)) {
+		t.Error("not partitioned a second after the last response")
+	}
+}
+
 func TestServerThatIsConnectedEndsTheEvidence(t *testing.T) {
 	d := partition.NewDetector()
 	for i := range 9 {
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -13,8 +13,8 @@
 type Paths interface {
 	// Dial opens a connection. direct is set if no other node is in between.
 	Dial(ctx context.Context, address string) (c net.Conn, direct bool, err error)
-	// MayReuse reports whether an idle connection may be used for another request.
-	MayReuse(direct bool) bool
+	// MayReuse reports whether an idle connection to a server may be used for another request.
+	MayReuse(address string, direct bool) bool
 	// Begin is called when a request has been sent on a direct connection. end is called once the
 	// server has responded, or the request has ended without any response; evidence is set if
 	// that wasn't this node's decision.
@@ -94,7 +94,7 @@
 	return c, nil
 }
 
-func (p *Pool) mayReuse(c *Conn) bool { return p.paths == nil || p.paths.MayReuse(c.direct) }
+func (p *Pool) mayReuse(c *Conn) bool { return p.paths == nil || p.paths.MayReuse(c.address, c.direct) }
 
 // takeIdle removes and returns the idle connection that was put back last, nil if there
 // is none.
