--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -32,6 +32,7 @@
 	"cicadabeam/io/httpserver"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
+	"cicadabeam/io/serverpath"
 	"cicadabeam/platform"
 )
 
@@ -89,6 +90,7 @@
 	causes               storedCauses
 	partition            *partition.Detector
 	tunnels              neighbour.Tunnels
+	dialer               *serverpath.Dialer // of connections to servers
 }
 
 // New returns a node that is not listening yet. It logs to out.
@@ -99,6 +101,7 @@
 	}
 	n.pool.From(s.source)
 	n.partition = partition.NewDetector()
+	n.dialer = n.newDialer()
 	n.pool.Use(serverPaths{n})
 	n.tunnels.Dial = n.dialForPeer
 	n.logWriter = newLogWriter(out, s.name, func() { n.metrics.countDropped("any", "output") })
--- a/cmd/entry/server_paths.go
+++ b/cmd/entry/server_paths.go
@@ -12,16 +12,10 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
+	"cicadabeam/io/serverpath"
 )
 
 const (
-	// indirectDelay is how long a connection to a server may take until one through a peer is
-	// attempted beside it, and peerDelay how long one through a peer may take until another peer
-	// is tried.
-	indirectDelay = 120 * time.Millisecond
-	peerDelay     = 80 * time.Millisecond
-	// pathTimeout limits the time to connect to a server.
-	pathTimeout = 400 * time.Millisecond
 	// pathPeers is how many peers are tried.
 	pathPeers = 2
 	// partitionCheckInterval is the time between two checks whether this node is partitioned, and
@@ -32,10 +26,7 @@
 	serverProbeTimeout     = 500 * time.Millisecond
 )
 
-var (
-	errNoPath        = errors.New("neither this node nor a peer could connect")
-	errUnknownServer = errors.New("no server has this address")
-)
+var errUnknownServer = errors.New("no server has this address")
 
 // serverPaths implements http1.Paths: directly, or through a peer if this node can't connect and the
 // peer can.
@@ -54,120 +45,26 @@
 	return direct || s.node.fleet.Indirect(address, time.Now())
 }
 
-type dialed struct {
-	conn   net.Conn
-	direct bool
-	err    error
-}
-
 // Dial implements http1.Paths.
 func (s serverPaths) Dial(ctx context.Context, address string) (net.Conn, bool, error) {
-	n := s.node
-	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(pathTimeout))
-	defer cancel()
-	attempts := make(chan dialed, 2)
-	running := 0
-	start := func(direct bool) {
-		running++
-		go func() {
-			d := dialed{direct: direct}
-			if direct {
-				d.conn, d.err = n.pool.Dial(ctx, address)
-			} else {
-				d.conn, d.err = n.dialThroughPeer(ctx, address)
-			}
-			attempts <- d
-		}()
-	}
-	partitioned := n.partition.Partitioned()
-	start(!partitioned)
-	second := time.NewTimer(indirectDelay)
-	defer second.Stop()
-	both := false
-	var err error
-	for running > 0 {
-		select {
-		case <-second.C:
-			if !both {
-				both = true
-				start(partitioned)
-			}
-		case d := <-attempts:
-			running--
-			if d.err == nil {
-				go closeOthers(attempts, running)
-				n.recordPath(address, d.direct, partitioned)
-				return d.conn, d.direct, nil
-			}
-			if d.direct || err == nil {
-				err = d.err
-			}
-			if !both && ctx.Err() == nil {
-				both = true
-				start(partitioned)
-			}
-		}
-	}
-	return nil, true, err
+	return s.node.dialer.Dial(ctx, address)
 }
 
-func closeOthers(attempts <-chan dialed, running int) {
-	for range running {
-		if d := <-attempts; d.conn != nil {
-			_ = d.conn.Close()
-		}
-	}
-}
-
-// recordPath records which way a connection to a server was opened.
-func (n *Node) recordPath(address string, direct, partitioned bool) {
-	switch {
-	case direct:
-		n.partition.RecordConnected()
-	case !partitioned:
-		n.partition.RecordReachedByPeer(address, time.Now())
-		n.fleet.RecordIndirect(address, time.Now())
-		n.recorder.Record("server reached by peer", relay.Fields{"address": address})
-		n.checkPartition(time.Now())
+// newDialer returns the dialer of connections to servers.
+func (n *Node) newDialer() *serverpath.Dialer {
+	return &serverpath.Dialer{
+		Direct: n.pool.Dial, Through: neighbour.DialThrough, Nodes: func() []string { return n.peersWithPath(time.Now()) },
+		Partitioned: n.partition.Partitioned, OnDirect: n.partition.RecordConnected, OnIndirect: n.recordIndirect,
 	}
 }
 
-// dialThroughPeer connects to a server through one of the peers that reach servers.
-func (n *Node) dialThroughPeer(ctx context.Context, address string) (net.Conn, error) {
-	deadline, _ := ctx.Deadline()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	peers := n.peersWithPath(time.Now())
-	attempts := make(chan dialed, len(peers))
-	next := time.NewTimer(0)
-	defer next.Stop()
-	err := error(errNoPath)
-	for started, running := 0, 0; started < len(peers) || running > 0; {
-		select {
-		case <-next.C:
-			if started < len(peers) {
-				p := peers[started]
-				go func() {
-					c, err := neighbour.DialThrough(ctx, p, address, deadline)
-					attempts <- dialed{conn: c, err: err}
-				}()
-				started++
-				running++
-				next.Reset(peerDelay)
-			}
-		case d := <-attempts:
-			running--
-			if d.err == nil {
-				go closeOthers(attempts, running)
-				return d.conn, nil
-			}
-			err = d.err
-			if started < len(peers) {
-				next.Reset(0)
-			}
-		}
-	}
-	return nil, err
+// recordIndirect records that only a peer could connect to a server.
+func (n *Node) recordIndirect(address string) {
+	now := time.Now()
+	n.partition.RecordReachedByPeer(address, now)
+	n.fleet.RecordIndirect(address, now)
+	n.recorder.Record("server reached by peer", relay.Fields{"address": address})
+	n.checkPartition(now)
 }
 
 // peersWithPath returns the addresses of some live peers that are not known to be partitioned
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -7,7 +7,7 @@
 //	go neighbour.Serve(listener, handler)
 //	c := neighbour.NewClient("10.1.0.7:7200")
 //	theirs, err := c.Exchange(ours, deadline)
-//	conn, err := neighbour.DialThrough(ctx, "10.1.0.7:7200", server, deadline)
+//	conn, err := neighbour.DialThrough(ctx, "10.1.0.7:7200", server)
 package neighbour
 
 import (
--- a/io/neighbour/tunnel.go
+++ b/io/neighbour/tunnel.go
@@ -109,15 +109,14 @@
 	return "", errors.New("the address is too long")
 }
 
-// DialThrough connects to a server through the node at an address, until the deadline.
-func DialThrough(ctx context.Context, node, server string, deadline time.Time) (net.Conn, error) {
-	d := net.Dialer{Deadline: deadline, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}, Control: tcp.UserTimeout(tcpUserTimeout)}
+// DialThrough connects to a server through the node at an address, until the end of ctx.
+func DialThrough(ctx context.Context, node, server string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}, Control: tcp.UserTimeout(tcpUserTimeout)}
 	c, err := d.DialContext(ctx, "tcp", node)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect through %s", node)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	_ = c.SetDeadline(deadline)
 	answer := make([]byte, 1)
 	_, err = c.Write([]byte(string(rune(tunnelMark)) + server + "\n"))
 	if err == nil {
--- /dev/null
+++ b/io/serverpath/dialer.go
@@ -0,0 +1,132 @@
+// Package serverpath opens connections to servers: directly, or through another node where that takes
+// too long or fails.
+//
+// # Usage
+//
+//	d := &serverpath.Dialer{Direct: dial, Through: dialThrough, Nodes: nodes, Partitioned: f, OnDirect: g, OnIndirect: h}
+//	c, direct, err := d.Dial(ctx, "10.1.0.7:80")
+package serverpath
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// timeout limits the time to connect to a server.
+	timeout = 400 * time.Millisecond
+	// secondDelay is how long a connection may take until one of the other kind is attempted beside
+	// it, and nodeDelay how long one through a node may take until another node is tried.
+	secondDelay = 120 * time.Millisecond
+	nodeDelay   = 80 * time.Millisecond
+)
+
+var errNoNode = errors.New("no other node reaches servers")
+
+// Dialer opens connections to servers. Its fields must not change while it is used.
+type Dialer struct {
+	// Direct opens a connection itself, Through one through the node at an address.
+	Direct  func(ctx context.Context, server string) (net.Conn, error)
+	Through func(ctx context.Context, node, server string) (net.Conn, error)
+	// Nodes returns the addresses of the nodes to try, the best ones first.
+	Nodes func() []string
+	// Partitioned reports whether connections through other nodes are to be tried first.
+	Partitioned func() bool
+	// OnDirect is called for each direct connection, OnIndirect for each one through a node of a
+	// node that is not partitioned.
+	OnDirect   func()
+	OnIndirect func(server string)
+}
+
+type result struct {
+	conn   net.Conn
+	direct bool
+	err    error
+}
+
+// Dial opens a connection to a server and reports whether it is direct.
+func (d *Dialer) Dial(ctx context.Context, server string) (net.Conn, bool, error) {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(timeout))
+	defer cancel()
+	partitioned := d.Partitioned()
+	kinds := []func() result{
+		func() result { c, err := d.Direct(ctx, server); return result{c, true, err} },
+		func() result { c, err := d.throughAny(ctx, server); return result{c, false, err} },
+	}
+	if partitioned {
+		kinds[0], kinds[1] = kinds[1], kinds[0]
+	}
+	x := first(ctx, kinds, secondDelay)
+	switch {
+	case x.err != nil:
+		return nil, true, x.err
+	case x.direct:
+		d.OnDirect()
+	case !partitioned:
+		d.OnIndirect(server)
+	}
+	return x.conn, x.direct, nil
+}
+
+// throughAny opens a connection through one of the nodes.
+func (d *Dialer) throughAny(ctx context.Context, server string) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var attempts []func() result
+	for _, node := range d.Nodes() {
+		attempts = append(attempts, func() result { c, err := d.Through(ctx, node, server); return result{conn: c, err: err} })
+	}
+	if len(attempts) == 0 {
+		return nil, errNoNode
+	}
+	x := first(ctx, attempts, nodeDelay)
+	return x.conn, x.err
+}
+
+// first returns the first success of some attempts, or the failure of the first one. Each attempt
+// begins once the one before has failed or has taken the delay. Connections that come later are closed.
+func first(ctx context.Context, attempts []func() result, delay time.Duration) result {
+	results := make(chan result, len(attempts))
+	failure := make([]error, len(attempts))
+	begun, running := 0, 0
+	begin := func() {
+		i := begun
+		begun++
+		running++
+		go func() {
+			x := attempts[i]()
+			failure[i] = x.err
+			results <- x
+		}()
+	}
+	begin()
+	next := time.NewTimer(delay)
+	defer next.Stop()
+	for running > 0 {
+		select {
+		case <-next.C:
+		case x := <-results:
+			running--
+			if x.err == nil {
+				go closeRest(results, running)
+				return x
+			}
+		}
+		if begun < len(attempts) && ctx.Err() == nil {
+			begin()
+			next.Reset(delay)
+		}
+	}
+	return result{err: failure[0]}
+}
+
+func closeRest(results <-chan result, running int) {
+	for range running {
+		if x := <-results; x.conn != nil {
+			_ = x.conn.Close()
+		}
+	}
+}
