--- a/core/slotshare/slotshare.go
+++ b/core/slotshare/slotshare.go
@@ -5,7 +5,8 @@
 // The nodes report to each other how many requests a second they want to send to a service. Each
 // slot of each server belongs to one node at a time: a small part of the slots is divided equally,
 // the rest by these reports, so that nodes with the same reports agree without asking each other.
-// Where nodes have a report of another moment, they may disagree on a slot between two nodes.
+// Where nodes have a report of another moment, they may disagree on a slot between two nodes. A node
+// counts its own requests only as of some time ago, so that all don't take more while they rise.
 //
 // # Usage
 //
@@ -33,6 +34,10 @@
 	// slack is the part of a server's slots, one at least of several, that is left for requests of
 	// nodes that disagree.
 	slack = 0.1
+	// reportLag is the time within which all nodes know the demand of a node, and sampleInterval
+	// that between two kept values of it.
+	reportLag      = 800 * time.Millisecond
+	sampleInterval = 50 * time.Millisecond
 	// reportTTL is how long a report of other nodes is valid.
 	reportTTL = 3 * time.Second
 	// endGrace is the time after a response of a brittle server in which one that does not say so
@@ -70,11 +75,17 @@
 	statedAt time.Time
 	demand   float64 // as of demandAt
 	demandAt time.Time
+	samples  []sample          // of demand, in order of time, within reportLag
 	others   map[string]demand // of other nodes, by name
 	bounds   []float64         // of this node's part, between 0 and 1: its beginning and its end
 	boundsAt time.Time
 }
 
+type sample struct {
+	demand float64
+	at     time.Time
+}
+
 type demand struct {
 	nodes  int
 	demand float64
@@ -146,10 +157,35 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
+	s.sample(now)
 	s.demand = s.demandAtTime(now) + 1/demandTime.Seconds()
 	s.demandAt = now
 }
 
+// sample keeps the demand as of now, and drops older values than are needed.
+func (s *service) sample(now time.Time) {
+	if n := len(s.samples); n > 0 && now.Sub(s.samples[n-1].at) < sampleInterval {
+		return
+	}
+	s.samples = append(s.samples, sample{s.demandAtTime(now), now})
+	for len(s.samples) > 1 && now.Sub(s.samples[1].at) >= reportLag {
+		s.samples = s.samples[1:]
+	}
+}
+
+// knownDemand returns the demand that the other nodes know at least: what has risen within reportLag
+// is left out, as they divide without it.
+func (s *service) knownDemand(now time.Time) float64 {
+	least := s.demandAtTime(now)
+	for i, x := range s.samples {
+		if i+1 < len(s.samples) && now.Sub(s.samples[i+1].at) >= reportLag {
+			continue // the next one tells what was known then
+		}
+		least = min(least, x.demand)
+	}
+	return least
+}
+
 func (s *service) demandAtTime(now time.Time) float64 {
 	return s.demand * math.Exp(-float64(now.Sub(s.demandAt))/float64(demandTime))
 }
@@ -227,7 +263,7 @@
 
 // part returns the beginning and the end of this node's part of each server, between 0 and 1.
 func (t *Table) part(s *service, nodes int, now time.Time) []float64 {
-	own := demand{nodes: 1, demand: s.demandAtTime(now)}
+	own := demand{nodes: 1, demand: s.knownDemand(now)}
 	all := map[string]demand{t.self: own}
 	known, total := 1, own.demand
 	for name, x := range s.others {
