review: a killed entry host truncates answers that pass through it, and they look complete

An entry host without a path to the servers sends its requests through another one. If that one's process is killed while an answer without length is on its way, its kernel closes the connection without a reset, and the first host takes that for the end of the answer: the client gets a 200 with the signature and a part of the body. Streams end as complete before their last event.

Order: link between a host and the servers cut, requests through another host, answer half sent, that host killed.

--- /dev/null
+++ b/review/harness/server.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// server is a backend server that follows the pages: it serves one request at a time on a
+// connection, echoes X-Request-Id, signs what it answers, and answers 421 to a request for another
+// instance.
+type server struct {
+	system   *system
+	listener net.Listener
+	id       string
+	service  string
+	zone     string
+	slots    int
+	born     int64
+	handler  func(x *run)
+
+	mu   sync.Mutex
+	cut  map[string]bool // addresses from and to which nothing passes
+	open map[net.Conn]bool
+}
+
+// run is a request that a server runs.
+type run struct {
+	server  *server
+	conn    net.Conn
+	request *http.Request
+	id      string
+	body    []byte
+	from    string // address of the connection's other end
+}
+
+func (s *system) addServer(n int, id, service, zone string, handler func(x *run)) *server {
+	l, err := net.Listen("tcp", s.ip(n)+":0")
+	if err != nil {
+		fail("server: %v", err)
+	}
+	x := &server{system: s, listener: l, id: id, service: service, zone: zone, slots: 48, born: time.Now().UnixMilli(), handler: handler, cut: make(map[string]bool), open: make(map[net.Conn]bool)}
+	go x.accept()
+	x.register("ready")
+	return x
+}
+
+func (s *server) address() string { return s.listener.Addr().String() }
+
+func (s *server) register(state string) {
+	s.system.put("servers", s.id, map[string]any{
+		"Service": s.service, "Address": s.address(), "Zone": s.zone, "Version": "v1", "Slots": s.slots, "State": state, "ColdLeftMs": 0, "Seq": 1, "born": s.born,
+	})
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c)
+	}
+}
+
+// cutFrom cuts the path to and from an address: nothing passes on any connection any more.
+func (s *server) cutFrom(ip string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[ip] = true
+}
+
+func (s *server) isCut(ip string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut[ip]
+}
+
+// resetAll resets the open connections, as a crash does.
+func (s *server) resetAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func (s *server) serve(c net.Conn) {
+	s.mu.Lock()
+	s.open[c] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
+		_ = c.Close()
+	}()
+	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if s.isCut(from) {
+			select {} // a packet that was dropped; the connection stays silent
+		}
+		x := &run{server: s, conn: c, request: r, id: r.Header.Get("X-Request-Id"), body: body, from: from}
+		switch expected := r.Header.Get("X-Expect-Instance"); {
+		case expected != "" && expected != s.id:
+			x.respond(http.StatusMisdirectedRequest, "X-Instance-Id: "+s.id+"\r\n", "")
+		case r.URL.Path == "/healthz":
+			x.respond(http.StatusOK, "X-Instance-Id: "+s.id+"\r\n", "")
+		case strings.HasPrefix(r.URL.Path, "/v1/"):
+			x.respond(http.StatusNotFound, "", "")
+		default:
+			s.handler(x)
+		}
+		if r.Close {
+			return
+		}
+	}
+}
+
+// write writes to the connection unless the path is cut. It reports whether it did.
+func (x *run) write(text string) bool {
+	if x.server.isCut(x.from) {
+		return false
+	}
+	_, err := x.conn.Write([]byte(text))
+	return err == nil
+}
+
+// head returns the first lines of a response.
+func (x *run) head(status int, headers string) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\n%s", status, http.StatusText(status), x.id, headers)
+}
+
+// respond sends a whole response with a length.
+func (x *run) respond(status int, headers, body string) bool {
+	return x.write(x.head(status, headers) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+}
+
+// sign returns the signature of a body, which tells its length.
+func (x *run) sign(body string) string {
+	return fmt.Sprintf("X-Server-Signature: %s.%s.%d\r\n", x.server.id, x.id, len(body))
+}
