review: requests that servers answer with 500 are blamed for crashes and refused with 422

Only answers below 500 acquit a request of crashes. One that all servers answer with a complete 500 is taken for the cause once three servers have crashed that had it in hand, one after the other, and all entry hosts answer it with 422 for minutes.

Order: lookups that fail at every server, a quarter of the load; one of six servers crashes every 5 s.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,11 +7,11 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(s *system, trouble bool) bool{
+	"blamed":  blamed,
 	"drain":   drain,
 	"foreign": foreign,
 	"stale":   stale,
 	"tunnel":  tunnel,
-	"weights": weights,
 }
 
 func main() { os.Exit(play()) }
