review: one request that crashes servers takes a whole service out of use

The first part of the prompts that all requests of a service share is taken for the cause of three crashes by entry hosts that don't know which request was on all three servers. All requests of the service are refused for minutes, with all servers up and idle.

Order: a route is added; 180 clients ask for reports; half a second later one request crashes two of the three servers, then at another entry host the third.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -7,9 +7,9 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(s *system, trouble bool) bool{
-	"blamed":  blamed,
 	"drain":   drain,
 	"foreign": foreign,
+	"shared":  shared,
 	"stale":   stale,
 	"tunnel":  tunnel,
 }
