--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -24,9 +24,10 @@
 	born     int64
 	handler  func(x *run)
 
-	mu   sync.Mutex
-	cut  map[string]bool // addresses from and to which nothing passes
-	open map[net.Conn]bool
+	mu    sync.Mutex
+	cut   map[string]bool // addresses from and to which nothing passes
+	open  map[net.Conn]bool
+	ended bool // by a crash
 }
 
 // run is a request that a server runs.
@@ -44,12 +45,18 @@
 	if err != nil {
 		fail("server: %v", err)
 	}
-	x := &server{system: s, listener: l, id: id, service: service, zone: zone, slots: 48, born: time.Now().UnixMilli(), handler: handler, cut: make(map[string]bool), open: make(map[net.Conn]bool)}
-	go x.accept()
-	x.register("ready")
+	x := &server{system: s, id: id, service: service, zone: zone, slots: 48, handler: handler}
+	x.start(l)
 	return x
 }
 
+// start makes the server serve and register.
+func (s *server) start(l net.Listener) {
+	s.listener, s.born, s.cut, s.open = l, time.Now().UnixMilli(), make(map[string]bool), make(map[net.Conn]bool)
+	go s.accept()
+	s.register("ready")
+}
+
 func (s *server) address() string { return s.listener.Addr().String() }
 
 func (s *server) register(state string) {
@@ -81,20 +88,38 @@
 	return s.cut[ip]
 }
 
-// resetAll resets the open connections, as a crash does.
-func (s *server) resetAll() {
+// crash ends the server and resets its connections, those too that were just accepted.
+func (s *server) crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
+	_ = s.listener.Close()
 	for c := range s.open {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
+		reset(c)
 	}
 }
 
-func (s *server) serve(c net.Conn) {
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+// opened records a connection. It reports false if the server has ended.
+func (s *server) opened(c net.Conn) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		reset(c)
+		return false
+	}
 	s.open[c] = true
-	s.mu.Unlock()
+	return true
+}
+
+func (s *server) serve(c net.Conn) {
+	if !s.opened(c) {
+		return
+	}
 	defer func() {
 		s.mu.Lock()
 		delete(s.open, c)
--- a/review/harness/stale.go
+++ b/review/harness/stale.go
@@ -17,6 +17,7 @@
 		cutFrom  = 500 * time.Millisecond
 		drained  = 3500 * time.Millisecond
 		cutUntil = 3900 * time.Millisecond
+		contact  = 4 * time.Second // ContactMs
 		drain    = 2500 * time.Millisecond
 		lingers  = 16 * time.Second // after which the server that drained ends
 	)
