--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases are the cases by name. Each returns whether the rule was broken.
@@ -29,6 +31,13 @@
 	}()
 	s := newSystem(newRecord(os.Args[2]))
 	defer s.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stopped
+		s.close()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	s.record.say("case %s, disruption: %v", os.Args[1], trouble)
 	if cases[os.Args[1]](s, trouble) {
--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -135,6 +135,11 @@
 
 // remove removes a row.
 func (s *system) remove(table, key string) {
+	defer func() {
+		if x := recover(); x != nil { // the case may have ended
+			s.record.log("%s/%s was not removed: %v", table, key, x)
+		}
+	}()
 	s.commit(map[string]any{"ExpectedRev": []any{}, "Writes": []any{}, "Remove": []any{map[string]any{"Table": table, "part": "", "Key": key}}})
 }
 
