tunnel, lease: a run through another host lasts as long as its lease

A host that reaches no servers sends a stream through another host; that link is cut for a second, the stream goes on at another server after 0.4 to 0.8 s, and the first server works on until the kernel of the host between gives the connection up after 2 s.

Cause: a tunnel was a byte stream. It said neither whether its ends live nor which of them ended: the host between kept a run alive for nobody, and the host behind could not tell the server's end from that of the host between. Class of fault: a connection taken for the life of what is behind it.

Change: core/lease decides how long a node works for another one. The grantor hands out stamps of its own clock, the holder returns the newest; the lease lasts 350 ms from the moment at which the returned stamp was handed out, and the holder relies on its end 350 ms after it last received a stamp. No clocks are compared, and late messages only shorten a lease. io/tunnel renews the lease of all tunnels between two hosts by one small UDP packet each 60 ms, which also names tunnels that were closed, so that a close which hangs or waits behind unsent bytes is known too. The host between resets both connections when the lease ends; reads at the host behind fail with ErrLost only then, so a request goes on elsewhere after the first run has ended. What servers send is framed, so that the server's end, its break-off and the end of the path differ. A lost path is no evidence against the server or the request. A leaving host refuses tunnels and tells the hosts behind it, which do not reuse theirs. A host prefers a few peers, so that it holds few leases. Hosts of earlier versions are served, and used last, as before.

Observability: "attempt" and "leg" name the host in between (through), "tunnel ended" at that host has the reason, "tunnels lost" is logged behind.

--- a/cmd/entry/drain.go
+++ b/cmd/entry/drain.go
@@ -29,6 +29,7 @@
 func (n *Node) Drain() {
 	n.drainOnce.Do(func() {
 		n.draining.Store(true)
+		n.tunnels.Drain()
 		now := time.Now()
 		n.handler.Drain(now.Add(streamAcceptTime), now.Add(time.Duration(requestAcceptShare*float64(n.settings.grace))))
 		n.recorder.Record("draining", relay.Fields{"running": n.handler.Running()})
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -30,9 +30,9 @@
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
 	"cicadabeam/io/httpserver"
-	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
 	"cicadabeam/io/serverpath"
+	"cicadabeam/io/tunnel"
 	"cicadabeam/platform"
 )
 
@@ -89,7 +89,7 @@
 	peers                peers
 	causes               storedCauses
 	partition            *partition.Detector
-	tunnels              neighbour.Tunnels
+	tunnels              *tunnel.Node
 	dialer               *serverpath.Dialer // of connections to servers
 }
 
@@ -101,9 +101,9 @@
 	}
 	n.pool.From(s.source)
 	n.partition = partition.NewDetector()
+	n.tunnels = tunnel.New(n.dialForPeer, n.recordTunnel)
 	n.dialer = n.newDialer()
 	n.pool.Use(serverPaths{n})
-	n.tunnels.Dial = n.dialForPeer
 	n.logWriter = newLogWriter(out, s.name, func() { n.metrics.countDropped("any", "output") })
 	n.eras = freshness.NewEras(uptime, n.handleRise)
 	n.store = platform.NewStoreClient(s.platform, s.name).WithEras(n.eras)
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -75,7 +75,16 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other entry hosts (setting neighbours)")
 	}
-	g.Add(func() error { return neighbour.Serve(l, n, &n.tunnels) }, func(error) { _ = l.Close() })
+	g.Add(func() error { return neighbour.Serve(l, n, n.tunnels) }, func(error) { _ = l.Close() })
+	a, err := net.ResolveUDPAddr("udp", l.Addr().String())
+	if err != nil {
+		return errors.Wrap(err, "address for leases (setting neighbours)")
+	}
+	u, err := net.ListenUDP("udp", a)
+	if err != nil {
+		return errors.Wrap(err, "listen for leases (setting neighbours)")
+	}
+	g.Add(func() error { return n.tunnels.ServeLeases(u) }, func(error) { _ = u.Close() })
 	return nil
 }
 
@@ -198,7 +207,7 @@
 		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Limits: n.fleet.LimitReport(now),
-		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Brittle: n.fleet.BrittleReport(now),
+		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Leases: true, Brittle: n.fleet.BrittleReport(now),
 	}
 	return x
 }
--- a/cmd/entry/server_paths.go
+++ b/cmd/entry/server_paths.go
@@ -7,17 +7,22 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/fleet"
-	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
 	"cicadabeam/io/serverpath"
+	"cicadabeam/io/tunnel"
 )
 
 const (
 	// pathPeers is how many peers are tried.
 	pathPeers = 2
+	// preferredPeers is how many peers of a data centre, or of the others, a node goes through, and
+	// plainRank ranks a peer that grants no leases behind all others.
+	preferredPeers = 2
+	plainRank      = 1 << 20
 	// partitionCheckInterval is the time between two checks whether this node is partitioned, and
 	// minProbeInterval to maxProbeInterval that between two probes while it is.
 	partitionCheckInterval = 100 * time.Millisecond
@@ -53,11 +58,35 @@
 // newDialer returns the dialer of connections to servers.
 func (n *Node) newDialer() *serverpath.Dialer {
 	return &serverpath.Dialer{
-		Direct: n.pool.Dial, Through: neighbour.DialThrough, Nodes: func() []string { return n.peersWithPath(time.Now()) },
+		Direct: n.pool.Dial, Through: n.dialThrough, Nodes: func() []string { return n.peersWithPath(time.Now()) },
 		Partitioned: n.partition.Partitioned, OnDirect: n.partition.RecordConnected, OnIndirect: n.recordIndirect,
 	}
 }
 
+// dialThrough connects to a server through the peer at an address.
+func (n *Node) dialThrough(ctx context.Context, peer, server string) (net.Conn, error) {
+	if n.grantsLeases(peer) {
+		return n.tunnels.Dial(ctx, peer, server)
+	}
+	return tunnel.DialPlain(ctx, peer, server)
+}
+
+func (n *Node) grantsLeases(address string) bool {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	for _, p := range n.peers.all {
+		if p.host.Address == address {
+			return p.report.Leases
+		}
+	}
+	return false
+}
+
+// recordTunnel implements tunnel.Record.
+func (n *Node) recordTunnel(event, peer, server string, end tunnel.End, lasted time.Duration) {
+	n.recorder.Record(event, relay.Fields{"peer": peer, "address": server, "reason": string(end), "ms": lasted.Milliseconds()})
+}
+
 // recordIndirect records that only a peer could connect to a server.
 func (n *Node) recordIndirect(address string) {
 	now := time.Now()
@@ -68,17 +97,18 @@
 }
 
 // peersWithPath returns the addresses of some live peers that are not known to be partitioned
-// themselves: at random, one of this data centre and one of another one of the region first.
+// themselves: one of this data centre and one of another one of the region first, of a few that this
+// node prefers, so that it holds few leases. Peers that grant none come last.
 func (n *Node) peersWithPath(now time.Time) []string {
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
 	self := n.self()
 	type candidate struct {
-		address string
-		rank    int
+		address    string
+		preference uint64
+		rank       int
 	}
-	var all []candidate
-	var seen [3]int
+	var all [3][]candidate
 	for _, p := range n.peers.all {
 		if !p.live(now) || p.report.Leaving || p.report.Partitioned {
 			continue
@@ -90,17 +120,24 @@
 		case p.host.Region == self.Region:
 			place = 1
 		}
-		all = append(all, candidate{p.host.Address, place})
+		all[place] = append(all[place], candidate{address: p.host.Address, preference: xxhash.Sum64String(self.Name + "\x00" + p.host.Name)})
+		if !p.report.Leases {
+			all[place][len(all[place])-1].rank = plainRank
+		}
 	}
-	rand.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
-	for i := range all {
-		place := all[i].rank
-		all[i].rank += len(seen) * seen[place]
-		seen[place]++
+	var ranked []candidate
+	for place, c := range all {
+		sort.Slice(c, func(a, b int) bool { return c[a].preference < c[b].preference })
+		preferred := c[:min(len(c), preferredPeers)]
+		rand.Shuffle(len(preferred), func(a, b int) { preferred[a], preferred[b] = preferred[b], preferred[a] })
+		for i := range c {
+			c[i].rank += len(all)*i + place
+		}
+		ranked = append(ranked, c...)
 	}
-	sort.SliceStable(all, func(a, b int) bool { return all[a].rank < all[b].rank })
+	sort.Slice(ranked, func(a, b int) bool { return ranked[a].rank < ranked[b].rank })
 	addresses := make([]string, 0, pathPeers)
-	for _, c := range all[:min(len(all), pathPeers)] {
+	for _, c := range ranked[:min(len(ranked), pathPeers)] {
 		addresses = append(addresses, c.address)
 	}
 	return addresses
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -305,8 +305,19 @@
 	}
 }
 
+// Through returns the address of the node in between, "" for a direct connection.
+func (c *Conn) Through() string {
+	if x, ok := c.net.(interface{ Through() string }); ok {
+		return x.Through()
+	}
+	return ""
+}
+
 // isIdle reports whether the connection is open and has no data to read.
 func (c *Conn) isIdle() bool {
+	if x, ok := c.net.(interface{ Reusable() bool }); ok && !x.Reusable() {
+		return false
+	}
 	s, ok := c.net.(syscall.Conn)
 	if !ok {
 		return false
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -7,10 +7,10 @@
 //	go neighbour.Serve(listener, handler)
 //	c := neighbour.NewClient("10.1.0.7:7200")
 //	theirs, err := c.Exchange(ours, deadline)
-//	conn, err := neighbour.DialThrough(ctx, "10.1.0.7:7200", server)
 package neighbour
 
 import (
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
@@ -27,6 +27,7 @@
 	"cicadabeam/core/slotshare"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/tcp"
+	"cicadabeam/io/tunnel"
 )
 
 const (
@@ -75,6 +76,7 @@
 	Partitioned    bool // the node reaches no server itself
 	// ServerAge is the time since a server last responded to the node itself, negative if none has.
 	ServerAge time.Duration
+	Leases    bool // the node grants leases for tunnels
 }
 
 // DataCentreReport is the aggregated report of a data centre. One of its nodes compiles
@@ -197,9 +199,14 @@
 	return nil
 }
 
+// Tunnels serves connections that are to become tunnels, after their first byte was read.
+type Tunnels interface {
+	ServeConn(c net.Conn, mark byte)
+}
+
 // Serve handles connections from other nodes until the listener is closed. Without t it opens no
 // tunnels.
-func Serve(l net.Listener, h Handler, t *Tunnels) error {
+func Serve(l net.Listener, h Handler, t Tunnels) error {
 	s := rpc.NewServer()
 	if err := s.RegisterName(serviceName, &methods{handler: h}); err != nil {
 		return errors.Wrap(err, "neighbour: register")
@@ -340,3 +347,33 @@
 		c.rpc = nil
 	}
 }
+
+// markedConn is a connection of which the first byte was read.
+type markedConn struct {
+	net.Conn
+	first []byte
+}
+
+// Read implements net.Conn.
+func (c *markedConn) Read(b []byte) (int, error) {
+	if len(c.first) > 0 && len(b) > 0 {
+		n := copy(b, c.first)
+		c.first = c.first[n:]
+		return n, nil
+	}
+	return c.Conn.Read(b)
+}
+
+// serveConn serves a connection by its first byte.
+func serveConn(c net.Conn, rpc func(io.ReadWriteCloser), t Tunnels) {
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(c, first); err != nil {
+		_ = c.Close()
+		return
+	}
+	if t != nil && (first[0] == tunnel.PlainMark || first[0] == tunnel.Mark) {
+		t.ServeConn(c, first[0])
+		return
+	}
+	rpc(&markedConn{Conn: c, first: first})
+}
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -13,6 +13,7 @@
 	"cicadabeam/core/serverlimit"
 	"cicadabeam/core/slotshare"
 	"cicadabeam/io/http1"
+	"cicadabeam/io/tunnel"
 )
 
 // errDeclines is the reason why a probe or a query is not sent.
@@ -90,6 +91,10 @@
 	return s.HealthPath
 }
 
+// pathLost reports whether an attempt ended with the path to its server, through another node. That
+// says nothing of the server.
+func pathLost(err error) bool { return errors.Is(err, tunnel.ErrLost) }
+
 func (h *Handler) partitioned() bool {
 	return h.Dependencies.Partitioned != nil && h.Dependencies.Partitioned()
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -179,7 +179,7 @@
 	}
 	s.h.crashDetector.awaitEvaluation(s.ctx, s.exchange)
 	switch {
-	case !s.h.crashDetector.maySend(s.exchange, a.outcome == broken):
+	case !s.h.crashDetector.maySend(s.exchange, a.outcome == broken && !pathLost(a.err)):
 		s.denied = "quarantine"
 		s.fail("answer", errQuarantined.Error())
 		return false
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -169,6 +169,10 @@
 // recordLoss handles a connection that ended during an attempt. A deadline that has passed
 // says nothing about the server.
 func (s *stream) recordLoss(a *streamAttempt) {
+	if pathLost(a.err) {
+		a.conn.Close()
+		return
+	}
 	if a.response == nil {
 		a.keepConn = true
 		s.abandon(a.conn)
@@ -478,6 +482,9 @@
 	if a.backup != nil {
 		f["backup"] = a.backup.ID()
 	}
+	if a.conn != nil && a.conn.Through() != "" {
+		f["through"] = a.conn.Through()
+	}
 	if a.err != nil {
 		f["error"] = a.err.Error()
 	}
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -48,7 +48,8 @@
 	// connectionFailed is set if no connection could be made or it ended before the
 	// head of the response was read.
 	connectionFailed bool
-	serverLost       bool // contact with the server had been lost before the request was sent
+	through          string // node between, if any
+	serverLost       bool   // contact with the server had been lost before the request was sent
 }
 
 func (a *attempt) status() int {
@@ -204,7 +205,7 @@
 		a.err = errors.New("a response was sent to the caller before the request could be sent")
 		return
 	}
-	a.outcome = broken
+	a.outcome, a.through = broken, c.Through()
 	a.connectionFailed = true
 	a.serverLost = a.member.Lost()
 	if a.err = c.Send(request, x.deadline); a.err != nil {
@@ -249,6 +250,7 @@
 func (x *exchange) recordOutcome(a *attempt, elapsed time.Duration) {
 	now := time.Now()
 	interrupted := a.outcome == broken
+	a.connectionFailed = a.connectionFailed && !pathLost(a.err)
 	switch {
 	case a.outcome == answered:
 		x.evaluateResponse(a, elapsed, now)
@@ -258,13 +260,16 @@
 	default:
 		x.h.recordLoss(a.member, now)
 	}
-	if interrupted {
+	if interrupted && !pathLost(a.err) {
 		x.h.crashDetector.watchServer(x, a.member, true, a.serverLost, a.err)
 	}
 	if a.outcome != answered {
 		a.closeUnread()
 	}
 	f := Fields{"request": x.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "status": a.status(), "ms": ms(elapsed)}
+	if a.through != "" {
+		f["through"] = a.through
+	}
 	if a.err != nil {
 		f["error"] = a.err.Error()
 	}
