tunnel: a lease that is just dropped takes no tunnel, one that was never used is dropped

What callers saw: nothing so far. A request whose tunnel is opened in the moment in which the last closed tunnel of its lease is forgotten fails to connect, and its server counts as lost.

Cause: whether a lease is idle and that it is over were decided under the lock one after the other, so that Dial could take a lease in between. A lease whose first Dial failed had no goroutine that ends it and stayed for ever.

Change: both are decided in one step, and Dial begins another lease where it finds one that is over. A lease without tunnels ends with its last Dial.

Evidence: TestLeaseInUseIsNotDropped fails before in 3 of 3 runs ("the lease has ended"), TestLeasesWithoutTunnelsAreDropped in 3 of 3 (2 leases are held); both pass after, twice with -race, with all tests of the package.

--- a/io/tunnel/leases.go
+++ b/io/tunnel/leases.go
@@ -109,20 +109,33 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h := n.leases[node]
-	if h == nil {
-		h = &held{owner: n, node: node, id: rand.Uint64(), conns: make(map[uint32]*Conn)}
+	if h == nil || !h.beginOpening() {
+		h = &held{owner: n, node: node, id: rand.Uint64(), conns: make(map[uint32]*Conn), opening: 1}
 		n.leases[node], n.held[h.id] = h, h
 	}
+	return h
+}
+
+// beginOpening reports whether a tunnel may be opened under the lease.
+func (h *held) beginOpening() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.lost {
+		return false
+	}
 	h.opening++
-	return h
+	return true
 }
 
 func (h *held) endOpening() {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	h.opening--
+	unused := !h.running && h.opening == 0
+	h.lost = h.lost || unused
+	h.mu.Unlock()
+	if unused {
+		h.owner.drop(h)
+	}
 }
 
 // drop forgets a lease, so that the next tunnel through the node begins another one.
@@ -192,13 +205,14 @@
 	h.reports = slices.DeleteFunc(h.reports, func(c closedTunnel) bool { return !now.Before(c.until) })
 	idle := len(h.conns) == 0 && len(h.reports) == 0 && h.opening == 0
 	left := h.holder.Until().Sub(now)
+	done = idle || left <= 0
+	h.lost = h.lost || done
 	packet = appendStamp(binary.BigEndian.AppendUint64([]byte{packetRenewal}, h.id), h.holder.Latest())
 	for _, c := range h.reports {
 		packet = binary.BigEndian.AppendUint32(packet, c.number)
 	}
 	h.mu.Unlock()
-	switch {
-	case idle, left <= 0:
+	if done {
 		h.lose()
 		return nil, 0, true
 	}
