relay: a draining host accepts only what ends before it does

What callers saw: a request that a host had read 5.2 s after its SIGTERM, on a connection that the caller had kept, was passed on to a server and cut at 7.4 s.

Cause: acceptance by the time of arrival only, 2.8 s for streams and 0.7 of the grace for others, whatever the deadline; 1.76 s were left in the worst case.

Now the time left until the cut (0.92 of the grace) is compared with the request's deadline, the earlier of the caller's and the route's timeout. What may outlast it is refused at once with 503 and its connection closed. For 2.8 s, when the load balancer may still send a refused caller back, a request is also accepted if its route's requests usually end in time (smoothed mean and four deviations, as in TCP) or if it can be resumed. Once new connections go elsewhere, Retry-After is a fifth of the route's goal, 0.05 to 0.3 s; 0.3 s was later than a goal of 250 ms.

Tests, red before: TestShutdownCutsNoLongResponseItHasAccepted (requests sent 5.2 and 5.5 s after the SIGTERM cut), TestShutdownAnswersRequestsThatCannotFinish. The latter asked for 502 to a booking that came 5 s after the SIGTERM; that one is to be refused before a server gets it. The test now asks for that, for 504 to one whose timeout passes just before the end, and for 502 to a stream without a response when the host stops. TestDrainingHandler passed the host times of refusal and has the new ones; it also refuses a booking now and counts what reached the server.

--- a/cmd/entry/drain.go
+++ b/cmd/entry/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/drain"
 	"cicadabeam/io/relay"
 )
 
@@ -17,11 +18,10 @@
 	balancerDelay = 3200 * time.Millisecond
 	// drainTimeoutShare is the share of the grace period that a drain may take.
 	drainTimeoutShare = 0.92
-	// streamAcceptTime is how long new streams are accepted during a drain, and
-	// requestAcceptShare the share of the grace period during which other requests are.
-	streamAcceptTime   = 2800 * time.Millisecond
-	requestAcceptShare = 0.7
-	drainPollInterval  = 20 * time.Millisecond
+	// earlyDrainTime is how long requests are accepted during a drain that may not end in
+	// time. Later, only those are whose deadline passes before the end.
+	earlyDrainTime    = 2800 * time.Millisecond
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // Drain starts a drain and returns. Run returns when the requests in flight have finished,
@@ -31,7 +31,10 @@
 		n.draining.Store(true)
 		n.tunnels.Drain()
 		now := time.Now()
-		n.handler.Drain(now.Add(streamAcceptTime), now.Add(time.Duration(requestAcceptShare*float64(n.settings.grace))))
+		n.drainWindow = drain.Window{
+			Early: now.Add(earlyDrainTime), Noticed: now.Add(balancerDelay), End: now.Add(time.Duration(drainTimeoutShare * float64(n.settings.grace))),
+		}
+		n.handler.Drain(n.drainWindow)
 		n.recorder.Record("draining", relay.Fields{"running": n.handler.Running()})
 		close(n.drainStarted)
 	})
@@ -44,8 +47,7 @@
 		return ctx.Err()
 	case <-n.drainStarted:
 	}
-	now := time.Now()
-	earliest, end := now.Add(balancerDelay), now.Add(time.Duration(drainTimeoutShare*float64(n.settings.grace)))
+	earliest, end := n.drainWindow.Noticed, n.drainWindow.End
 	for ctx.Err() == nil && time.Now().Before(end) {
 		if n.handler.Running() == 0 && n.tunnels.Count() == 0 && time.Now().After(earliest) {
 			break
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -23,6 +23,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/sys/unix"
 
+	"cicadabeam/core/drain"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/partition"
@@ -83,6 +84,7 @@
 	syncedOnce           sync.Once
 	drainStarted         chan struct{}
 	drainOnce            sync.Once
+	drainWindow          drain.Window // set before drainStarted is closed
 	hosts                *records.HostStore
 	directory            directory
 	registeredAt         time.Duration // uptime of the last registration; used by maintainRegistration only
--- /dev/null
+++ b/core/drain/drain_test.go
@@ -0,0 +1,107 @@
+package drain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadabeam/core/drain"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func seconds(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+// A host that stops 7.4 s later cuts no request that it accepts 3 s after the stop began or later.
+func TestAcceptsWhatEndsBeforeTheHost(t *testing.T) {
+	w := drain.Window{Early: seconds(2.8), Noticed: seconds(3.2), End: seconds(7.4)}
+	for _, x := range []struct {
+		arrived, deadline, usual    float64 // usual is 0 if it is unknown
+		repeatable, resumable, want bool
+	}{
+		{arrived: 0.1, deadline: 4.1, want: true},
+		{arrived: 3.3, deadline: 7.3, want: true},
+		{arrived: 3.3, deadline: 7.4, want: true},
+		{arrived: 3.5, deadline: 7.5, repeatable: true},
+		{arrived: 5.2, deadline: 9.2, usual: 0.01, repeatable: true},
+		{arrived: 5.2, deadline: 6.7, want: true},
+		{arrived: 1, deadline: 26, usual: 2, want: true},
+		{arrived: 1, deadline: 26, usual: 6.5, repeatable: true},
+		{arrived: 1, deadline: 26, repeatable: true, want: true},
+		{arrived: 1, deadline: 26},
+		{arrived: 1, deadline: 26, usual: 6.5, repeatable: true, resumable: true, want: true},
+		{arrived: 3, deadline: 26, usual: 1, repeatable: true, resumable: true},
+	} {
+		r := drain.Request{Arrived: seconds(x.arrived), Deadline: seconds(x.deadline), Usual: seconds(x.usual).Sub(start), Known: x.usual > 0, Repeatable: x.repeatable, Resumable: x.resumable}
+		if got := w.Accepts(r); got != x.want {
+			t.Errorf("%+v: got %v", x, got)
+		}
+	}
+}
+
+// A caller that tries again at once comes to the same host until new connections go elsewhere.
+func TestRetryAt(t *testing.T) {
+	w := drain.Window{Early: seconds(2.8), Noticed: seconds(3.2), End: seconds(7.4)}
+	for _, x := range []struct {
+		at         float64
+		goal, want time.Duration
+	}{
+		{1, 250 * time.Millisecond, 300 * time.Millisecond},
+		{3.1, 250 * time.Millisecond, 300 * time.Millisecond},
+		{3.2, 250 * time.Millisecond, 50 * time.Millisecond},
+		{7, 10 * time.Millisecond, 50 * time.Millisecond},
+		{7, time.Second, 200 * time.Millisecond},
+		{7, 4500 * time.Millisecond, 300 * time.Millisecond},
+		{7, 0, 300 * time.Millisecond},
+	} {
+		if got := w.RetryAt(x.goal, seconds(x.at)).Sub(seconds(x.at)); got != x.want {
+			t.Errorf("%+v: the caller is to wait %v", x, got)
+		}
+	}
+}
+
+func TestUsualDuration(t *testing.T) {
+	var d drain.Durations
+	if _, known := d.Usual("reports", start); known {
+		t.Error("a duration is known before the first request")
+	}
+	d.Record("reports", 2*time.Second, start)
+	if got, known := d.Usual("reports", start); !known || got != 6*time.Second {
+		t.Errorf("got %v, %v after one request of 2 s", got, known)
+	}
+	for range 50 {
+		d.Record("reports", 2*time.Second, start)
+	}
+	if got, _ := d.Usual("reports", start); got < 2*time.Second || got > 2100*time.Millisecond {
+		t.Errorf("got %v after many requests of 2 s", got)
+	}
+	for i := range 50 {
+		d.Record("reports", time.Duration(1+i%3)*time.Second, start)
+	}
+	if got, _ := d.Usual("reports", start); got < 3*time.Second {
+		t.Errorf("got %v after requests of 1 to 3 s", got)
+	}
+}
+
+// A configuration may rename its routes again and again.
+func TestDurationsOfRoutesWithoutRequestsAreForgotten(t *testing.T) {
+	var d drain.Durations
+	d.Record("old", time.Second, start)
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * time.Minute)
+		d.Record(fmt.Sprint("route-", i), time.Second, now)
+		d.Record("kept", time.Second, now)
+	}
+	now := start.Add(20 * time.Minute)
+	for _, route := range []string{"old", "route-1"} {
+		if _, known := d.Usual(route, now); known {
+			t.Errorf("the duration of %s is still known", route)
+		}
+	}
+	if _, known := d.Usual("kept", now); !known {
+		t.Error("the duration of a route with requests was forgotten")
+	}
+	if _, known := d.Usual("kept", now.Add(time.Hour)); known {
+		t.Error("a duration is known an hour after the last request")
+	}
+}
--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -14,23 +14,6 @@
 	"cicadabeam/core/fault"
 )
 
-// checkDraining refuses a request that arrives too late to finish before the node
-// shuts down.
-func (x *exchange) checkDraining() *fault.Error {
-	d := x.h.draining.Load()
-	if d == nil {
-		return nil
-	}
-	refuseFrom := d.refuseUnaryFrom
-	if x.route.Kind.IsStream() {
-		refuseFrom = d.refuseStreamsFrom
-	}
-	if x.arrived.Before(refuseFrom) {
-		return nil
-	}
-	return notRunError(fault.Draining, "admit", "this entry host is shutting down", retryAfterNoServer)
-}
-
 // startupWait is how long after the start of the node requests wait for the first
 // responses of the store, which arrive within some 10 ms.
 const startupWait = 300 * time.Millisecond
@@ -72,9 +55,6 @@
 		return fault.Newf(fault.NotFound, "route", "", "no route matches this host and path")
 	}
 	x.route = route
-	if err := x.checkDraining(); err != nil {
-		return err
-	}
 	if err := x.authorise(stale, age); err != nil {
 		return err
 	}
@@ -92,7 +72,7 @@
 	}
 	x.deadline = x.arrived.Add(timeout - x.readDelay)
 	x.uptimeDeadline = x.h.Uptime() + time.Until(x.deadline)
-	return nil
+	return x.checkDraining()
 }
 
 // setService sets the service that the request is sent to.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -16,6 +16,7 @@
 	"cicadabeam/core/crashcause"
 	"cicadabeam/core/deferral"
 	"cicadabeam/core/dispatch"
+	"cicadabeam/core/drain"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
@@ -75,7 +76,8 @@
 type Handler struct {
 	Dependencies
 	started           time.Time
-	draining          atomic.Pointer[drainTimes]
+	draining          atomic.Pointer[drain.Window]
+	durations         drain.Durations
 	inFlight          atomic.Int64
 	firstEventMonitor *firstEventMonitor
 	crashDetector     *crashDetector
@@ -91,20 +93,6 @@
 	return h
 }
 
-// drainTimes are the times from which a node that is shutting down refuses new
-// requests.
-type drainTimes struct {
-	refuseStreamsFrom time.Time
-	refuseUnaryFrom   time.Time
-}
-
-// Drain closes each caller's connection after its response. It refuses streams and
-// unary requests that arrive at or after the given times, as they could not finish
-// before the process exits.
-func (h *Handler) Drain(refuseStreamsFrom, refuseUnaryFrom time.Time) {
-	h.draining.Store(&drainTimes{refuseStreamsFrom: refuseStreamsFrom, refuseUnaryFrom: refuseUnaryFrom})
-}
-
 // Running returns the number of requests in flight.
 func (h *Handler) Running() int64 { return h.inFlight.Load() }
 
@@ -233,6 +221,7 @@
 	budget := h.budget(x.service.Name)
 	budget.Begin(x.arrived)
 	defer budget.End()
+	defer x.recordDuration()
 	if x.route.Kind.IsStream() {
 		x.serveStream()
 		return
@@ -264,8 +253,11 @@
 		err := fault.Newf(fault.ServerBusy, step, "", "the servers of the service are brittle, and this entry host's part of their slots is in use")
 		return err.WithRetryAt(now.Add(retryAfterNoServer + rand.N(retryAfterBrittle)))
 	}
+	if code == fault.Draining {
+		return x.drainingError(step, text)
+	}
 	earliest, found := x.h.Fleet.Relief(x.service.Name, now)
-	if !found || code == fault.Draining || code == fault.CallerLeft {
+	if !found || code == fault.CallerLeft {
 		return notRunError(code, step, text, retryAfterNoServer)
 	}
 	err := fault.Newf(fault.ServerBusy, step, "", "all servers of the service turned requests away, or named limits, and take none now")
--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -1,12 +1,17 @@
 package entry
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -102,21 +107,44 @@
 	}
 }
 
-// A request that cannot end before the node stops gets an error response.
+// A request that was accepted and does not end before the node stops gets an error response. One that
+// comes later and may not end in time is refused at once, and its caller sent elsewhere.
 func TestShutdownAnswersRequestsThatCannotFinish(t *testing.T) {
 	t.Parallel()
 	s := start(t, 1)
-	s.addServer("s1", "orders", backend.ForPath("/buy/1", backend.NoResponse(), backend.Respond(200, "ok")))
+	orders := s.addServer("s1", "orders", backend.ForPath("/buy/1", backend.NoResponse(), backend.Respond(200, "ok")))
+	s.addServer("s2", "llm", backend.NoResponse())
 	n := s.nodes[0]
 	s.awaitStatus(n, "/buy/2", "key-1", 200, testTimeout)
+	stream, kept, refused := s.keepConnection(n), s.keepConnection(n), s.keepConnection(n)
+	if got := kept.send("/buy/2", 20*time.Second); got.status != 200 {
+		t.Fatalf("the first request of a connection got status %d", got.status)
+	}
+	if got := refused.send("/buy/2", 20*time.Second); got.status != 200 {
+		t.Fatalf("the first request of a connection got status %d", got.status)
+	}
 	stopped := time.Now()
 	n.Terminate()
 	time.Sleep(2500 * time.Millisecond)
-	go func() { _, _ = n.send("/buy/1", "key-1") }() // keeps the node from ending before the next one
-	time.Sleep(2500 * time.Millisecond)
-	status, _ := n.send("/buy/1", "key-1")
-	if status != 502 {
-		t.Errorf("the request got status %d, want 502", status)
+	cut, timedOut := make(chan keptResult, 1), make(chan keptResult, 1)
+	go func() { cut <- stream.send("/report/1", 20*time.Second) }()
+	time.Sleep(700 * time.Millisecond)
+	go func() { timedOut <- kept.send("/buy/1", 20*time.Second) }() // its route's timeout passes just before the end
+	time.Sleep(1800 * time.Millisecond)
+	before := len(orders.Requests())
+	began := time.Now()
+	got := refused.send("/buy/1", 20*time.Second)
+	if got.status != 503 || !got.closes || got.retryAfter != "0.05" || time.Since(began) > time.Second {
+		t.Errorf("a request that may not end in time got %+v after %v, want status 503 at once", got, time.Since(began))
+	}
+	if len(orders.Requests()) != before {
+		t.Error("a request that was refused reached a server")
+	}
+	if got := <-timedOut; got.status != 504 || got.err != nil {
+		t.Errorf("an accepted request without a response got %+v, want status 504", got)
+	}
+	if got := <-cut; got.status != 502 || got.err != nil {
+		t.Errorf("a request without a response when the node stopped got %+v, want status 502", got)
 	}
 	select {
 	case <-n.Exited():
@@ -125,6 +153,96 @@
 	}
 }
 
+// Callers send one more request on connections that they have kept while the node stops.
+func TestShutdownCutsNoLongResponseItHasAccepted(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	s.addServer("s1", "orders", backend.ForPath("/buy/long", slowLongResponse(2400*time.Millisecond), backend.Respond(200, "ok")))
+	s.addServer("s2", "llm", backend.Stream(10000, 0, 20*time.Millisecond, nil))
+	n := s.nodes[0]
+	s.awaitStatus(n, "/buy/1", "key-1", 200, testTimeout)
+	after := []time.Duration{0, 2 * time.Second, 3200 * time.Millisecond, 4 * time.Second, 4500 * time.Millisecond, 5200 * time.Millisecond, 5500 * time.Millisecond, 6 * time.Second}
+	conns := make([]*keptConnection, len(after))
+	for i := range conns {
+		conns[i] = s.keepConnection(n)
+		if got := conns[i].send("/buy/1", 4*time.Second); got.status != 200 {
+			t.Fatalf("the first request of a connection got status %d", got.status)
+		}
+	}
+	go func() { _, _ = n.send("/report/1", "key-1") }() // keeps the node at work to the end
+	time.Sleep(200 * time.Millisecond)
+	stopped := time.Now()
+	n.Terminate()
+	results := make([]keptResult, len(conns))
+	var g sync.WaitGroup
+	for i, c := range conns {
+		g.Go(func() {
+			time.Sleep(time.Until(stopped.Add(after[i])))
+			results[i] = c.send("/buy/long", 4*time.Second)
+		})
+	}
+	g.Wait()
+	for i, got := range results {
+		switch {
+		case got.err != nil:
+			t.Errorf("the connection of a request sent %v after the stop began ended early: %+v", after[i], got)
+		case after[i] <= 3200*time.Millisecond && got.status != 200, got.status != 200 && got.status != 503, got.status == 503 && !got.closes:
+			t.Errorf("a request sent %v after the stop began got %+v", after[i], got)
+		}
+	}
+}
+
+// slowLongResponse responds with more than an entry host buffers, in the given time.
+func slowLongResponse(took time.Duration) backend.Step {
+	const parts = 100
+	part := strings.Repeat("0123456789abcde\n", 256)
+	return func(c *backend.Conn, r *http.Request, _ []byte) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("X-Request-Id"), parts*len(part))
+		for i := 0; i < parts && err == nil; i++ {
+			time.Sleep(took / parts)
+			_, err = io.WriteString(c, part)
+		}
+		return err == nil
+	}
+}
+
+// keptConnection is a caller's connection that it keeps for several requests.
+type keptConnection struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	sent   int
+}
+
+func (s *system) keepConnection(n *node) *keptConnection {
+	s.t.Helper()
+	c, err := net.Dial("tcp", n.CallerAddress())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	return &keptConnection{conn: c, reader: bufio.NewReader(c)}
+}
+
+type keptResult struct {
+	status     int
+	retryAfter string
+	closes     bool
+	err        error // the response is not complete
+}
+
+func (c *keptConnection) send(path string, deadline time.Duration) keptResult {
+	c.sent++
+	_ = c.conn.SetDeadline(time.Now().Add(deadline + time.Second))
+	_, _ = fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: test.example\r\nX-Request-Id: %s-%d\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n",
+		path, c.conn.LocalAddr(), c.sent, deadline.Milliseconds())
+	r, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return keptResult{err: err}
+	}
+	_, err = io.ReadAll(r.Body)
+	return keptResult{status: r.StatusCode, retryAfter: r.Header.Get("Retry-After"), closes: r.Close, err: err}
+}
+
 // A node that starts while the store does not respond has no state. It refuses all requests
 // with 503, is not ready, and serves once the store responds.
 func TestRestartWithoutStore(t *testing.T) {
--- a/test/relay/refusal_test.go
+++ b/test/relay/refusal_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cicadabeam/core/drain"
 	"cicadabeam/core/freshness"
 	"cicadabeam/test/standin/backend"
 )
@@ -50,20 +51,48 @@
 	}
 }
 
-// During a shutdown, calls that can still finish are served and close the caller's
-// connection, and streams, which could not finish, are refused.
+// During a shutdown, requests that surely end in time are served and close the caller's
+// connection. Others are refused, and nothing of them reaches a server.
 func TestDrainingHandler(t *testing.T) {
 	h := newHarness(t)
-	h.startServer("buy", "a", backend.Respond(200, "ok"))
+	s := h.startServer("buy", "a", backend.Respond(200, "ok"))
 	h.startServer("report", "a", backend.Stream(3, 0, 0, nil))
+	short := func(r *http.Request) { setTokenUsage(r); r.Header.Set("X-Deadline-Ms", "900") }
 	now := time.Now()
-	h.handler.Drain(now.Add(-time.Second), now.Add(time.Minute))
-	got := h.send(http.MethodPost, "/buy/1", nil)
+	h.handler.Drain(drain.Window{Early: now.Add(-time.Second), Noticed: now.Add(-time.Second), End: now.Add(1500 * time.Millisecond)})
+	got := h.send(http.MethodPost, "/buy/1", short)
 	h.checkResponse(got, 200, "ok")
 	if !got.closes {
 		t.Error("the response does not close the connection")
 	}
-	h.checkResponse(h.send(http.MethodPost, "/report/1", setTokenUsage), 503, "")
+	h.checkResponse(h.send(http.MethodPost, "/report/1", short), 200, "")
+	for _, path := range []string{"/buy/1", "/report/1"} {
+		got := h.send(http.MethodPost, path, setTokenUsage)
+		h.checkResponse(got, 503, "")
+		if wait := got.header.Get("Retry-After"); !got.closes || wait != "0.05" {
+			t.Errorf("%s: the refusal closes the connection: %v, Retry-After %q", path, got.closes, wait)
+		}
+	}
+	h.checkRequestCount(s, 1)
+}
+
+// While the load balancer has not noticed a shutdown, requests are accepted that usually end in time or
+// can be resumed, although their timeout doesn't pass before the end.
+func TestDrainingHandlerAcceptsWhatUsuallyEnds(t *testing.T) {
+	h := newHarness(t)
+	h.startServer("report", "a", backend.Stream(3, 0, 10*time.Millisecond, nil))
+	h.startServer("once", "a", backend.Stream(3, 0, 10*time.Millisecond, nil))
+	h.startServer("read", "a", backend.Respond(200, "ok"))
+	buy := h.startServer("buy", "a", backend.Delay(800*time.Millisecond, backend.Respond(200, "ok")))
+	h.checkResponse(h.send(http.MethodGet, "/read/1", nil), 200, "")
+	h.checkResponse(h.send(http.MethodPost, "/buy/1", nil), 200, "")
+	now := time.Now()
+	h.handler.Drain(drain.Window{Early: now.Add(time.Second), Noticed: now.Add(time.Second), End: now.Add(1500 * time.Millisecond)})
+	h.checkResponse(h.send(http.MethodPost, "/report/1", setTokenUsage), 200, "")
+	h.checkResponse(h.send(http.MethodGet, "/read/2", nil), 200, "")
+	h.checkResponse(h.send(http.MethodPost, "/buy/2", nil), 503, "")            // such requests take up to 2.4 s
+	h.checkResponse(h.send(http.MethodPost, "/once/1", setTokenUsage), 503, "") // unknown, and can't be repeated
+	h.checkRequestCount(buy, 1)
 }
 
 // Malformed, ambiguous and oversized requests: no server gets part of one as a body, or a
