entry: streams of several software versions go on after the loss of all hosts

What callers saw: all hosts lose power while two software versions of a service serve; every stream that a caller took up afterwards was refused with 503 stream_version_unknown (LOST).

Cause: which version began a stream was known to hosts only. The store had the versions that a service had, not the streams.

While a service has several versions, one host of each region writes the streams that its region's hosts began, a row each half second, and as a second version appears all of the last two minutes. Hosts that start read the rows. So the number of writes doesn't grow with hosts or streams. A row's key is used for one write, as a write without a response may take effect later; after a restore of the store hosts write anew what they know.

--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -207,7 +207,7 @@
 			n.handler.MergeLosses(x.Lost, at)
 			n.handler.MergeLeaving(x.LeavingServers, "data centre "+name, at)
 			n.handler.MergeCrashes(x.Crashes, "data centre "+name, at)
-			n.streamVersions.Merge(x.Streams, at)
+			n.streamVersions.Merge(x.Streams, at, n.settings.topology.Regions[name] == n.self().Region)
 		}
 	}
 }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -186,6 +186,7 @@
 	g.Add(func() error { return n.exchangeLoop(ctx) }, halt)
 	g.Add(func() error { return n.discoverPrompts(ctx) }, halt)
 	g.Add(func() error { return n.maintainVersions(ctx) }, halt)
+	g.Add(func() error { return n.maintainStreams(ctx) }, halt)
 	g.Add(func() error { return n.watchPartition(ctx) }, halt)
 	if err := n.addPeerServer(&g); err != nil {
 		return err
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -256,7 +256,7 @@
 		}
 	}
 	n.handler.MergeCrashes(x.Crashes, x.Host.Name, now)
-	n.streamVersions.Merge(x.Streams, now)
+	n.streamVersions.Merge(x.Streams, now, x.Host.Region == n.self().Region)
 	n.handler.MergeLosses(x.Lost, now)
 	n.handler.MergeLeaving(x.LeavingServers, x.Host.Name, now)
 	for prompt, server := range x.Prompts {
--- a/cmd/entry/stream_versions.go
+++ b/cmd/entry/stream_versions.go
@@ -17,6 +17,9 @@
 	// versionRetryDelay that after the store could not be written.
 	versionInterval   = time.Second
 	versionRetryDelay = 5 * time.Second
+	// findLoadTimeout is how long a peer that asks for a stream waits until those in the store are
+	// known to this node, which has just started.
+	findLoadTimeout = 200 * time.Millisecond
 )
 
 // streamPeers implements streamversion.Peers for the peers of a node.
@@ -110,6 +113,12 @@
 // FindStream implements neighbour.Handler.
 func (n *Node) FindStream(ids []streamversion.ID) neighbour.FoundStream {
 	i, version, found := n.streamVersions.Lookup(ids)
+	if !found {
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(findLoadTimeout))
+		defer cancel()
+		n.streamVersions.AwaitLoaded(ctx)
+		i, version, found = n.streamVersions.Lookup(ids)
+	}
 	return neighbour.FoundStream{Found: found, Index: i, Version: version}
 }
 
--- a/core/streamversion/history.go
+++ b/core/streamversion/history.go
@@ -42,7 +42,20 @@
 func (x *Index) Observe(service, version string, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.history.observe(ServiceVersion{service, version}, now)
+	x.observe(ServiceVersion{service, version}, now)
+}
+
+// observe records a version, and whether it is the second one of its service. x.mu is held.
+func (x *Index) observe(v ServiceVersion, seen time.Time) *lifetime {
+	n := len(x.history.services[v.Service])
+	l := x.history.observe(v, seen)
+	if n == 1 && len(x.history.services[v.Service]) == 2 {
+		select {
+		case x.branched <- struct{}{}:
+		default:
+		}
+	}
+	return l
 }
 
 // Only returns the version of a service if it has had no other one for as long as streams last.
@@ -59,13 +72,20 @@
 	return "", false
 }
 
+// Complete reports whether versions whose servers have all left are known.
+func (x *Index) Complete() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.history.complete
+}
+
 // MergeStored records the versions that the store has. All that have left are known from then on.
 func (x *Index) MergeStored(all []ServiceVersion, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.history.complete = true
 	for _, v := range all {
-		x.history.observe(v, now).stored = true
+		x.observe(v, now).stored = true
 	}
 }
 
@@ -102,7 +122,8 @@
 	}
 }
 
-// MarkRestored records that the store came back from an older copy, which may lack versions.
+// MarkRestored records that the store came back from an older copy, which may lack versions and
+// streams.
 func (x *Index) MarkRestored() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -111,4 +132,7 @@
 			l.stored = false
 		}
 	}
+	for i := range x.queue {
+		x.queue[i].stored = false
+	}
 }
--- a/core/streamversion/report.go
+++ b/core/streamversion/report.go
@@ -1,6 +1,9 @@
 package streamversion
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// reportWindow is how long a node reports the streams that it began.
@@ -12,7 +15,8 @@
 
 // Report is what a node tells another one.
 type Report struct {
-	Streams  []VersionStreams
+	Streams  []VersionStreams        // that it began a moment ago
+	Known    []VersionStreams        // that it knows from recent time; only for nodes that have just started
 	Services map[string][]VersionAge // versions of the services that have had several
 	Complete bool                    // Services has all of them
 }
@@ -40,11 +44,9 @@
 	for _, b := range x.begun {
 		streams[b.version] = append(streams[b.version], b.id)
 	}
+	r.Streams = listStreams(streams)
 	if starting {
-		x.addAll(streams, now)
-	}
-	for version, ids := range streams {
-		r.Streams = append(r.Streams, VersionStreams{Version: version, IDs: ids})
+		r.Known = listStreams(x.recent(now))
 	}
 	for service, all := range x.history.services {
 		if len(all) < 2 {
@@ -68,34 +70,52 @@
 	x.begun = x.begun[n:]
 }
 
-func (x *Index) addAll(streams map[string][]ID, now time.Time) {
-	left := maxReported
+// recent returns the streams that this node knows from recent time, by version. x.mu is held.
+func (x *Index) recent(now time.Time) map[string][]ID {
+	streams, left := make(map[string][]ID), maxReported
 	for _, all := range []map[ID]entry{x.current, x.former} {
 		for id, e := range all {
 			if now.Sub(e.at) > startWindow {
 				continue
 			}
 			if left--; left < 0 {
-				return
+				return streams
 			}
 			streams[e.version] = append(streams[e.version], id)
 		}
 	}
+	return streams
+}
+
+func listStreams(streams map[string][]ID) []VersionStreams {
+	var all []VersionStreams
+	for version, ids := range streams {
+		all = append(all, VersionStreams{Version: version, IDs: ids})
+	}
+	return all
 }
 
-// Merge applies the report of another node as of a time.
-func (x *Index) Merge(r Report, at time.Time) {
-	for _, s := range r.Streams {
+// Merge applies the report of another node as of a time. If store is set, this node may have to
+// store the streams that the other one has just begun.
+func (x *Index) Merge(r Report, at time.Time, store bool) {
+	for _, s := range slices.Concat(r.Streams, r.Known) {
 		for _, id := range s.IDs {
 			x.Record(id, s.Version, at)
 		}
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if store {
+		for _, s := range r.Streams {
+			for _, id := range s.IDs {
+				x.enqueue(id, at)
+			}
+		}
+	}
 	for service, all := range r.Services {
 		for _, v := range all {
 			if v.Age <= retention {
-				x.history.observe(ServiceVersion{service, v.Version}, at.Add(-v.Age))
+				x.observe(ServiceVersion{service, v.Version}, at.Add(-v.Age))
 			}
 		}
 	}
--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -5,7 +5,8 @@
 // A stream is known by the request whose response brought its first event. The node that serves
 // it tells some others before its caller gets the event, and all of them soon after; a node that
 // is asked for a stream it doesn't know asks the others. If none knows, the stream may go on only
-// if its service has had a single version for as long as streams last.
+// if its service has had a single version for as long as streams last. While a service has several
+// versions, the store has the streams that began lately, so that they outlive all nodes.
 //
 // # Usage
 //
@@ -57,6 +58,7 @@
 type entry struct {
 	version string
 	at      time.Time
+	queued  bool // was in Index.queue, or is in the store
 }
 
 // Index holds the known streams and versions.
@@ -66,8 +68,13 @@
 	current map[ID]entry // streams learnt since the last rotation
 	former  map[ID]entry // streams learnt between the last two rotations
 	rotated time.Time
-	begun   []begun // by this node, recently, in order of time
+	begun   []begun  // by this node, recently, in order of time
+	queue   []queued // in order of time
 	history history
+
+	branched chan struct{}
+	loaded   chan struct{} // closed once the streams in the store are known
+	loadOnce sync.Once
 }
 
 type begun struct {
@@ -77,7 +84,14 @@
 
 // New returns an empty index. Without peers, all versions that a service has had are known.
 func New(p Peers) *Index {
-	return &Index{peers: p, current: make(map[ID]entry), former: make(map[ID]entry), history: history{services: make(map[string]map[string]*lifetime), complete: p == nil}}
+	x := &Index{
+		peers: p, current: make(map[ID]entry), former: make(map[ID]entry), history: history{services: make(map[string]map[string]*lifetime), complete: p == nil},
+		branched: make(chan struct{}, 1), loaded: make(chan struct{}),
+	}
+	if p == nil {
+		x.MarkLoaded()
+	}
+	return x
 }
 
 // Begin records that a server of a version made the first event of a stream. It returns once
@@ -86,7 +100,8 @@
 	now := time.Now()
 	x.Record(id, version, now)
 	x.mu.Lock()
-	x.begun = append(x.begun, begun{id, entry{version, now}})
+	x.begun = append(x.begun, begun{id, entry{version: version, at: now}})
+	x.enqueue(id, now)
 	x.mu.Unlock()
 	if x.peers == nil {
 		return
@@ -104,12 +119,14 @@
 	if now.Sub(x.rotated) > retention || len(x.current) >= maxStreams/2 {
 		x.current, x.former, x.rotated = make(map[ID]entry), x.current, now
 	}
-	if e, found := x.former[id]; found {
-		version = e.version
+	if _, found := x.current[id]; found {
+		return
 	}
-	if _, found := x.current[id]; !found {
-		x.current[id] = entry{version, now}
+	e := entry{version: version, at: now}
+	if former, found := x.former[id]; found {
+		e.version, e.queued = former.version, former.queued
 	}
+	x.current[id] = e
 }
 
 // Lookup returns the first of some streams that this node knows, and its version.
@@ -139,5 +156,6 @@
 		x.Record(ids[index], version, now)
 		return index, version, true
 	}
+	x.AwaitLoaded(ctx)
 	return x.Lookup(ids)
 }
--- a/core/streamversion/streamversion_test.go
+++ b/core/streamversion/streamversion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -103,7 +104,7 @@
 	}
 	a.Observe("llm", "v2", now)
 	b.Observe("llm", "v2", now)
-	b.Merge(a.Report(now.Add(time.Minute), false), now.Add(time.Minute))
+	b.Merge(a.Report(now.Add(time.Minute), false), now.Add(time.Minute), false)
 	if got := only(b); got != "" {
 		t.Errorf("a peer knows two versions: got %s", got)
 	}
@@ -114,8 +115,8 @@
 			missing, expired := x.Unstored(at)
 			x.MarkStored(missing, expired)
 		}
-		a.Merge(b.Report(at, false), at)
-		b.Merge(a.Report(at, false), at)
+		a.Merge(b.Report(at, false), at, false)
+		b.Merge(a.Report(at, false), at, false)
 	}
 	if only(a) != "v2" || only(b) != "v2" {
 		t.Errorf("20 minutes after the last server of v1: got %q and %q", only(a), only(b))
@@ -149,7 +150,7 @@
 	if r := x.Report(time.Now(), false); len(r.Streams) != 1 || len(r.Streams[0].IDs) != 1 || r.Streams[0].IDs[0] != id("a") {
 		t.Errorf("got %v, want the node's own stream", r.Streams)
 	}
-	starting.Merge(x.Report(time.Now().Add(time.Minute), true), time.Now())
+	starting.Merge(x.Report(time.Now().Add(time.Minute), true), time.Now(), false)
 	for _, request := range []string{"a", "b"} {
 		if _, _, found := starting.Lookup([]streamversion.ID{id(request)}); !found {
 			t.Errorf("a node that starts doesn't know stream %s", request)
@@ -159,3 +160,105 @@
 		t.Errorf("a minute later: got %v", r.Streams)
 	}
 }
+
+func countStreams(all []streamversion.VersionStreams) int {
+	n := 0
+	for _, s := range all {
+		n += len(s.IDs)
+	}
+	return n
+}
+
+// Streams are for the store only while their service has several versions, once, and again after
+// the store was restored.
+func TestUnstoredStreams(t *testing.T) {
+	x, peer := streamversion.New(peersFunc(none)), streamversion.New(nil)
+	at := time.Now()
+	check := func(when string, want int) {
+		t.Helper()
+		if got := countStreams(x.UnstoredStreams(at)); got != want {
+			t.Errorf("%s: got %d streams, want %d", when, got, want)
+		}
+	}
+	x.Observe("llm", "v1", at)
+	x.Observe("app", "v7", at)
+	x.Begin(context.Background(), id("a"), "v1")
+	x.Begin(context.Background(), id("b"), "v7")
+	peer.Begin(context.Background(), id("c"), "v1")
+	for range 2 {
+		x.Merge(peer.Report(at, false), at, true)
+	}
+	check("one version", 0)
+	x.Observe("llm", "v2", at)
+	select {
+	case <-x.Branched():
+	default:
+		t.Error("a second version is not told")
+	}
+	check("two versions", 2)
+	x.MarkStreamsStored(x.UnstoredStreams(at))
+	check("stored", 0)
+	x.MarkRestored()
+	check("restored", 2)
+	check("two versions for long", 2)
+	at = at.Add(3 * time.Minute)
+	check("three minutes later", 0)
+}
+
+// Guards against writes that grow with the hosts: what other regions began, what a host is told as
+// it starts, and what was read from the store isn't written.
+func TestStreamsOfOthersAreNotStored(t *testing.T) {
+	x, peer := streamversion.New(nil), streamversion.New(nil)
+	at := time.Now()
+	x.Observe("llm", "v1", at)
+	x.Observe("llm", "v2", at)
+	peer.Record(id("a"), "v1", at)
+	x.Merge(peer.Report(at, true), at, true)
+	peer.Begin(context.Background(), id("b"), "v1")
+	x.Merge(peer.Report(at, false), at, false)
+	x.MergeStoredStreams([]streamversion.VersionStreams{{Version: "v2", IDs: []streamversion.ID{id("c")}}}, at)
+	if got := countStreams(x.UnstoredStreams(at)); got != 0 {
+		t.Errorf("got %d streams", got)
+	}
+	for _, request := range []string{"a", "b", "c"} {
+		if _, _, found := x.Lookup([]streamversion.ID{id(request)}); !found {
+			t.Errorf("stream %s is not known", request)
+		}
+	}
+}
+
+// A node that has just started waits for the streams in the store before it doesn't know one.
+func TestFindAwaitsStoredStreams(t *testing.T) {
+	x := streamversion.New(peersFunc(none))
+	time.AfterFunc(50*time.Millisecond, func() {
+		x.MergeStoredStreams([]streamversion.VersionStreams{{Version: "v2", IDs: []streamversion.ID{id("a")}}}, time.Now())
+		x.MarkLoaded()
+	})
+	if _, version, _ := x.Find(context.Background(), []streamversion.ID{id("a")}); version != "v2" {
+		t.Errorf("got version %q", version)
+	}
+}
+
+func TestQueueIsLimited(t *testing.T) {
+	x := streamversion.New(nil)
+	x.Observe("llm", "v1", now)
+	x.Observe("llm", "v2", now)
+	for range 10 {
+		r := streamversion.Report{Streams: []streamversion.VersionStreams{{Version: "v1"}}}
+		for range 10_000 {
+			r.Streams[0].IDs = append(r.Streams[0].IDs, streamversion.ID(rand.Uint64()))
+		}
+		x.Merge(r, now, true)
+	}
+	got := 0
+	for batch := x.UnstoredStreams(now); len(batch) > 0; batch = x.UnstoredStreams(now) {
+		if countStreams(batch) > streamversion.MaxBatch {
+			t.Fatalf("got a batch of %d", countStreams(batch))
+		}
+		got += countStreams(batch)
+		x.MarkStreamsStored(batch)
+	}
+	if got != 60_000 {
+		t.Errorf("got %d streams of 100,000, want 60,000", got)
+	}
+}
--- a/test/entry/stream_version_test.go
+++ b/test/entry/stream_version_test.go
@@ -22,6 +22,8 @@
 	// minTakenUpShare is the least share of streams that go on when they are taken up, of the share
 	// of new streams that begin.
 	minTakenUpShare = 0.5
+	// storedWithin is how long after its beginning a stream is to be in the store.
+	storedWithin = 2 * time.Second
 )
 
 // take is what a caller got in one or more attempts at a stream.
@@ -285,3 +287,60 @@
 		})
 	}
 }
+
+// Guards against streams that nobody can go on with, as the hosts that knew their version are lost.
+func TestStreamsOfSeveralSoftwareVersionsOutliveAllHosts(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct {
+		name     string
+		nodes    int
+		newer    int // servers of the newer version from the beginning
+		joining  int // that join after the streams began
+		losses   int // of all hosts
+		restored bool
+	}{
+		{name: "both versions serve", nodes: 4, newer: 3, losses: 1},
+		{name: "the newer version joins later", nodes: 4, joining: 3, losses: 1},
+		{name: "hosts are lost twice", nodes: 4, newer: 3, losses: 2},
+		{name: "the store comes back from an older copy", nodes: 4, newer: 3, losses: 1, restored: true},
+		{name: "hosts of two data centres exchange reports by gateways", nodes: 28, newer: 3, losses: 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			s := startVersions(t, x.nodes, 3, x.newer, 0)
+			older := s.store.Copy()
+			all := takeAll(40, func(i int, y *take) { y.attempt(s.nodes[i%len(s.nodes)], y.id, "", 5) })
+			for i := range x.joining {
+				s.addVersionedServer(fmt.Sprint("j-", i), "v1.1", 0)
+			}
+			time.Sleep(storedWithin)
+			if x.restored {
+				s.restore(older, 0)
+				time.Sleep(storedWithin)
+			}
+			for range x.losses {
+				for _, n := range s.nodes {
+					n.Kill()
+				}
+				for _, n := range s.nodes {
+					if err := n.Start(); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for _, n := range s.nodes {
+					s.await(n.Name()+" is ready", testTimeout, n.Ready)
+				}
+			}
+			var wg sync.WaitGroup
+			for i, y := range all {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					y.attempt(s.nodes[i%len(s.nodes)], y.id+"-again", y.id, versionedEvents)
+				}()
+			}
+			wg.Wait()
+			checkTakes(t, all, true)
+		})
+	}
+}
