platform: X-Expect-Version of a caller is not passed on

One caller could take servers out of use for all: X-Expect-Version was forwarded, a server with other weights answers 421, and a host takes a 421 for "the address belongs to another server now", for good (Member.MarkReplaced).

--- a/test/relay/call_test.go
+++ b/test/relay/call_test.go
@@ -43,7 +43,7 @@
 func TestCallerCannotSetSystemHeaders(t *testing.T) {
 	h := newHarness(t)
 	s := h.startServer("public", "a", backend.Respond(200, "ok"))
-	forged := []string{"X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Priority-Class"}
+	forged := []string{"X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Priority-Class", "X-Expect-Version"}
 	h.send(http.MethodGet, "/public/1", func(r *http.Request) {
 		for _, name := range forged {
 			r.Header.Set(name, "forged")
