fleet: the belief that an address has changed hands ends when the server answers

A 421 took a server out of use for as long as its entry stayed (Member.MarkReplaced, "It is not undone"). No request was sent there any more, so that nothing could refute it; a wrong 421 cost a sound server.

The belief (core/fleet handover) now lasts until the server answers under its own name: a first event, or a complete answer, to a request that names it. What is inferred from the belief (a crash, a stream that is moved) does not wait for such a trial.

Weighed: asking the health path in the background, which is priced on each host; a refused request is answered at once and retried elsewhere.

--- a/core/fleet/deferral.go
+++ b/core/fleet/deferral.go
@@ -69,7 +69,7 @@
 }
 
 func (m *Member) remainsLocked(now time.Time) bool {
-	return !m.server.Leaving && !m.saidLeaving && !now.Before(m.heldUntil) && !m.supersededLocked(now) && !m.deregisteredLocked(now)
+	return !m.server.Leaving && !m.saidLeaving && !now.Before(m.heldUntil) && !m.awayLocked(now) && !m.deregisteredLocked(now)
 }
 
 // relief returns when the server may take a request again, and whether it stays and takes
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -66,7 +66,7 @@
 	deregisteredAt time.Time
 	leftBefore     bool      // it was leaving before the registry came back from an older copy
 	heldUntil      time.Time // see HoldDeparted
-	replaced       bool      // another server has taken over the address
+	handover       handover  // of the address to another server
 	saidLeaving    bool      // the server said in a response that it leaves
 	deferral       deferral.State
 	successor      *Member // server at the same address that started later
@@ -180,7 +180,7 @@
 // supersededLocked reports whether another server has taken over the address. It locks
 // the successor while m is locked; locks are never taken in the opposite order.
 func (m *Member) supersededLocked(now time.Time) bool {
-	return m.replaced || m.successor != nil && !m.successor.deregistered(now)
+	return m.handover.believed || m.successor != nil && !m.successor.deregistered(now)
 }
 
 func (m *Member) linkSuccessor(successor *Member) {
@@ -319,6 +319,7 @@
 func (m *Member) PromptProcessed(q Query, elapsed time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.handover.refute()
 	ms := float64(elapsed) / float64(time.Millisecond)
 	if ms > 0 && q.PromptTokens > 0 {
 		measured := min(float64(max(m.pendingPromptTokens, q.PromptTokens))/ms, 4*defaultPrefillRate)
@@ -388,6 +389,7 @@
 	defer m.mu.Unlock()
 	m.recordOutcome(0, now)
 	m.deferral.RecordSuccess(now.Add(-elapsed))
+	m.handover.refute()
 	m.backoffUntil = time.Time{}
 	m.unreachableCount = 0
 	if m.answerTime == 0 {
@@ -425,13 +427,6 @@
 	return m.unreachableCount == 1
 }
 
-// MarkReplaced records that another server has taken over the address. It is not undone.
-func (m *Member) MarkReplaced() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.replaced = true
-}
-
 // Superseded reports whether another server is known to have taken over the address.
 func (m *Member) Superseded(now time.Time) bool {
 	m.mu.Lock()
