fleet: an address belongs to the server that answers there, not to the newest entry

Of two entries with one address, the one that says that it started last had the address, whatever it named (linkSuccessor), and the server with the earlier start was not usable as long as that entry stayed. The same entry counted as evidence that the server's process had ended: a late stream was taken from it, and an attempt that ended early there counted as a crash.

An entry alone changes nothing now. A server is taken for replaced once another one has answered at the address since it last did: a first event, a complete answer or a health response with an ID (Fleet.RecordIdentity), or a 421 to a request that names it. Which service the other entry names, whether that is configured, and in which order entries and configurations come makes no difference, as a server that nobody uses never answers. Where an entry contests an address and something is at stake (a late first event, an attempt that ended early), the health path is asked who is there. A server that starts again under its own ID is known by its entry as before.

The price: between the registration of a crashed server's replacement and its first answer, a host may send requests to the former entry; they get 421 and go elsewhere, as they did before the registration.

Weighed: only entries of configured services count (an entry may name another service that is configured, and the configuration may come later); ranking contested servers last (takes them out of use as long as there are others).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -107,7 +107,7 @@
 	f.linkSuccessor(added)
 	if m != nil {
 		f.unlist(m)
-		m.deregister(distantPast)
+		m.end(added)
 	}
 	f.members[s.ID] = added
 	f.addresses[s.Address] = append(f.addresses[s.Address], added)
@@ -115,27 +115,6 @@
 	return true
 }
 
-// distantPast is the deregistration time of a server that restarted under its ID.
-var distantPast = time.Unix(0, 1)
-
-// linkSuccessor records, for servers that share an address, which one started last. The
-// registry entry of a crashed server remains for some heartbeats after its replacement
-// has registered at the same address. If the later entry is removed first, the
-// recorded start times were wrong because of clock skew, and the earlier server becomes
-// usable again.
-func (f *Fleet) linkSuccessor(added *Member) {
-	for _, m := range f.addresses[added.server.Address] {
-		if m.server.StartedMS == 0 || added.server.StartedMS == 0 {
-			continue
-		}
-		if m.server.StartedMS < added.server.StartedMS {
-			m.linkSuccessor(added)
-		} else {
-			added.linkSuccessor(m)
-		}
-	}
-}
-
 // Deregister records that the registry entry of a server is missing. The server gets no
 // requests from time at onwards, unless the entry reappears. Deregister reports whether
 // the server was known and not yet deregistered.
--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -51,3 +51,72 @@
 		t.Errorf("a replaced server was asked for %d times in a minute, want at most 6", asked)
 	}
 }
+
+// A crashed server restarts under a new ID at its address, and its old registry entry
+// remains for some heartbeats. Another writer's entry may look the same.
+func TestAddressBelongsToServerThatAnswersThere(t *testing.T) {
+	older := fleet.Server{ID: "before", Service: "orders", Address: "10.0.0.1:80", DataCentre: "a", Slots: 6, StartedMS: 1000}
+	newer := older
+	newer.ID, newer.StartedMS = "after", 2000
+	orders := map[string][]fleet.Server{"older first": {older, newer}, "newer first": {newer, older}}
+	fleetOf := func(servers []fleet.Server) (f *fleet.Fleet, before, after *fleet.Member) {
+		f = fleet.New(topology)
+		for _, s := range servers {
+			f.Upsert(s)
+		}
+		return f, f.Find("before"), f.Find("after")
+	}
+	usable := func(f *fleet.Fleet, id string, now time.Time) bool { return f.FindUsable(id, now) != nil }
+	for name, order := range orders {
+		f, before, after := fleetOf(order)
+		if !usable(f, "before", start) || !usable(f, "after", start) || !before.Contested(start) || after.Contested(start) {
+			t.Errorf("%s: an entry alone takes a server out of use, or no address is contested", name)
+		}
+		after.RecordSuccess(time.Millisecond, start.Add(time.Second))
+		if now := start.Add(time.Second); usable(f, "before", now) || !usable(f, "after", now) || !before.Superseded(now) || !before.EndedUnannounced(start, now) {
+			t.Errorf("%s: the crashed server is usable, or its successor is not", name)
+		}
+		f.Deregister("after", start.Add(2*time.Second))
+		if usable(f, "before", start.Add(time.Second)) || !usable(f, "before", start.Add(2*time.Second)) {
+			t.Errorf("%s: a server is not usable again after its successor was deregistered", name)
+		}
+
+		f, before, _ = fleetOf(order)
+		before.RecordSuccess(time.Millisecond, start.Add(time.Second))
+		if now := start.Add(time.Second); before.Contested(now) || before.Superseded(now) || before.EndedUnannounced(start, now) {
+			t.Errorf("%s: an entry counts for more than an answer of the server that it is to replace", name)
+		}
+
+		f, before, after = fleetOf(order)
+		f.RecordIdentity(before, "after", start.Add(time.Second))
+		if now := start.Add(time.Second); usable(f, "before", now) || !before.Superseded(now) || after.Superseded(now) {
+			t.Errorf("%s: the server at the address named itself, and the other one is usable", name)
+		}
+		f.RecordIdentity(after, "before", start.Add(2*time.Second))
+		if now := start.Add(2 * time.Second); !usable(f, "before", now) || usable(f, "after", now) {
+			t.Errorf("%s: the newest answer does not count", name)
+		}
+	}
+	f, _, after := fleetOf(orders["older first"])
+	after.RecordSuccess(time.Millisecond, start)
+	moved := newer
+	moved.Address, moved.StartedMS = "10.0.0.2:80", 3000
+	f.Upsert(moved)
+	if !usable(f, "before", start) {
+		t.Error("a server is not usable again after its successor moved to another address")
+	}
+	f, before, _ := fleetOf([]fleet.Server{older})
+	again := older
+	again.StartedMS = 2000
+	f.Upsert(again)
+	if !before.Superseded(start) || !usable(f, "before", start) {
+		t.Error("a server that started again under its ID is not told from its former start")
+	}
+	unknown := older
+	unknown.StartedMS = 0
+	f, before, after = fleetOf([]fleet.Server{unknown, newer})
+	after.RecordSuccess(time.Millisecond, start)
+	if !usable(f, "before", start) || before.Contested(start) {
+		t.Error("a server with unknown start time is treated as superseded")
+	}
+}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -69,7 +69,10 @@
 	handover       handover  // of the address to another server
 	saidLeaving    bool      // the server said in a response that it leaves
 	deferral       deferral.State
-	successor      *Member // server at the same address that started later
+	successor      *Member   // server at the same address that started later, by its entry
+	contested      bool      // the server has not answered since successor was found
+	answeredAt     time.Time // when the server last answered under its own name
+	restarted      bool      // the server started again under its ID
 
 	running               int // requests of this node in flight
 	pendingPromptTokens   int // prompt tokens of this node's requests that are not processed yet
@@ -177,18 +180,6 @@
 	return m.deregisteredLocked(now)
 }
 
-// supersededLocked reports whether another server has taken over the address. It locks
-// the successor while m is locked; locks are never taken in the opposite order.
-func (m *Member) supersededLocked(now time.Time) bool {
-	return m.handover.believed || m.successor != nil && !m.successor.deregistered(now)
-}
-
-func (m *Member) linkSuccessor(successor *Member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.successor = successor
-}
-
 // Usable reports whether the server may get requests. It is checked again right before a
 // request is sent.
 func (m *Member) Usable(now time.Time) bool { return m.usable(now) }
@@ -319,7 +310,7 @@
 func (m *Member) PromptProcessed(q Query, elapsed time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.handover.refute()
+	m.answeredLocked(q.Now.Add(elapsed))
 	ms := float64(elapsed) / float64(time.Millisecond)
 	if ms > 0 && q.PromptTokens > 0 {
 		measured := min(float64(max(m.pendingPromptTokens, q.PromptTokens))/ms, 4*defaultPrefillRate)
@@ -389,7 +380,7 @@
 	defer m.mu.Unlock()
 	m.recordOutcome(0, now)
 	m.deferral.RecordSuccess(now.Add(-elapsed))
-	m.handover.refute()
+	m.answeredLocked(now)
 	m.backoffUntil = time.Time{}
 	m.unreachableCount = 0
 	if m.answerTime == 0 {
@@ -427,13 +418,6 @@
 	return m.unreachableCount == 1
 }
 
-// Superseded reports whether another server is known to have taken over the address.
-func (m *Member) Superseded(now time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.supersededLocked(now)
-}
-
 // Reserve reserves this server for a request if it is usable, regardless of
 // MaxConnections and of how much it turned away before, and reports whether it did.
 func (m *Member) Reserve(q Query) bool {
--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -101,7 +101,7 @@
 		suspected = check <= soundCheck && !a.unsure && a.member.LostSince(a.at)
 	}
 	if !suspected {
-		return false
+		return !a.unsure && a.member.Contested(now) && d.h.addressTaken(a.member)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), now.Add(probeTimeout))
 	defer cancel()
@@ -127,9 +127,21 @@
 		return false
 	}
 	h.Pool.Put(c)
+	if id != "" {
+		h.Fleet.RecordIdentity(m, id, time.Now())
+	}
 	return id != "" && id != m.ID()
 }
 
+// addressTaken asks at the address of a server who is there, and reports whether it is another one.
+func (h *Handler) addressTaken(m *fleet.Member) bool {
+	deadline := time.Now().Add(probeTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	c, err := h.connectForQuery(ctx, m, http1.ForceNew)
+	return err == nil && h.answersForAnother(c, m, deadline)
+}
+
 func (d *crashDetector) recordCrash(a *endedAttempt) {
 	now := time.Now()
 	if d.h.Fleet.Brittle(a.member.Service(), now) && a.member.RejectedBefore(a.at) {
--- a/io/relay/first_event.go
+++ b/io/relay/first_event.go
@@ -73,7 +73,8 @@
 // handleLate probes the server of an attempt whose first event is late, and repeats this
 // every probeInterval.
 func (f *firstEventMonitor) handleLate(a *streamAttempt) {
-	superseded := a.member.Superseded(time.Now())
+	now := time.Now()
+	superseded := a.member.Superseded(now) || a.member.Contested(now) && f.h.addressTaken(a.member)
 	f.mu.Lock()
 	t, waiting := f.pending[a]
 	if waiting {
