entry: no list of servers is applied over a newer one, whoever sent it

The answer to that host's read of the whole table was held up; meanwhile it learned from a peer that the server drains, at a newer version of the store. applyServerUpdate dropped what was of an older era only, and applied the old answer: the server was ready again, the host counted its list as that of the newer version, so that nothing put it right, and told others. A server that had registered in between was taken for gone (by TestHeldUpAnswerIsNotAppliedOverNewerList).

A peer's list was read after the version that was named with it, so that it could be newer than that; both are now read together.

Failed before: four of six cases of TestHeldUpAnswerIsNotAppliedOverNewerList, TestServersAreThoseOfTheirVersionInAnyOrder (rapid: queries, answers and arrivals in any order, from the store and from peers) and TestServersAreToldWithTheirVersion.

Looked for elsewhere: configurations are compared by revision and host lists by the time of their reading, both wherever they come from. fetchMissingServers adds servers that are unknown only.

Not covered: a table of over 500 servers is read in pages, and those read later may be newer than the version that counts for all of them.

--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -371,8 +371,8 @@
 
 // Servers implements neighbour.Handler.
 func (n *Node) Servers(since freshness.StoreVersion) neighbour.ServerList {
-	// The freshness is read first, so that the servers are at least as new as the version
-	// reported with them.
+	n.serversMu.Lock() // the servers are exactly those of the version reported with them
+	defer n.serversMu.Unlock()
 	x := neighbour.ServerList{Fact: n.serverFreshness.freshness(uptime())}
 	now := time.Now()
 	ids, complete := n.changeLog.since(since)
@@ -397,32 +397,3 @@
 	}
 	return x
 }
-
-// applyPeerServers applies the servers from a peer if their version is newer.
-func (n *Node) applyPeerServers(x neighbour.ServerList, asOf time.Duration, from string) {
-	n.serversMu.Lock()
-	defer n.serversMu.Unlock()
-	version := x.Fact.At()
-	if known, at := n.serverFreshness.at(); known && !version.After(at) {
-		return
-	}
-	now := time.Now()
-	n.enterEra(version, now)
-	if x.Whole {
-		n.changeLog.start(version)
-	}
-	listed := make(map[string]bool, len(x.Changes))
-	for _, c := range x.Changes {
-		listed[c.Server.ID] = true
-		if c.Gone {
-			n.deregisterServer(c.Server.ID, version, now.Add(c.In))
-			continue
-		}
-		n.upsertServer(c.Server, version, from)
-	}
-	if x.Whole {
-		n.deregisterOthers(listed, version, now)
-	}
-	n.serverFreshness.confirm(version, asOf)
-	n.checkSynced()
-}
--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
@@ -109,73 +108,3 @@
 	defer f.mu.Unlock()
 	return neighbour.VersionInfo{Known: f.known, Era: f.version.Era, Version: f.version.Version, Age: now - f.asOf}
 }
-
-// applyServerUpdate applies an update of the server table.
-func (n *Node) applyServerUpdate(u tableUpdate) {
-	n.serversMu.Lock()
-	defer n.serversMu.Unlock()
-	version := u.page.At()
-	if known, at := n.serverFreshness.at(); known && version.Era < at.Era {
-		return
-	}
-	now := time.Now()
-	n.enterEra(version, now)
-	if u.full {
-		n.changeLog.start(version)
-	}
-	deregisterAt := n.reregistrationEnd(now)
-	listed := make(map[string]bool, len(u.page.Rows))
-	for _, r := range u.page.Rows {
-		listed[r.Key] = true
-		n.applyServerRow(r, version, now, deregisterAt)
-	}
-	if u.full {
-		n.deregisterOthers(listed, version, deregisterAt)
-	}
-	if n.serverFreshness.confirm(version, u.asOf) {
-		n.triggerExchange()
-	}
-	n.checkSynced()
-}
-
-// applyServerRow applies one row of the server table as of a version of the store. A
-// server whose row was deleted is deregistered at deregisterAt.
-func (n *Node) applyServerRow(r platform.Row, version freshness.StoreVersion, now, deregisterAt time.Time) {
-	if r.Deleted {
-		n.deregisterServer(r.Key, version, deregisterAt)
-		return
-	}
-	s, err := platform.DecodeServer(r)
-	if err != nil {
-		n.recorder.Record("entry unreadable", relay.Fields{"server": r.Key, "version": r.Version, "error": err.Error()})
-		n.deregisterServer(r.Key, version, now)
-		return
-	}
-	n.upsertServer(s, version, "store")
-}
-
-func (n *Node) upsertServer(s fleet.Server, version freshness.StoreVersion, from string) {
-	n.streamVersions.Observe(s.Service, s.Version, time.Now())
-	if n.fleet.Upsert(s) {
-		n.changeLog.add(s.ID, version)
-		n.recorder.Record("server", relay.Fields{
-			"server": s.ID, "service": s.Service, "address": s.Address, "software": s.Version, "leaving": s.Leaving, "version": version.Version, "era": version.Era, "from": from,
-		})
-	}
-}
-
-// deregisterOthers deregisters the servers that are not in listed.
-func (n *Node) deregisterOthers(listed map[string]bool, version freshness.StoreVersion, at time.Time) {
-	for _, id := range n.fleet.IDs() {
-		if !listed[id] {
-			n.deregisterServer(id, version, at)
-		}
-	}
-}
-
-func (n *Node) deregisterServer(id string, version freshness.StoreVersion, at time.Time) {
-	if n.fleet.Deregister(id, at) {
-		n.changeLog.add(id, version)
-		n.recorder.Record("server gone", relay.Fields{"server": id, "in_ms": time.Until(at).Milliseconds()})
-	}
-}
