test/standin: a server that turns a request away with 421 names the request

Servers echo X-Request-Id in all responses. The stand-in's 421 did not, so that on a connection which a health request had used before the response was taken for one to another request, and its request waited until the deadline.

--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -234,8 +234,8 @@
 // Misdirected responds with 421, as a server does that has taken over the address of
 // another.
 func Misdirected() Step {
-	return func(c *Conn, _ *http.Request, _ []byte) bool {
-		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: another\r\nContent-Length: 0\r\n\r\n")
+	return func(c *Conn, r *http.Request, _ []byte) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: another\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Request-Id"))
 		return err == nil
 	}
 }
