entry: no tunnels without a lease through nodes that have not reported yet

What callers saw: nothing so far. By reading: a host is in its peers' lists for 1.5 s before it has reported, or after its record has changed, and was taken for one of an earlier version meanwhile. Tunnels through it then had no lease, and stayed in the pool: what the lease ends goes on, two servers with one stream (TWICE), and answers without length that break off look complete (MIXED). The same where a host has the address of one that is gone, whose last report was read.

Change: only hosts that have reported are gone through. Whether one grants leases is what the live host at that address reported last; a host that nothing is known of is refused.

Evidence: TestTunnelsGoThroughPeersThatReported and TestLeasesAreThoseOfTheLivePeer fail before, 3 of 3 runs each, and pass after. TestHostsPartitionedFromAllServersServe (two of six cases), TestRunsThroughOtherHostsEndWithTheirHost and TestStreamsGoOnAfterHostBetweenStops pass (58 s).

--- a/cmd/entry/server_paths.go
+++ b/cmd/entry/server_paths.go
@@ -31,7 +31,10 @@
 	serverProbeTimeout     = 500 * time.Millisecond
 )
 
-var errUnknownServer = errors.New("no server has this address")
+var (
+	errUnknownServer = errors.New("no server has this address")
+	errUnknownPeer   = errors.New("the peer has not reported whether it grants leases")
+)
 
 // serverPaths implements http1.Paths: directly, or through a peer if this node can't connect and the
 // peer can.
@@ -65,21 +68,26 @@
 
 // dialThrough connects to a server through the peer at an address.
 func (n *Node) dialThrough(ctx context.Context, peer, server string) (net.Conn, error) {
-	if n.grantsLeases(peer) {
+	switch grants, known := n.grantsLeases(peer, time.Now()); {
+	case !known:
+		return nil, errUnknownPeer
+	case grants:
 		return n.tunnels.Dial(ctx, peer, server)
 	}
 	return tunnel.DialPlain(ctx, peer, server)
 }
 
-func (n *Node) grantsLeases(address string) bool {
+// grantsLeases reports whether the peer at an address grants leases, as it last reported itself.
+func (n *Node) grantsLeases(address string, now time.Time) (grants, known bool) {
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
+	var at time.Time
 	for _, p := range n.peers.all {
-		if p.host.Address == address {
-			return p.report.Leases
+		if p.host.Address == address && p.live(now) && p.reportedAt.After(at) {
+			grants, at = p.report.Leases, p.reportedAt
 		}
 	}
-	return false
+	return grants, !at.IsZero()
 }
 
 // recordTunnel implements tunnel.Record.
@@ -96,7 +104,7 @@
 	n.checkPartition(now)
 }
 
-// peersWithPath returns the addresses of some live peers that are not known to be partitioned
+// peersWithPath returns the addresses of some live peers that have reported that they are not partitioned
 // themselves: one of this data centre and one of another one of the region first, of a few that this
 // node prefers, so that it holds few leases. Peers that grant none come last.
 func (n *Node) peersWithPath(now time.Time) []string {
@@ -110,7 +118,7 @@
 	}
 	var all [3][]candidate
 	for _, p := range n.peers.all {
-		if !p.live(now) || p.report.Leaving || p.report.Partitioned {
+		if !p.live(now) || p.reportedAt.IsZero() || p.report.Leaving || p.report.Partitioned {
 			continue
 		}
 		place := 2
