tunnel: test that tunnels end whose server or node behind reads nothing

Ten cases in which writes of the node between block: the node behind closes the tunnel while its connection hangs, or is cut off.

--- a/io/tunnel/leases_test.go
+++ b/io/tunnel/leases_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"cicadabeam/core/lease"
 )
 
 // Guards against tunnels that can't be opened because their lease is dropped as idle at that moment.
@@ -51,3 +53,44 @@
 		t.Errorf("%d leases are held", len(behind.held))
 	}
 }
+
+// Guards against tunnels that stay open for ever because the server or the node behind reads nothing.
+func TestBlockedTunnelsEnd(t *testing.T) {
+	block := make([]byte, 64<<10)
+	write := func(c net.Conn) {
+		for {
+			if _, err := c.Write(block); err != nil {
+				return
+			}
+		}
+	}
+	for name, x := range map[string]struct {
+		server func(c net.Conn)
+		behind func(c net.Conn)
+	}{
+		"the server reads nothing":            {server: func(net.Conn) { select {} }, behind: write},
+		"the server ends and reads nothing":   {server: func(c net.Conn) { _ = c.(*net.TCPConn).CloseWrite(); select {} }, behind: write},
+		"the node behind reads nothing":       {server: write, behind: func(net.Conn) {}},
+		"neither reads":                       {server: write, behind: write},
+		"the node behind reads an end slowly": {server: func(c net.Conn) { _, _ = c.Write(block) }, behind: func(net.Conn) {}},
+	} {
+		for _, end := range []string{"closes", "is cut off"} {
+			t.Run(name+", it "+end, func(t *testing.T) {
+				t.Parallel()
+				server := startBackend(t, x.server)
+				between, address, _ := startNode(t, server.Addr().String())
+				l := startLink(t, address)
+				c, _, _ := dial(t, l.address, server.Addr().String())
+				go x.behind(c)
+				time.Sleep(lease.Term)
+				if end == "closes" {
+					l.hang.Store(true)
+					_ = c.Close()
+				} else {
+					l.cut(true, true)
+				}
+				await(t, "the tunnel is open", 2*lease.Term, func() bool { return between.Count() == 0 })
+			})
+		}
+	}
+}
