entry: setting advertised; tests can cut hosts off from each other

Hosts in tests of processes connected to each other without anything in between, so that no test could cut these links. A host may now name another address under which others reach it; tests put a link of test/cluster there.

--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -257,7 +257,7 @@
 // self returns this node's row in the host list.
 func (n *Node) self() records.EntryHost {
 	topology := n.settings.topology
-	return records.EntryHost{Name: n.settings.name, Address: n.settings.peers, DataCentre: topology.DataCentre, Region: topology.Regions[topology.DataCentre]}
+	return records.EntryHost{Name: n.settings.name, Address: n.settings.advertised, DataCentre: topology.DataCentre, Region: topology.Regions[topology.DataCentre]}
 }
 
 func (n *Node) register(ctx context.Context) bool {
--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -36,13 +36,15 @@
 	readiness string
 	peers     string
 	metrics   string
-	platform  string // address of the platform's store
-	source    net.IP // from which connections to servers are opened, nil if the system chooses it
-	memoryMB  int
-	cores     int
-	grace     time.Duration
-	limits    relay.Limits
-	logLevel  string
+	// advertised is the address under which other hosts reach the listener for them.
+	advertised string
+	platform   string // address of the platform's store
+	source     net.IP // from which connections to servers are opened, nil if the system chooses it
+	memoryMB   int
+	cores      int
+	grace      time.Duration
+	limits     relay.Limits
+	logLevel   string
 }
 
 // Load reads and validates a settings file. The error lists every problem.
@@ -67,6 +69,9 @@
 	s.readiness = x.Address("readiness", true)
 	s.peers = x.Address("neighbours", true)
 	s.metrics = x.Address("metrics", false)
+	if s.advertised = x.Address("advertised", false); s.advertised == "" {
+		s.advertised = s.peers
+	}
 	s.platform = d.Section("platform").Address("address", true)
 	s.readSource(d.Section("servers"))
 	x = d.Section("limits")
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -33,9 +33,10 @@
 
 // system is a store, nodes and the servers that a test adds.
 type system struct {
-	t     *testing.T
-	store *store.Store
-	nodes []*node
+	t      *testing.T
+	store  *store.Store
+	nodes  []*node
+	linked bool // hosts connect to each other by links
 }
 
 type node struct {
@@ -44,14 +45,19 @@
 }
 
 // start starts a store and nodes. The nodes alternate between data centres a and b.
-func start(t *testing.T, nodes int) *system {
+func start(t *testing.T, nodes int) *system { return startSystem(t, nodes, false) }
+
+// startLinked is like start; the nodes connect to each other by links.
+func startLinked(t *testing.T, nodes int) *system { return startSystem(t, nodes, true) }
+
+func startSystem(t *testing.T, nodes int, linked bool) *system {
 	t.Helper()
 	x, err := store.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(x.Close)
-	s := &system{t: t, store: x}
+	s := &system{t: t, store: x, linked: linked}
 	s.configure(1, []string{"key-1", "key-2"})
 	for i := range nodes {
 		s.nodes = append(s.nodes, s.startNode(i))
@@ -78,6 +84,12 @@
 		s.t.Fatal(err)
 	}
 	n := &node{Host: h, storeEndpoint: endpoint}
+	if s.linked {
+		if err := n.AddLink(); err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(n.Link().Disable)
+	}
 	if err := n.Start(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/test/entryhost/host.go
+++ b/test/entryhost/host.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,8 @@
 	readiness string
 	metrics   string
 	settings  string
+	peers     string
+	link      *cluster.Link // to the listener for other hosts, nil for none
 }
 
 // hostCounter numbers the addresses of this process. The IP address is derived from
@@ -72,7 +75,7 @@
 // settings and the output of the process are stored in dir.
 func New(binary, dir, name, dataCentre, store string) (*Host, error) {
 	ip := NextAddress()
-	h := &Host{callers: ip + ":8740", readiness: ip + ":8749", metrics: ip + ":8721", settings: filepath.Join(dir, name+".ini")}
+	h := &Host{peers: ip + ":8720", callers: ip + ":8740", readiness: ip + ":8749", metrics: ip + ":8721", settings: filepath.Join(dir, name+".ini")}
 	text := fmt.Sprintf(`[node]
 name = %s
 data-centre = %s
@@ -105,6 +108,22 @@
 	return h, nil
 }
 
+// AddLink makes other hosts connect to this one, which hasn't started yet, by a link.
+func (h *Host) AddLink() error {
+	text, err := os.ReadFile(h.settings)
+	if err != nil {
+		return err
+	}
+	if h.link, err = cluster.NewLink(h.Name(), NextAddress()+":8720", h.peers); err != nil {
+		return err
+	}
+	linked := strings.Replace(string(text), "[listen]\n", "[listen]\nadvertised = "+h.link.Address()+"\n", 1)
+	return os.WriteFile(h.settings, []byte(linked), 0o600)
+}
+
+// Link returns the link by which other hosts connect to this one, nil without AddLink.
+func (h *Host) Link() *cluster.Link { return h.link }
+
 // NextAddress returns a loopback address that no other host or server of this process has.
 func NextAddress() string { return hostAddress(os.Getpid(), int(hostCounter.Add(1))) }
 
