streamversion: the only version of a service is refreshed before a stream goes on at it

What callers saw: a host was cut off from the others, or stood still, while servers of a new software version joined. Streams that had begun there through another host, taken up at that host, went on at a server of the old version (ORDER).

Cause: that a service has had one version only was taken from a list of servers of any age; a host that loses the others takes over reading after 2.2 s at most. A stream that nobody knows may have begun at a version which joined since.

Now such a stream goes on only after a query of the store for the servers that joined since the host's list was current. The query begins after the stream was taken up, so after the stream began. Streams that wait share it; all hosts together make at most 400 a second. Rows that were removed and never known make the host read the stored versions as well. A host that reaches no peer lately asks all of them for the stream. While a host can't read the store, it refuses such streams with 503 stream_version_unknown.

Evidence: test/entry TestHostOutOfStepGoesOnAtNoOtherSoftwareVersion, before 20 or 21 of 40 streams of two versions in three of four cases (cut off with and without the store, stood still 2 s without the store), now 0 of 40 in all four, and all 40 go on once the links carry data.

Tried: stopping a host without cutting links. What the others send waits in its sockets and tells it of the streams as it goes on; 1 of 160 was mixed.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -57,6 +57,7 @@
 	prompts   *fleet.PromptIndex
 	// streamVersions knows which software versions began streams.
 	streamVersions *streamversion.Index
+	versionsMissed atomic.Bool // a server that was never known has left
 	pool           *http1.Pool
 	store          *platform.StoreClient
 	handler        *relay.Handler
--- a/cmd/entry/server_list.go
+++ b/cmd/entry/server_list.go
@@ -99,6 +99,7 @@
 func (n *Node) decodeServer(r platform.Row, now, registerUntil time.Time) serverChange {
 	gone := serverChange{server: fleet.Server{ID: r.Key}, goneAt: registerUntil}
 	if r.Deleted {
+		n.recordMissed(r.Key)
 		return gone
 	}
 	s, err := platform.DecodeServer(r)
@@ -119,6 +120,7 @@
 	for _, c := range x.Changes {
 		s := serverChange{server: c.Server}
 		if c.Gone {
+			n.recordMissed(c.Server.ID)
 			s.goneAt = now.Add(c.In)
 		}
 		l.changes = append(l.changes, s)
--- a/cmd/entry/stream_versions.go
+++ b/cmd/entry/stream_versions.go
@@ -8,6 +8,7 @@
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
+	"cicadabeam/platform"
 )
 
 const (
@@ -20,6 +21,10 @@
 	// findLoadTimeout is how long a peer that asks for a stream waits until those in the store are
 	// known to this node, which has just started.
 	findLoadTimeout = 200 * time.Millisecond
+	// minRefreshInterval, or refreshIntervalPerNode for each known node, is the time between two
+	// queries of a node for the versions that servers have.
+	minRefreshInterval     = 50 * time.Millisecond
+	refreshIntervalPerNode = 2500 * time.Microsecond
 )
 
 // streamPeers implements streamversion.Peers for the peers of a node.
@@ -48,6 +53,9 @@
 // Find implements streamversion.Peers.
 func (s streamPeers) Find(ctx context.Context, ids []streamversion.ID) (int, string, bool) {
 	peers := s.node.livePeers(time.Now())
+	if len(peers) == 0 {
+		peers = s.node.allPeers()
+	}
 	answers := make(chan neighbour.FoundStream, len(peers))
 	for _, p := range peers {
 		go func() {
@@ -71,6 +79,63 @@
 	return 0, "", false
 }
 
+// Refresh implements streamversion.Peers. Servers that have left since the known list was current
+// may have been of another version, which the store has then.
+func (s streamPeers) Refresh(ctx context.Context) bool {
+	n := s.node
+	known, since := n.serverFreshness.at()
+	if !known {
+		return false
+	}
+	p, err := n.store.Changes(ctx, platform.ServersTable, since.Version, 0)
+	if err != nil || p.Era != since.Era {
+		return false
+	}
+	now := time.Now()
+	for _, r := range p.Rows {
+		if r.Deleted {
+			n.recordMissed(r.Key)
+			continue
+		}
+		if x, err := platform.DecodeServer(r); err == nil {
+			n.streamVersions.Observe(x.Service, x.Version, now)
+		}
+	}
+	if !n.versionsMissed.Swap(false) {
+		return true
+	}
+	t, err := n.hosts.List(ctx)
+	if err != nil {
+		n.versionsMissed.Store(true)
+		return false
+	}
+	n.streamVersions.MergeStored(t.Versions, now)
+	return true
+}
+
+// recordMissed records that a server has left whose software version this node may not know.
+func (n *Node) recordMissed(id string) {
+	if !n.fleet.Knows(id) {
+		n.versionsMissed.Store(true)
+	}
+}
+
+// RefreshInterval implements streamversion.Peers.
+func (s streamPeers) RefreshInterval() time.Duration {
+	return max(minRefreshInterval, time.Duration(s.node.directory.count())*refreshIntervalPerNode)
+}
+
+// allPeers returns the peers, also those that were not in contact recently.
+func (n *Node) allPeers() []*peer {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	all := make([]*peer, 0, len(n.peers.all))
+	for _, p := range n.peers.all {
+		all = append(all, p)
+	}
+	return all
+}
+
 // livePeers returns the peers that were in contact recently, in random order.
 func (n *Node) livePeers(now time.Time) []*peer {
 	n.peers.mu.Lock()
--- a/cmd/entry/watch_test.go
+++ b/cmd/entry/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +17,7 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/partition"
+	"cicadabeam/core/records"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/platform"
 )
@@ -141,3 +143,41 @@
 		t.Errorf("got version %v, servers %q", at, n.fleet.IDs())
 	}
 }
+
+// Guards against a version whose servers joined and left while the host stood still.
+func TestRefreshFindsVersionThatHasLeft(t *testing.T) {
+	n := newTestNode()
+	table := "" // of the last read
+	var changes string
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		table = r.URL.Query().Get("Table")
+		w.Header().Set("Store-Era", "1")
+		rows := changes
+		if table == "nodes" {
+			rows = `{"Table":"nodes","Key":"software-version/llm/v2","Ver":7,"Value":"` + base64.StdEncoding.EncodeToString([]byte(`{"service":"llm","version":"v2"}`)) + `"}`
+		}
+		_, _ = fmt.Fprintf(w, `{"Rows":[%s],"Ver":9,"NowMs":1}`, rows)
+	}))
+	defer s.Close()
+	n.store = platform.NewStoreClient(s.URL, "node-1").WithEras(n.eras)
+	n.hosts = records.NewHostStore(platform.NewTable(n.store))
+	n.streamVersions.Observe("llm", "v1", time.Now())
+	refresh := func() (ok, several bool) {
+		return streamPeers{n}.Refresh(context.Background()), n.streamVersions.Several()
+	}
+	if ok, _ := refresh(); ok {
+		t.Error("refreshed before the servers were known")
+	}
+	n.serverFreshness.confirm(freshness.StoreVersion{Era: 1, Version: 5}, 0)
+	if ok, several := refresh(); !ok || several || table != "servers" {
+		t.Errorf("nothing changed: got %v, several versions %v, last read %s", ok, several, table)
+	}
+	changes = `{"Table":"servers","Key":"i-9","Ver":8,"Deleted":true}`
+	if ok, several := refresh(); !ok || !several {
+		t.Errorf("an unknown server has left: got %v, several versions %v, last read %s", ok, several, table)
+	}
+	n.serverFreshness.confirm(freshness.StoreVersion{Era: 2, Version: 5}, 0)
+	if ok, _ := refresh(); ok {
+		t.Error("refreshed by changes of another era")
+	}
+}
--- a/core/streamversion/history.go
+++ b/core/streamversion/history.go
@@ -58,8 +58,8 @@
 	return l
 }
 
-// Only returns the version of a service if it has had no other one for as long as streams last.
-func (x *Index) Only(service string) (string, bool) {
+// only returns the version of a service if no other one is known.
+func (x *Index) only(service string) (string, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	all := x.history.services[service]
--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -5,7 +5,8 @@
 // A stream is known by the request whose response brought its first event. The node that serves
 // it tells some others before its caller gets the event, and all of them soon after; a node that
 // is asked for a stream it doesn't know asks the others. If none knows, the stream may go on only
-// if its service has had a single version for as long as streams last. While a service has several
+// if its service has had a single version for as long as streams last, until the stream was taken
+// up. While a service has several
 // versions, the store has the streams that began lately, so that they outlive all nodes.
 //
 // # Usage
@@ -53,6 +54,11 @@
 	Record(ctx context.Context, id ID, version string)
 	// Find asks the other nodes for the first of some streams that one of them knows.
 	Find(ctx context.Context, ids []ID) (index int, version string, found bool)
+	// Refresh observes the versions that services have at the time of the call or later, and
+	// reports whether it could.
+	Refresh(ctx context.Context) bool
+	// RefreshInterval returns the minimum time between two refreshes.
+	RefreshInterval() time.Duration
 }
 
 type entry struct {
@@ -72,6 +78,8 @@
 	queue   []queued // in order of time
 	history history
 
+	refresher refresher
+
 	branched chan struct{}
 	loaded   chan struct{} // closed once the streams in the store are known
 	loadOnce sync.Once
--- a/core/streamversion/streamversion_test.go
+++ b/core/streamversion/streamversion_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +22,9 @@
 	return f(ids)
 }
 
+func (peersFunc) Refresh(context.Context) bool   { return true }
+func (peersFunc) RefreshInterval() time.Duration { return 0 }
+
 func none([]streamversion.ID) (int, string, bool) { return 0, "", false }
 
 func id(request string) streamversion.ID { return streamversion.NewID("ndox", "llm", request) }
@@ -90,7 +95,7 @@
 // Guards against versions that are forgotten, or never are, because nodes tell each other.
 func TestOnlyVersion(t *testing.T) {
 	only := func(x *streamversion.Index) string {
-		version, _ := x.Only("llm")
+		version, _ := x.Only(context.Background(), "llm")
 		return version
 	}
 	a, b := streamversion.New(peersFunc(none)), streamversion.New(peersFunc(none))
@@ -262,3 +267,75 @@
 		t.Errorf("got %d streams of 100,000, want 60,000", got)
 	}
 }
+
+// laggingPeers are peers that tell of a second version only when asked to refresh.
+type laggingPeers struct {
+	peersFunc
+	refresh  func() bool
+	interval time.Duration
+	calls    atomic.Int32
+}
+
+func (l *laggingPeers) Refresh(context.Context) bool {
+	l.calls.Add(1)
+	return l.refresh()
+}
+func (l *laggingPeers) RefreshInterval() time.Duration { return l.interval }
+
+// Guards against a node that is out of step and takes the version it knows for the only one.
+func TestOnlyVersionIsRefreshed(t *testing.T) {
+	for name, c := range map[string]struct {
+		refreshed string // the version that the refresh finds
+		ok        bool
+		want      string
+	}{
+		"the same version":    {"v1", true, "v1"},
+		"another version":     {"v2", true, ""},
+		"nothing can be read": {"v1", false, ""},
+	} {
+		p := &laggingPeers{}
+		x := streamversion.New(p)
+		p.refresh = func() bool { x.Observe("llm", c.refreshed, time.Now()); return c.ok }
+		x.MergeStored([]streamversion.ServiceVersion{{Service: "llm", Version: "v1"}}, time.Now())
+		if version, _ := x.Only(context.Background(), "llm"); version != c.want {
+			t.Errorf("%s: got %q, want %q", name, version, c.want)
+		}
+	}
+}
+
+// Streams that wait share a refresh, which begins after each of them has come.
+func TestRefreshIsShared(t *testing.T) {
+	const streams, interval = 100, 50 * time.Millisecond
+	p := &laggingPeers{interval: interval}
+	x := streamversion.New(p)
+	x.MergeStored([]streamversion.ServiceVersion{{Service: "llm", Version: "v1"}}, time.Now())
+	var begun atomic.Int64
+	p.refresh = func() bool { begun.Store(time.Now().UnixNano()); return true }
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range streams {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * time.Millisecond)
+			came := time.Now().UnixNano()
+			if _, found := x.Only(context.Background(), "llm"); !found || begun.Load() < came {
+				t.Errorf("stream %d: found %v; the last refresh began %d ns before it came", i, found, came-begun.Load())
+			}
+		})
+	}
+	wg.Wait()
+	if most := 2 + time.Since(began)/interval; p.calls.Load() > int32(most) {
+		t.Errorf("%d refreshes for %d streams in %v", p.calls.Load(), streams, time.Since(began))
+	}
+}
+
+func TestOnlyWaitsShortlyForSilentPeers(t *testing.T) {
+	stop := make(chan struct{})
+	defer close(stop)
+	p := &laggingPeers{refresh: func() bool { <-stop; return true }}
+	x := streamversion.New(p)
+	x.MergeStored([]streamversion.ServiceVersion{{Service: "llm", Version: "v1"}}, time.Now())
+	began := time.Now()
+	if _, found := x.Only(context.Background(), "llm"); found || time.Since(began) > time.Second {
+		t.Errorf("found %v after %v", found, time.Since(began))
+	}
+}
--- a/io/relay/stream_version.go
+++ b/io/relay/stream_version.go
@@ -32,7 +32,7 @@
 	version, found := x.recordedVersion()
 	if !found {
 		from = "only version"
-		version, found = x.h.StreamVersions.Only(x.service.Name)
+		version, found = x.h.StreamVersions.Only(x.ctx, x.service.Name)
 	}
 	f := Fields{
 		"request": x.meta.ID, "resumes": x.meta.Resumes, "last": x.meta.LastEventID, "service": x.service.Name, "software": version, "found": found, "ms": ms(time.Since(began)),
--- a/test/entry/stream_version_test.go
+++ b/test/entry/stream_version_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cicadabeam/test/standin/backend"
+	"cicadabeam/test/standin/store"
 )
 
 const (
@@ -24,6 +25,8 @@
 	minTakenUpShare = 0.5
 	// storedWithin is how long after its beginning a stream is to be in the store.
 	storedWithin = 2 * time.Second
+	// standstill is how long a host stands still while servers join.
+	standstill = 2 * time.Second
 )
 
 // take is what a caller got in one or more attempts at a stream.
@@ -149,7 +152,11 @@
 
 // startVersions starts nodes and servers of an old and a new version.
 func startVersions(t *testing.T, nodes, older, newer, breakAfter int) *system {
-	s := start(t, nodes)
+	return addVersions(start(t, nodes), older, newer, breakAfter)
+}
+
+// addVersions adds servers of an old and a new version and waits until all nodes know them.
+func addVersions(s *system, older, newer, breakAfter int) *system {
 	for i := range older + newer {
 		version := "v1"
 		if i >= older {
@@ -344,3 +351,78 @@
 		})
 	}
 }
+
+// Guards against hosts that take the version which they know for the only one, while others have
+// begun streams at a newer one.
+func TestHostOutOfStepGoesOnAtNoOtherSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	for _, x := range []struct {
+		name     string
+		frozen   bool // the host stands still while the servers join
+		storeOut bool // the store doesn't serve the host
+	}{
+		{name: "cut off from the others"},
+		{name: "cut off from the others and the store", storeOut: true},
+		{name: "stood still", frozen: true},
+		{name: "stood still and cut off from the store", frozen: true, storeOut: true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			s := addVersions(startLinked(t, 4), 3, 0, 0)
+			late := s.nodes[3]
+			s.await("the store has the version", testTimeout, func() bool { return slices.Contains(s.store.Keys("nodes"), "software-version/llm/v1") })
+			if x.frozen {
+				late.Suspend()
+			}
+			if x.storeOut {
+				late.storeEndpoint.SetMode(store.Unavailable)
+			}
+			for _, n := range s.nodes {
+				if err := n.Link().DropData(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for i := range 3 {
+				s.addVersionedServer(fmt.Sprint("j-", i), "v1.1", 0)
+			}
+			if x.frozen {
+				time.Sleep(standstill)
+			}
+			ahead := s.nodes[0]
+			s.await("a host knows the newer version", testTimeout, func() bool {
+				known := ahead.eventLines("server")
+				return slices.ContainsFunc(known, func(line string) bool { return strings.Contains(line, "software=v1.1") })
+			})
+			all := takeAll(40, func(i int, y *take) {
+				y.attempt(ahead, y.id, "", 5)
+				if !x.frozen {
+					y.attempt(late, y.id+"-again", y.id, 5)
+				}
+			})
+			if x.frozen {
+				var wg sync.WaitGroup
+				for _, y := range all {
+					wg.Go(func() { y.attempt(late, y.id+"-again", y.id, 5) })
+				}
+				time.Sleep(200 * time.Millisecond)
+				late.Resume()
+				wg.Wait()
+			}
+			checkTakes(t, all, false)
+			late.storeEndpoint.SetMode(store.Healthy)
+			for _, n := range s.nodes {
+				n.Link().RemoveFaults()
+			}
+			var wg sync.WaitGroup
+			for _, y := range all {
+				wg.Go(func() {
+					s.await("a stream goes on once the links carry data", testTimeout, func() bool {
+						return y.attempt(late, fmt.Sprint(y.id, "-", time.Now().UnixNano()), y.id, versionedEvents) == http.StatusOK
+					})
+				})
+			}
+			wg.Wait()
+			checkTakes(t, all, true)
+		})
+	}
+}
