entry: an entry with unsound fields names no server

What another writer left among the entries was taken for a server if it had fields of the right types. Seen by TestOddEntriesAmongServers, in which some forty such entries are in force at once, with addresses of their own or that of a sound server, while the list changes 60 times and a host starts again:

- the key of an entry goes into X-Expect-Instance: one with a line break in it put header fields of its own into requests, which servers answered with nothing that is a response; callers got 502 and 503 (at-most-once requests);
- one long Version keeps all software versions from being stored, as the store takes no key of over 200 bytes ("software versions not stored", again at each attempt);
- slots beyond any server's made an entry the cheapest choice;
- 500 KB of text in a field, or in a number, went into the log and to peers.

fleet.Server.Validate now decides, at the one place where entries of the store and of peers are taken over: ID, service, data centre, version and address of bounded length and printable, an IP address and a port from 1, 1 to 65,535 slots, a start time that is not negative. Log lines quote 200 bytes of an error. Software versions are kept for configured services only, whichever comes first, the entry or the configuration.

Hosts stayed up, served and followed the list in all forms tried before this too, and with the same values as rows of entry hosts, causes of crashes and software versions (TestOddRowsAmongEntryHosts) and beside or in place of the configuration (TestOddRowsInConfiguration): these two tests passed from the start and stay as guards.

TestLateServerUpdateIsDropped used entries without an address.

--- a/cmd/entry/server_list.go
+++ b/cmd/entry/server_list.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"strings"
 	"time"
 
+	"cicadabeam/core/catalog"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/io/neighbour"
@@ -104,13 +106,25 @@
 	}
 	s, err := platform.DecodeServer(r)
 	if err != nil {
-		n.recorder.Record("entry unreadable", relay.Fields{"server": r.Key, "version": r.Version, "error": err.Error()})
+		n.recordUnusable(r.Key, freshness.StoreVersion{Era: n.eras.Current(), Version: r.Version}, "store", err)
 		gone.goneAt = now
 		return gone
 	}
 	return serverChange{server: s}
 }
 
+// maxErrorLength limits what a log line quotes of an entry that another writer may have left.
+const maxErrorLength = 200
+
+func briefly(err error) string {
+	text := err.Error()
+	return strings.ToValidUTF8(text[:min(len(text), maxErrorLength)], "")
+}
+
+func (n *Node) recordUnusable(id string, version freshness.StoreVersion, from string, err error) {
+	n.recorder.Record("entry unreadable", relay.Fields{"server": id, "version": version.Version, "era": version.Era, "from": from, "error": briefly(err)})
+}
+
 // applyPeerServers applies the servers from a peer.
 func (n *Node) applyPeerServers(x neighbour.ServerList, asOf time.Duration, from string) {
 	n.serversMu.Lock()
@@ -128,8 +142,14 @@
 	n.applyServers(l)
 }
 
+// upsertServer adds or updates a server, if its entry names one to use.
 func (n *Node) upsertServer(s fleet.Server, version freshness.StoreVersion, from string) {
-	n.streamVersions.Observe(s.Service, s.Version, time.Now())
+	if err := s.Validate(); err != nil {
+		n.recordUnusable(s.ID, version, from, err)
+		n.deregisterServer(s.ID, version, time.Now())
+		return
+	}
+	n.observeVersion(s, n.tracker.Catalog())
 	if n.fleet.Upsert(s) {
 		n.changeLog.add(s.ID, version)
 		n.recorder.Record("server", relay.Fields{
@@ -138,6 +158,29 @@
 	}
 }
 
+// observeVersion records the software version of a server of a configured service. Those of others
+// are recorded once their service is configured.
+func (n *Node) observeVersion(s fleet.Server, c *catalog.Catalog) {
+	if c == nil {
+		return
+	}
+	if _, configured := c.Service(s.Service); configured {
+		n.streamVersions.Observe(s.Service, s.Version, time.Now())
+	}
+}
+
+// installCatalog puts a configuration in force if it is newer, and reports whether it is.
+func (n *Node) installCatalog(c *catalog.Catalog) bool {
+	n.serversMu.Lock()
+	defer n.serversMu.Unlock()
+	for _, r := range n.fleet.Registered() {
+		if r.DeregisteredAt.IsZero() {
+			n.observeVersion(r.Server, c)
+		}
+	}
+	return n.tracker.Install(c)
+}
+
 // deregisterOthers deregisters the servers that are not in listed.
 func (n *Node) deregisterOthers(listed map[string]bool, version freshness.StoreVersion, at time.Time) {
 	for _, id := range n.fleet.IDs() {
--- a/cmd/entry/server_list_test.go
+++ b/cmd/entry/server_list_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"cicadabeam/core/catalog"
 	"cicadabeam/core/freshness"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/platform"
@@ -219,3 +220,27 @@
 		}
 	}
 }
+
+// Entries and configurations come in any order. Software versions of services that nobody configured
+// are not kept.
+func TestVersionsAreThoseOfConfiguredServices(t *testing.T) {
+	entry := func(id, service string) platform.Row {
+		return platform.Row{Key: id, Version: 1, Value: fmt.Appendf(nil, `{"Service":%q,"Address":"10.0.0.1:1","Zone":"a","Version":"v1","Slots":6,"State":"ready","born":5}`, service)}
+	}
+	update := tableUpdate{full: true, page: platform.Page{Version: 1, Rows: []platform.Row{entry("s1", "orders"), entry("s2", "printing")}}}
+	orders := catalog.New(catalog.Spec{Revision: 1, Services: []catalog.Service{{Name: "orders"}}})
+	for name, steps := range map[string][]func(n *Node){
+		"configuration first": {func(n *Node) { n.installCatalog(orders) }, func(n *Node) { n.applyServerUpdate(update) }},
+		"entries first":       {func(n *Node) { n.applyServerUpdate(update) }, func(n *Node) { n.installCatalog(orders) }},
+	} {
+		n := newTestNode()
+		n.streamVersions.MergeStored(nil, time.Now())
+		for _, step := range steps {
+			step(n)
+		}
+		version, known := n.streamVersions.Only("orders")
+		if _, other := n.streamVersions.Only("printing"); version != "v1" || !known || other {
+			t.Errorf("%s: got version %q of a configured service, and one of another: %v", name, version, other)
+		}
+	}
+}
--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -41,11 +41,11 @@
 	c, err := platform.DecodeConfiguration(value)
 	if err != nil {
 		n.configurationInvalid.Store(true)
-		n.recorder.Record("configuration rejected", relay.Fields{"from": from, "error": err.Error()})
+		n.recorder.Record("configuration rejected", relay.Fields{"from": from, "error": briefly(err)})
 		return 0
 	}
 	n.configurationInvalid.Store(false)
-	newer := n.tracker.Install(c)
+	newer := n.installCatalog(c)
 	if newest {
 		n.tracker.Confirm(c.Revision(), asOf)
 	}
--- a/cmd/entry/watch_test.go
+++ b/cmd/entry/watch_test.go
@@ -131,7 +131,7 @@
 	update := func(era, version uint64, servers ...string) {
 		u := tableUpdate{full: true, page: platform.Page{Era: era, Version: version}}
 		for _, id := range servers {
-			u.page.Rows = append(u.page.Rows, platform.Row{Key: id, Version: version, Value: fmt.Appendf(nil, `{"Service":"orders","Address":%q,"Zone":"a","Version":"v1","Slots":1,"State":"ready","born":1}`, id)})
+			u.page.Rows = append(u.page.Rows, platform.Row{Key: id, Version: version, Value: fmt.Appendf(nil, `{"Service":"orders","Address":"10.0.0.1:%d","Zone":"a","Version":"v1","Slots":1,"State":"ready","born":1}`, id[0])})
 		}
 		n.applyServerUpdate(u)
 	}
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -34,6 +35,9 @@
 	LoseResponses
 )
 
+// maxKeyLength is the maximum number of bytes in a row's key.
+const maxKeyLength = 200
+
 // row is a row in its current state or, in the history, one change of a row.
 type row struct {
 	Table   string `json:"Table"`
@@ -354,7 +358,8 @@
 
 func (s *Store) commit(w http.ResponseWriter, r *http.Request) {
 	var t transaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+	err := json.NewDecoder(r.Body).Decode(&t)
+	if err != nil || slices.ContainsFunc(t.Writes, func(x row) bool { return len(x.Key) > maxKeyLength }) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
