entry: changes that are too large are read as a whole table

After an outage of the store in which one odd entry of 500 KB changed 40 times, a host that reads the store asked for the same changes again and again, got over 16 MB each time and dropped them ("the response exceeds bytes"): it went on sending requests to a server that drained, and none to a new one.

New log event "changes too large".

TestWatcherReadsTableIfChangesAreTooLarge failed before (one whole read and 23 responses dropped in 5 s).

--- a/cmd/entry/watch.go
+++ b/cmd/entry/watch.go
@@ -96,6 +96,11 @@
 			w.loaded = false
 			continue
 		}
+		if errors.Is(err, platform.ErrTooLarge) && w.loaded {
+			w.recorder.Record("changes too large", relay.Fields{"table": w.table, "since": w.since.Version, "era": w.since.Era})
+			w.loaded = false // the table has each row once, in pages
+			continue
+		}
 		if errors.Is(err, platform.ErrOlderEra) {
 			w.loaded = false
 			sleep(ctx, minRetryDelay)
