--- a/cmd/entry/server_list_test.go
+++ b/cmd/entry/server_list_test.go
@@ -161,7 +161,7 @@
 				i := rapid.IntRange(0, len(asked)-1).Draw(t, "query")
 				q := asked[i]
 				asked = slices.Delete(asked, i, i+1)
-				apply := func() {}
+				var apply func()
 				if q.peer {
 					x := s.peerAnswer(t, q.whole, q.since)
 					apply = func() { n.applyPeerServers(x, 0, "node-2") }
--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -81,7 +81,7 @@
 			t.Errorf("%s: a server is not usable again after its successor was deregistered", name)
 		}
 
-		f, before, _ = fleetOf(order)
+		_, before, _ = fleetOf(order)
 		before.RecordSuccess(time.Millisecond, start.Add(time.Second))
 		if now := start.Add(time.Second); before.Contested(now) || before.Superseded(now) || before.EndedUnannounced(start, now) {
 			t.Errorf("%s: an entry counts for more than an answer of the server that it is to replace", name)
