entry: a refresh of software versions reads entries as the list of servers does

Entries with unsound fields and those of services that are not configured count neither there nor here; a long version in one kept all versions from being stored. The test of versions looks at what is to be stored, as the only version of a service is known after a refresh only.

--- a/cmd/entry/server_list_test.go
+++ b/cmd/entry/server_list_test.go
@@ -11,6 +11,7 @@
 
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/streamversion"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/platform"
 )
@@ -238,9 +239,9 @@
 		for _, step := range steps {
 			step(n)
 		}
-		version, known := n.streamVersions.Only("orders")
-		if _, other := n.streamVersions.Only("printing"); version != "v1" || !known || other {
-			t.Errorf("%s: got version %q of a configured service, and one of another: %v", name, version, other)
+		versions, _ := n.streamVersions.Unstored(time.Now())
+		if want := []streamversion.ServiceVersion{{Service: "orders", Version: "v1"}}; !slices.Equal(versions, want) {
+			t.Errorf("%s: got versions %v, want %v", name, versions, want)
 		}
 	}
 }
--- a/cmd/entry/stream_versions.go
+++ b/cmd/entry/stream_versions.go
@@ -97,8 +97,8 @@
 			n.recordMissed(r.Key)
 			continue
 		}
-		if x, err := platform.DecodeServer(r); err == nil {
-			n.streamVersions.Observe(x.Service, x.Version, now)
+		if x, err := platform.DecodeServer(r); err == nil && x.Validate() == nil {
+			n.observeVersion(x, n.tracker.Catalog())
 		}
 	}
 	if !n.versionsMissed.Swap(false) {
