test/entry: the request that keeps a stopping node at work reaches a server

The node did not know the engine yet when the stream was sent, which was refused; a node without requests ends after 3.2 s, and a request 6 s after the stop found its connection closed.

--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -169,7 +170,9 @@
 			t.Fatalf("the first request of a connection got status %d", got.status)
 		}
 	}
-	s.await("the engine is known", testTimeout, func() bool { return slices.ContainsFunc(n.eventLines("server"), func(line string) bool { return strings.Contains(line, "server=s2 ") }) })
+	s.await("the engine is known", testTimeout, func() bool {
+		return slices.ContainsFunc(n.eventLines("server"), func(line string) bool { return strings.Contains(line, "server=s2 ") })
+	})
 	go func() { _, _ = n.send("/report/1", "key-1") }() // keeps the node at work to the end
 	time.Sleep(200 * time.Millisecond)
 	stopped := time.Now()
