crashcause: what is suspected runs alone before it is quarantined

The part that all prompts share was inferred from what was known on the crashed servers, and with everything refused nothing could acquit it for 5 to 7.5 minutes.

A cause that is inferred is now suspected. Requests with it wait, up to 5 s or a quarter of their time, while one of them runs as a trial, on one server; hosts tell each other of trials in the exchanged reports. A trial that runs well takes its features out of the suspicion. A crash convicts the cause that explains most crashes, or a narrower one that the request tells; a cause that nearly all requests of a class share is never convicted by one crash, but tried again after 10 s, 80 s, 11 min. One and the same request that was alone on three crashed servers has had its trials and is quarantined at once.

As a suspicion can be refuted, it needs less: while nothing of a class runs well, three crashes beside any other losses are enough. A cause that is taken too narrowly is widened at the first crash that it doesn't explain.

Lists for servers that keep their names (serve) quarantine as before: the check and the run may be on different nodes there, so that a trial has no owner.

--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -29,23 +29,37 @@
 
 // Cause is a cause that was found.
 type Cause struct {
-	Features []Feature
-	Servers  []string // that crashed
-	Until    time.Time
+	Features  []Feature
+	Servers   []string // that crashed
+	Until     time.Time
+	Suspected bool // it is on probation
+	class     Feature
+	// comparable is set if other requests of the class have run well.
+	comparable bool
 }
 
 // cause is a set of features that crash servers.
 type cause struct {
 	features  []Feature // as found
 	remaining []Feature // those that no request has that ran well since, none if the cause was wrong
+	class     Feature   // of the requests
 	since     time.Time // when it was found or last renewed
 	until     time.Time // when it is tried again
 	crashes   int       // after it was found
 	trial     time.Time // when a request was let through, zero if there is none
+	suspicion *suspicion
 }
 
-func newCause(features []Feature, now time.Time) *cause {
-	c := &cause{features: features, remaining: slices.Clone(features)}
+// newCause returns a cause that is suspected.
+func newCause(x Cause, now time.Time) *cause {
+	c := &cause{features: x.Features, remaining: slices.Clone(x.Features), class: x.class, since: now, until: now, suspicion: newSuspicion(now)}
+	c.suspicion.comparable = x.comparable
+	return c
+}
+
+// newConvicted returns a cause that is quarantined.
+func newConvicted(features []Feature, class Feature, now time.Time) *cause {
+	c := &cause{features: features, remaining: slices.Clone(features), class: class}
 	c.quarantine(now)
 	return c
 }
@@ -61,15 +75,20 @@
 
 func (c *cause) quarantine(now time.Time) {
 	d := min(firstQuarantine<<min(c.crashes, 8), maxQuarantine)
-	c.since, c.trial = now, time.Time{}
+	c.since, c.trial, c.suspicion = now, time.Time{}, nil
 	c.until = now.Add(time.Duration(float64(d) * (1 + quarantineSpread*rand.Float64())))
 }
 
-// acquit removes a feature of a request that ran well at a time.
-func (c *cause) acquit(f Feature, at time.Time) {
-	if at.After(c.since.Add(-soundMemory)) {
-		c.remaining = slices.DeleteFunc(c.remaining, func(x Feature) bool { return x == f })
+// acquit removes a feature of a request that ran well at a time. It reports whether the cause had it.
+func (c *cause) acquit(f Feature, at time.Time) bool {
+	if !at.After(c.since.Add(-soundMemory)) || !slices.Contains(c.remaining, f) {
+		return false
+	}
+	c.remaining = slices.DeleteFunc(c.remaining, func(x Feature) bool { return x == f })
+	if c.suspicion != nil {
+		c.suspicion.Restart(at)
 	}
+	return true
 }
 
 // matches reports whether a request is one that the cause applies to.
@@ -119,6 +138,7 @@
 		if other != x && only[other] == 0 && n < total {
 			other.remaining = nil
 			l.markChanged(other)
+			l.notify()
 		}
 	}
 }
@@ -134,49 +154,87 @@
 	return all
 }
 
-// covered reports whether all requests with the features are quarantined already.
+// covered reports whether all requests with the features are quarantined or suspected already.
 func (l *List) covered(features []Feature) bool {
-	for _, x := range l.causes {
-		if x.matches(Request{Features: features}) {
-			return true
-		}
-	}
-	return false
+	return len(l.causesWith(Request{Features: features})) > 0
 }
 
 // renewCauses renews the quarantine of the causes that are tried again and that a request has
 // under which a server has crashed.
 func (l *List) renewCauses(r Request, at time.Time) {
+	for _, c := range l.causesWith(r) {
+		if c.suspicion == nil && at.After(c.until) {
+			l.convict(c, at)
+		}
+	}
+}
+
+// causesWith returns the causes that apply to a request.
+func (l *List) causesWith(r Request) []*cause {
+	var all []*cause
 	for _, c := range l.causes {
-		if at.After(c.until) && c.matches(r) {
-			c.crashes++
-			c.quarantine(at)
-			l.markChanged(c)
+		if c.matches(r) {
+			all = append(all, c)
 		}
 	}
+	return all
+}
+
+// convict quarantines a cause after a crash in a trial.
+func (l *List) convict(c *cause, at time.Time) {
+	c.crashes++
+	c.quarantine(at)
+	l.markChanged(c)
+	l.notify()
 }
 
 // Refusal says until when requests are refused because of a cause.
 type Refusal struct {
 	Until    time.Time
 	Features []Feature // of the cause
+	// Suspected is set if the cause is on probation, so that the request may wait for the outcome of
+	// a trial; see Changed.
+	Suspected bool
 }
 
-// Refuses reports whether a request is to be refused. After the quarantine of a cause it lets
-// one request at a time through.
+// Refuses reports whether a request is to be refused. After the quarantine of a cause, and while
+// it is on probation, it lets one request at a time through.
 func (l *List) Refuses(r Request, now time.Time) (x Refusal, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.causes {
-		if until := c.blockedUntil(r, now); until.After(x.Until) {
-			x = Refusal{Until: until, Features: slices.Clone(c.remaining)}
+		if c.suspicion != nil && c.class == r.Class && len(c.remaining) > 0 {
+			c.suspicion.Count(c.matches(r))
+		}
+	}
+	return l.admit(r, now)
+}
+
+// StillRefuses is like Refuses for a request that has waited.
+func (l *List) StillRefuses(r Request, now time.Time) (x Refusal, refused bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.admit(r, now)
+}
+
+func (l *List) admit(r Request, now time.Time) (x Refusal, refused bool) {
+	for _, c := range l.causes {
+		until := c.blockedUntil(r, now)
+		if until.IsZero() {
+			continue
+		}
+		suspected := c.suspicion != nil
+		if x.Until.IsZero() || x.Suspected && !suspected || x.Suspected == suspected && until.After(x.Until) {
+			x = Refusal{Until: until, Features: slices.Clone(c.remaining), Suspected: suspected}
 		}
 	}
 	if !x.Until.IsZero() {
 		return x, true
 	}
-	for _, c := range l.causes {
-		if c.matches(r) {
+	for _, c := range l.causesWith(r) {
+		if c.suspicion != nil {
+			c.suspicion.begin(r, now)
+		} else {
 			c.trial = now
 		}
 	}
@@ -188,8 +246,13 @@
 func (l *List) MaySend(r Request, again bool, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, c := range l.causes {
-		if c.matches(r) && (again || now.Before(c.until)) {
+	for _, c := range l.causesWith(r) {
+		switch {
+		case c.suspicion != nil:
+			if !c.suspicion.maySend(r, again) {
+				return false
+			}
+		case again || now.Before(c.until):
 			return false
 		}
 	}
@@ -202,8 +265,12 @@
 	defer l.mu.Unlock()
 	var at time.Time
 	for _, c := range l.causes {
-		if c.matches(r) && c.until.After(at) {
-			at = c.until
+		until := c.until
+		if c.suspicion != nil {
+			until = c.suspicion.OpensAt()
+		}
+		if c.matches(r) && until.After(at) {
+			at = until
 		}
 	}
 	return at
@@ -215,7 +282,7 @@
 	defer l.mu.Unlock()
 	n := 0
 	for _, c := range l.causes {
-		if len(c.remaining) > 0 && now.Before(c.until) {
+		if len(c.remaining) > 0 && c.suspicion == nil && now.Before(c.until) {
 			n++
 		}
 	}
@@ -227,6 +294,8 @@
 	switch {
 	case !c.matches(r):
 		return time.Time{}
+	case c.suspicion != nil:
+		return c.suspicion.BlockedUntil(now)
 	case now.Before(c.until):
 		return c.until
 	case now.Before(c.trial.Add(trialTimeout)):
--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -4,8 +4,10 @@
 // Each request has features: one for each part of its prompt that it may share with other
 // requests, and one for the request as a whole. The features that all or nearly all requests
 // have in common that were starting on servers as these crashed, and that no request has
-// that ran well, are quarantined as one cause. Requests with all features of a cause are to
-// be refused. A feature that is seen in a request that runs well is taken out of the cause.
+// that ran well, are suspected as one cause. Requests with all features of it then run one at a
+// time, as trials; see package probation. A crash in a trial convicts: the cause is quarantined, and
+// requests with it are to be refused. A feature that is seen in a request that runs well is taken out
+// of the cause.
 //
 // After some minutes one request with the features is let through. If its server crashes
 // too, the cause is quarantined for longer.
@@ -45,6 +47,9 @@
 	// commonShare is the share of the crashes with the most frequent feature from which
 	// another feature belongs to the same cause.
 	commonShare = 0.75
+	// refutedThreshold is the number of crashes under a feature that a known cause with it doesn't
+	// explain, from which that cause is taken for too narrow.
+	refutedThreshold = 1
 	// withinShare is the share of the crashes with a feature from which another one, within the
 	// requests with it, is the likelier cause: some of the requests on a server are not known yet.
 	withinShare = 0.6
@@ -119,6 +124,7 @@
 	Crash
 	features map[Feature]bool // of all requests
 	own      []Request        // that this node had on the server
+	judged   bool             // it has told what a trial can tell
 }
 
 func (c *crash) has(f Feature) bool { return c.features[f] }
@@ -128,6 +134,7 @@
 type List struct {
 	mu          sync.Mutex
 	namesReused bool
+	trials      bool                // causes are suspected before they are quarantined
 	crashes     map[string][]*crash // by server
 	sound       map[Feature]time.Time
 	causes      map[string]*cause // by key
@@ -136,19 +143,24 @@
 	// changed are the keys of the causes that this node's evidence has changed, for TakeChanges.
 	changed map[string]bool
 	dirty   atomic.Bool // there are any
+	// convicted are the causes that trials have convicted, for Evaluate.
+	convicted []*cause
+	released  bool          // a feature was taken out of a cause, for TakeReleased
+	waiting   chan struct{} // closed when a request may be let through, nil if nobody waits
 }
 
 // New returns an empty list for servers that have another name after a restart.
 func New() *List {
 	return &List{
-		crashes: make(map[string][]*crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
+		trials: true, crashes: make(map[string][]*crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
 	}
 }
 
-// NewForReusedNames returns an empty list for servers that keep their names when they restart.
+// NewForReusedNames returns an empty list for servers that keep their names when they restart. It
+// quarantines causes without trials.
 func NewForReusedNames() *List {
 	l := New()
-	l.namesReused = true
+	l.namesReused, l.trials = true, false
 	return l
 }
 
@@ -185,6 +197,7 @@
 			l.concerned[f] = true
 		}
 		l.renewCauses(r, known.At)
+		l.judgeTrial(known, r)
 	}
 	return known
 }
@@ -309,25 +322,38 @@
 		l.sound[f] = at
 	}
 	for _, c := range l.causes {
-		c.acquit(f, at)
+		if c.acquit(f, at) {
+			l.released = true
+			l.notify()
+		}
 	}
 }
 
-// Evaluate determines the causes of the recorded crashes and returns the new ones.
+// Evaluate determines the causes of the recorded crashes. It returns those that are suspected now,
+// and those that were convicted in trials since the last call.
 func (l *List) Evaluate(now time.Time) []Cause {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var found []Cause
+	l.released = false
+	for c := range l.allCrashes() {
+		l.judge(c)
+	}
+	found := l.takeConvicted()
 	for len(found) < maxCauses {
 		c, ok := l.nextCause(now)
 		if !ok {
 			break
 		}
-		x := newCause(c.Features, now)
+		c.Suspected = c.Suspected && l.trials
+		x := newCause(c, now)
+		c.Until = x.suspicion.OpensAt()
+		if !c.Suspected {
+			x.quarantine(now)
+			c.Until = x.until
+			l.markChanged(x)
+		}
 		l.addCause(x)
-		l.markChanged(x)
 		l.dropExplained(x)
-		c.Until = x.until
 		found = append(found, c)
 	}
 	return found
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -25,10 +25,14 @@
 	var broad *Cause
 	for _, s := range l.suspects(now) {
 		s = l.narrowest(s)
-		c := Cause{Features: l.inCommon(s), Servers: s.servers()}
+		c := l.causeOf(s, commonShare)
+		if l.trials && l.covered(c.Features) && s.withoutCause(l) >= refutedThreshold {
+			c = l.causeOf(s, 1)
+			c.Suspected = c.Suspected && !(c.comparable && l.widensConvicted(c.Features))
+		}
 		switch {
 		case s.unexplained == 0 || l.covered(c.Features):
-		case l.comparable(s) || !l.inAllRequests(c.Features, s.class):
+		case c.comparable || !l.inAllRequests(c.Features, s.class):
 			return c, true
 		case broad == nil && s.unexplained >= crashThreshold:
 			broad = &c
@@ -40,6 +44,35 @@
 	return *broad, true
 }
 
+// causeOf returns the cause that a suspect stands for: its feature and those that a share of the
+// requests with it have in common.
+func (l *List) causeOf(s suspect, share float64) Cause {
+	return Cause{
+		Features: l.inCommon(s, share), Servers: s.servers(), class: s.class, comparable: l.comparable(s), Suspected: !s.ranAlone(),
+	}
+}
+
+// widensConvicted reports whether a trial has convicted a cause that has the features and others.
+func (l *List) widensConvicted(features []Feature) bool {
+	for _, x := range l.causes {
+		if x.suspicion == nil && x.crashes > 0 && len(x.remaining) > len(features) && (Request{Features: x.remaining}).hasAll(features) {
+			return true
+		}
+	}
+	return false
+}
+
+// withoutCause counts the crashes that no known cause explains, suspected ones included.
+func (s suspect) withoutCause(l *List) int {
+	n := 0
+	for _, c := range s.crashes {
+		if len(l.causesOf(c)) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // narrowest returns the suspect with the fewest requests of those that nearly all crashes of s
 // have and that come with the feature of s only, or s. Not all requests on a server that crashed
 // may be known, so that s may have more crashes although it is not the cause. A narrower feature is
@@ -47,13 +80,13 @@
 // the crashes is not explained by its share of the requests.
 func (l *List) narrowest(s suspect) suspect {
 	best := s
-	common := l.inCommon(s)
+	common := l.inCommon(s, commonShare)
 	for _, x := range l.within(s) {
 		if x.requests >= best.requests || float64(len(x.crashes)) < withinShare*float64(len(s.crashes)) || !x.isShared() {
 			continue
 		}
 		likelier := x.isAccompanied(s.feature) || !slices.Contains(common, x.feature)
-		if likelier && slices.Contains(l.inCommon(x), s.feature) {
+		if likelier && slices.Contains(l.inCommon(x, commonShare), s.feature) {
 			best = x
 		}
 	}
@@ -110,6 +143,18 @@
 	return 2*n >= len(s.crashes)
 }
 
+// ranAlone returns whether one and the same request was alone on three of the servers as these
+// crashed, none of them beside another loss. These were trials already.
+func (s suspect) ranAlone() bool {
+	var alone []*crash
+	for _, c := range s.crashes {
+		if len(c.Requests) == 1 && len(c.LostWith) == 0 && (len(alone) == 0 || alone[0].Requests[0].equal(c.Requests[0])) {
+			alone = append(alone, c)
+		}
+	}
+	return len(alone) >= crashThreshold && moments(alone) >= crashThreshold
+}
+
 // isShared reports whether different requests have the feature.
 func (s suspect) isShared() bool {
 	var first *Request
@@ -149,7 +194,7 @@
 		if now.Sub(c.At) > crashRetention {
 			continue
 		}
-		explained := len(l.causesOf(c)) > 0
+		explained := slices.ContainsFunc(l.causesOf(c), func(x *cause) bool { return x.suspicion == nil })
 		for _, r := range c.Requests {
 			for _, f := range r.Features {
 				if crashes[f] >= crashThreshold {
@@ -165,7 +210,7 @@
 		case len(s.crashes) >= crashThreshold && span(s.crashes) >= minCrashSpan, len(s.crashes) >= outageThreshold && s.totalSpan() >= minCrashSpan:
 			s.shielded = nil
 			ranked = append(ranked, *s)
-		case len(s.shielded) > 0 && l.outlastsOutages(s):
+		case l.outlastsOutages(s, now):
 			ranked = append(ranked, *s)
 		}
 	}
@@ -190,16 +235,18 @@
 }
 
 // outlastsOutages reports whether a suspect had servers crash at so many different moments that
-// it is unlikely to be there by chance, although other servers were lost at each of them. It adds
-// these crashes to the others of the suspect.
-func (l *List) outlastsOutages(s *suspect) bool {
+// it is unlikely to be there by chance, although other servers were lost at each of them. While
+// nothing of its class runs well, any crashes are enough, as a trial can refute the suspicion.
+// outlastsOutages adds these crashes to the others of the suspect.
+func (l *List) outlastsOutages(s *suspect, now time.Time) bool {
 	all := append(slices.Clone(s.crashes), s.shielded...)
 	sortByTime(all)
-	if moments(all) < outageThreshold {
+	untested := l.trials && len(all) >= crashThreshold && !l.soundSince(s.class, now.Add(-soundMemory))
+	if !untested && moments(all) < outageThreshold {
 		return false
 	}
 	s.crashes = all
-	return l.comparable(*s)
+	return untested || l.comparable(*s)
 }
 
 // moments returns the number of times, more than lostTogetherWindow apart, at which servers
@@ -280,9 +327,9 @@
 	return known && at.After(t)
 }
 
-// inCommon returns the feature of a suspect and further ones that nearly all different requests
+// inCommon returns the feature of a suspect and further ones that a share of the different requests
 // with it have in common.
-func (l *List) inCommon(s suspect) []Feature {
+func (l *List) inCommon(s suspect, share float64) []Feature {
 	var requests []Request
 	count := make(map[Feature]int)
 	for _, c := range s.crashes {
@@ -303,7 +350,7 @@
 	all := []Feature{s.feature}
 	for _, f := range others {
 		more := append(slices.Clone(all), f)
-		if float64(countWith(requests, more)) >= commonShare*float64(len(requests)) {
+		if float64(countWith(requests, more)) >= share*float64(len(requests)) {
 			all = more
 		}
 	}
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -46,6 +46,16 @@
 	Age       time.Duration
 	Left      time.Duration // until the cause is tried again, negative if it is being tried
 	Crashes   int
+	Class     Feature
+	Probation *ProbationReport // nil if the cause is not on probation
+}
+
+// ProbationReport reports the state of a cause that is on probation.
+type ProbationReport struct {
+	Awaited bool // the outcome of a trial of this node
+	Crashes int  // in trials, that did not convict
+	// Comparable is set if other requests of the class had run well when the suspicion arose.
+	Comparable bool
 }
 
 // Report returns what this node tells others: the requests that it had on servers that have just
@@ -75,11 +85,18 @@
 		}
 	}
 	for _, c := range l.causes {
-		r.Causes = append(r.Causes, CauseReport{
-			Features: slices.Clone(c.features), Remaining: slices.Clone(c.remaining), Age: now.Sub(c.since), Left: c.until.Sub(now), Crashes: c.crashes,
-		})
-		for _, f := range c.features {
-			reported[f] = true
+		x := CauseReport{
+			Features: slices.Clone(c.features), Remaining: slices.Clone(c.remaining), Age: now.Sub(c.since), Left: c.until.Sub(now), Crashes: c.crashes, Class: c.class,
+		}
+		if c.suspicion != nil {
+			x.Left = c.suspicion.OpensAt().Sub(now)
+			x.Probation = &ProbationReport{Awaited: c.suspicion.awaits(now), Crashes: c.suspicion.Crashes(), Comparable: c.suspicion.comparable}
+		}
+		r.Causes = append(r.Causes, x)
+		if x.Age < soundMemory {
+			for _, f := range c.features {
+				reported[f] = true
+			}
 		}
 	}
 	for f := range reported {
@@ -133,10 +150,10 @@
 	}
 	for _, c := range r.Causes {
 		if x := l.mergeCause(c, now); x != nil && len(x.remaining) > 0 {
-			causes = append(causes, Cause{Features: slices.Clone(x.remaining), Until: x.until})
+			causes = append(causes, Cause{Features: slices.Clone(x.remaining), Until: x.until, Suspected: x.suspicion != nil})
 		}
 	}
-	return causes, crashed
+	return causes, crashed || l.released
 }
 
 // mergeCause applies a cause that another node reported and returns it if it is new or was
@@ -146,24 +163,59 @@
 	if len(r.Features) == 0 || len(r.Features) > maxFeatures {
 		return nil
 	}
-	x := &cause{features: r.Features, remaining: slices.Clone(r.Remaining), since: now.Add(-r.Age), crashes: r.Crashes}
+	x := &cause{features: r.Features, remaining: slices.Clone(r.Remaining), class: r.Class, since: now.Add(-r.Age), crashes: r.Crashes}
 	x.until = now.Add(r.Left + trialHeadStart + time.Duration(quarantineSpread*rand.Float64()*float64(firstQuarantine)))
+	if r.Probation != nil {
+		x.suspicion = newSuspicion(now)
+		x.suspicion.Postpone(now.Add(max(r.Left, 0) + trialHeadStart))
+	}
 	if x.expired(now) {
 		return nil
 	}
 	known := l.causes[x.key()]
-	switch {
-	case known == nil:
-		for f, at := range l.sound {
-			x.acquit(f, at)
-		}
+	if known == nil {
+		l.acquitSound(x)
 		l.addCause(x)
+		known = x
+		l.mergeProbation(known, r, now)
 		return x
-	case x.since.Sub(known.since) > foundTogetherWindow:
+	}
+	l.mergeProbation(known, r, now)
+	together := x.since.Sub(known.since).Abs() <= foundTogetherWindow
+	convicted := x.suspicion == nil && known.suspicion != nil && len(x.remaining) > 0
+	suspected := x.suspicion != nil && known.suspicion == nil && now.Before(known.until)
+	switch {
+	case convicted, !together && !suspected && x.since.After(known.since):
 		*known = *x
+		l.acquitSound(known)
+		l.notify()
 		return known
-	case known.since.Sub(x.since) <= foundTogetherWindow:
+	case together:
+		n := len(known.remaining)
 		known.remaining = slices.DeleteFunc(known.remaining, func(f Feature) bool { return !slices.Contains(r.Remaining, f) })
+		if len(known.remaining) < n {
+			l.released = true
+			l.notify()
+		}
 	}
 	return nil
 }
+
+// acquitSound takes the features of requests that have run well out of a cause.
+func (l *List) acquitSound(c *cause) {
+	for f, at := range l.sound {
+		c.acquit(f, at)
+	}
+}
+
+// mergeProbation applies what another node tells of the trials of a cause.
+func (l *List) mergeProbation(c *cause, r CauseReport, now time.Time) {
+	if c.suspicion == nil || r.Probation == nil {
+		return
+	}
+	if r.Probation.Awaited {
+		c.suspicion.BegunElsewhere(now)
+	}
+	c.suspicion.comparable = c.suspicion.comparable || r.Probation.Comparable
+	c.suspicion.CrashedElsewhere(r.Probation.Crashes, now.Add(r.Left))
+}
--- a/core/crashcause/stored.go
+++ b/core/crashcause/stored.go
@@ -38,7 +38,7 @@
 	defer l.mu.Unlock()
 	var all []StoredCause
 	for key := range l.changed {
-		if c := l.causes[key]; c != nil {
+		if c := l.causes[key]; c != nil && c.suspicion == nil {
 			all = append(all, StoredCause{
 				Features: slices.Clone(c.features), Remaining: slices.Clone(c.remaining), Crashes: c.crashes, Since: c.since.UnixMilli(), Until: c.until.UnixMilli(),
 			})
--- /dev/null
+++ b/core/crashcause/suspicion_test.go
@@ -0,0 +1,109 @@
+package crashcause_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadabeam/core/crashcause"
+)
+
+// suspected returns a list on which part "first", which all requests have, is suspected at 3 s: the
+// request that crashed three servers is known on two of them.
+func suspected(t *testing.T) *crashcause.List {
+	t.Helper()
+	l := crashcause.New()
+	for i := range uint64(3) {
+		all := []crashcause.Request{request(10*i, "first"), request(10*i+1, "first")}
+		if i > 0 {
+			all = append(all, request(7, "first"))
+		}
+		crash(l, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), all...)
+	}
+	if found := l.Evaluate(at(3 * time.Second)); len(found) != 1 || !found[0].Suspected {
+		t.Fatalf("got causes %v, want one that is suspected", found)
+	}
+	return l
+}
+
+func TestRequestThatCrashesServersTakesNoServiceOutOfUse(t *testing.T) {
+	l := suspected(t)
+	now := at(5 * time.Second)
+	if x, refused := l.Refuses(request(20, "first"), now); refused {
+		t.Fatalf("no request runs until %v", x.Until.Sub(now))
+	}
+	if x, refused := l.Refuses(request(21, "first"), now); !refused || !x.Suspected {
+		t.Error("a second request runs before the first one has told anything")
+	}
+	l.RecordSound(request(20, "first"), now.Add(time.Second))
+	for i := range uint64(100) {
+		if refuses(l, request(100+i, "first"), now.Add(time.Second)) {
+			t.Fatal("a request is refused after one like it ran well")
+		}
+	}
+}
+
+func TestCrashInTrialConvictsTheRequestAndNotItsService(t *testing.T) {
+	l := suspected(t)
+	now := at(5 * time.Second)
+	bad := request(7, "first")
+	if refuses(l, bad, now) {
+		t.Fatal("no request runs")
+	}
+	if l.MaySend(bad, true, now) || !l.MaySend(bad, false, now) {
+		t.Error("the trial may be sent to a second server, or not to the first")
+	}
+	crash(l, "s9", now.Add(time.Second), bad)
+	l.EndTrial(bad, true, now.Add(time.Second))
+	l.Evaluate(now.Add(1300 * time.Millisecond))
+	now = now.Add(4 * time.Second)
+	if !refuses(l, bad, now) || refuses(l, request(30, "first"), now) {
+		t.Error("the requests that are refused are not those that crashed the server")
+	}
+}
+
+func TestRetryMayBeTheTrial(t *testing.T) {
+	l := suspected(t)
+	now := at(5 * time.Second)
+	r := request(20, "first")
+	if l.MaySend(r, true, now) {
+		t.Error("a request under suspicion is sent again beside trials")
+	}
+	if _, refused := l.RefusesRetry(r, now); refused || !l.MaySend(r, true, now) || !l.MaySend(r, false, now) {
+		t.Error("a request that was sent before may not be the trial")
+	}
+	if _, refused := l.RefusesRetry(r, now); refused || l.MaySend(r, true, now) {
+		t.Error("a trial is sent to a second server after the loss of its first")
+	}
+}
+
+func TestTrialElsewhereIsAwaited(t *testing.T) {
+	never := func(string, time.Time) bool { return false }
+	l, other := suspected(t), suspected(t)
+	now := at(5 * time.Second)
+	if refuses(l, request(20, "first"), now) {
+		t.Fatal("no request runs")
+	}
+	other.Merge(l.Report(now), now, never)
+	if !refuses(other, request(21, "first"), now) {
+		t.Error("two nodes run trials at once")
+	}
+	l.RecordSound(request(20, "first"), now.Add(time.Second))
+	other.Merge(l.Report(now.Add(time.Second)), now.Add(time.Second), never)
+	if refuses(other, request(21, "first"), now.Add(time.Second)) {
+		t.Error("a request is refused after one ran well at another node")
+	}
+}
+
+func TestWaitingRequestsAreWoken(t *testing.T) {
+	l := suspected(t)
+	now := at(5 * time.Second)
+	refuses(l, request(20, "first"), now)
+	changed := l.Changed()
+	l.RecordSound(request(20, "first"), now.Add(time.Second))
+	select {
+	case <-changed:
+	default:
+		t.Error("the end of a suspicion wakes nobody")
+	}
+}
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -92,17 +92,22 @@
 		d.mu.Lock()
 		d.due = false
 		d.mu.Unlock()
-		found := d.causes.Evaluate(time.Now())
-		for _, c := range found {
-			d.log(c, "")
-		}
-		if len(found) > 0 {
-			d.h.NotifyPeers()
-		}
-		d.storeChanges()
+		d.evaluate()
 	})
 }
 
+// evaluate determines the causes of crashes.
+func (d *crashDetector) evaluate() {
+	found := d.causes.Evaluate(time.Now())
+	for _, c := range found {
+		d.log(c, "")
+	}
+	if len(found) > 0 {
+		d.h.NotifyPeers()
+	}
+	d.storeChanges()
+}
+
 // storeChanges hands the causes that this node has changed on to be stored.
 func (d *crashDetector) storeChanges() {
 	if d.h.StoreCauses == nil {
@@ -140,7 +145,11 @@
 		parts = append(parts, name)
 	}
 	d.mu.Unlock()
-	d.h.Recorder.Record("crash cause quarantined", Fields{
+	event := "crash cause quarantined"
+	if c.Suspected {
+		event = "crash cause suspected"
+	}
+	d.h.Recorder.Record(event, Fields{
 		"parts": strings.Join(parts, ","), "servers": strings.Join(c.Servers, ","), "ms": ms(time.Until(c.Until)), "from": from,
 	})
 }
@@ -169,9 +178,9 @@
 	return all
 }
 
-// refusal returns the error for a request that is known to crash servers, or nil.
+// refusal returns the error for a request that is known, or suspected, to crash servers, or nil.
 func (d *crashDetector) refusal(x *exchange) *fault.Error {
-	refusal, refused := d.causes.Refuses(x.features, time.Now())
+	refusal, refused := d.awaitTrial(x, d.causes.Refuses, d.causes.StillRefuses)
 	if !refused {
 		return nil
 	}
@@ -182,7 +191,11 @@
 		}
 	}
 	parts = partNames(parts)
-	if len(parts) == 0 {
+	switch {
+	case refusal.Suspected:
+		err := fault.Newf(fault.PromptQuarantined, "admit", "", "servers crashed while running requests like this one, which run one at a time until the cause is known")
+		return err.WithRetryAt(refusal.Until)
+	case len(parts) == 0:
 		return fault.Newf(fault.RequestQuarantined, "admit", "", "the request is quarantined because servers crashed while running it")
 	}
 	err := fault.Newf(fault.PromptQuarantined, "admit", "", "requests with the prompt part %s are quarantined because servers crashed while running them", strings.Join(parts, ", "))
@@ -206,6 +219,10 @@
 	case len(x.meta.PromptParts) > 0:
 		d.causes.RecordSound(x.promptOnly(), time.Now())
 	}
+	if d.causes.TakeReleased() {
+		d.evaluate()
+		d.h.NotifyPeers()
+	}
 	d.storeChanges()
 }
 
--- a/io/relay/crash_evaluation.go
+++ b/io/relay/crash_evaluation.go
@@ -71,3 +71,9 @@
 	case <-t.C:
 	}
 }
+
+// awaitRetry is awaitEvaluation before a request is sent again, which may then be a trial.
+func (d *crashDetector) awaitRetry(x *exchange) {
+	d.awaitEvaluation(x.ctx, x)
+	d.awaitTrial(x, d.causes.RefusesRetry, d.causes.RefusesRetry)
+}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -199,6 +199,7 @@
 	ctx, cancel := context.WithDeadline(x.parentContext(), x.deadline)
 	defer cancel()
 	x.ctx = ctx
+	defer h.crashDetector.endTrial(x)
 	if err := x.prepare(); err != nil {
 		x.respondError(err)
 		return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -177,7 +177,7 @@
 	} else if a.fromBackup() {
 		s.resumeFrom = kvSource{}
 	}
-	s.h.crashDetector.awaitEvaluation(s.ctx, s.exchange)
+	s.h.crashDetector.awaitRetry(s.exchange)
 	switch {
 	case !s.h.crashDetector.maySend(s.exchange, a.outcome == broken && !pathLost(a.err)):
 		s.denied = "quarantine"
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -146,7 +146,7 @@
 // mayHedge reports whether the request may be sent to a second server while the first
 // has not responded. Brittle servers have no room for requests that run twice.
 func (x *exchange) mayHedge() bool {
-	return !x.h.Fleet.Brittle(x.service.Name, time.Now()) && x.h.crashDetector.maySend(x, x.lost) && x.attempts < x.route.Attempts && x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount(), max(x.sentAttempts, 1))
+	return !x.h.Fleet.Brittle(x.service.Name, time.Now()) && !x.h.crashDetector.causes.OnTrial(x.features) && x.h.crashDetector.maySend(x, x.lost) && x.attempts < x.route.Attempts && x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount(), max(x.sentAttempts, 1))
 }
 
 // startAttempt sends the request to another server. It reports whether a server was
@@ -354,7 +354,7 @@
 	if x.dispatched.MayRun() && !x.route.Kind.Retryable() {
 		return false
 	}
-	x.h.crashDetector.awaitEvaluation(x.ctx, x)
+	x.h.crashDetector.awaitRetry(x)
 	if !x.h.crashDetector.maySend(x, x.lost) {
 		return false
 	}
