relay: a request that is answered with an error is not blamed for crashes

Callers of a lookup that all servers answer with a complete 500 got 422 for 5 minutes and more (a stream: 503 prompt_quarantined) once three servers had ended under it for another reason: 33 of 41 lookups in the test, from the third such end on. Only a response below 500 acquitted a request.

A complete, signed response of any status acquits now, if its server is still there 0.3 s later, or 2.5 s where the response ended with its connection. Statuses that say that nothing ran acquit nothing, as before. The same holds for responses to streams that are no event streams.

test/relay TestRequestAnsweredWithErrorIsNotBlamedForCrashes: before, 33 of 41 lookups got 422 and 33 of 41 streams 503, and servers ended three times instead of five as nothing was sent any more; now none, five ends.

--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -35,6 +35,8 @@
 	unsure   bool
 	lostWith []string
 	sound    func() // called once it is known that the server has not ended
+	// soundCheck is the index of the check from which that is known.
+	soundCheck int
 }
 
 // recordCompleted records that a request got a complete response. Where that ended with its
@@ -44,8 +46,23 @@
 		d.recordSound(x, true)
 		return
 	}
+	d.awaitSound(x, m, soundCheck)
+}
+
+// recordAnswered records that a request got a complete response that reports a failure of the server.
+// If the server is still there afterwards, the request has not crashed it.
+func (d *crashDetector) recordAnswered(x *exchange, m *fleet.Member, r *http.Response) {
+	check := soundCheck
+	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
+		check = 0
+	}
+	d.awaitSound(x, m, check)
+}
+
+// awaitSound records that a request ran well if its server has not ended by a check.
+func (d *crashDetector) awaitSound(x *exchange, m *fleet.Member, check int) {
 	a := d.newEndedAttempt(x, m, true)
-	a.byServer, a.sound = true, func() { d.recordSound(x, true) }
+	a.byServer, a.sound, a.soundCheck = true, func() { d.recordSound(x, true) }, check
 	d.scheduleCheck(a, 0)
 }
 
@@ -77,10 +94,11 @@
 			a.lostWith = d.h.Fleet.LostWith(a.member, a.at)
 		}
 		ended := d.hasEnded(a, n)
-		if !ended && n == soundCheck && a.sound != nil {
+		if !ended && a.sound != nil && n == a.soundCheck {
 			a.sound()
 		}
 		switch {
+		case !ended && n == 0 && a.sound != nil && a.soundCheck == 0:
 		case ended:
 			d.recordCrash(a)
 		case n+1 < len(serverChecks):
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -301,6 +301,9 @@
 func (s *stream) handleNonStreamResponse(a *streamAttempt, x *received) {
 	s.classifyResponse(a, x)
 	status := x.head.StatusCode
+	if a.outcome == broken && x.complete && validStatus(status) && !impliesNotRun(status) && s.h.Codec.DecodeResponse(x.head).Signed {
+		s.h.crashDetector.recordAnswered(s.exchange, a.member, x.head)
+	}
 	final := validStatus(status) && !impliesNotRun(status) && !s.worthRetrying(status)
 	switch {
 	case a.outcome != broken:
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -303,6 +303,7 @@
 		a.member.RecordFailure(now)
 	case a.status() >= http.StatusInternalServerError:
 		a.member.RecordFailure(now)
+		x.h.crashDetector.recordAnswered(x, a.member, a.response)
 	default:
 		a.member.RecordSuccess(elapsed, now)
 		x.h.crashDetector.recordCompleted(x, a.member, a.response)
