--- a/test/relay/move_test.go
+++ b/test/relay/move_test.go
@@ -191,3 +191,27 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// Guards against a server that works on beside the one that takes its stream over, although what it
+// sends can't be read any more.
+func TestUnreadableRunEndsDuringMove(t *testing.T) {
+	const most = 400 * time.Millisecond
+	t.Parallel()
+	h := newHarness(t)
+	ended, began := make(chan time.Time, 1), make(chan time.Time, 1)
+	h.startServer("report", "a", backend.Stream(10, 5, 0, func(c *backend.Conn, _ *http.Request, _ []byte) bool {
+		time.Sleep(1600 * time.Millisecond)
+		_, _ = io.WriteString(c, "no chunk\r\n")
+		<-c.CloseNotify()
+		ended <- time.Now()
+		return false
+	}))
+	h.addLater("b", func(c *backend.Conn, r *http.Request, b []byte) bool {
+		began <- time.Now()
+		return backend.Delay(1200*time.Millisecond, backend.Stream(10, 0, 0, nil))(c, r, b)
+	})
+	h.checkResponse(h.sendLong("/long/1"), 200, eventText(1, 10))
+	if d := (<-ended).Sub(<-began); d > most {
+		t.Errorf("the first server worked on for %v beside the second one, want at most %v", d, most)
+	}
+}
