--- a/cmd/entry/stream_versions.go
+++ b/cmd/entry/stream_versions.go
@@ -87,19 +87,20 @@
 	if !known {
 		return false
 	}
-	p, err := n.store.Changes(ctx, platform.ServersTable, since.Version, 0)
-	if err != nil || p.Era != since.Era {
-		return false
-	}
 	now := time.Now()
-	for _, r := range p.Rows {
-		if r.Deleted {
-			n.recordMissed(r.Key)
-			continue
+	for more := true; more; {
+		p, err := n.store.Changes(ctx, platform.ServersTable, since.Version, 0)
+		if err != nil || p.Era != since.Era {
+			return false
 		}
-		if x, err := platform.DecodeServer(r); err == nil && x.Validate() == nil {
-			n.observeVersion(x, n.tracker.Catalog())
+		for _, r := range p.Rows {
+			if r.Deleted {
+				n.recordMissed(r.Key)
+			} else if x, err := platform.DecodeServer(r); err == nil && x.Validate() == nil {
+				n.observeVersion(x, n.tracker.Catalog())
+			}
 		}
+		since, more = p.At(), p.More && p.At().After(since)
 	}
 	if !n.versionsMissed.Swap(false) {
 		return true
