entry: a host that reaches no other one reads the streams in the store again and again

What callers saw: a host was cut off from the others for longer; streams that had begun at others meanwhile were refused there with 503 stream_version_unknown, though the store had them.

Cause: a host read the rows of streams as it started and as it became the reader, and relied on its peers from then on.

--- a/cmd/entry/stored_streams.go
+++ b/cmd/entry/stored_streams.go
@@ -103,8 +103,10 @@
 		n.streamVersions.MergeStoredStreams(r.Streams, now)
 		streams += countStreams(r.Streams)
 	}
+	if !rows.listed || rows.era != era { // a host that is cut off reads them again and again
+		n.recorder.Record("streams read", relay.Fields{"rows": len(all), "streams": streams})
+	}
 	rows.listed, rows.era = true, era
-	n.recorder.Record("streams read", relay.Fields{"rows": len(all), "streams": streams})
 	return true
 }
 
@@ -115,7 +117,8 @@
 		rows.listed = false
 		return true
 	}
-	if (!rows.listed || rows.era != n.eras.Current()) && !n.listStreams(ctx, rows) {
+	outdated := !rows.listed || rows.era != n.eras.Current() || n.isCutOff(time.Now())
+	if outdated && !n.listStreams(ctx, rows) {
 		return false
 	}
 	for ctx.Err() == nil {
@@ -130,6 +133,12 @@
 	return true
 }
 
+// isCutOff reports whether this node reaches none of its peers, so that only the store tells it of
+// their streams.
+func (n *Node) isCutOff(now time.Time) bool {
+	return len(n.allPeers()) > 0 && len(n.livePeers(now)) == 0
+}
+
 // putStreams writes a row of streams and removes old rows. It returns false if that failed.
 func (n *Node) putStreams(ctx context.Context, rows *streamRows, streams []streamversion.VersionStreams) bool {
 	now := time.Now()
--- a/test/entry/stream_version_test.go
+++ b/test/entry/stream_version_test.go
@@ -426,3 +426,24 @@
 		})
 	}
 }
+
+// Guards against hosts that reach no other one and refuse streams that the store has.
+func TestHostThatIsCutOffFindsStreamsInTheStore(t *testing.T) {
+	t.Parallel()
+	s := addVersions(startLinked(t, 4), 3, 3, 0)
+	for _, n := range s.nodes {
+		if err := n.Link().DropData(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late := s.nodes[3]
+	s.await("the host reads the store", testTimeout, func() bool { return len(late.eventLines("streams read")) > 0 })
+	all := takeAll(40, func(_ int, y *take) { y.attempt(s.nodes[0], y.id, "", 5) })
+	time.Sleep(storedWithin)
+	var wg sync.WaitGroup
+	for _, y := range all {
+		wg.Go(func() { y.attempt(late, y.id+"-again", y.id, versionedEvents) })
+	}
+	wg.Wait()
+	checkTakes(t, all, true)
+}
