serve: a node that drains refuses calls that may outlast it

What callers saw: a purchase that came in the first seconds of a drain, with a deadline of 8 s at a node that waits 4 s for what runs, was sent and ended with 502, "ran: unknown", 4.2 s later.

Cause: as in the entry host, acceptance by the time of arrival only (`[drain] grace`). The defaults (10 min for what runs, 30 s for a call) don't show it.

A call whose deadline passes after the node's end is accepted only if calls to its service usually end in time, or if that is unknown and it may be repeated. The refusal of a node that drains closes its connection.

TestDrainRefusesCallsThatMayNotFinish failed before: status 502 after 4.2 s instead of 503 at once.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -28,6 +28,7 @@
 	"cicadabeam/core/balance"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/config"
+	"cicadabeam/core/drain"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/generation"
 	"cicadabeam/core/holder"
@@ -81,16 +82,17 @@
 	fetchMu          sync.Mutex
 	reports          polledReports
 
-	registered   atomic.Bool
-	registeredAt atomic.Pointer[time.Time] // last registration, nil for none
-	restored     chan struct{}             // the store came back from an older copy
-	state        atomic.Value              // holds a state
-	drainStarted chan struct{}
-	drainOnce    sync.Once
-	refuseFrom   atomic.Pointer[time.Time] // nil for never
-	remoteReads  atomic.Int64              // reads of other nodes in flight
-	ctx          context.Context
-	stop         context.CancelFunc
+	registered    atomic.Bool
+	registeredAt  atomic.Pointer[time.Time] // last registration, nil for none
+	restored      chan struct{}             // the store came back from an older copy
+	state         atomic.Value              // holds a state
+	drainStarted  chan struct{}
+	drainOnce     sync.Once
+	drainWindow   atomic.Pointer[drain.Window] // nil unless the node drains
+	callDurations drain.Durations
+	remoteReads   atomic.Int64 // reads of other nodes in flight
+	ctx           context.Context
+	stop          context.CancelFunc
 }
 
 const (
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -78,6 +78,7 @@
 
 // RequestEnded implements caller.Observer.
 func (n *Node) RequestEnded(s caller.RequestSummary) {
+	n.recordCallDuration(s, time.Now())
 	f := log.Fields{
 		"request": s.RequestID, "organisation": s.Organisation, "service": s.Service, "method": s.Method, "path": s.Path,
 		"status": s.Status, "ms": time.Since(s.StartedAt).Milliseconds(), "pieces": s.Pieces,
--- a/io/caller/call.go
+++ b/io/caller/call.go
@@ -50,12 +50,16 @@
 	if err != nil {
 		return err
 	}
+	call := newCall(x, s, key, body)
+	if err := h.backend.CheckCall(s, call); err != nil {
+		return err
+	}
 	release, err := h.admit(x)
 	if err != nil {
 		return err
 	}
 	defer release()
-	return h.forwardCall(x, s, newCall(x, s, key, body))
+	return h.forwardCall(x, s, call)
 }
 
 func newCall(x *exchange, s config.Service, key string, body []byte) claim.Call {
--- a/io/caller/half_closed_test.go
+++ b/io/caller/half_closed_test.go
@@ -24,10 +24,11 @@
 	config *config.Config
 }
 
-func (b waitingBackend) Config() *config.Config                    { return b.config }
-func (b waitingBackend) CheckReady() error                         { return nil }
-func (b waitingBackend) Admit(config.Organisation) (func(), error) { return func() {}, nil }
-func (b waitingBackend) RequestEnded(RequestSummary)               {}
+func (b waitingBackend) Config() *config.Config                     { return b.config }
+func (b waitingBackend) CheckReady() error                          { return nil }
+func (b waitingBackend) CheckCall(config.Service, claim.Call) error { return nil }
+func (b waitingBackend) Admit(config.Organisation) (func(), error)  { return func() {}, nil }
+func (b waitingBackend) RequestEnded(RequestSummary)                {}
 func (b waitingBackend) wait(ctx context.Context) error {
 	<-ctx.Done()
 	return fault.Wrap(ctx.Err(), fault.CallerLeft, "wait", "")
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -31,6 +31,8 @@
 	Config() *config.Config
 	// CheckReady returns a fault if the node does not accept new requests.
 	CheckReady() error
+	// CheckCall returns a fault if the node stops and may end before a call does.
+	CheckCall(s config.Service, c claim.Call) error
 	// CheckAccepting returns a fault if the load balancer should not route new requests to
 	// this node. A draining node still accepts requests for a grace period.
 	CheckAccepting() error
@@ -120,6 +122,9 @@
 		err := x.requestError(h.authenticate(x, next))
 		if err != nil && !x.headerWritten {
 			x.limitUnreadBody()
+			if fault.From(err).Code() == fault.Draining {
+				w.Header().Set("Connection", "close")
+			}
 			x.summary.Status = writeError(w, err)
 		}
 		x.summary.Err = err
--- a/test/integration/leaving_test.go
+++ b/test/integration/leaving_test.go
@@ -327,3 +327,31 @@
 	wg.Wait()
 	<-n.Exited()
 }
+
+// A node that stops is asked for calls that may outlast it.
+func TestDrainRefusesCallsThatMayNotFinish(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, cluster.Layout{EnginesPerDataCentre: 1, AppsPerDataCentre: 1, ExtraSettings: "[drain]\ngrace = 3s\nwait = 4s\n"})
+	n := c.Node(0)
+	lookup := func() cluster.CallResult {
+		return n.CallService(testContext(t), http.MethodPost, "/services/lookup/1", "", "")
+	}
+	if r := lookup(); r.Status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	n.Terminate()
+	time.Sleep(300 * time.Millisecond)
+	if r := lookup(); r.Status != http.StatusOK {
+		t.Errorf("a call that usually ends in time: %+v", r)
+	}
+	must(t, setAppFaults(c, application.Faults{BeforeMS: 6000}))
+	began := time.Now()
+	r := n.CallService(testContext(t), http.MethodPost, purchasePath, "late", "litres=20")
+	if r.Status != http.StatusServiceUnavailable || r.Header.Get("Retry-After") == "" || time.Since(began) > time.Second {
+		t.Errorf("a purchase that may not end in time: %+v after %v, want status 503 at once", r, time.Since(began))
+	}
+	<-n.Exited()
+	if runs := countRuns(t, c, "late"); runs != 0 {
+		t.Errorf("the purchase that was refused ran %d times", runs)
+	}
+}
