test/entry: a stop under requests begins once the servers of its streams are known

TestShutdownCutsNoLongResponseItHasAccepted failed once in the whole package (a load of 20): the request 6 s after the SIGTERM found its connection closed. The two tests of stops with streams now wait for a stream that is served, and name the error.

--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -114,9 +113,10 @@
 	t.Parallel()
 	s := start(t, 1)
 	orders := s.addServer("s1", "orders", backend.ForPath("/buy/1", backend.NoResponse(), backend.Respond(200, "ok")))
-	s.addServer("s2", "llm", backend.NoResponse())
+	s.addServer("s2", "llm", backend.ForPath("/report/1", backend.NoResponse(), backend.Stream(1, 0, 0, nil)))
 	n := s.nodes[0]
 	s.awaitStatus(n, "/buy/2", "key-1", 200, testTimeout)
+	s.awaitStatus(n, "/report/2", "key-1", 200, testTimeout)
 	stream, kept, refused := s.keepConnection(n), s.keepConnection(n), s.keepConnection(n)
 	if got := kept.send("/buy/2", 20*time.Second); got.status != 200 {
 		t.Fatalf("the first request of a connection got status %d", got.status)
@@ -159,9 +159,10 @@
 	t.Parallel()
 	s := start(t, 1)
 	s.addServer("s1", "orders", backend.ForPath("/buy/long", slowLongResponse(2400*time.Millisecond), backend.Respond(200, "ok")))
-	s.addServer("s2", "llm", backend.Stream(10000, 0, 20*time.Millisecond, nil))
+	s.addServer("s2", "llm", backend.ForPath("/report/1", backend.Stream(10000, 0, 20*time.Millisecond, nil), backend.Stream(1, 0, 0, nil)))
 	n := s.nodes[0]
 	s.awaitStatus(n, "/buy/1", "key-1", 200, testTimeout)
+	s.awaitStatus(n, "/report/2", "key-1", 200, testTimeout)
 	after := []time.Duration{0, 2 * time.Second, 3200 * time.Millisecond, 4 * time.Second, 4500 * time.Millisecond, 5200 * time.Millisecond, 5500 * time.Millisecond, 6 * time.Second}
 	conns := make([]*keptConnection, len(after))
 	for i := range conns {
@@ -170,10 +171,8 @@
 			t.Fatalf("the first request of a connection got status %d", got.status)
 		}
 	}
-	s.await("the engine is known", testTimeout, func() bool {
-		return slices.ContainsFunc(n.eventLines("server"), func(line string) bool { return strings.Contains(line, "server=s2 ") })
-	})
-	go func() { _, _ = n.send("/report/1", "key-1") }() // keeps the node at work to the end
+	stream := s.keepConnection(n)
+	go stream.send("/report/1", 25*time.Second) // keeps the node at work to the end
 	time.Sleep(200 * time.Millisecond)
 	stopped := time.Now()
 	n.Terminate()
@@ -189,7 +188,7 @@
 	for i, got := range results {
 		switch {
 		case got.err != nil:
-			t.Errorf("the connection of a request sent %v after the stop began ended early: %+v", after[i], got)
+			t.Errorf("the connection of a request sent %v after the stop began ended early: %+v, %v", after[i], got, got.err)
 		case after[i] <= 3200*time.Millisecond && got.status != 200, got.status != 200 && got.status != 503, got.status == 503 && !got.closes:
 			t.Errorf("a request sent %v after the stop began got %+v", after[i], got)
 		}
