fleet: other servers are preferred for 3 s to one whose address an entry contests

Engines that crash together are back at their addresses under new IDs up to 3 s before the old entries are gone.

Such a server comes behind the others for 3 s, and before those that were just unreachable. Alone, or once it answers, it is used as always, so that another writer's entry costs little and not for long.

TestServerWithContestedAddressComesLastForAWhile failed before (the server got requests at once).

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -352,6 +352,9 @@
 		if q.AvoidDataCentre != "" && m.DataCentre() == q.AvoidDataCentre {
 			c += avoidPenalty
 		}
+		if m.doubted(q.Now) {
+			c += doubtPenalty
+		}
 		found = append(found, candidate{m, c + f.limitPenalty(m, q.Now), q.rank(m.ID())})
 	}
 	if q.ReturningCaller && q.CachedOn == "" {
--- a/core/fleet/handover.go
+++ b/core/fleet/handover.go
@@ -7,6 +7,11 @@
 	// address. The time doubles up to maxHandoverRest while others go on answering there.
 	firstHandoverRest = time.Second
 	maxHandoverRest   = 32 * time.Second
+	// doubtTime is how long other servers are preferred to one whose address is that of an entry
+	// with a later start. The entry of a server that crashed is removed by then.
+	doubtTime = 3 * time.Second
+	// doubtPenalty ranks such a server behind others, and before those that were just unreachable.
+	doubtPenalty = 30 * time.Second
 )
 
 // handover is the belief that the address of a server belongs to another one. It lasts until
@@ -60,7 +65,7 @@
 func (m *Member) linkSuccessor(successor *Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.successor, m.contested = successor, true
+	m.successor, m.contested, m.doubtedUntil = successor, true, time.Now().Add(doubtTime)
 }
 
 // distantPast is the deregistration time of a server that restarted under its ID.
@@ -97,7 +102,15 @@
 // answeredLocked records that the server answered under its own name.
 func (m *Member) answeredLocked(now time.Time) {
 	m.handover.refute()
-	m.answeredAt, m.contested = now, false
+	m.answeredAt, m.contested, m.doubtedUntil = now, false, time.Time{}
+}
+
+// doubted reports whether the server may have crashed, by an entry with a later start at its
+// address.
+func (m *Member) doubted(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Before(m.doubtedUntil) && !m.successor.deregistered(now)
 }
 
 func (m *Member) lastAnswer() time.Time {
--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -120,3 +120,40 @@
 		t.Error("a server with unknown start time is treated as superseded")
 	}
 }
+
+// Guards against requests that are wasted on the entries of servers that crashed together, and
+// against an entry of another writer that keeps a sound server from use for longer than that.
+func TestServerWithContestedAddressComesLastForAWhile(t *testing.T) {
+	now := time.Now()
+	f := fleet.New(topology)
+	for _, id := range []string{"sound", "contested"} {
+		f.Upsert(fleet.Server{ID: id, Service: "orders", Address: "10.0.0.1:" + id, DataCentre: "a", Slots: 6, StartedMS: 1})
+	}
+	f.Upsert(fleet.Server{ID: "entry", Service: "printing", Address: "10.0.0.1:contested", DataCentre: "a", Slots: 6, StartedMS: 2})
+	chosen := func(now time.Time, busy bool) int {
+		q, n := plainQuery(now), 0
+		q.Exclude = map[string]bool{"sound": busy}
+		for range 40 {
+			m := f.Reserve(q)
+			if m.ID() == "contested" {
+				n++
+			}
+			m.Release(q, false)
+		}
+		return n
+	}
+	if n := chosen(now, false); n != 0 {
+		t.Errorf("a server that may have crashed got %d of 40 requests beside a sound one", n)
+	}
+	if n := chosen(now, true); n != 40 {
+		t.Errorf("an entry alone took a server out of use: it got %d of 40 requests that no other can serve", n)
+	}
+	if n := chosen(now.Add(4*time.Second), false); n < 5 {
+		t.Errorf("a server got %d of 40 requests 4 s after the entry came", n)
+	}
+	f.Find("contested").RecordSuccess(40*time.Millisecond, now)
+	f.Find("sound").RecordSuccess(40*time.Millisecond, now)
+	if n := chosen(now, false); n < 5 {
+		t.Errorf("a server got %d of 40 requests although it has answered since the entry came", n)
+	}
+}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -71,6 +71,7 @@
 	deferral       deferral.State
 	successor      *Member   // server at the same address that started later, by its entry
 	contested      bool      // the server has not answered since successor was found
+	doubtedUntil   time.Time // other servers are preferred until then, see linkSuccessor
 	answeredAt     time.Time // when the server last answered under its own name
 	restarted      bool      // the server started again under its ID
 
