--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -24,7 +24,7 @@
 	// Term is how long a lease lasts after the stamp that was returned last.
 	Term = 350 * time.Millisecond
 	// RenewInterval is the time between two messages of a holder.
-	RenewInterval = 60 * time.Millisecond
+	RenewInterval = 40 * time.Millisecond
 )
 
 // Stamp is a moment of a grantor's clock. The zero stamp is that of no grantor.
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -71,7 +71,7 @@
 					*all = append(*all, message{s, ms + 1 + r.IntN(delay)})
 				}
 			}
-			if ms%60 == 0 {
+			if ms%40 == 0 {
 				send(&toGrantor, h.Latest())
 			}
 			for _, m := range toGrantor {
