crashcause: suspicions are tried soon everywhere, and one after the other

A host that hears of a suspicion waited 10 s longer than the one it has it from, and as hosts were killed in turn, each heard of it from the next: 45 to 160 s until a trial. The head start is for causes that are convicted; trials are kept apart by the reports of them. A node runs one trial at a time now, and one crash tells against one suspicion only. If there was no server for a trial, all hosts found one at the same moment; their next trials are spread.

TestSuspicionThatIsHandedOnIsTriedSoon and TestTrialsOfTwoSuspicionsRunOneAfterTheOther fail without this.

--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -231,7 +231,11 @@
 	if !x.Until.IsZero() {
 		return x, true
 	}
-	for _, c := range l.causesWith(r) {
+	all := l.causesWith(r)
+	if until := l.otherTrial(all, now); !until.IsZero() {
+		return Refusal{Until: until, Suspected: true}, true
+	}
+	for _, c := range all {
 		if c.suspicion != nil {
 			c.suspicion.begin(r, now)
 		} else {
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -25,8 +25,8 @@
 	var broad *Cause
 	for _, s := range l.suspects(now) {
 		s = l.narrowest(s)
-		c := l.causeOf(s, commonShare)
-		if l.trials && l.covered(c.Features) && s.withoutCause(l) >= refutedThreshold {
+		c := l.causeOf(s, l.share())
+		if l.trials && (l.covered(c.Features) || l.hasNarrower(s.feature)) && s.withoutCause(l) >= refutedThreshold {
 			c = l.causeOf(s, 1)
 			c.Suspected = c.Suspected && !(c.comparable && l.widensConvicted(c.Features))
 		}
@@ -44,6 +44,16 @@
 	return *broad, true
 }
 
+// share returns the share of the requests with a feature from which another one belongs to the same
+// cause. A suspicion that is too wide is refuted by one run, while one that is too narrow lets the
+// requests through that it misses.
+func (l *List) share() float64 {
+	if l.trials {
+		return 1
+	}
+	return commonShare
+}
+
 // causeOf returns the cause that a suspect stands for: its feature and those that a share of the
 // requests with it have in common.
 func (l *List) causeOf(s suspect, share float64) Cause {
@@ -62,6 +72,16 @@
 	return false
 }
 
+// hasNarrower reports whether a known cause has a feature and others.
+func (l *List) hasNarrower(f Feature) bool {
+	for _, x := range l.causes {
+		if len(x.remaining) > 1 && slices.Contains(x.remaining, f) {
+			return true
+		}
+	}
+	return false
+}
+
 // withoutCause counts the crashes that no known cause explains, suspected ones included.
 func (s suspect) withoutCause(l *List) int {
 	n := 0
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -167,7 +167,8 @@
 	x.until = now.Add(r.Left + trialHeadStart + time.Duration(quarantineSpread*rand.Float64()*float64(firstQuarantine)))
 	if r.Probation != nil {
 		x.suspicion = newSuspicion(now)
-		x.suspicion.Postpone(now.Add(max(r.Left, 0) + trialHeadStart))
+		x.suspicion.Postpone(now.Add(max(r.Left, 0)))
+		x.until = x.suspicion.OpensAt()
 	}
 	if x.expired(now) {
 		return nil
--- a/core/crashcause/suspicion.go
+++ b/core/crashcause/suspicion.go
@@ -65,6 +65,21 @@
 	return Refusal{}, false
 }
 
+// otherTrial returns until when a trial of another suspected cause than some is awaited, or the zero
+// time if none is or none of these is suspected. Two trials on one server would tell nothing.
+func (l *List) otherTrial(all []*cause, now time.Time) time.Time {
+	if !slices.ContainsFunc(all, func(c *cause) bool { return c.suspicion != nil }) {
+		return time.Time{}
+	}
+	var until time.Time
+	for _, c := range l.causes {
+		if c.suspicion != nil && len(c.remaining) > 0 && c.suspicion.awaits(now) && !slices.Contains(all, c) && c.suspicion.trialEnd.After(until) {
+			until = c.suspicion.trialEnd
+		}
+	}
+	return until
+}
+
 // OnTrial reports whether a request is a trial, which runs on one server only.
 func (l *List) OnTrial(r Request) bool {
 	l.mu.Lock()
@@ -114,6 +129,9 @@
 
 // judgeTrial draws the conclusion from a crash of the server of a trial of this node.
 func (l *List) judgeTrial(x *crash, r Request) {
+	if x.judged {
+		return
+	}
 	var held []*cause
 	for _, c := range l.causesWith(r) {
 		if c.suspicion != nil && c.suspicion.holds(r) {
--- a/core/crashcause/suspicion_test.go
+++ b/core/crashcause/suspicion_test.go
@@ -107,3 +107,40 @@
 		t.Error("the end of a suspicion wakes nobody")
 	}
 }
+
+// Nodes start one after the other, and each hears of the suspicion from the one before only.
+func TestSuspicionThatIsHandedOnIsTriedSoon(t *testing.T) {
+	never := func(string, time.Time) bool { return false }
+	l := suspected(t)
+	now := at(4 * time.Second)
+	for range 10 {
+		r := l.Report(now)
+		l = crashcause.New()
+		l.Merge(r, now, never)
+		now = now.Add(time.Second)
+	}
+	if refuses(l, request(20, "first"), now.Add(time.Second)) {
+		t.Error("no request runs 12 s after the crashes")
+	}
+}
+
+// Of two trials on one server, one would be blamed for the crash under the other.
+func TestTrialsOfTwoSuspicionsRunOneAfterTheOther(t *testing.T) {
+	l := crashcause.New()
+	for i := range uint64(3) {
+		now := at(time.Duration(i+1) * time.Second)
+		crash(l, fmt.Sprint("s", i), now, request(10*i, "first", "bad"), request(7, "lookup"))
+	}
+	l.Evaluate(at(3 * time.Second))
+	now := at(6 * time.Second)
+	if refuses(l, request(7, "lookup"), now) {
+		t.Fatal("no request runs")
+	}
+	if x, refused := l.Refuses(request(50, "first", "bad"), now); !refused || !x.Suspected {
+		t.Error("another trial runs beside it")
+	}
+	l.RecordSound(request(7, "lookup"), now.Add(time.Second))
+	if refuses(l, request(50, "first", "bad"), now.Add(time.Second)) {
+		t.Error("the other trial does not follow")
+	}
+}
--- a/core/probation/probation.go
+++ b/core/probation/probation.go
@@ -113,9 +113,10 @@
 }
 
 // End records that a trial has ended without telling anything. sent is set if its server may still
-// turn out to have crashed. It returns until when that is awaited.
+// turn out to have crashed. It returns until when that is awaited. If there was no server to send it
+// to, the nodes find one again at the same moment, so that their next trials are spread.
 func (p *Probation) End(sent bool, now time.Time) time.Time {
-	p.claimedUntil = now
+	p.claimedUntil = now.Add(rand.N(settleSpread))
 	if sent {
 		p.claimedUntil = now.Add(crashNotice)
 	}
