--- a/test/relay/handover_test.go
+++ b/test/relay/handover_test.go
@@ -53,7 +53,7 @@
 					return backend.Respond(200, `{"Queued":0,"Active":1,"Runs":[["late",100,0,5]]}`)(c, r, body)
 				}
 				if r.Header.Get("X-Expect-Instance") != "first" {
-					return backend.Misdirected()(c, r, body)
+					return backend.WithHeader("X-Request-Id: "+r.Header.Get("X-Request-Id"), backend.Misdirected())(c, r, body)
 				}
 				<-answer
 				return backend.Stream(3, 0, 0, nil)(c, r, body)
