--- a/io/serverpath/dialer.go
+++ b/io/serverpath/dialer.go
@@ -41,6 +41,9 @@
 	OnIndirect func(server string)
 }
 
+// attempt opens a connection until the end of a context.
+type attempt func(context.Context) result
+
 type result struct {
 	conn   net.Conn
 	direct bool
@@ -52,9 +55,9 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(timeout))
 	defer cancel()
 	partitioned := d.Partitioned()
-	kinds := []func() result{
-		func() result { c, err := d.Direct(ctx, server); return result{c, true, err} },
-		func() result { c, err := d.throughAny(ctx, server); return result{c, false, err} },
+	kinds := []attempt{
+		func(ctx context.Context) result { c, err := d.Direct(ctx, server); return result{c, true, err} },
+		func(ctx context.Context) result { c, err := d.throughAny(ctx, server); return result{c, false, err} },
 	}
 	if partitioned {
 		kinds[0], kinds[1] = kinds[1], kinds[0]
@@ -75,9 +78,12 @@
 func (d *Dialer) throughAny(ctx context.Context, server string) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var attempts []func() result
+	var attempts []attempt
 	for _, node := range d.Nodes() {
-		attempts = append(attempts, func() result { c, err := d.Through(ctx, node, server); return result{conn: c, err: err} })
+		attempts = append(attempts, func(ctx context.Context) result {
+			c, err := d.Through(ctx, node, server)
+			return result{conn: c, err: err}
+		})
 	}
 	if len(attempts) == 0 {
 		return nil, errNoNode
@@ -88,45 +94,59 @@
 
 // first returns the first success of some attempts, or the failure of the first one. Each attempt
 // begins once the one before has failed or has taken the delay. Connections that come later are closed.
-func first(ctx context.Context, attempts []func() result, delay time.Duration) result {
-	results := make(chan result, len(attempts))
-	failure := make([]error, len(attempts))
-	begun, running := 0, 0
-	begin := func() {
-		i := begun
-		begun++
-		running++
-		go func() {
-			x := attempts[i]()
-			failure[i] = x.err
-			results <- x
-		}()
+// The first attempt runs in the caller's goroutine: most are alone, and the stacks of many goroutines
+// that dial at once would stay behind.
+func first(ctx context.Context, attempts []attempt, delay time.Duration) result {
+	if len(attempts) == 1 {
+		return attempts[0](ctx)
 	}
-	begin()
-	next := time.NewTimer(delay)
-	defer next.Stop()
-	for running > 0 {
+	own, cancel := context.WithCancel(ctx)
+	defer cancel()
+	others := make(chan result, 1)
+	next := time.AfterFunc(delay, func() {
+		y := first(ctx, attempts[1:], delay)
+		others <- y
+		if y.err == nil {
+			cancel()
+		}
+	})
+	x := attempts[0](own)
+	switch {
+	case !next.Stop(): // the others have begun
+		return x.or(others)
+	case x.err == nil, ctx.Err() != nil:
+		return x
+	}
+	if y := first(ctx, attempts[1:], delay); y.err == nil {
+		return y
+	}
+	return x
+}
+
+// or returns the result of attempts beside this one if they have succeeded, or do where this one
+// has failed.
+func (x result) or(others <-chan result) result {
+	if x.err == nil {
 		select {
-		case <-next.C:
-		case x := <-results:
-			running--
-			if x.err == nil {
-				go closeRest(results, running)
+		case y := <-others:
+			if y.err != nil {
 				return x
 			}
-		}
-		if begun < len(attempts) && ctx.Err() == nil {
-			begin()
-			next.Reset(delay)
+			_ = x.conn.Close()
+			return y
+		default:
+			go closeLater(others)
+			return x
 		}
 	}
-	return result{err: failure[0]}
+	if y := <-others; y.err == nil {
+		return y
+	}
+	return x
 }
 
-func closeRest(results <-chan result, running int) {
-	for range running {
-		if x := <-results; x.conn != nil {
-			_ = x.conn.Close()
-		}
+func closeLater(others <-chan result) {
+	if y := <-others; y.conn != nil {
+		_ = y.conn.Close()
 	}
 }
