crashcause: a suspicion is widened by crashes beside other losses, too

In the simulation with four servers of one data centre, requests with the part were sent on under suspicions that were too narrow, up to 12 later than 4 s after the fifth crash: nearly each crash there is beside another one, and such crashes were not counted when it was found out whether a suspicion misses some.

--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -14,6 +14,8 @@
 	crashes []*crash // in order of time
 	// shielded are the crashes that may have the cause that other servers were lost for.
 	shielded []*crash
+	// beside are the shielded crashes of a suspect that has enough others.
+	beside   []*crash
 	requests int
 	// unexplained counts the crashes that no known cause explains.
 	unexplained int
@@ -85,7 +87,7 @@
 // withoutCause counts the crashes that no known cause explains, suspected ones included.
 func (s suspect) withoutCause(l *List) int {
 	n := 0
-	for _, c := range s.crashes {
+	for _, c := range slices.Concat(s.crashes, s.beside) {
 		if len(l.causesOf(c)) == 0 {
 			n++
 		}
@@ -228,7 +230,7 @@
 		sortByTime(s.crashes)
 		switch {
 		case len(s.crashes) >= crashThreshold && span(s.crashes) >= minCrashSpan, len(s.crashes) >= outageThreshold && s.totalSpan() >= minCrashSpan:
-			s.shielded = nil
+			s.beside, s.shielded = s.shielded, nil
 			ranked = append(ranked, *s)
 		case l.outlastsOutages(s, now):
 			ranked = append(ranked, *s)
