--- a/cmd/entry/causes_test.go
+++ b/cmd/entry/causes_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"cicadabeam/core/crashcause"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
@@ -41,7 +43,7 @@
 // If all hosts are killed after the store is back, they know the cause.
 func TestCauseIsStoredOnceTheStoreTakesIt(t *testing.T) {
 	table := &failingTable{failures: 2}
-	m := newMetrics()
+	m := &metrics{scope: tally.NoopScope, counters: make(map[string]tally.Counter), histograms: make(map[string]tally.Histogram)}
 	n := &Node{hosts: records.NewHostStore(table), recorder: newRecorder(newLogger(newLogWriter(io.Discard, "node-1", func() {}), "error", "node-1"), m)}
 	now := time.Now()
 	part := []crashcause.Feature{crashcause.PromptPart("m", "9d40c3b1")}
