http1, relay: a connection carries each request ID once, queries have connections of their own

Callers: a server that wrote an earlier refusal once more on a kept connection made a host take the running request for refused.

Cause: responses are told apart by the ID of their request, and a refused request left its connection in the pool. A late copy of the response to the same ID there can't be told from the awaited one; queries have no ID at all.

Why it works: what was on its way on a connection before a request was sent belongs to another ID, or there was nothing, as the connection is new.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -5,8 +5,8 @@
 // # Usage
 //
 //	p := http1.NewPool()
-//	c, err := p.Get(ctx, "10.0.0.7:8080", http1.AllowReuse) // nothing of the request has been sent
-//	err = c.Send(request, deadline)                         // bytes may have been sent
+//	c, err := p.Get(ctx, "10.0.0.7:8080", request.ID) // nothing of the request has been sent
+//	err = c.Send(request, deadline)                   // bytes may have been sent
 //	r, err := c.ReadResponse("GET", id, readID, deadline)
 //	body, err := io.ReadAll(r.Body)
 //	p.Put(c)                                                // only after the complete body
@@ -53,6 +53,9 @@
 
 // Request is a request to a server.
 type Request struct {
+	// ID identifies the request in responses. A request without one needs a connection that
+	// has carried no other.
+	ID     string
 	Method string
 	Target string // path and query
 	Host   string
@@ -72,6 +75,7 @@
 	paths         Paths
 	end           func(responded, evidence bool) // of the request that awaits its response, nil if none is to be observed
 	reused        bool
+	carried       requestIDs
 	reusableUntil time.Time   // end of the period in which it may be reused while idle
 	noReuse       atomic.Bool // closed, or to be closed after the response
 	interrupted   atomic.Bool
@@ -139,6 +143,7 @@
 // Send writes a request. After an error, bytes of it may have been sent. A body larger
 // than maxSyncBody is sent in the background while the caller reads the response.
 func (c *Conn) Send(r *Request, deadline time.Time) error {
+	c.carried.add(r.ID)
 	_ = c.net.SetDeadline(deadline)
 	if c.paths != nil && c.direct && !r.Slow {
 		c.end = c.paths.Begin(c.address)
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,16 +25,6 @@
 // maxIdlePerServer is the number of idle connections kept per server.
 const maxIdlePerServer = 4
 
-// ReusePolicy selects whether Get may reuse a connection.
-type ReusePolicy int
-
-// AllowReuse prefers an idle connection and opens a new one if there is none. ForceNew
-// always opens a new one.
-const (
-	AllowReuse ReusePolicy = iota
-	ForceNew
-)
-
 // Pool keeps idle connections to servers.
 type Pool struct {
 	mu                sync.Mutex
@@ -60,11 +51,13 @@
 	return p.openedConnections
 }
 
-// Get returns a connection on which nothing of the request has been sent yet. An idle
-// connection is reused only if the server has neither closed it nor sent data on it.
-func (p *Pool) Get(ctx context.Context, address string, r ReusePolicy) (*Conn, error) {
-	for r == AllowReuse {
-		c := p.takeIdle(address)
+// Get returns a connection for the request with an ID, on which nothing of it has been sent
+// yet. An idle connection is reused only if the server has neither closed it nor sent data on
+// it, and if it has not carried a request with this ID before: a late copy of that one's
+// response could not be told from the response that is awaited.
+func (p *Pool) Get(ctx context.Context, address, id string) (*Conn, error) {
+	for id != "" {
+		c := p.takeIdle(address, id)
 		if c == nil {
 			break
 		}
@@ -74,6 +67,11 @@
 		}
 		c.Close()
 	}
+	return p.GetNew(ctx, address)
+}
+
+// GetNew opens a connection that has carried no request.
+func (p *Pool) GetNew(ctx context.Context, address string) (*Conn, error) {
 	c, err := p.connect(ctx, address)
 	if err == nil {
 		p.mu.Lock()
@@ -96,18 +94,19 @@
 
 func (p *Pool) mayReuse(c *Conn) bool { return p.paths == nil || p.paths.MayReuse(c.address, c.direct) }
 
-// takeIdle removes and returns the idle connection that was put back last, nil if there
-// is none.
-func (p *Pool) takeIdle(address string) *Conn {
+// takeIdle removes and returns the idle connection that was put back last of those that have
+// not carried a request with this ID, nil if there is none.
+func (p *Pool) takeIdle(address, id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !c.carried.contains(id) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // Put returns a connection to the pool after its response has been read completely. A
@@ -116,7 +115,7 @@
 	if c.reusableUntil.IsZero() {
 		c.reusableUntil = time.Now().Add(defaultIdleTimeout) // no request has been sent on it yet
 	}
-	if c.noReuse.Load() || c.interrupted.Load() || !c.bodySent() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
+	if c.noReuse.Load() || c.interrupted.Load() || c.carried.full() || !c.bodySent() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
 		c.Close()
 		return
 	}
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -19,29 +19,33 @@
 // errDeclines is the reason why a probe or a query is not sent.
 var errDeclines = errors.New("the server leaves or wants no requests for a time")
 
-// connect returns a connection to a server. What the server says of itself in any response
-// that is read on it, whatever the response is to, is recorded.
-func (h *Handler) connect(ctx context.Context, m *fleet.Member, r http1.ReusePolicy) (*http1.Conn, error) {
-	c, err := h.Pool.Get(ctx, m.Address(), r)
+// connect returns a connection to a server for a caller's request. What the server says of
+// itself in any response that is read on it, whatever the response is to, is recorded.
+func (x *exchange) connect(ctx context.Context, m *fleet.Member) (*http1.Conn, error) {
+	c, err := x.h.Pool.Get(ctx, m.Address(), x.meta.ID)
 	if err != nil {
 		return nil, err
 	}
-	c.Observe(func(r *http.Response) { h.observe(m, r) })
+	c.Observe(func(r *http.Response) { x.h.observe(m, r) })
 	return c, nil
 }
 
-// connectForQuery is like connect for requests that are not a caller's. It fails if the
-// server wants none.
-func (h *Handler) connectForQuery(ctx context.Context, m *fleet.Member, r http1.ReusePolicy) (*http1.Conn, error) {
+// connectForQuery is like connect for requests that are not a caller's. They have no ID, so that
+// the connection is new. It fails if the server wants none.
+func (h *Handler) connectForQuery(ctx context.Context, m *fleet.Member) (*http1.Conn, error) {
 	if m.Declines(time.Now()) {
 		return nil, errors.Wrapf(errDeclines, "connect to %s", m.ID())
 	}
-	c, err := h.connect(ctx, m, r)
-	if err == nil && m.Declines(time.Now()) {
+	c, err := h.Pool.GetNew(ctx, m.Address())
+	if err != nil {
+		return nil, err
+	}
+	c.Observe(func(r *http.Response) { h.observe(m, r) })
+	if m.Declines(time.Now()) {
 		h.Pool.Put(c)
 		return nil, errors.Wrapf(errDeclines, "connect to %s", m.ID())
 	}
-	return c, err
+	return c, nil
 }
 
 // ProbeHealth asks a server whether it is healthy, without another node in between. It reports
--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -123,7 +123,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), now.Add(probeTimeout))
 	defer cancel()
-	c, err := d.h.connectForQuery(ctx, a.member, http1.ForceNew)
+	c, err := d.h.connectForQuery(ctx, a.member)
 	if err != nil {
 		return !errors.Is(err, errDeclines) && !d.h.partitioned()
 	}
@@ -156,7 +156,7 @@
 	deadline := time.Now().Add(probeTimeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	c, err := h.connectForQuery(ctx, m, http1.ForceNew)
+	c, err := h.connectForQuery(ctx, m)
 	return err == nil && h.answersForAnother(c, m, deadline)
 }
 
--- a/io/relay/first_event.go
+++ b/io/relay/first_event.go
@@ -130,7 +130,7 @@
 		return true
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
-	c, err := f.h.connectForQuery(ctx, m, http1.ForceNew)
+	c, err := f.h.connectForQuery(ctx, m)
 	cancel()
 	f.mu.Lock()
 	delete(f.probing, m.ID())
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -293,7 +293,7 @@
 	f.Priority = x.priority()
 	header := x.header.Clone()
 	x.h.Codec.SetHeaders(header, f)
-	return &http1.Request{Method: x.r.Method, Target: x.target(), Host: x.r.Host, Header: header, Body: x.body, Slow: x.route.Kind.IsStream()}, true
+	return &http1.Request{ID: x.meta.ID, Method: x.r.Method, Target: x.target(), Host: x.r.Host, Header: header, Body: x.body, Slow: x.route.Kind.IsStream()}, true
 }
 
 // priority returns the organisation's priority if it has one, or else the route's.
--- a/io/relay/prompts.go
+++ b/io/relay/prompts.go
@@ -54,7 +54,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	c, err := h.connectForQuery(ctx, m, http1.AllowReuse)
+	c, err := h.connectForQuery(ctx, m)
 	if err != nil {
 		return nil, err
 	}
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -98,7 +98,7 @@
 	s.tried[a.member.ID()] = true
 	s.h.PromptIndex.RecordSent(s.meta.PromptHash, a.member.ID(), a.started)
 	s.h.NotifyPeers()
-	c, err := s.h.connect(s.ctx, a.member, http1.AllowReuse)
+	c, err := s.connect(s.ctx, a.member)
 	if err != nil {
 		a.err = err
 		if s.ctx.Err() == nil {
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -176,7 +176,7 @@
 }
 
 func (x *exchange) roundTrip(ctx context.Context, a *attempt) {
-	c, err := x.h.connect(ctx, a.member, http1.AllowReuse)
+	c, err := x.connect(ctx, a.member)
 	if err != nil {
 		a.err = err
 		a.connectionFailed = true
