engine, service: each stream and call of serve has a connection of its own

Callers of serve: on a kept connection the response to the call before was taken for that to the next one (a wrong body), and a refusal of the attempt before for that of the next, which ran for nobody.

Cause: net/http takes whatever comes first on a connection for the response; it drops only what has arrived before the request is sent.

Streams that ended at their end marker closed their connection before, too; idempotent calls cost a connection each now, as at-most-once ones did.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -31,26 +31,24 @@
 
 const (
 	dialTimeout             = time.Second
-	maxIdleConnections      = 256
 	maxErrorBytes           = 4 << 10
 	maxControlResponseBytes = 64 << 10
 )
 
-// Client is an HTTP client for all model engines. Health probes and load reports have
-// a connection pool of their own.
+// Client is an HTTP client for all model engines. Each stream has a connection of its own:
+// on one that was used before, a late copy of an earlier response would be taken for the
+// stream. Only health probes and load reports reuse connections.
 type Client struct {
 	streamClient  *http.Client
 	controlClient *http.Client
 }
 
-// New returns a client with empty connection pools.
+// New returns a client without connections.
 func New() *Client {
-	return &Client{streamClient: &http.Client{Transport: newTransport(maxIdleConnections)}, controlClient: &http.Client{Transport: newTransport(2)}}
-}
-
-func newTransport(idle int) *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: idle, MaxIdleConns: 0, IdleConnTimeout: time.Minute, DisableCompression: true}
+	streams := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	control := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &Client{streamClient: &http.Client{Transport: streams}, controlClient: &http.Client{Transport: control}}
 }
 
 // OpenStream starts an attempt. Its error is a fault that states whether the request may
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -2,8 +2,9 @@
 // order application.
 //
 // A call to an idempotent service is retried on another server if one fails. A call to a
-// non-idempotent service is sent at most once. It uses a new connection, because net/http
-// may retry a request on a reused one. Redirects are not followed.
+// non-idempotent service is sent at most once. Each call uses a new connection: net/http may
+// retry a request on a reused one, and a late copy of an earlier response there would be
+// taken for the response to the call. Redirects are not followed.
 //
 // # Usage
 //
@@ -33,10 +34,9 @@
 )
 
 const (
-	dialTimeout        = time.Second
-	maxIdleConnections = 64
-	maxResponseBytes   = 8 << 20
-	retryDelay         = 2 * time.Second
+	dialTimeout      = time.Second
+	maxResponseBytes = 8 << 20
+	retryDelay       = 2 * time.Second
 )
 
 // Router selects the server for a call.
@@ -49,22 +49,16 @@
 
 // Client calls services that are not model engines.
 type Client struct {
-	router    Router
-	pooled    *http.Client
-	singleUse *http.Client
+	router Router
+	client *http.Client
 }
 
 // New returns a client that uses r to select servers.
 func New(r Router) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	pooled := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: time.Minute, DisableCompression: true}
-	singleUse := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
-	return &Client{
-		router:    r,
-		pooled:    &http.Client{Transport: pooled, CheckRedirect: noRedirects},
-		singleUse: &http.Client{Transport: singleUse, CheckRedirect: noRedirects},
-	}
+	t := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return &Client{router: r, client: &http.Client{Transport: t, CheckRedirect: noRedirects}}
 }
 
 // CallWithRetries sends a call to an idempotent service. It makes up to the given number of
@@ -79,7 +73,7 @@
 			return claim.Response{}, "", finalError(err, lastErr, anySent)
 		}
 		s := lease.Server()
-		r, sent, err := c.call(ctx, c.pooled, s, call, 0)
+		r, sent, err := c.call(ctx, s, call, 0)
 		lease.Release()
 		anySent = anySent || sent
 		if err == nil && !isUnavailable(r.Status) {
@@ -129,7 +123,7 @@
 			return claim.Response{}, "", false, err
 		}
 		s := lease.Server()
-		r, sent, err := c.call(ctx, c.singleUse, s, call, fencing)
+		r, sent, err := c.call(ctx, s, call, fencing)
 		lease.Release()
 		if sent || err == nil {
 			return r, s.Name(), true, err
@@ -144,7 +138,7 @@
 
 // call sends one request. The second result reports whether a connection was
 // established, so that some bytes of the request may have been sent.
-func (c *Client) call(ctx context.Context, client *http.Client, s config.Server, call claim.Call, fencing uint64) (claim.Response, bool, error) {
+func (c *Client) call(ctx context.Context, s config.Server, call claim.Call, fencing uint64) (claim.Response, bool, error) {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	ctx, cancel := context.WithDeadline(httptrace.WithClientTrace(ctx, trace), call.Deadline)
@@ -157,7 +151,7 @@
 		fencing = 0
 	}
 	setHeaders(request, call, fencing)
-	response, err := client.Do(request)
+	response, err := c.client.Do(request)
 	if err != nil {
 		return claim.Response{}, sent.Load(), err
 	}
