relay: a stream that has begun is continued by its next event only

Callers: a stream broke off and the next server answered with a signed 2xx that is no continuation. A stream of events without IDs began anew in its middle. A response with a content coding, which nobody asked for, was passed on.

Cause: status and signature alone made a response the stream going on; events without an ID were passed on wherever they came; any complete response ended the stream.

Why it works: the second server must prove by an event that it continues; an end without one needs a second server that agrees. Cost: one more attempt where a stream breaks off between its last event and its end.

--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -40,6 +40,9 @@
 	serverSilent    bool          // the deadline passed while the server sent nothing
 	denied          string        // what prevented a further attempt, "" if nothing did
 	bound           bool          // the caller has received a part of the answer in this request
+	begun           bool          // the caller has received an event in this response
+	unnumbered      bool          // the last event that the caller has received has no ID
+	emptyEnds       int           // attempts that ended the stream without an event, since the last event
 	version         string        // software version of the servers that the caller's part came from, if any
 }
 
@@ -187,6 +190,10 @@
 		s.denied = "kind"
 		s.fail("answer", failureReason(a.err))
 		return false
+	case s.unnumbered:
+		s.denied = "position"
+		s.fail("answer", errPosition.Error())
+		return false
 	case s.reservations >= maxReservations, s.attempts >= max(s.route.Attempts, 1):
 		s.denied = "attempts"
 		s.fail("answer", failureReason(a.err))
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -53,6 +53,7 @@
 	serverLost      bool      // contact with the server had been lost before the request was sent
 	responseStarted bool
 	events          int
+	advanced        bool // the caller has received an event of it
 	firstEventAt    time.Time
 	soundRecorded   bool
 	outcome         outcome
@@ -262,9 +263,13 @@
 	case x.head != nil:
 		s.handleNonStreamResponse(a, x)
 		return true
-	case a.isComplete(x):
+	case a.isComplete(x) && s.endIsPlausible(a):
 		s.finish(a)
 		return true
+	case a.isComplete(x):
+		s.returnConn(a)
+		a.err = errNoEvents
+		return true
 	case x.err != nil:
 		_ = s.flush()
 		a.err = x.err
@@ -304,7 +309,7 @@
 	if a.outcome == broken && x.complete && validStatus(status) && !impliesNotRun(status) && s.h.Codec.DecodeResponse(x.head).Signed {
 		s.h.crashDetector.recordAnswered(s.exchange, a.member, x.head)
 	}
-	final := validStatus(status) && !impliesNotRun(status) && !s.worthRetrying(status)
+	final := validStatus(status) && !impliesNotRun(status) && !isEncoded(x.head) && !s.worthRetrying(status)
 	switch {
 	case a.outcome != broken:
 	case final && x.complete && !s.responseStarted && s.h.Codec.DecodeResponse(x.head).Signed:
@@ -326,7 +331,7 @@
 	if x.complete {
 		s.returnConn(a)
 	}
-	a.err = errors.Newf("status %d", x.head.StatusCode)
+	a.err = errors.Newf("no event stream, but status %d", x.head.StatusCode)
 	switch {
 	case meta.WrongServer:
 		a.outcome = moved
@@ -369,7 +374,13 @@
 		a.member.RecordFailure(time.Now())
 		return false
 	}
+	if s.isOutOfPlace(a, e) {
+		a.err = errors.Newf("an event without an ID received after event %d of another server", s.lastEvent)
+		a.member.RecordFailure(time.Now())
+		return false
+	}
 	if !known {
+		a.advanced = true
 		a.err = s.writeEvent(e)
 	}
 	if a.err == nil && len(a.parts) == 0 {
@@ -447,7 +458,9 @@
 	if _, err := s.w.Write(e.Bytes); err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
-	if e.ID >= 0 {
+	s.begun, s.emptyEnds = true, 0
+	s.unnumbered = e.ID < 0
+	if !s.unnumbered {
 		s.lastEvent = e.ID
 	}
 	return nil
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -74,6 +74,8 @@
 		return nil, "quarantine"
 	case !s.route.Kind.Retryable():
 		return nil, "kind"
+	case s.unnumbered:
+		return nil, "position"
 	case !s.mayGoOn():
 		return nil, "version"
 	case s.reservations >= maxReservations, s.attempts >= max(s.route.Attempts, 1):
--- a/io/relay/stream_reader.go
+++ b/io/relay/stream_reader.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"mime"
 	"net/http"
+	"strings"
 	"time"
 
 	"cicadabeam/io/sse"
@@ -88,7 +90,27 @@
 	}
 }
 
-// isEventStream reports whether a response is a signed event stream.
+// isEventStream reports whether a response is a signed event stream. Another successful response
+// can't continue a stream of which the caller has received a part.
 func (s *stream) isEventStream(r *http.Response) bool {
-	return r.StatusCode >= 200 && r.StatusCode < 300 && s.h.Codec.DecodeResponse(r).Signed
+	switch r.StatusCode {
+	case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:
+		return false
+	}
+	if r.StatusCode < 200 || r.StatusCode >= 300 || isEncoded(r) || !s.h.Codec.DecodeResponse(r).Signed {
+		return false
+	}
+	t, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	return err == nil && t == "text/event-stream"
+}
+
+// isEncoded reports whether the body of a response has a content coding. Callers ask for none, so
+// that it is not the server's.
+func isEncoded(r *http.Response) bool {
+	for _, v := range r.Header.Values("Content-Encoding") {
+		if v = strings.TrimSpace(v); v != "" && !strings.EqualFold(v, "identity") {
+			return true
+		}
+	}
+	return false
 }
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -297,9 +297,9 @@
 	case r.NotRun:
 		a.outcome = refused
 		a.member.RecordFailure(now)
-	case !r.Signed, impliesNotRun(a.status()), !validStatus(a.status()):
+	case !r.Signed, isEncoded(a.response), impliesNotRun(a.status()), !validStatus(a.status()):
 		a.outcome = broken
-		a.err = errors.Newf("the response with status %d is unsigned, has no valid status or would imply that the request did not run", a.status())
+		a.err = errors.Newf("the response with status %d is unsigned, encoded, has no valid status or would imply that the request did not run", a.status())
 		a.member.RecordFailure(now)
 	case a.status() >= http.StatusInternalServerError:
 		a.member.RecordFailure(now)
