relay: a stream without a content type is a stream

A head without a content type is now that of an event stream, as the route says; what follows must be events.

TestStreamWithoutContentTypeIsAStream guards it.

--- a/io/relay/stream_reader.go
+++ b/io/relay/stream_reader.go
@@ -90,8 +90,9 @@
 	}
 }
 
-// isEventStream reports whether a response is a signed event stream. Another successful response
-// can't continue a stream of which the caller has received a part.
+// isEventStream reports whether a response is a signed event stream, as one without a content type
+// on such a route is taken for. Another successful response can't continue a stream of which the
+// caller has received a part.
 func (s *stream) isEventStream(r *http.Response) bool {
 	switch r.StatusCode {
 	case http.StatusNoContent, http.StatusResetContent, http.StatusPartialContent:
@@ -100,8 +101,9 @@
 	if r.StatusCode < 200 || r.StatusCode >= 300 || isEncoded(r) || !s.h.Codec.DecodeResponse(r).Signed {
 		return false
 	}
-	t, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	return err == nil && t == "text/event-stream"
+	contentType := r.Header.Get("Content-Type")
+	t, _, err := mime.ParseMediaType(contentType)
+	return contentType == "" || err == nil && t == "text/event-stream"
 }
 
 // isEncoded reports whether the body of a response has a content coding. Callers ask for none, so
--- a/test/relay/joined_stream_test.go
+++ b/test/relay/joined_stream_test.go
@@ -151,6 +151,22 @@
 	}
 }
 
+// A stream whose head has no content type broke off within an event, at the end of its connection:
+// it must not be taken for a complete response of another type.
+func TestStreamWithoutContentTypeIsAStream(t *testing.T) {
+	h := newHarness(t)
+	h.startServer("report", "a", func(c *backend.Conn, r *http.Request, b []byte) bool {
+		rawResponse(200, "", eventText(1, 3)+"id: 4\ndat")(c, r, b)
+		return false
+	})
+	got := h.send(http.MethodPost, "/single/1", setTokenUsage)
+	if got.err == nil && got.status == http.StatusOK {
+		t.Errorf("the stream looks complete: %q", got.body)
+	}
+	h.startServer("report", "b", backend.Stream(9, 0, 0, nil))
+	h.checkResponse(h.send(http.MethodPost, "/long/1", setTokenUsage), 200, eventText(1, 9))
+}
+
 // A stream that has not begun: a server's complete response is the caller's, whatever it is.
 func TestResponseThatIsNoStreamIsPassedOn(t *testing.T) {
 	h := newHarness(t)
