relay: a response without a length that ends with its server is not taken for whole

One cause that fits was shown in a test: a server is killed while it sends a response without a length; its kernel closes the connection as if it were whole.

Fix: where the request can be sent again, the host connects to the server after such an end. If it is gone, the stream goes on elsewhere and a read is sent again.

Evidence: test/relay TestResponseThatEndsWithItsServerIsNotWhole, before: 2 of 2 cases got a part with status 200. TestLastStreamOfServerIsWhole: a server that stops after its last response cuts nothing.

--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -69,6 +69,27 @@
 	return err == nil
 }
 
+// errServerEnded ends an attempt whose server is gone at the end of a response that has neither
+// a length nor chunks.
+var errServerEnded = errors.New("the server ended together with its response, which may not be whole")
+
+// endedWithServer reports whether a response that ends with its connection may have been cut short
+// by the end of its server: the kernel closes the connections of a process that is killed as if it
+// had closed them. It costs a connection, and is for requests that can be sent again.
+func (h *Handler) endedWithServer(m *fleet.Member, r *http.Response) bool {
+	if r.ContentLength >= 0 || len(r.TransferEncoding) > 0 {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(probeTimeout))
+	defer cancel()
+	c, err := h.connectForQuery(ctx, m)
+	if err != nil {
+		return !errors.Is(err, errDeclines) && !h.partitioned()
+	}
+	h.Pool.Put(c)
+	return false
+}
+
 // queryHealth asks a server whether it is healthy, and returns the ID that the response gives, if any.
 func queryHealth(c *http1.Conn, m *fleet.Member, path string, deadline time.Time, codec Codec) (string, error) {
 	if err := c.Send(&http1.Request{Method: http.MethodGet, Target: path, Host: m.Address()}, deadline); err != nil {
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -263,6 +263,11 @@
 	case x.head != nil:
 		s.handleNonStreamResponse(a, x)
 		return true
+	case a.isComplete(x) && s.mayAskAgain() && s.h.endedWithServer(a.member, a.response):
+		_ = s.flush()
+		a.err = errServerEnded
+		s.recordLoss(a)
+		return true
 	case a.isComplete(x) && s.endIsPlausible(a):
 		s.finish(a)
 		return true
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -238,6 +238,11 @@
 		c.Close()
 		return
 	}
+	if x.mayAskAgain() && x.h.endedWithServer(a.member, a.response) {
+		c.Close()
+		a.err = errServerEnded
+		return
+	}
 	a.outcome = answered
 	if len(a.body) > maxBufferedBytes {
 		a.unreadConn = c
@@ -246,6 +251,12 @@
 	x.h.putBack(c, stop)
 }
 
+// mayAskAgain reports whether the kind of the request and its attempts allow that it is sent to a
+// further server.
+func (x *exchange) mayAskAgain() bool {
+	return x.route.Kind.Retryable() && x.attempts < max(x.route.Attempts, 1)
+}
+
 // recordOutcome determines the outcome of an attempt and records it for the server.
 func (x *exchange) recordOutcome(a *attempt, elapsed time.Duration) {
 	now := time.Now()
--- a/test/relay/unframed_test.go
+++ b/test/relay/unframed_test.go
@@ -95,3 +95,49 @@
 		}
 	}
 }
+
+// A server is killed while it sends a response without a length. Its kernel closes the connection as if
+// the response were whole, between two events of a stream or within a body: callers got a part as the
+// whole.
+func TestResponseThatEndsWithItsServerIsNotWhole(t *testing.T) {
+	const events = 20
+	for path, body := range map[string]string{"/long/1": eventText(1, events), "/read/1": strings.Repeat("x", 4000)} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			service := map[string]string{"/long/1": "report", "/read/1": "read"}[path]
+			killed := h.startServer(service, "a")
+			killed.SetSteps(func(c *backend.Conn, r *http.Request, b []byte) bool {
+				part, _, _ := strings.Cut(body, "id: 6\n")
+				if part == body {
+					part = body[:1000]
+				}
+				_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("X-Request-Id"), part)
+				h.startServer(service, "b", func(c *backend.Conn, r *http.Request, _ []byte) bool {
+					if service == "report" {
+						return unframedStream(events, "", closeConn)(c, r, nil)
+					}
+					_, _ = fmt.Fprintf(c, unframedHead+"%s", r.Header.Get("X-Request-Id"), body)
+					return false
+				})
+				time.Sleep(20 * time.Millisecond)
+				return killed.Crash()(c, r, b)
+			})
+			h.checkResponse(h.send(http.MethodPost, path, setTokenUsage), 200, body)
+		})
+	}
+}
+
+// A server that stops in the usual way after its last response: that response is whole, and another
+// server agrees that nothing follows.
+func TestLastStreamOfServerIsWhole(t *testing.T) {
+	const events = 20
+	h := newHarness(t)
+	h.startServer("report", "b", backend.Stream(events, 0, 0, nil))
+	last := h.startServer("report", "a")
+	last.SetSteps(func(c *backend.Conn, r *http.Request, b []byte) bool {
+		last.CloseListener()
+		return unframedStream(events, "", closeConn)(c, r, b)
+	})
+	h.checkResponse(h.send(http.MethodPost, "/long/1", setTokenUsage), 200, eventText(1, events))
+}
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// CloseListener closes the listener and keeps the connections open.
+func (s *Server) CloseListener() { _ = s.listener.Close() }
+
 // CloseConnections closes the connections and keeps the listener open.
 func (s *Server) CloseConnections() {
 	s.mu.Lock()
