crashcause: what others refute and not all requests have is quarantined without a trial

Cause: every cause was tried, whatever it rested on. A trial costs at least 1.1 s and a server for each host that begins one, and hosts that are killed lose the suspicion, as only quarantines are stored.

Change: a cause that some requests on crashed servers don't have, while others of the class ran well without it, is quarantined at once, as before the trials. What nearly all requests share, or what rests on less, is tried.

The tests of crashes in test/relay and test/entry pass.

--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -4,8 +4,9 @@
 // Each request has features: one for each part of its prompt that it may share with other
 // requests, and one for the request as a whole. The features that all or nearly all requests
 // have in common that were starting on servers as these crashed, and that no request has
-// that ran well, are suspected as one cause. Requests with all features of it then run one at a
-// time, as trials; see package probation. A crash in a trial convicts: the cause is quarantined, and
+// that ran well, are one cause. If others of the same class ran well and not all on the servers have
+// the features, it is quarantined at once. Else it is suspected: requests with all features of it run
+// one at a time, as trials; see package probation. A crash in a trial convicts: the cause is quarantined, and
 // requests with it are to be refused. A feature that is seen in a request that runs well is taken out
 // of the cause.
 //
@@ -344,7 +345,7 @@
 		if !ok {
 			break
 		}
-		c.Suspected = c.Suspected && l.trials
+		c.Suspected = c.Suspected && l.needsTrial(c)
 		x := newCause(c, now)
 		c.Until = x.suspicion.OpensAt()
 		if !c.Suspected {
--- a/core/crashcause/suspicion.go
+++ b/core/crashcause/suspicion.go
@@ -25,6 +25,13 @@
 
 func newSuspicion(now time.Time) *suspicion { return &suspicion{Probation: probation.New(now)} }
 
+// needsTrial reports whether a cause is tried before it is quarantined. One that some requests on
+// crashed servers don't have, while others of the class ran well without it, rests on evidence that
+// a trial would hardly add to, and trials cost servers.
+func (l *List) needsTrial(c Cause) bool {
+	return l.trials && (!c.comparable || l.inAllRequests(c.Features, c.class))
+}
+
 func (s *suspicion) begin(r Request, now time.Time) {
 	s.trialEnd = s.Begin(now)
 	s.held, s.trial, s.retry = true, r, false
