crashcause: test that causes which others refute need no trial

The two other cases, a part that all requests on the servers have and a class of which nothing ran well, are tried as before.

--- a/core/crashcause/suspicion_test.go
+++ b/core/crashcause/suspicion_test.go
@@ -144,3 +144,33 @@
 		t.Error("the other trial does not follow")
 	}
 }
+
+// A trial of each cause, whatever it rested on, crashed further servers, and was forgotten with the hosts:
+// what others of the class refute and not all requests have is quarantined at once.
+func TestCauseThatOthersRefuteNeedsNoTrial(t *testing.T) {
+	for _, x := range []struct {
+		name           string
+		sound, without bool // a request ran well; one without the part was on each server
+		suspected      bool
+	}{
+		{"others ran well, and not all have it", true, true, false},
+		{"all have it", true, false, true},
+		{"nothing ran well", false, true, true},
+	} {
+		l := crashcause.New()
+		if x.sound {
+			l.RecordSound(request(100, "first", "second"), at(0))
+		}
+		for i := range uint64(3) {
+			all := []crashcause.Request{request(i, "first", "bad")}
+			if x.without {
+				all = append(all, request(50+i, "first", fmt.Sprint("other", i)))
+			}
+			crash(l, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), all...)
+		}
+		found := l.Evaluate(at(3 * time.Second))
+		if len(found) != 1 || found[0].Suspected != x.suspected {
+			t.Errorf("%s: got causes %v, want one, suspected %v", x.name, found, x.suspected)
+		}
+	}
+}
