relay: events and ends of streams in a file of their own

Moved as they are, but for handleEnd, which takes the three cases of a complete response out of dispatchPart.

--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -14,7 +14,6 @@
 	"cicadabeam/core/kvbackup"
 	"cicadabeam/core/stall"
 	"cicadabeam/io/http1"
-	"cicadabeam/io/sse"
 )
 
 const (
@@ -263,17 +262,8 @@
 	case x.head != nil:
 		s.handleNonStreamResponse(a, x)
 		return true
-	case a.isComplete(x) && s.mayAskAgain() && s.h.endedWithServer(a.member, a.response):
-		_ = s.flush()
-		a.err = errServerEnded
-		s.recordLoss(a)
-		return true
-	case a.isComplete(x) && s.endIsPlausible(a):
-		s.finish(a)
-		return true
 	case a.isComplete(x):
-		s.returnConn(a)
-		a.err = errNoEvents
+		s.handleEnd(a)
 		return true
 	case x.err != nil:
 		_ = s.flush()
@@ -368,32 +358,6 @@
 	return status >= http.StatusInternalServerError && s.route.Kind.Retryable() && s.attempts < s.route.Attempts
 }
 
-// handleEvent handles an event of an attempt. It returns false if the attempt has ended.
-func (s *stream) handleEvent(a *streamAttempt, e *sse.Event) bool {
-	s.onProgress(a)
-	s.recordEstablished(a)
-	s.maintainCopy(a)
-	known := e.ID >= 0 && e.ID <= s.lastEvent
-	if e.ID >= 0 && s.lastEvent > 0 && e.ID > s.lastEvent+1 {
-		a.err = errors.Newf("event %d received after event %d; events are missing", e.ID, s.lastEvent)
-		a.member.RecordFailure(time.Now())
-		return false
-	}
-	if s.isOutOfPlace(a, e) {
-		a.err = errors.Newf("an event without an ID received after event %d of another server", s.lastEvent)
-		a.member.RecordFailure(time.Now())
-		return false
-	}
-	if !known {
-		a.advanced = true
-		a.err = s.writeEvent(e)
-	}
-	if a.err == nil && len(a.parts) == 0 {
-		a.err = s.flush()
-	}
-	return a.err == nil
-}
-
 // established reports whether the run has gone on for so long that its start did not crash the
 // server.
 func (a *streamAttempt) established(now time.Time) bool {
@@ -421,80 +385,6 @@
 	return stallTimeoutWithoutBackup
 }
 
-// onProgress is called for each event and at the end of the stream. The first call for
-// an attempt marks its prompt as processed, and the first call for the stream sends
-// the head of the response to the caller.
-func (s *stream) onProgress(a *streamAttempt) {
-	now := time.Now()
-	a.member.RecordContact(now)
-	s.recordEventTime(now)
-	if !a.responseStarted {
-		a.responseStarted = true
-		s.h.firstEventMonitor.unwatch(a)
-		a.member.PromptProcessed(a.query, now.Sub(a.started))
-		if s.resumes > 0 {
-			s.h.Recorder.Record("resumed", Fields{"request": s.meta.ID, "server": a.member.ID(), "from_copy": a.fromBackup(), "after": s.lastEvent, "ms": ms(now.Sub(s.interruptedAt))})
-		}
-	}
-	if s.responseStarted {
-		return
-	}
-	s.responseStarted = true
-	s.bind(a.member.Version())
-	s.copyResponseHeaders(a.response)
-	s.w.WriteHeader(a.response.StatusCode)
-}
-
-// recordEventTime records when the first event arrived and the maximum time between
-// events.
-func (s *stream) recordEventTime(now time.Time) {
-	if s.firstEventAt.IsZero() {
-		s.firstEventAt = now
-	} else {
-		s.maxEventGap = max(s.maxEventGap, now.Sub(s.lastEventAt))
-	}
-	s.lastEventAt = now
-}
-
-// writeEvent writes an event to the caller. It is sent at the next flush at the latest.
-func (s *stream) writeEvent(e *sse.Event) error {
-	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	s.unflushed = true
-	if _, err := s.w.Write(e.Bytes); err != nil {
-		return errors.Wrap(err, "write to the caller")
-	}
-	s.begun, s.emptyEnds = true, 0
-	s.unnumbered = e.ID < 0
-	if !s.unnumbered {
-		s.lastEvent = e.ID
-	}
-	return nil
-}
-
-// flush sends the events that were written and not sent yet.
-func (s *stream) flush() error {
-	if !s.unflushed {
-		return nil
-	}
-	s.unflushed = false
-	return errors.Wrap(http.NewResponseController(s.w).Flush(), "write to the caller")
-}
-
-// finish completes a stream whose last event has arrived.
-func (s *stream) finish(a *streamAttempt) {
-	s.returnConn(a)
-	s.onProgress(a)
-	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
-	a.outcome = answered
-	s.h.releaseCopy(a)
-	a.member.RecordSuccess(time.Since(a.started), time.Now())
-	s.h.crashDetector.recordCompleted(s.exchange, a.member, a.response)
-	s.h.Recorder.Record("answered", Fields{
-		"request": s.meta.ID, "route": s.route.Name, "server": a.member.ID(), "status": a.response.StatusCode, "attempts": s.attempts, "last": s.lastEvent,
-		"ms": ms(time.Since(s.arrived)), "resumes": s.resumes, "first_ms": ms(s.firstEventAt.Sub(s.arrived)), "pause_ms": ms(s.maxEventGap),
-	})
-}
-
 func (s *stream) logAttempt(a *streamAttempt) {
 	f := Fields{
 		"request": s.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "software": a.member.Version(), "outcome": a.outcome.String(), "from_copy": a.fromBackup(), "last": s.lastEvent,
