--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -67,7 +67,7 @@
 	x, ok := c.results[a.ID]
 	switch {
 	case !ok:
-		c.addViolation("request %q was not sent by a caller and reached %s", a.ID, a.Server)
+		c.addViolation("request %q for %s was not sent by a caller and reached %s", a.ID, a.Path, a.Server)
 		return
 	case a.Path != x.Path:
 		c.addViolation("request %s for %s reached %s as %s", a.ID, x.Path, a.Server, a.Path)
