io/relay: a stopping host passes on no request whose body came too late

Seen by callers: a purchase whose body is sent slowly began up to 2 s after SIGTERM (or before it), was complete at 6.2 or 7.3 s and was passed on then; at 7.36 s its caller got 502 `ran: unknown`. One whose body was still on its way at the end got no answer: its connection was closed at 7.69 s.

Cause: whether a request can end before the host was decided when its head had been read. Bodies, the wait for a trial of a suspected part and the look-up of a stream's version come after that. Reading a body ended at the request's deadline only.

Now the decision is made once more right before the request is passed on, as for a request that arrives then. At the end of the host bodies are no longer read, and the callers get 503.

Evidence: test/entry TestShutdownPassesOnNoRequestWhoseBodyCameTooLate, bodies of 23 requests that begin at -0.1, 0.5 and 2 s and end at 1 to 9 s, servers take 1.5 s, deadline 20 s. Without the change, 9 of the 23 fail: a request sent from 2s to 6.2s: a server got it, and its caller got {status:502 ...} (6 of 6 that end at 6.2 and 7.3 s) a request sent from 2s to 9s got {status:0 ...} after 7.690936095s (3 of 3) With it: the 5 that end by 2.5 s got 200, the others 503 and reached no server. What it costs: the 3 that ended at 5 s got 200 before and 503 now, as their deadline (20 s) is after the end of the host; such a request was refused already if it arrived at 5 s as a whole.

Not tested: the wait for a trial during a stop, which passes the same check.

--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -72,7 +73,7 @@
 	}
 	x.deadline = x.arrived.Add(timeout - x.readDelay)
 	x.uptimeDeadline = x.h.Uptime() + time.Until(x.deadline)
-	return x.checkDraining()
+	return x.checkDraining(x.arrived)
 }
 
 // setService sets the service that the request is sent to.
@@ -128,9 +129,14 @@
 	}
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.deadline)
+	stop := context.AfterFunc(callerConn(x.r).base, func() { _ = control.SetReadDeadline(time.Now()) })
+	defer stop()
 	b, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.bodyRead = true
+		if x.stopping() {
+			return x.drainingError("read", shuttingDown)
+		}
 		return fault.Newf(fault.RequestTimeout, "read", "", "the request body did not arrive in time")
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -8,23 +8,26 @@
 	"cicadabeam/core/fault"
 )
 
+const shuttingDown = "this entry host is shutting down"
+
 // Drain closes each caller's connection after its response. It refuses requests that may not
 // have ended at the end of w, when the node cuts what is in progress.
 func (h *Handler) Drain(w drain.Window) { h.draining.Store(&w) }
 
-// checkDraining refuses a request that arrives too late to finish before the node shuts down.
-func (x *exchange) checkDraining() *fault.Error {
+// checkDraining refuses a request that arrives, or could be sent, too late to finish before the
+// node shuts down.
+func (x *exchange) checkDraining(at time.Time) *fault.Error {
 	w := x.h.draining.Load()
 	if w == nil {
 		return nil
 	}
-	usual, known := x.h.durations.Usual(x.route.Name, x.arrived)
+	usual, known := x.h.durations.Usual(x.route.Name, at)
 	kind := x.route.Kind
-	r := drain.Request{Arrived: x.arrived, Deadline: x.deadline, Usual: usual, Known: known, Repeatable: kind.Retryable(), Resumable: kind == catalog.ResumableStream}
+	r := drain.Request{Arrived: at, Deadline: x.deadline, Usual: usual, Known: known, Repeatable: kind.Retryable(), Resumable: kind == catalog.ResumableStream}
 	if w.Accepts(r) {
 		return nil
 	}
-	return x.drainingError("admit", "this entry host is shutting down")
+	return x.drainingError("admit", shuttingDown)
 }
 
 // drainingError returns the error for a request that ran on no server as the node shuts down.
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -240,6 +240,9 @@
 			return err
 		}
 	}
+	if err := x.checkDraining(time.Now()); err != nil {
+		return err
+	}
 	x.h.Fleet.RecordRequest(x.service.Name, x.arrived)
 	return nil
 }
