core/drain, cmd/entry: a host with a short grace period takes nothing that it cuts

Seen by callers of hosts with a grace period of 1, 2 or 3 s: streams of 0.2 s that came in the last 0.3 s before the host cut its work were passed on and broken off, or got 502. The process was still there after the grace period in part of the runs, so that it would have been killed while it sent its last responses.

Cause: the end of a stop was a share of the grace period, and the time of early requests (2.8 s) and that for the last responses (0.3 s) were constants. With 3 s the end (2.76 s) came before the end of the early time, and end and last responses took 3.06 s.

Now all times of a stop come from the grace period (drain.NewWindow): early requests up to 0.35 of it, 2.8 s at most; 0.08 of it for last responses and exit, with short periods 0.6 s or a quarter. Nothing that arrives after the end is accepted. With 8 s all is as it was: early until 2.8 s, the end at 7.36 s.

Evidence: test/entry TestShortShutdownAcceptsNothingThatItCuts (purchases and streams each 0.1 s until 0.1 s after the grace period).

A failed try: the test first asked that the process ends by itself within 1 s. The test now kills it at the end of the grace period, as a platform does, and asks for an exit within 2 and 3 s.

--- a/cmd/entry/drain.go
+++ b/cmd/entry/drain.go
@@ -15,25 +15,17 @@
 const (
 	// balancerDelay is how long the load balancer may continue to send new connections: it
 	// checks readiness once per second and needs two failed checks.
-	balancerDelay = 3200 * time.Millisecond
-	// drainTimeoutShare is the share of the grace period that a drain may take.
-	drainTimeoutShare = 0.92
-	// earlyDrainTime is how long requests are accepted during a drain that may not end in
-	// time. Later, only those are whose deadline passes before the end.
-	earlyDrainTime    = 2800 * time.Millisecond
+	balancerDelay     = 3200 * time.Millisecond
 	drainPollInterval = 20 * time.Millisecond
 )
 
 // Drain starts a drain and returns. Run returns when the requests in flight have finished,
-// at the earliest after balancerDelay, or after drainTimeoutShare of the grace period.
+// at the earliest after balancerDelay, or shortly before the grace period ends.
 func (n *Node) Drain() {
 	n.drainOnce.Do(func() {
 		n.draining.Store(true)
 		n.tunnels.Drain()
-		now := time.Now()
-		n.drainWindow = drain.Window{
-			Early: now.Add(earlyDrainTime), Noticed: now.Add(balancerDelay), End: now.Add(time.Duration(drainTimeoutShare * float64(n.settings.grace))),
-		}
+		n.drainWindow = drain.NewWindow(time.Now(), n.settings.grace, balancerDelay)
 		n.handler.Drain(n.drainWindow)
 		n.recorder.Record("draining", relay.Fields{"running": n.handler.Running()})
 		close(n.drainStarted)
@@ -57,3 +49,17 @@
 	n.callers.Drain(end) // a request may have begun since the last look
 	return errDrained
 }
+
+// closeCallers closes the callers' connections once the requests that end because the node stops
+// are answered.
+func (n *Node) closeCallers(error) {
+	until := time.Now().Add(lastResponseTimeout)
+	select {
+	case <-n.drainStarted:
+		if n.drainWindow.Close.Before(until) {
+			until = n.drainWindow.Close
+		}
+	default:
+	}
+	n.callers.Shutdown(until)
+}
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -196,7 +196,7 @@
 	if n.callers, err = newHTTPServer(requests, n.settings.callers, n.handler); err != nil {
 		return err
 	}
-	g.Add(n.callers.Run, func(error) { n.callers.Shutdown(time.Now().Add(lastResponseTimeout)) })
+	g.Add(n.callers.Run, n.closeCallers)
 	if err := addHTTP(requests, &g, n.settings.readiness, n.readinessHandler()); err != nil {
 		return err
 	}
--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -5,7 +5,7 @@
 //
 //	var usual drain.Durations
 //	usual.Record("reports", took, now)           // of each request that has ended
-//	w := drain.Window{Early: early, Noticed: noticed, End: end} // when the host begins to stop
+//	w := drain.NewWindow(now, grace, balancerDelay) // when the host begins to stop
 //	d, known := usual.Usual("reports", now)
 //	ok := w.Accepts(drain.Request{Arrived: now, Deadline: deadline, Usual: d, Known: known})
 package drain
@@ -20,6 +20,30 @@
 	Noticed time.Time
 	// End is the time at which the host cuts what is in progress.
 	End time.Time
+	// Close is the time at which it closes the connections of what it has cut.
+	Close time.Time
+}
+
+const (
+	// earlyTime is how long requests are accepted that may not end in time, and earlyShare the
+	// share of the grace period that this may take.
+	earlyTime  = 2800 * time.Millisecond
+	earlyShare = 0.35
+	// lastTime is how long before its grace period ends a host cuts what is in progress: lastShare of
+	// a long period, maxLastShare of one that is too short.
+	lastTime     = 600 * time.Millisecond
+	lastShare    = 0.08
+	maxLastShare = 0.25
+)
+
+// NewWindow returns the window of a host that begins to stop now and is killed after a grace
+// period. New connections go to other hosts after balancerDelay.
+func NewWindow(now time.Time, grace, balancerDelay time.Duration) Window {
+	share := func(x float64) time.Duration { return time.Duration(x * float64(grace)) }
+	last := max(share(lastShare), min(lastTime, share(maxLastShare)))
+	return Window{
+		Early: now.Add(min(earlyTime, share(earlyShare))), Noticed: now.Add(balancerDelay), End: now.Add(grace - last), Close: now.Add(grace - last/2),
+	}
 }
 
 // Request is a request that arrives at a host that is stopping.
@@ -35,11 +59,14 @@
 	Resumable  bool
 }
 
-// Accepts reports whether a request is accepted. One whose deadline passes before the end is.
+// Accepts reports whether a request is accepted. One whose deadline passes before the end is, and
+// none that arrives after it.
 // Before Early, so is one that loses nothing by a cut or usually ends in time: its caller's next
 // try may come to this host again.
 func (w Window) Accepts(r Request) bool {
 	switch {
+	case !r.Arrived.Before(w.End):
+		return false
 	case !r.Deadline.After(w.End):
 		return true
 	case !r.Arrived.Before(w.Early):
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -31,6 +31,7 @@
 		{arrived: 1, deadline: 26},
 		{arrived: 1, deadline: 26, usual: 6.5, repeatable: true, resumable: true, want: true},
 		{arrived: 3, deadline: 26, usual: 1, repeatable: true, resumable: true},
+		{arrived: 7.5, deadline: 7.4, usual: 0.01, repeatable: true, resumable: true},
 	} {
 		r := drain.Request{Arrived: seconds(x.arrived), Deadline: seconds(x.deadline), Usual: seconds(x.usual).Sub(start), Known: x.usual > 0, Repeatable: x.repeatable, Resumable: x.resumable}
 		if got := w.Accepts(r); got != x.want {
@@ -39,6 +40,36 @@
 	}
 }
 
+// A host that has ended, but not yet closed its connections, may still get requests.
+func TestNothingIsAcceptedAfterTheEnd(t *testing.T) {
+	w := drain.Window{Early: seconds(3), Noticed: seconds(3), End: seconds(2)}
+	r := drain.Request{Arrived: seconds(2), Deadline: seconds(26), Repeatable: true, Resumable: true}
+	if w.Accepts(r) {
+		t.Error("a request that arrived at the end was accepted")
+	}
+}
+
+// Whatever the grace period, a host has time left for requests that it accepts early, and some for
+// its last responses.
+func TestWindowFitsIntoGracePeriod(t *testing.T) {
+	const balancerDelay = 3200 * time.Millisecond
+	for grace := 50 * time.Millisecond; grace < time.Hour; grace += grace / 7 {
+		w := drain.NewWindow(start, grace, balancerDelay)
+		killed := start.Add(grace)
+		early, work, closing, rest := w.Early.Sub(start), w.End.Sub(w.Early), w.Close.Sub(w.End), killed.Sub(w.Close)
+		if early < grace/4 && early < 2500*time.Millisecond || work < grace/4 {
+			t.Errorf("of a grace period of %v, %v are early and %v left for work", grace, early, work)
+		}
+		if closing < min(grace/10, 250*time.Millisecond) || rest < min(grace/10, 250*time.Millisecond) {
+			t.Errorf("of a grace period of %v, %v are left for the last responses and %v after them", grace, closing, rest)
+		}
+	}
+	w := drain.NewWindow(start, 8*time.Second, balancerDelay)
+	if got, want := w, (drain.Window{Early: seconds(2.8), Noticed: seconds(3.2), End: seconds(7.36), Close: seconds(7.68)}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
 // A caller that tries again at once comes to the same host until new connections go elsewhere.
 func TestRetryAt(t *testing.T) {
 	w := drain.Window{Early: seconds(2.8), Noticed: seconds(3.2), End: seconds(7.4)}
--- a/test/entry/late_stop_test.go
+++ b/test/entry/late_stop_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -47,7 +49,7 @@
 				name, got := fmt.Sprintf("a request sent from %v to %v", begin, end), c.response()
 				c.check(t, orders, name, got)
 				if got.err != nil || time.Since(stopped) > gracePeriod {
-					t.Errorf("%s got %+v after %v", name, got, time.Since(stopped))
+					t.Errorf("%s got %+v, error %v, after %v", name, got, got.err, time.Since(stopped))
 				}
 			})
 		}
@@ -57,6 +59,53 @@
 	g.Wait()
 }
 
+// A grace period may be shorter than the time in which the load balancer notices a stop.
+func TestShortShutdownAcceptsNothingThatItCuts(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			s := start(t, 1)
+			orders := s.addServer("s1", "orders", backend.Delay(200*time.Millisecond, backend.Respond(200, "ok")))
+			llm := s.addServer("s2", "llm", backend.ForPath("/report/short", backend.Stream(10, 0, 20*time.Millisecond, nil), backend.Stream(10000, 0, 20*time.Millisecond, nil)))
+			n := s.nodes[0]
+			s.restartWithGrace(n, grace)
+			for range 12 {
+				s.awaitStatus(n, "/buy/1", "key-1", 200, testTimeout)
+			}
+			go s.keepConnection(n).send("/report/1", 25*time.Second) // keeps the node at work to the end
+			time.Sleep(200 * time.Millisecond)
+			stopped := time.Now().Add(100 * time.Millisecond)
+			var g sync.WaitGroup
+			for at := 50 * time.Millisecond; at < grace+100*time.Millisecond; at += 100 * time.Millisecond {
+				for path, deadline := range map[string]time.Duration{"/buy/1": 4 * time.Second, "/buy/2": 500 * time.Millisecond, "/r1/1": 4 * time.Second, "/report/short": 20 * time.Second} {
+					c := s.keepConnection(n)
+					server := orders
+					if path == "/report/short" {
+						server = llm
+					}
+					g.Go(func() {
+						time.Sleep(time.Until(stopped.Add(at)))
+						c.begin(path, deadline, 0)
+						c.check(t, server, fmt.Sprintf("%s sent at %v", path, at), c.response())
+					})
+				}
+			}
+			time.Sleep(time.Until(stopped))
+			n.Terminate()
+			select {
+			case <-n.Exited():
+			case <-time.After(time.Until(stopped.Add(grace))):
+				n.Kill() // as the platform does
+				if grace > time.Second {
+					t.Error("the process did not exit within its grace period")
+				}
+			}
+			g.Wait()
+		})
+	}
+}
+
 // Callers may read long responses slowly.
 func TestShutdownSendsWholeResponsesToSlowReaders(t *testing.T) {
 	t.Parallel()
@@ -149,6 +198,24 @@
 	s.store.Put("op", "config", value)
 }
 
+// restartWithGrace starts a node again with another grace period.
+func (s *system) restartWithGrace(n *node, grace time.Duration) {
+	s.t.Helper()
+	n.Kill()
+	b, err := os.ReadFile(n.SettingsPath())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	b = bytes.Replace(b, []byte("grace = "+gracePeriod.String()), []byte("grace = "+grace.String()), 1)
+	if err := os.WriteFile(n.SettingsPath(), b, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := n.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	s.await(n.Name()+" is ready", testTimeout, n.Ready)
+}
+
 // begin sends a request with half of its body.
 func (c *keptConnection) begin(path string, deadline time.Duration, length int) {
 	c.sent++
@@ -196,8 +263,8 @@
 	}
 	switch {
 	case reached && (got.err != nil || got.status != 200 && got.status != 504):
-		t.Errorf("%s: a server got it, and its caller got %+v", name, got)
+		t.Errorf("%s: a server got it, and its caller got %+v, error %v", name, got, got.err)
 	case !reached && got.err == nil && (got.status != 503 && got.status != 408 || !got.closes):
-		t.Errorf("%s: no server got it, and its caller got %+v", name, got)
+		t.Errorf("%s: no server got it, and its caller got %+v, error %v", name, got, got.err)
 	}
 }
