io/caller: a caller whose body is incomplete when a node ends gets 503

Seen by callers of `serve`: one that was still sending its body when the node ended got no answer. Its connection was closed 0.8 s after the drain, and it could not tell whether its purchase ran.

Cause: only body-wait ended the reading of a body, not the end of the node. Calls whose bodies end before that are decided after the body and were answered right before, too.

Now the end of the node ends the reading, and the caller gets 503 (not run).

Evidence: test/integration TestDrainAnswersCallsWhoseBodyComesTooLate, three purchases with bodies that end 1, 2.1 and 6 s after SIGTERM, `[drain]` grace 2 s, wait 4 s. Without the change: a purchase whose body ended after 6s got no response after 2.810133157s: unexpected EOF With it: 200 and one run, 503 and none, 503 and none after 2.51 s.

--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -11,6 +11,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -173,6 +174,8 @@
 	c := http.NewResponseController(x.w)
 	x.bodyLimited = true
 	_ = c.SetReadDeadline(time.Now().Add(h.limits.BodyReadTimeout))
+	stop := context.AfterFunc(x.r.Context(), func() { _ = c.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.limits.MaxBodyBytes))
 	if err == nil {
 		_ = c.SetReadDeadline(time.Time{})
@@ -185,6 +188,9 @@
 	if errors.As(err, &large) {
 		return nil, fault.Newf(fault.TooLarge, "read-body", "", "the request body exceeds %d bytes", large.Limit)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && errors.Is(context.Cause(x.r.Context()), ErrStopping) {
+		return nil, fault.Newf(fault.Draining, "read-body", "", "%v", ErrStopping).WithRetryAt(time.Now().Add(time.Second))
+	}
 	return nil, fault.Newf(fault.BadRequest, "read-body", "", "the request body could not be read completely: %v", err)
 }
 
