test/cluster, test/entry, test/soak: the whole logs of the hosts stay when a test fails

Now each failing test of test/entry and each failing seed of test/soak copies the output of all hosts that it started to a folder of its own in that which TEST_LOGS names, or cicadabeam-test-logs among the temporary files, and prints its path. The soak prints the lines about requests and servers of its violations besides. SOAK_LOGS goes.

--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -25,6 +25,8 @@
 	drainLimit  = entryhost.DrainLimit
 	gracePeriod = entryhost.GracePeriod
 	testTimeout = 15 * time.Second
+	// logDelay is the time in which nodes have written their lines, which they do in batches.
+	logDelay = 200 * time.Millisecond
 )
 
 var binary string
@@ -33,10 +35,12 @@
 
 // system is a store, nodes and the servers that a test adds.
 type system struct {
-	t      *testing.T
-	store  *store.Store
-	nodes  []*node
-	linked bool // hosts connect to each other by links
+	t     *testing.T
+	store *store.Store
+	nodes []*node
+	// started are all nodes that were started; nodes are those to which a test sends.
+	started []*node
+	linked  bool // hosts connect to each other by links
 }
 
 type node struct {
@@ -58,6 +62,7 @@
 	}
 	t.Cleanup(x.Close)
 	s := &system{t: t, store: x, linked: linked}
+	s.keepLogs()
 	s.configure(1, []string{"key-1", "key-2"})
 	for i := range nodes {
 		s.nodes = append(s.nodes, s.startNode(i))
@@ -73,6 +78,22 @@
 	return s
 }
 
+// keepLogs keeps the whole logs of all nodes if the test fails.
+func (s *system) keepLogs() {
+	s.t.TempDir() // is removed after the clean-ups that are added from here on
+	s.t.Cleanup(func() {
+		if !s.t.Failed() {
+			return
+		}
+		var all []*cluster.Process
+		for _, n := range s.started {
+			all = append(all, n.Process)
+		}
+		folder, err := cluster.KeepOutput(s.t.Name(), all...)
+		s.t.Logf("the whole logs of the nodes are in %s, error %v", folder, err)
+	})
+}
+
 func (s *system) startNode(i int) *node {
 	s.t.Helper()
 	endpoint, err := s.store.AddEndpoint()
@@ -93,7 +114,11 @@
 	if err := n.Start(); err != nil {
 		s.t.Fatal(err)
 	}
+	s.started = append(s.started, n)
 	s.t.Cleanup(func() {
+		if s.t.Failed() {
+			time.Sleep(logDelay)
+		}
 		n.Kill()
 		if s.t.Failed() {
 			b, _ := os.ReadFile(n.OutputPath())
--- a/test/entry/restore_test.go
+++ b/test/entry/restore_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -40,28 +39,6 @@
 	return found
 }
 
-// keepLogs copies the whole logs of all nodes to a directory that stays if the test fails.
-func (s *system) keepLogs() {
-	s.t.Cleanup(func() {
-		if !s.t.Failed() {
-			return
-		}
-		time.Sleep(200 * time.Millisecond) // lines are written in batches
-		dir, err := os.MkdirTemp("", "entry-logs-")
-		if err != nil {
-			s.t.Log(err)
-			return
-		}
-		for _, n := range s.nodes {
-			b, err := os.ReadFile(n.OutputPath())
-			if err == nil {
-				err = os.WriteFile(filepath.Join(dir, n.Name()+".log"), b, 0o600)
-			}
-			s.t.Logf("%s: whole log in %s, error %v", n.Name(), dir, err)
-		}
-	})
-}
-
 // keepSending sends requests to all nodes for some time and reports statuses other than those
 // wanted.
 func (s *system) keepSending(path, key string, d time.Duration, want ...int) {
@@ -211,7 +188,6 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := start(t, 3)
-			s.keepLogs()
 			time.Sleep(time.Second)
 			older := s.store.Copy()
 			alive := s.addServer("s1", "orders", backend.Respond(200, "ok"))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,13 +12,14 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"cicadabeam/test/cluster"
 	"cicadabeam/test/entryhost"
 )
 
@@ -29,6 +30,10 @@
 	defaultSeconds = 8
 	// maxPrinted limits the violations printed for a seed.
 	maxPrinted = 20
+	// maxLogLines limits the lines printed of the log of a host.
+	maxLogLines = 100
+	// logDelay is the time in which hosts have written their lines, which they do in batches.
+	logDelay = 200 * time.Millisecond
 )
 
 // ciSeeds are run by default: a few, and each that has failed, with the cause.
@@ -134,7 +139,7 @@
 	reportViolations(t, e, seed)
 }
 
-// reportViolations prints the violations and the faults, and saves the logs of the hosts to SOAK_LOGS.
+// reportViolations prints the violations and the faults, and keeps the logs of the hosts.
 func reportViolations(t *testing.T, e *testEnv, seed uint64) {
 	t.Helper()
 	violations := append(e.violations, e.check()...)
@@ -151,11 +156,25 @@
 		t.Errorf("%s", v)
 	}
 	t.Logf("%d violations; faults by second:\n%s", len(violations), strings.Join(e.faultLog, "\n"))
-	if dir := os.Getenv("SOAK_LOGS"); dir != "" {
-		for _, h := range e.hosts {
-			if b, err := os.ReadFile(h.OutputPath()); err == nil {
-				_ = os.WriteFile(filepath.Join(dir, fmt.Sprintf("%d-%s.log", seed, h.Name())), b, 0o600)
-			}
+	keepLogs(t, e, violations)
+}
+
+// idPattern matches the IDs of requests and servers.
+var idPattern = regexp.MustCompile(`\b(c[0-9]+-[0-9]+-[0-9]+|i-[0-9]+)\b`)
+
+// keepLogs keeps the logs of the hosts, and prints their lines about the requests and servers of
+// the violations.
+func keepLogs(t *testing.T, e *testEnv, violations []string) {
+	t.Helper()
+	time.Sleep(logDelay)
+	var all []*cluster.Process
+	words := idPattern.FindAllString(strings.Join(violations[:min(len(violations), maxPrinted)], "\n"), -1)
+	for _, h := range e.hosts {
+		all = append(all, h.Process)
+		if lines := h.OutputLines(words, maxLogLines); len(lines) > 0 {
+			t.Logf("%s:\n%s", h.Name(), strings.Join(lines, ""))
 		}
 	}
+	folder, err := cluster.KeepOutput(t.Name(), all...)
+	t.Logf("the logs of the hosts are in %s, error %v", folder, err)
 }
