test/soak: a partitioned host's question to a server is not taken for a request

Cause: the check. By reading what is sent to servers without a request ID: lists and reports of engines, which the stand-in knows; copies of a KV cache, for engines only; and the question of a host that takes itself for partitioned whether a server is there (ProbeHealth). i-3 is no engine, which leaves the last. The soak's services have no health path, so the question is GET / without any header or body; the stand-in counted it as a request that it ran. In a trial, a print in test/entry TestHostsPartitionedFromAllServersServe showed just this one from the partitioned host: GET /, no header but Host, no body.

Now the stand-in refuses it as servers do (400, X-Not-Executed) and the check treats it apart.

--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -27,6 +27,10 @@
 		if a.ID == probeID {
 			continue
 		}
+		if a.HealthQuery {
+			c.healthQueries = append(c.healthQueries, a)
+			continue
+		}
 		if a.Executed {
 			c.runs[a.ID] = append(c.runs[a.ID], a)
 		}
@@ -35,6 +39,7 @@
 	for _, x := range results {
 		c.checkResult(x)
 	}
+	c.checkHealthQueries(e.partitions(time.Now()))
 	c.checkNotices(arrivals)
 	c.checkParts(arrivals)
 	c.checkLimits(arrivals)
@@ -51,6 +56,7 @@
 	runs       map[string][]Arrival
 	violations []string
 
+	healthQueries       []Arrival
 	leavingPaths, rests int // checked by checkNotices
 	limits              int // servers checked by checkLimits
 	unframed            int // responses checked by checkUnframed
--- a/test/soak/server.go
+++ b/test/soak/server.go
@@ -39,6 +39,7 @@
 	CrashingPart bool          // the prompt holds the part that crashes servers
 	Wish         time.Duration // the rest that the server asked for as it refused the request
 	Limit        float64       // that the response names, 0 if none
+	HealthQuery  bool          // a host asks whether the server is there
 }
 
 // arrivalLog holds all arrivals.
@@ -149,6 +150,11 @@
 		return backend.Respond(http.StatusOK, s.loadReport())(c, r, body)
 	}
 	a := s.newArrival(r)
+	if a.HealthQuery = isHealthQuery(r, body); a.HealthQuery {
+		s.arrivals.add(a)
+		s.awaitSpeech()
+		return backend.WithHeader("X-Not-Executed: 1", backend.Respond(http.StatusBadRequest, ""))(c, r, body)
+	}
 	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != s.id {
 		s.arrivals.add(a)
 		s.awaitSpeech()
