--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BIN := bin
 SEEDS := 1000-1009
 
-.PHONY: build demo test lint bench experiment soak model fuzz clean
+.PHONY: build demo test lint bench experiment soak mixed model fuzz clean
 
 build:
 	go build -o $(BIN)/ cicadabeam/cmd/cicadabeam cicadabeam/test/cmd/standin cicadabeam/tools/demo cicadabeam/tools/bench
@@ -32,6 +32,9 @@
 soak:
 	cd test && SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=20 go test -count=1 -parallel 4 -timeout 60m ./soak -v
 
+mixed:
+	test/mixed $(COMMIT)
+
 model:
 	cd core && MODEL=1 go test -count=1 ./claim -rapid.checks=200000
 
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -100,7 +100,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	h, err := entryhost.New(binary, s.t.TempDir(), fmt.Sprintf("node-%d", i), []string{"a", "b"}[i%2], endpoint.Address())
+	program, err := entryhost.ProgramOf(i, binary)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	h, err := entryhost.New(program, s.t.TempDir(), fmt.Sprintf("node-%d", i), []string{"a", "b"}[i%2], endpoint.Address())
 	if err != nil {
 		s.t.Fatal(err)
 	}
