core/crashcause: causes that are too narrow give way to what they share

What callers saw: a part of a prompt that crashes servers was refused only together with another part (of one organisation or subject), so that requests with it and other parts went on to crash servers for seconds: core/crashcause TestPartThatCrashesServersIsFoundUnderLoad, 4 to 22 requests later than 4 s after the fifth crash, 3 allowed.

Now: where others of the class ran well and some requests on the servers don't have a feature, (1) a cause that explains all crashes of several known ones takes their place, (2) a suspect is not narrowed again once servers crashed beside a narrower cause, and (3) a narrower one needs three crashes itself. Where nothing ran well, or all have the feature, nothing changes: the first part may be common to all.

Tests that failed before, each with "a request with the part that crashes servers is not refused": TestTooNarrowCausesOfSeveralHostsBecomeOne, TestPartIsNotNarrowedAgainAfterFurtherCrashes, TestPartIsNotNarrowedByTwoOfThreeCrashes.

Nothing ran well, what all requests have is suspected, and each trial convicts a cause that is too narrow.

--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -116,33 +116,6 @@
 	}
 }
 
-// dropExplained drops the causes whose crashes a new cause explains, besides others.
-func (l *List) dropExplained(x *cause) {
-	only, shared := make(map[*cause]int), make(map[*cause]int)
-	total := 0
-	for c := range l.allCrashes() {
-		all := l.causesOf(c)
-		explains := slices.Contains(all, x)
-		if explains {
-			total++
-		}
-		for _, other := range all {
-			if explains {
-				shared[other]++
-			} else {
-				only[other]++
-			}
-		}
-	}
-	for other, n := range shared {
-		if other != x && only[other] == 0 && n < total {
-			other.remaining = nil
-			l.markChanged(other)
-			l.notify()
-		}
-	}
-}
-
 // causesOf returns the known causes that explain a crash.
 func (l *List) causesOf(c *crash) []*cause {
 	var all []*cause
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -26,14 +26,16 @@
 func (l *List) nextCause(now time.Time) (Cause, bool) {
 	var broad *Cause
 	for _, s := range l.suspects(now) {
-		s = l.narrowest(s)
+		if !l.narrowedInVain(s) {
+			s = l.narrowest(s)
+		}
 		c := l.causeOf(s, l.share())
 		if l.trials && (l.covered(c.Features) || l.hasNarrower(s.feature)) && s.withoutCause(l) >= refutedThreshold {
 			c = l.causeOf(s, 1)
 			c.Suspected = c.Suspected && !(c.comparable && l.widensConvicted(c.Features))
 		}
 		switch {
-		case s.unexplained == 0 || l.covered(c.Features):
+		case l.covered(c.Features) || s.unexplained == 0 && !l.unites(c):
 		case c.comparable || !l.inAllRequests(c.Features, s.class):
 			return c, true
 		case broad == nil && s.unexplained >= crashThreshold:
@@ -95,26 +97,6 @@
 	return n
 }
 
-// narrowest returns the suspect with the fewest requests of those that nearly all crashes of s
-// have and that come with the feature of s only, or s. Not all requests on a server that crashed
-// may be known, so that s may have more crashes although it is not the cause. A narrower feature is
-// the likelier cause if other requests with that of s were on the same servers, or if its share of
-// the crashes is not explained by its share of the requests.
-func (l *List) narrowest(s suspect) suspect {
-	best := s
-	common := l.inCommon(s, commonShare)
-	for _, x := range l.within(s) {
-		if x.requests >= best.requests || float64(len(x.crashes)) < withinShare*float64(len(s.crashes)) || !x.isShared() {
-			continue
-		}
-		likelier := x.isAccompanied(s.feature) || !slices.Contains(common, x.feature)
-		if likelier && slices.Contains(l.inCommon(x, commonShare), s.feature) {
-			best = x
-		}
-	}
-	return best
-}
-
 // within returns the other features of the requests with the feature of a suspect, with those of
 // its crashes that they were in. That other servers were lost says nothing between them: on these
 // some request with the more frequent feature is likely to be known.
