io/serverpath: servers learn of the end of runs that were given up while their path was cut

What callers saw: nothing; servers worked on a request that had gone on elsewhere, for up to 0.8 s after the path had healed (TWICE allows 400 ms).

Cause: a connection that is given up is closed and forgotten. What is sent while the path is cut arrives with the kernel's next repetition, at times that double; a reset is not repeated.

Now the sending side is closed at once and the connection is reset once the server has acknowledged that, has ended it, or a new connection to it can be opened; tried from 100 ms on, one attempt at a time for each server, for 10 s and 128 connections at most. The same at a host between. New log event "run ended late".

Failed tries: Link of test/cluster accepts connections and acknowledges closes also while it drops data, so that it can't show this; a filter on a listener of net.Listen is refused (multipath TCP).

--- a/cmd/entry/server_paths.go
+++ b/cmd/entry/server_paths.go
@@ -63,6 +63,7 @@
 	return &serverpath.Dialer{
 		Direct: n.pool.Dial, Through: n.dialThrough, Nodes: func() []string { return n.peersWithPath(time.Now()) },
 		Partitioned: n.partition.Partitioned, OnDirect: n.partition.RecordConnected, OnIndirect: n.recordIndirect,
+		OnLateEnd: n.recordLateEnd,
 	}
 }
 
@@ -95,6 +96,11 @@
 	n.recorder.Record(event, relay.Fields{"peer": peer, "address": server, "reason": string(end), "ms": lasted.Milliseconds()})
 }
 
+// recordLateEnd records that a server learnt late of the end of a run, or not at all.
+func (n *Node) recordLateEnd(server string, reason serverpath.Reason, lasted time.Duration) {
+	n.recorder.Record("run ended late", relay.Fields{"address": server, "reason": string(reason), "ms": lasted.Milliseconds()})
+}
+
 // recordIndirect records that only a peer could connect to a server.
 func (n *Node) recordIndirect(address string) {
 	now := time.Now()
@@ -156,7 +162,7 @@
 	if !n.fleet.HasAddress(address) {
 		return nil, errUnknownServer
 	}
-	return n.pool.Dial(ctx, address)
+	return n.dialer.DialDirect(ctx, address)
 }
 
 // ownLosses returns the servers that this node has just lost, for other nodes. What a node loses that
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -122,6 +122,20 @@
 	_ = c.net.Close()
 }
 
+// GiveUp closes the connection of a request that may be running and goes on elsewhere, or that nobody
+// waits for any more. The server learns of it even if it can't be reached now.
+func (c *Conn) GiveUp() {
+	c.noReuse.Store(true)
+	c.endObserved(false, false)
+	x, ok := c.net.(interface{ GiveUp() })
+	if !ok {
+		_ = c.net.Close()
+		return
+	}
+	c.Interrupt()
+	x.GiveUp()
+}
+
 // endObserved tells the pool's paths what became of the request that was sent.
 func (c *Conn) endObserved(responded, evidence bool) {
 	if c.end != nil {
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -133,7 +133,7 @@
 func (x *exchange) abandon(c *http1.Conn) {
 	now := time.Now()
 	if now.Before(x.deadline) || errors.Is(x.ctx.Err(), context.Canceled) {
-		c.Close()
+		c.GiveUp()
 		return
 	}
 	go c.ObserveLate(x.r.Method, now.Add(lateResponseTime))
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -152,14 +152,19 @@
 	return f
 }
 
-// close ends an attempt. Its connection is closed unless it was returned to the pool.
+// close ends an attempt. Its connection is closed unless it was returned to the pool, and given up if
+// the server may work on.
 func (s *stream) close(a *streamAttempt) {
 	s.h.firstEventMonitor.unwatch(a)
 	close(a.closed)
 	if a.removeInterrupt != nil {
 		a.removeInterrupt()
 	}
-	if a.conn != nil && !a.keepConn {
+	switch {
+	case a.conn == nil, a.keepConn:
+	case a.outcome == broken:
+		a.conn.GiveUp()
+	default:
 		a.conn.Close()
 	}
 	a.member.Release(a.query, a.responseStarted)
@@ -177,7 +182,7 @@
 		a.keepConn = true
 		s.abandon(a.conn)
 	} else {
-		a.conn.Close()
+		a.conn.GiveUp()
 	}
 	now := time.Now()
 	if a.responseLost.Load() {
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -124,7 +124,7 @@
 		case x := <-fromA:
 			a.unread, fromA = &x, nil
 			if x.err != nil && !a.isComplete(&x) {
-				a.conn.Close() // the server may work on
+				a.conn.GiveUp() // the server may work on
 				continue
 			}
 			b.err = errWentOn
--- a/io/serverpath/dialer.go
+++ b/io/serverpath/dialer.go
@@ -5,6 +5,7 @@
 //
 //	d := &serverpath.Dialer{Direct: dial, Through: dialThrough, Nodes: nodes, Partitioned: f, OnDirect: g, OnIndirect: h}
 //	c, direct, err := d.Dial(ctx, "10.1.0.7:80")
+//	if x, ok := c.(*serverpath.Conn); ok { x.GiveUp() } // the request goes on elsewhere
 package serverpath
 
 import (
@@ -39,6 +40,20 @@
 	// node that is not partitioned.
 	OnDirect   func()
 	OnIndirect func(server string)
+	// OnLateEnd is called for each connection that was given up and whose server learnt of it late, if
+	// it isn't nil.
+	OnLateEnd func(server string, reason Reason, lasted time.Duration)
+
+	ends ends
+}
+
+// DialDirect opens a connection to a server without a node in between.
+func (d *Dialer) DialDirect(ctx context.Context, server string) (net.Conn, error) {
+	c, err := d.Direct(ctx, server)
+	if t, ok := c.(*net.TCPConn); ok && err == nil {
+		return &Conn{TCPConn: t, dialer: d, server: server}, nil
+	}
+	return c, err
 }
 
 // attempt opens a connection until the end of a context.
@@ -56,7 +71,7 @@
 	defer cancel()
 	partitioned := d.Partitioned()
 	kinds := []attempt{
-		func(ctx context.Context) result { c, err := d.Direct(ctx, server); return result{c, true, err} },
+		func(ctx context.Context) result { c, err := d.DialDirect(ctx, server); return result{c, true, err} },
 		func(ctx context.Context) result { c, err := d.throughAny(ctx, server); return result{c, false, err} },
 	}
 	if partitioned {
--- /dev/null
+++ b/io/serverpath/end.go
@@ -0,0 +1,180 @@
+package serverpath
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadabeam/io/tcp"
+)
+
+// What is sent while a path is cut arrives with the next retransmission, which may be seconds after the
+// path has healed, and a reset is lost. So a connection that is given up is kept until its server knows
+// of its end, or until a new connection shows that the path works, and is reset then.
+
+const (
+	// endCheckInterval is the time between two checks whether a server knows of the end of a connection,
+	// and endTimeout the time until the path is tried with a new one.
+	endCheckInterval = 10 * time.Millisecond
+	endTimeout       = 100 * time.Millisecond
+	// pathTimeout limits an attempt to connect. A round trip between regions takes 40 ms.
+	pathTimeout = 200 * time.Millisecond
+	// keepTimeout limits the time for which a connection is kept, and maxKept their number.
+	keepTimeout = 10 * time.Second
+	maxKept     = 128
+)
+
+// Reason is why a connection that was given up was reset late.
+type Reason string
+
+// The reasons.
+const (
+	EndKnown    Reason = "the server knew of the end"
+	PathWorks   Reason = "the path worked again"
+	KeptTooLong Reason = "the server was not reached in time"
+)
+
+// Conn is a direct connection to a server.
+type Conn struct {
+	*net.TCPConn
+	dialer  *Dialer
+	server  string // address
+	givenUp atomic.Bool
+	at      time.Time // when it was given up
+}
+
+// GiveUp ends the connection, on which a request may be running that goes on elsewhere. The server
+// learns of it soon after it is reached again.
+func (c *Conn) GiveUp() {
+	if c.givenUp.Swap(true) {
+		return
+	}
+	_ = c.SetDeadline(time.Unix(1, 0))
+	_ = c.CloseWrite()
+	c.at = time.Now()
+	switch {
+	case tcp.EndKnown(c.TCPConn):
+		c.reset()
+	case !c.dialer.ends.add(c):
+		_ = c.TCPConn.Close()
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	if c.givenUp.Swap(true) {
+		return nil
+	}
+	return c.TCPConn.Close()
+}
+
+func (c *Conn) reset() {
+	_ = c.SetLinger(0)
+	_ = c.TCPConn.Close()
+}
+
+// ends are the connections that were given up and are kept, by the addresses of their servers.
+type ends struct {
+	mu    sync.Mutex
+	conns map[string][]*Conn
+	count int
+}
+
+// add keeps a connection. It reports false if too many are kept.
+func (e *ends) add(c *Conn) bool {
+	_ = tcp.SetUserTimeout(c.TCPConn, keepTimeout)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.count >= maxKept {
+		return false
+	}
+	if e.conns == nil {
+		e.conns = make(map[string][]*Conn)
+	}
+	e.count++
+	e.conns[c.server] = append(e.conns[c.server], c)
+	if len(e.conns[c.server]) == 1 {
+		go c.dialer.awaitEnds(c.server)
+	}
+	return true
+}
+
+// resetEnded resets the connections to a server for which reason returns one. It returns when the oldest
+// of those that remain was given up.
+func (d *Dialer) resetEnded(server string, reason func(c *Conn) Reason) (oldest time.Time, remain bool) {
+	e := &d.ends
+	reset := make(map[*Conn]Reason)
+	e.mu.Lock()
+	var kept []*Conn
+	for _, c := range e.conns[server] {
+		if r := reason(c); r != "" {
+			reset[c] = r
+			continue
+		}
+		kept = append(kept, c)
+	}
+	e.count -= len(reset)
+	e.conns[server] = kept
+	if len(kept) == 0 {
+		delete(e.conns, server)
+	} else {
+		oldest = kept[0].at
+	}
+	e.mu.Unlock()
+	for c, r := range reset {
+		c.reset()
+		if lasted := time.Since(c.at); lasted > endTimeout && d.OnLateEnd != nil {
+			d.OnLateEnd(server, r, lasted)
+		}
+	}
+	return oldest, len(kept) > 0
+}
+
+// awaitEnds resets the connections to a server that were given up, until none is left.
+func (d *Dialer) awaitEnds(server string) {
+	for {
+		oldest, remain := d.resetEnded(server, func(c *Conn) Reason {
+			switch {
+			case tcp.EndKnown(c.TCPConn):
+				return EndKnown
+			case time.Since(c.at) > keepTimeout:
+				return KeptTooLong
+			}
+			return ""
+		})
+		if !remain {
+			return
+		}
+		time.Sleep(endCheckInterval)
+		began := time.Now()
+		if began.Sub(oldest) < endTimeout || !d.pathWorks(server) {
+			continue
+		}
+		_, remain = d.resetEnded(server, func(c *Conn) Reason {
+			if c.at.Before(began) {
+				return PathWorks
+			}
+			return ""
+		})
+		if !remain {
+			return
+		}
+	}
+}
+
+// pathWorks reports whether the host of a server responds to the opening of a connection.
+func (d *Dialer) pathWorks(server string) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(pathTimeout))
+	defer cancel()
+	c, err := d.Direct(ctx, server)
+	if err != nil {
+		if ctx.Err() == nil && !tcp.Refused(err) {
+			<-ctx.Done()
+		}
+		return tcp.Refused(err)
+	}
+	_ = c.Close()
+	return true
+}
--- a/io/tunnel/passage.go
+++ b/io/tunnel/passage.go
@@ -44,7 +44,7 @@
 // cut ends both connections of the tunnel.
 func (p *passage) cut(e End) {
 	p.finish(e)
-	reset(p.backend)
+	giveUp(p.backend)
 	reset(p.host)
 }
 
@@ -68,7 +68,7 @@
 		}
 		if err != nil {
 			p.finish(HostClosed)
-			_ = p.backend.Close()
+			giveUp(p.backend)
 			return
 		}
 	}
--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -216,8 +216,18 @@
 
 // reset makes the end of a connection a reset, and ends it.
 func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
 }
+
+// giveUp ends a connection to a server whose request may go on elsewhere: by its own means, if it has
+// any that reach the server later too.
+func giveUp(c net.Conn) {
+	if x, ok := c.(interface{ GiveUp() }); ok {
+		x.GiveUp()
+		return
+	}
+	reset(c)
+}
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -398,3 +398,37 @@
 	_ = c.Close()
 	await(t, "the tunnel is open", time.Second, func() bool { return between.Count() == 0 })
 }
+
+// learner is a connection whose server learns of its end even if it can't be reached now.
+type learner struct {
+	net.Conn
+	givenUp *atomic.Int64
+}
+
+func (c learner) GiveUp() {
+	c.givenUp.Add(1)
+	_ = c.Conn.Close()
+}
+
+// Guards against servers that work on because the reset of a tunnel's connection is lost.
+func TestServersLearnOfTheEndOfTunnels(t *testing.T) {
+	for name, end := range map[string]func(c net.Conn, l *link){
+		"closed": func(c net.Conn, _ *link) { _ = c.Close() }, "reported": func(c net.Conn, l *link) { l.hang.Store(true); _ = c.Close() },
+		"lease ended": func(_ net.Conn, l *link) { l.cut(true, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startBackend(t, tick)
+			between, address, _ := startNode(t, server.Addr().String())
+			var givenUp atomic.Int64
+			dialServer := between.dial
+			between.dial = func(ctx context.Context, a string) (net.Conn, error) {
+				c, err := dialServer(ctx, a)
+				return learner{c, &givenUp}, err
+			}
+			l := startLink(t, address)
+			c, _, _ := dial(t, l.address, server.Addr().String())
+			end(c, l)
+			await(t, "the connection to the server was not given up", 2*lease.Term, func() bool { return givenUp.Load() > 0 })
+		})
+	}
+}
--- a/test/relay/head_cut_test.go
+++ b/test/relay/head_cut_test.go
@@ -33,9 +33,14 @@
 
 func startHostBetween(t *testing.T) *throughHost {
 	t.Helper()
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
+	return startHostBetweenWith(t, func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
-	}
+	})
+}
+
+// startHostBetweenWith is like startHostBetween for a host that connects to servers by a function.
+func startHostBetweenWith(t *testing.T, dial func(ctx context.Context, address string) (net.Conn, error)) *throughHost {
+	t.Helper()
 	record := func(string, string, string, tunnel.End, time.Duration) {}
 	n := tunnel.New(dial, record)
 	l, err := net.Listen("tcp", ownAddress())
