entry: a host that starts after a restore fetches the missing servers later, too

The host had started at 03.723, read the store itself at 03.743 as the other reader had just lost it, and found no server there: the only one had yet to register again. It heard of both peers at 03.743 and 03.746, both knew the server, and it never asked.

Cause: a host that has not seen the era rise and learns of the rise from a peer's report asks that peer for the servers that have yet to register again. It learns of it once. A report that a peer sends by itself may come before the host has read the host list; it was merged, and then dropped with what it had told as the peer is unknown. The same if the call to the peer failed. By reading; nothing else leads to no call without a line "not fetched", and the log has none.

Now the host remembers that it is to ask, and does with the next report of a known peer. TestMissingServersAreFetchedLater failed in both cases before.

--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -58,6 +58,7 @@
 	readUntil        time.Time     // this node reads the store until then, see readTakeoverHold
 	readsStore       bool          // the last result of Node.readsStore
 	fetching         map[string]bool
+	riseMissed       bool                         // the servers that have yet to register again are to be fetched
 	aggregates       map[string]receivedAggregate // by data centre
 	aggregatesSentAt map[string]time.Time         // by node
 }
@@ -263,7 +264,12 @@
 		n.prompts.RecordFromPeer(prompt, server, now)
 	}
 	n.peers.mu.Lock()
+	n.peers.riseMissed = n.peers.riseMissed || missedRise
 	p := n.peers.all[x.Host.Name]
+	fetchMissing := p != nil && n.peers.riseMissed
+	if fetchMissing {
+		n.peers.riseMissed = false
+	}
 	recovered := p != nil && now.Sub(p.reportedAt) > livenessTimeout
 	if p != nil {
 		p.report, p.reportedAt, p.lossRecorded = x, now, false
@@ -275,7 +281,7 @@
 	if recovered {
 		n.recorder.Record("node heard", relay.Fields{"peer": x.Host.Name, "revision": x.Configuration.Version})
 	}
-	if missedRise {
+	if fetchMissing {
 		go n.fetch(p, "servers to register", n.fetchMissingServers)
 	}
 	n.syncWithPeer(p, x, sent)
--- a/cmd/entry/restore.go
+++ b/cmd/entry/restore.go
@@ -72,6 +72,9 @@
 func (n *Node) fetchMissingServers(p *peer) error {
 	x, err := p.client.Servers(freshness.StoreVersion{}, time.Now().Add(fetchTimeout))
 	if err != nil {
+		n.peers.mu.Lock()
+		n.peers.riseMissed = true // the next report of a peer is another occasion
+		n.peers.mu.Unlock()
 		return err
 	}
 	n.serversMu.Lock()
