--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -33,7 +33,11 @@
 )
 
 const (
-	readBufferSize = 2 << 10 // bytes
+	// readBufferSize is the size in bytes of a connection's read buffer, slowReadBufferSize if its
+	// first request is slow: it is held for long, and what arrives is short. Lines of chunk sizes and
+	// the trailer have to fit into it.
+	readBufferSize     = 2 << 10
+	slowReadBufferSize = 1 << 10
 	// dialTimeout limits a connection attempt. A round trip between regions takes 40 ms.
 	dialTimeout = 400 * time.Millisecond
 	// tcpUserTimeout is the TCP user timeout: how long sent bytes may stay unacknowledged
@@ -69,7 +73,7 @@
 type Conn struct {
 	net           net.Conn
 	source        *limitedReader
-	reader        *bufio.Reader // of source
+	reader        *bufio.Reader // of source; nil before the first request
 	address       string
 	direct        bool // no other node is in between
 	paths         Paths
@@ -112,9 +116,23 @@
 
 func newConn(n net.Conn, address string) *Conn {
 	s := &limitedReader{source: n}
-	return &Conn{net: n, address: address, source: s, reader: bufio.NewReaderSize(s, readBufferSize)}
+	return &Conn{net: n, address: address, source: s}
 }
 
+// prepareReader makes the reader of responses if there is none.
+func (c *Conn) prepareReader(slow bool) {
+	switch {
+	case c.reader != nil:
+	case slow:
+		c.reader = bufio.NewReaderSize(c.source, slowReadBufferSize)
+	default:
+		c.reader = bufio.NewReaderSize(c.source, readBufferSize)
+	}
+}
+
+// hasUnread reports whether something that was received has not been read.
+func (c *Conn) hasUnread() bool { return c.reader != nil && c.reader.Buffered() > 0 }
+
 // Close closes the connection.
 func (c *Conn) Close() {
 	c.noReuse.Store(true)
@@ -158,6 +176,7 @@
 // than maxSyncBody is sent in the background while the caller reads the response.
 func (c *Conn) Send(r *Request, deadline time.Time) error {
 	c.carried.add(r.ID)
+	c.prepareReader(r.Slow)
 	_ = c.net.SetDeadline(deadline)
 	if c.paths != nil && c.direct && !r.Slow {
 		c.end = c.paths.Begin(c.address)
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -115,7 +115,7 @@
 	if c.reusableUntil.IsZero() {
 		c.reusableUntil = time.Now().Add(defaultIdleTimeout) // no request has been sent on it yet
 	}
-	if c.noReuse.Load() || c.interrupted.Load() || c.carried.full() || !c.bodySent() || c.reader.Buffered() > 0 || !time.Now().Before(c.reusableUntil) {
+	if c.noReuse.Load() || c.interrupted.Load() || c.carried.full() || !c.bodySent() || c.hasUnread() || !time.Now().Before(c.reusableUntil) {
 		c.Close()
 		return
 	}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -282,6 +283,9 @@
 	return err.WithRetryAt(deferral.RetryAt(earliest, now, rand.Float64()))
 }
 
+// systemHeaders is for how many headers of Codec.SetHeaders there is room from the beginning.
+const systemHeaders = 8
+
 // request builds the request for a server. It returns false if the deadline has
 // passed.
 func (x *exchange) request(m *fleet.Member, f ForwardMeta) (*http1.Request, bool) {
@@ -294,7 +298,8 @@
 	f.Organisation = x.organisation.Name
 	f.PriorityScheduling = x.service.Engine != nil
 	f.Priority = x.priority()
-	header := x.header.Clone()
+	header := make(http.Header, len(x.header)+systemHeaders)
+	maps.Copy(header, x.header)
 	x.h.Codec.SetHeaders(header, f)
 	return &http1.Request{ID: x.meta.ID, Method: x.r.Method, Target: x.target(), Host: x.r.Host, Header: header, Body: x.body, Slow: x.route.Kind.IsStream()}, true
 }
@@ -470,27 +475,30 @@
 // EndToEndHeaders returns a copy of the headers without the hop-by-hop ones.
 func EndToEndHeaders(h http.Header) http.Header {
 	out := make(http.Header, len(h))
+	copyEndToEnd(out, h)
+	return out
+}
+
+// copyEndToEnd copies the headers without the hop-by-hop ones to others.
+func copyEndToEnd(to, from http.Header) {
 	named := make(map[string]bool)
-	for _, v := range h.Values("Connection") {
+	for _, v := range from.Values("Connection") {
 		for _, name := range strings.Split(v, ",") {
 			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	for name, values := range h {
+	for name, values := range from {
 		if !hopByHopHeaders[name] && !named[name] {
-			out[name] = values
+			to[name] = values
 		}
 	}
-	return out
 }
 
 // copyResponseHeaders copies the headers of a server's response to the response to the
 // caller.
 func (x *exchange) copyResponseHeaders(r *http.Response) {
 	header := x.w.Header()
-	for name, values := range EndToEndHeaders(r.Header) {
-		header[name] = values
-	}
+	copyEndToEnd(header, r.Header)
 	if header.Get("Content-Type") == "" {
 		header["Content-Type"] = nil // keeps net/http from detecting one
 	}
--- a/io/relay/stream_events.go
+++ b/io/relay/stream_events.go
@@ -88,13 +88,13 @@
 			s.h.Recorder.Record("resumed", Fields{"request": s.meta.ID, "server": a.member.ID(), "from_copy": a.fromBackup(), "after": s.lastEvent, "ms": ms(now.Sub(s.interruptedAt))})
 		}
 	}
-	if s.responseStarted {
-		return
+	if !s.responseStarted {
+		s.responseStarted = true
+		s.bind(a.member.Version())
+		s.copyResponseHeaders(a.response)
+		s.w.WriteHeader(a.response.StatusCode)
 	}
-	s.responseStarted = true
-	s.bind(a.member.Version())
-	s.copyResponseHeaders(a.response)
-	s.w.WriteHeader(a.response.StatusCode)
+	a.response.Header = nil // no more needed, and a stream may last for minutes
 }
 
 // recordEventTime records when the first event arrived and the maximum time between
--- a/io/sse/events.go
+++ b/io/sse/events.go
@@ -21,7 +21,7 @@
 
 // initialBufferSize is the first capacity of the buffer, in bytes. Before each read at
 // least a quarter of this size is free.
-const initialBufferSize = 512
+const initialBufferSize = 256
 
 // Event is one event, including the blank line that ends it.
 type Event struct {
