relay: whether a read may be sent again is decided before its attempt runs

What callers saw: nothing shown. An attempt read the number of attempts while a hedge could raise it, so that what it decided at the end of a response without a length or chunks (ask again, or believe it) could rest on a torn value.

--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -50,6 +50,7 @@
 	connectionFailed bool
 	through          string // node between, if any
 	serverLost       bool   // contact with the server had been lost before the request was sent
+	repeatable       bool   // the route allows a further attempt
 }
 
 func (a *attempt) status() int {
@@ -159,20 +160,20 @@
 	}
 	x.tried[m.ID()] = true
 	x.attempts++
+	a := &attempt{member: m, repeatable: x.mayAskAgain()}
 	go func() {
 		defer m.Release(q, false)
-		results <- x.runAttempt(ctx, m)
+		x.runAttempt(ctx, a)
+		results <- a
 	}()
 	return true
 }
 
 // runAttempt sends the request to a server and reads the response.
-func (x *exchange) runAttempt(ctx context.Context, m *fleet.Member) *attempt {
+func (x *exchange) runAttempt(ctx context.Context, a *attempt) {
 	started := time.Now()
-	a := &attempt{member: m}
 	x.roundTrip(ctx, a)
 	x.recordOutcome(a, time.Since(started))
-	return a
 }
 
 func (x *exchange) roundTrip(ctx context.Context, a *attempt) {
@@ -238,7 +239,7 @@
 		c.Close()
 		return
 	}
-	if x.mayAskAgain() && x.h.endedWithServer(a.member, a.response) {
+	if a.repeatable && x.h.endedWithServer(a.member, a.response) {
 		c.Close()
 		a.err = errServerEnded
 		return
