--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -63,9 +63,10 @@
 	suspected       chan struct{}  // receives when the server could not be reached
 	closed          chan struct{}  // closed when no more parts are to be received
 	silence         stall.Watch
-	failedSource    kvSource    // what the run could not be resumed from
-	removeInterrupt func() bool // the interruption of the connection at the end of the request
-	keepConn        bool        // the connection is no longer this attempt's
+	failedSource    kvSource      // what the run could not be resumed from
+	beside          time.Duration // how long its server worked beside the one that took the stream over
+	removeInterrupt func() bool   // the interruption of the connection at the end of the request
+	keepConn        bool          // the connection is no longer this attempt's
 	// responseLost is set if the server ran the request but its response does not
 	// arrive.
 	responseLost atomic.Bool
@@ -401,6 +402,9 @@
 	if a.conn != nil && a.conn.Through() != "" {
 		f["through"] = a.conn.Through()
 	}
+	if a.beside > 0 {
+		f["beside_ms"] = ms(a.beside)
+	}
 	if a.err != nil {
 		f["error"] = a.err.Error()
 	}
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -39,6 +39,7 @@
 				s.interruptedAt = silentSince
 			}
 			s.resumes++
+			a.beside = time.Since(b.started)
 			return b
 		}
 		s.close(b)
