io/relay: a server that takes a stream over from its backup works beside a silent one that is there for 300 ms at most

Cause: the move limited how long the head is waited for, and not how long both may work. A head is late where the path is full, loses packets or goes through hosts with slow links, while the path to the first server holds.

Evidence: test/relay TestRunEndsAlthoughHeadOfNextOneIsLate.

Now the second run is given up after 300 ms if the first server can be reached; where it can't, both are kept as before, as the first run is cut off. The first run is kept as a silent server may go on: giving it up instead broke TestSilentServerDoesNotEndStream/the_other_server_is_silent_too, which holds.

Cost: a head that comes 0.30 to 0.6 s after the request from a backup is not waited for while the first server is there.

Left, by reading: moves without a backup, where it is not known when the second server begins.

--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -7,8 +7,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// overlapTimeout is how long a stream waits for the server that is to take it over, after the
-// one before has gone on.
+// overlapTimeout is how long a stream waits for the server that is to take it over while that one and
+// the one before may both work on it.
 const overlapTimeout = 300 * time.Millisecond
 
 var (
@@ -110,13 +110,19 @@
 
 // awaitHead waits until the server of attempt b has started its response. If a goes on
 // meanwhile, b is abandoned: at once if it cannot have processed the prompt yet, else after
-// overlapTimeout, as it may just have begun to run.
+// overlapTimeout, as it may just have begun to run. From a KV cache backup b begins at once, and is
+// abandoned after overlapTimeout also if a's server is silent but can be reached.
 func (s *stream) awaitHead(a, b *streamAttempt) bool {
 	prefilled := time.NewTimer(b.member.PrefillTime(b.query) / 2)
 	defer prefilled.Stop()
 	limit := time.NewTimer(time.Until(s.headDeadline(b)))
 	defer limit.Stop()
 	mayRun := b.fromBackup()
+	overlap := time.NewTimer(time.Until(b.started.Add(overlapTimeout)))
+	defer overlap.Stop()
+	if !b.fromBackup() {
+		overlap.Stop()
+	}
 	fromA := a.parts
 	for {
 		select {
@@ -135,6 +141,11 @@
 			limit.Reset(min(time.Until(s.headDeadline(b)), overlapTimeout))
 		case <-prefilled.C:
 			mayRun = true
+		case <-overlap.C:
+			if a.unread == nil && !a.member.Lost() {
+				b.err = errNoResponse
+				return false
+			}
 		case <-b.suspected:
 			b.err = errNoResponse
 			return false
--- a/test/relay/side_by_side_test.go
+++ b/test/relay/side_by_side_test.go
@@ -26,10 +26,10 @@
 				began <- time.Now()
 				select {
 				case <-c.CloseNotify():
-					ended <- time.Now()
 				case <-time.After(late):
-					backend.Stream(20, 0, 0, nil)(c, r, b)
+					backend.Stream(20, 0, 25*time.Millisecond, nil)(c, r, b)
 				}
+				ended <- time.Now()
 				return false
 			}, backend.Stream(20, 0, 0, nil))
 			started := time.Now()
