core/drain: a host with a short grace period cuts nothing before its last sixth

A cut is excused only if the server was still at work in the last sixth. Found by a review; the deployments have 8 s.

Cause: up to a quarter of a short period was kept for last responses and exit.

Evidence: TestWindowFitsIntoGracePeriod failed for 1, 2 and 3 s with the new check ("what runs is cut after 750ms, before the last sixth", then in the review's test).

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -33,7 +33,7 @@
 	// a long period, maxLastShare of one that is too short.
 	lastTime     = 600 * time.Millisecond
 	lastShare    = 0.08
-	maxLastShare = 0.25
+	maxLastShare = 1.0 / 6
 )
 
 // NewWindow returns the window of a host that begins to stop now and is killed after a grace
