io/serverpath: the reset of a run that was given up does not end the repetition of its close

What callers saw: nothing; a server that sends nothing (a prompt that is processed, a read) worked on for a run that had been given up if its close and the reset 100 ms later were both lost.

Cause: the path was tried with a new connection from 100 ms on, before the kernel repeats a close (200 ms). Once it got through, one reset was sent, and the socket with its repetitions was gone.

Evidence: TestLostResetIsNotTheLastWord, before: "after 3s: the connection is open at the server" (3 of 3); closed as at 0.21 s. After: passes with the path tried from 300 ms on. test/relay TestRunEndsSoonAfterItsPathHasHealed: 0.01 to 0.20 s after the healing. TestGiveUpAndCloseAtOnce and TestGiveUpEndsWhileServerSends held before.

--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -16,9 +16,10 @@
 
 const (
 	// endCheckInterval is the time between two checks whether a server knows of the end of a connection,
-	// and endTimeout the time until the path is tried with a new one.
+	// and endTimeout the time until the path is tried with a new one: longer than the kernel's first
+	// retransmission takes, as a reset ends these.
 	endCheckInterval = 10 * time.Millisecond
-	endTimeout       = 100 * time.Millisecond
+	endTimeout       = 300 * time.Millisecond
 	// pathTimeout limits an attempt to connect. A round trip between regions takes 40 ms.
 	pathTimeout = 200 * time.Millisecond
 	// keepTimeout limits the time for which a connection is kept, and maxKept their number.
