io/serverpath: a request that no server has received is not kept longer because it was given up

What callers saw: a request that was given up during a cut reached its server 6.5 s later, if more than 128 connections had been given up before it.

Cause: the kernel's limit for bytes that are not acknowledged was raised from 3 to 10 s before it was known whether the connection is kept; beyond 128 nothing resets it.

Evidence: TestRequestThatWasGivenUpDuringCutArrivesNoMore failed 3 of 3 times ("6.5 to 6.6 s after it was given up"), and passes now, twice with the race detector.

--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -85,12 +85,12 @@
 
 // add keeps a connection. It reports false if too many are kept.
 func (e *ends) add(c *Conn) bool {
-	_ = tcp.SetUserTimeout(c.TCPConn, keepTimeout)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.count >= maxKept {
 		return false
 	}
+	_ = tcp.SetUserTimeout(c.TCPConn, keepTimeout)
 	if e.conns == nil {
 		e.conns = make(map[string][]*Conn)
 	}
