io/httpserver: a host that stops cuts no response because a further request came

What callers saw: one that sends a request before the response to the last one (pipelining), during a stop, lost the rest of a long response that its server had given: the connection was reset.

Cause: while a host stops, each response says that its connection closes. net/http closes it right after it has handed the response to the kernel, also if a request has come that it has not read. The kernel resets such a connection and drops what it has not sent yet.

Now a connection whose last response says that it closes is closed once the caller has got all of it; what still comes is read and discarded. A stop waits for that until its end. The further request is passed on to no server, as before.

Evidence: test/entry TestPipelinedRequestCutsNoLongResponseDuringShutdown before: a server got it, and its caller got {status:200 ...}, error ... connection reset by peer (every run). After: three of three. TestShutdownPassesOnNoPipelinedRequestThatItCuts (nine pairs) and io/httpserver TestDrainDoesNotWaitForIncompleteHead held before.

--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,6 +35,9 @@
 	draining bool
 	ended    bool
 	conns    map[net.Conn]*connState
+	// lingering is the number of connections that are closed once their callers have got the last
+	// response.
+	lingering atomic.Int64
 }
 
 // connState is the state of a connection.
@@ -50,7 +54,8 @@
 // New returns a server for a listener. It sets the ConnState and ConnContext of s and wraps its
 // handler.
 func New(l net.Listener, s *http.Server) *Server {
-	x := &Server{server: s, listener: l, closed: make(chan struct{}), conns: make(map[net.Conn]*connState)}
+	x := &Server{server: s, closed: make(chan struct{}), conns: make(map[net.Conn]*connState)}
+	x.listener = listener{l, &x.lingering}
 	s.Handler, s.ConnState = x.tracked(s.Handler), x.recordState
 	connContext := s.ConnContext
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -88,6 +93,9 @@
 		s.announceClose(w)
 		h.ServeHTTP(w, r)
 		s.announceClose(w)
+		if x, ok := c.(*conn); ok {
+			x.announced.Store(w.Header().Get("Connection") == "close")
+		}
 	})
 }
 
@@ -132,7 +140,7 @@
 	s.draining = true
 	s.mu.Unlock()
 	_ = s.listener.Close()
-	for s.closeIdle(time.Now()) > 0 && time.Now().Before(until) {
+	for s.closeIdle(time.Now())+int(s.lingering.Load()) > 0 && time.Now().Before(until) {
 		time.Sleep(pollInterval)
 	}
 }
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -40,6 +40,13 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond, true
 }
 
+// Unacknowledged reports whether the other side's kernel has not acknowledged all that was sent on
+// a connection, as far as the kernel tells.
+func Unacknowledged(c net.Conn) bool {
+	info := readInfo(c)
+	return info != nil && (info.Unacked > 0 || info.Notsent_bytes > 0)
+}
+
 // acceptRetryDelay is the delay before another connection is accepted if there was no file
 // descriptor for one.
 const acceptRetryDelay = 20 * time.Millisecond
--- a/test/entry/late_stop_test.go
+++ b/test/entry/late_stop_test.go
@@ -167,6 +167,68 @@
 	g.Wait()
 }
 
+// Callers may send a request before the response to the last one. It need not be answered, but then no server
+// may get it.
+func TestShutdownPassesOnNoPipelinedRequestThatItCuts(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	orders := s.addServer("s1", "orders", backend.ForPath("/buy/slow", backend.Delay(time.Second, backend.Respond(200, "ok")), backend.Respond(200, "ok")))
+	s.addServer("s2", "llm", backend.Stream(10000, 0, 20*time.Millisecond, nil))
+	n := s.nodes[0]
+	for range 12 {
+		s.awaitStatus(n, "/buy/1", "key-1", 200, testTimeout)
+	}
+	go s.keepConnection(n).send("/report/1", 25*time.Second)
+	time.Sleep(200 * time.Millisecond)
+	stopped := time.Now().Add(200 * time.Millisecond)
+	var g sync.WaitGroup
+	for _, at := range []time.Duration{-50 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second} {
+		for _, gap := range []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond} {
+			c := s.keepConnection(n)
+			g.Go(func() {
+				time.Sleep(time.Until(stopped.Add(at)))
+				c.begin("/buy/slow", 4*time.Second, 0)
+				time.Sleep(gap)
+				c.begin("/buy/2", 4*time.Second, 0)
+				for i := range 2 {
+					name, got := fmt.Sprintf("request %d of two sent at %v, %v apart", i+1, at, gap), c.response()
+					c.checkID(t, orders, name, c.id(i+1), got)
+					if i == 0 && got.err != nil {
+						t.Errorf("%s got no response: %v", name, got.err)
+					}
+				}
+			})
+		}
+	}
+	time.Sleep(time.Until(stopped))
+	n.Terminate()
+	g.Wait()
+}
+
+// A host that closes a connection on which it has not read a request resets it, and what it has sent
+// may not reach the caller.
+func TestPipelinedRequestCutsNoLongResponseDuringShutdown(t *testing.T) {
+	t.Parallel()
+	s := start(t, 1)
+	const size = 2 << 20
+	orders := s.addServer("s1", "orders", backend.ForPath("/buy/long", backend.Respond(200, strings.Repeat("r", size)), backend.Respond(200, "ok")))
+	s.addServer("s2", "llm", backend.Stream(10000, 0, 20*time.Millisecond, nil))
+	n := s.nodes[0]
+	s.awaitStatus(n, "/buy/1", "key-1", 200, testTimeout)
+	c := s.keepConnection(n)
+	_ = c.conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+	c.reader = bufio.NewReaderSize(c.conn, 4<<10)
+	go s.keepConnection(n).send("/report/1", 25*time.Second)
+	time.Sleep(200 * time.Millisecond)
+	n.Terminate()
+	time.Sleep(200 * time.Millisecond)
+	c.begin("/buy/long", 4*time.Second, 0)
+	time.Sleep(200 * time.Millisecond)
+	c.begin("/buy/2", 4*time.Second, 0)
+	c.checkID(t, orders, "the first request", c.id(1), c.slowResponse(1500*time.Millisecond, size))
+	c.check(t, orders, "the second request", c.response())
+}
+
 // configureTimeouts gives the routes a timeout and waits until the node knows it.
 func (s *system) configureTimeouts(n *node, timeout time.Duration) {
 	s.t.Helper()
