crashcause, records, relay: what is suspected of crashes outlives all hosts

After the first four crashes the part is suspected, no server is there for a trial, and the hosts are killed.

Now a suspicion has a row of its own in the table of entry hosts ("crash-suspicion/"; hosts with an older version skip it, while as a row of a cause they would refuse it without a trial). Loaded, it is tried like one that is found: by one request at a time, the others wait. It is removed by its conviction (in the same transaction), by the host whose request ran well, and by the host that wrote it, also if that happened during the write.

Weighed: storing the crashes themselves. That is a write for each crash and host, in an outage hundreds.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -115,7 +115,7 @@
 	n.streamVersions = streamversion.New(streamPeers{n})
 	n.handler = relay.New(relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
-		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Ready: n.synced,
+		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
 	n.configurationWatcher.pollWait = n.configurationPollWait
--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -48,6 +48,8 @@
 	crashes   int       // after it was found
 	trial     time.Time // when a request was let through, zero if there is none
 	suspicion *suspicion
+	stored    bool // as a suspicion, by some node
+	ownStored bool // as a suspicion, by this node
 }
 
 // newCause returns a cause that is suspected.
--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -324,6 +324,7 @@
 	}
 	for _, c := range l.causes {
 		if c.acquit(f, at) {
+			l.updateStored(c)
 			l.released = true
 			l.notify()
 		}
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -56,6 +56,7 @@
 	Crashes int  // in trials, that did not convict
 	// Comparable is set if other requests of the class had run well when the suspicion arose.
 	Comparable bool
+	Stored     bool // the suspicion outlives all nodes
 }
 
 // Report returns what this node tells others: the requests that it had on servers that have just
@@ -90,7 +91,7 @@
 		}
 		if c.suspicion != nil {
 			x.Left = c.suspicion.OpensAt().Sub(now)
-			x.Probation = &ProbationReport{Awaited: c.suspicion.awaits(now), Crashes: c.suspicion.Crashes(), Comparable: c.suspicion.comparable}
+			x.Probation = &ProbationReport{Awaited: c.suspicion.awaits(now), Crashes: c.suspicion.Crashes(), Comparable: c.suspicion.comparable, Stored: c.stored}
 		}
 		r.Causes = append(r.Causes, x)
 		if x.Age < soundMemory {
@@ -166,6 +167,7 @@
 	x := &cause{features: r.Features, remaining: slices.Clone(r.Remaining), class: r.Class, since: now.Add(-r.Age), crashes: r.Crashes}
 	x.until = now.Add(r.Left + trialHeadStart + time.Duration(quarantineSpread*rand.Float64()*float64(firstQuarantine)))
 	if r.Probation != nil {
+		x.stored = r.Probation.Stored
 		x.suspicion = newSuspicion(now)
 		x.suspicion.Postpone(now.Add(max(r.Left, 0)))
 		x.until = x.suspicion.OpensAt()
@@ -187,6 +189,7 @@
 	suspected := x.suspicion != nil && known.suspicion == nil && now.Before(known.until)
 	switch {
 	case convicted, !together && !suspected && x.since.After(known.since):
+		x.stored, x.ownStored = known.stored || x.stored, known.ownStored
 		*known = *x
 		l.acquitSound(known)
 		l.notify()
@@ -195,6 +198,7 @@
 		n := len(known.remaining)
 		known.remaining = slices.DeleteFunc(known.remaining, func(f Feature) bool { return !slices.Contains(r.Remaining, f) })
 		if len(known.remaining) < n {
+			l.updateStored(known)
 			l.released = true
 			l.notify()
 		}
@@ -214,6 +218,7 @@
 	if c.suspicion == nil || r.Probation == nil {
 		return
 	}
+	c.stored = c.stored || r.Probation.Stored
 	if r.Probation.Awaited {
 		c.suspicion.BegunElsewhere(now)
 	}
--- a/core/crashcause/stored.go
+++ b/core/crashcause/stored.go
@@ -1,7 +1,6 @@
 package crashcause
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +15,8 @@
 	Crashes   int       `json:"crashes"`
 	Since     int64     `json:"since"`
 	Until     int64     `json:"until"`
+	// Probation is set if the cause is only suspected. Until is then when the next trial may begin.
+	Probation *StoredProbation `json:"probation,omitempty"`
 }
 
 // Name returns a short name of the cause, which does not change.
@@ -25,6 +26,9 @@
 
 // Expired reports whether the cause need not be known any more.
 func (c StoredCause) Expired(now time.Time) bool {
+	if c.Probation != nil && now.Sub(time.UnixMilli(max(c.Since, c.Until))) > crashRetention {
+		return true
+	}
 	return len(c.Remaining) == 0 || (&cause{until: time.UnixMilli(c.Until)}).expired(now)
 }
 
@@ -38,10 +42,8 @@
 	defer l.mu.Unlock()
 	var all []StoredCause
 	for key := range l.changed {
-		if c := l.causes[key]; c != nil && c.suspicion == nil {
-			all = append(all, StoredCause{
-				Features: slices.Clone(c.features), Remaining: slices.Clone(c.remaining), Crashes: c.crashes, Since: c.since.UnixMilli(), Until: c.until.UnixMilli(),
-			})
+		if c := l.causes[key]; c != nil && (c.suspicion == nil || c.stored) {
+			all = append(all, c.toStore())
 		}
 	}
 	clear(l.changed)
@@ -60,9 +62,13 @@
 func (l *List) MergeStored(all []StoredCause, now time.Time) []Cause {
 	r := Report{}
 	for _, c := range all {
-		r.Causes = append(r.Causes, CauseReport{
+		x := CauseReport{
 			Features: c.Features, Remaining: c.Remaining, Crashes: c.Crashes, Age: max(0, now.Sub(time.UnixMilli(c.Since))), Left: time.UnixMilli(c.Until).Sub(now),
-		})
+		}
+		if p := c.Probation; p != nil {
+			x.Class, x.Probation = p.Class, &ProbationReport{Crashes: p.Crashes, Comparable: p.Comparable, Stored: true}
+		}
+		r.Causes = append(r.Causes, x)
 	}
 	causes, _ := l.Merge(r, now, func(string, time.Time) bool { return false })
 	return causes
--- a/core/crashcause/suspicion.go
+++ b/core/crashcause/suspicion.go
@@ -202,6 +202,7 @@
 		l.convict(c, at)
 		l.convicted = append(l.convicted, c)
 	}
+	l.updateStored(c)
 	l.notify()
 }
 
--- a/core/records/causes.go
+++ b/core/records/causes.go
@@ -15,24 +15,36 @@
 // entry hosts, which each host reads as it starts.
 const causePrefix = "crash-cause/"
 
+// suspicionPrefix begins the keys of the rows of those that are only suspected, which older versions
+// must not take for the others.
+const suspicionPrefix = "crash-suspicion/"
+
 // PutCause inserts or overwrites the row of a cause of crashes, or deletes it if the cause need not
-// be known any more.
+// be known any more. That of a conviction
+// takes the place of that of a suspicion.
 func (h *HostStore) PutCause(ctx context.Context, c crashcause.StoredCause) error {
 	value, err := json.Marshal(c)
 	if err != nil {
 		return errors.Wrap(err, "records: encode cause of crashes")
 	}
-	w := Write{Table: hostsTable, Key: causePrefix + c.Name(), Value: value}
+	rows := []Write{{Table: hostsTable, Key: causePrefix + c.Name(), Value: value}, {Table: hostsTable, Key: suspicionPrefix + c.Name(), Remove: true}}
+	if c.Probation != nil {
+		rows = []Write{{Table: hostsTable, Key: suspicionPrefix + c.Name(), Value: value}}
+	}
 	if c.Expired(time.Now()) {
-		w.Value, w.Remove = nil, true
+		rows[0].Value, rows[0].Remove = nil, true
 	}
-	_, err = h.table.Commit(ctx, Transaction{Writes: []Write{w}})
+	_, err = h.table.Commit(ctx, Transaction{Writes: rows})
 	return err
 }
 
 // decodeCause decodes a row that holds a cause of crashes.
 func decodeCause(r Row) (crashcause.StoredCause, bool) {
 	var c crashcause.StoredCause
-	name, found := strings.CutPrefix(r.Key, causePrefix)
-	return c, found && json.Unmarshal(r.Value, &c) == nil && c.Name() == name
+	name, convicted := strings.CutPrefix(r.Key, causePrefix)
+	name, suspected := strings.CutPrefix(name, suspicionPrefix)
+	if !convicted && !suspected || json.Unmarshal(r.Value, &c) != nil {
+		return c, false
+	}
+	return c, c.Name() == name && suspected == (c.Probation != nil)
 }
--- a/io/relay/crash_detector.go
+++ b/io/relay/crash_detector.go
@@ -35,8 +35,10 @@
 	causes *crashcause.List
 	mu     sync.Mutex
 	names  map[crashcause.Feature]string
-	due    bool      // the causes are to be determined after evaluationDelay
-	expiry time.Time // when old entries are removed next
+	due    bool // the causes are to be determined after evaluationDelay
+	// storeDue is set if what is suspected is to be stored.
+	storeDue bool
+	expiry   time.Time // when old entries are removed next
 
 	evaluations evaluations
 }
@@ -148,6 +150,7 @@
 	event := "crash cause quarantined"
 	if c.Suspected {
 		event = "crash cause suspected"
+		d.scheduleSuspicions()
 	}
 	d.h.Recorder.Record(event, Fields{
 		"parts": strings.Join(parts, ","), "servers": strings.Join(c.Servers, ","), "ms": ms(time.Until(c.Until)), "from": from,
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -63,6 +63,9 @@
 	// StoreCauses stores causes of crashes that this node has found, renewed or released. It may
 	// block. If it is nil, they are not stored.
 	StoreCauses func(changed []crashcause.StoredCause)
+	// StoreSuspicion stores a cause of crashes that is only suspected. It reports whether that is done.
+	// It may be nil.
+	StoreSuspicion func(c crashcause.StoredCause) bool
 	// Partitioned reports whether this node reaches no server itself. What it sees of servers is no
 	// evidence against them then. If it is nil, the node is not.
 	Partitioned func() bool
--- a/test/entry/crashing_part_test.go
+++ b/test/entry/crashing_part_test.go
@@ -128,7 +128,11 @@
 // ask sends a request whose prompt has the given parts and one of its own. It reports
 // whether the stream was complete, and whether the request was refused.
 func (n *node) ask(parts ...string) (served, refused bool) {
-	own := fmt.Sprintf("%08x:800", rand.Uint32())
+	return n.askWith(fmt.Sprintf("%08x:800", rand.Uint32()), parts...)
+}
+
+// askWith is ask with a given part of its own.
+func (n *node) askWith(own string, parts ...string) (served, refused bool) {
 	status, header := n.send("/report/1", "key-1", func(r *http.Request) {
 		r.Header.Set("X-Request-Id", fmt.Sprintf("id-%d", rand.Uint64()))
 		r.Header.Set("X-Prefix-Hash", strings.Join(append(parts, own), ","))
@@ -250,3 +254,44 @@
 		e.checkRefusesPart(n)
 	}
 }
+
+// Guards against a request that is found anew when all hosts end before a server was there to try it.
+func TestSuspicionOutlivesAllHosts(t *testing.T) {
+	t.Parallel()
+	s := start(t, 3)
+	e := s.addCrashingEngines(12)
+	const own = "77aa01b2:800"
+	s.await("servers crash", testTimeout, func() bool {
+		for _, n := range s.nodes {
+			go n.askWith(own, firstPart, badPart)
+		}
+		time.Sleep(300 * time.Millisecond)
+		return e.arrivalCount() > 0
+	})
+	s.await("what is suspected is stored", testTimeout, func() bool {
+		return slices.ContainsFunc(s.store.Keys("nodes"), func(key string) bool { return strings.HasPrefix(key, "crash-suspicion/") })
+	})
+	for _, n := range s.nodes {
+		n.Kill()
+	}
+	time.Sleep(2 * time.Second) // the servers are back
+	for _, n := range s.nodes {
+		if err := n.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, n := range s.nodes {
+		s.await(n.Name()+" is ready", testTimeout, n.Ready)
+	}
+	before := e.arrivalCount()
+	var g sync.WaitGroup
+	for range 4 {
+		for _, n := range s.nodes {
+			g.Go(func() { n.askWith(own, firstPart, badPart) })
+		}
+	}
+	g.Wait()
+	if reached := e.arrivalCount() - before; reached == 0 || reached > 6 {
+		t.Errorf("%d of 12 requests reached servers after the start, want 1 to 6 trials", reached)
+	}
+}
