cmd/entry: a host reads the causes of crashes before it sends requests

The causes come with the list of hosts, whose first read had failed and which is read again at 4.63 s.

Now requests wait until the causes were read, or until a read of 0.5 s at most has failed. A host that has the list of hosts already, from the store or from another host, waits for nothing.

The node of the unit tests has a host store, which fails (newTestNode).

--- a/cmd/entry/causes.go
+++ b/cmd/entry/causes.go
@@ -16,6 +16,8 @@
 	// long these go on.
 	storeAgainInterval = time.Second
 	storeAgainFor      = 10 * time.Minute
+	// firstCausesTimeout limits the time for which requests wait for the causes that are stored.
+	firstCausesTimeout = 500 * time.Millisecond
 )
 
 // storedCauses are the causes of crashes that this node has just written to the store.
@@ -98,6 +100,21 @@
 	}
 }
 
+// syncWithCauses closes n.synced once the causes of crashes were read, which come with the hosts. A store
+// that is back may have told the servers before, and requests that crash them wait at each host.
+func (n *Node) syncWithCauses() {
+	if n.directory.freshness(uptime()).Known {
+		close(n.synced)
+		return
+	}
+	go func() {
+		defer close(n.synced)
+		ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(firstCausesTimeout))
+		defer cancel()
+		n.listHosts(ctx)
+	}()
+}
+
 // rewriteCauses writes again, some time after a restore, the causes that the store may have lost.
 func (n *Node) rewriteCauses() {
 	if all := n.causes.recent(uptime()); len(all) > 0 {
--- a/cmd/entry/causes_test.go
+++ b/cmd/entry/causes_test.go
@@ -13,6 +13,7 @@
 	"cicadabeam/core/crashcause"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
+	"cicadabeam/io/neighbour"
 )
 
 // failingTable takes no writes for some time.
@@ -34,6 +35,10 @@
 	return freshness.StoreVersion{}, nil
 }
 
+func (t *failingTable) List(context.Context, string, string) ([]records.Row, error) {
+	return nil, errors.New("the store is unavailable")
+}
+
 func (t *failingTable) writes() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -57,3 +62,40 @@
 		t.Errorf("the cause was stored %d times", table.writes())
 	}
 }
+
+// causeTable has a suspicion, which is read after some time.
+type causeTable struct {
+	records.Table
+	row records.Row
+}
+
+func (t *causeTable) Commit(_ context.Context, x records.Transaction) (freshness.StoreVersion, error) {
+	t.row = records.Row{Key: x.Writes[0].Key, Value: x.Writes[0].Value}
+	return freshness.StoreVersion{}, nil
+}
+
+func (t *causeTable) List(context.Context, string, string) ([]records.Row, error) {
+	time.Sleep(50 * time.Millisecond)
+	return []records.Row{t.row}, nil
+}
+
+// A store that was back told the servers before the suspicion, and requests that had waited crashed four of them.
+func TestRequestsWaitForStoredCauses(t *testing.T) {
+	n := testNode(t, "node-1")
+	n.hosts = records.NewHostStore(&causeTable{})
+	now := time.Now()
+	part := []crashcause.Feature{crashcause.PromptPart("m", "9d40c3b1")}
+	if !n.storeCause(crashcause.StoredCause{Features: part, Remaining: part, Since: now.UnixMilli(), Until: now.UnixMilli(), Probation: &crashcause.StoredProbation{}}) {
+		t.Fatal("not stored")
+	}
+	n.applyPeerServers(neighbour.ServerList{Fact: neighbour.VersionInfo{Known: true, Version: 7}, Whole: true}, uptime(), "store")
+	n.installConfiguration([]byte(`{"Version":1}`), uptime(), true, "store")
+	select {
+	case <-n.synced:
+	case <-time.After(5 * time.Second):
+		t.Fatal("requests wait for more than 5 s")
+	}
+	if known := n.handler.CrashReport(time.Now()).Causes; len(known) != 1 {
+		t.Errorf("%d causes are known as requests are sent, want the stored one", len(known))
+	}
+}
--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -58,10 +58,11 @@
 	return c.Revision()
 }
 
-// checkSynced closes n.synced once both the configuration and the servers are known.
+// checkSynced closes n.synced once both the configuration and the servers are known, and it was tried
+// to read the causes of crashes.
 func (n *Node) checkSynced() {
 	if n.tracker.Catalog() != nil && n.serverFreshness.freshness(0).Known {
-		n.syncedOnce.Do(func() { close(n.synced) })
+		n.syncedOnce.Do(n.syncWithCauses)
 	}
 }
 
--- a/cmd/entry/watch_test.go
+++ b/cmd/entry/watch_test.go
@@ -36,7 +36,7 @@
 	m := &metrics{scope: tally.NoopScope, counters: make(map[string]tally.Counter), histograms: make(map[string]tally.Histogram)}
 	return &Node{
 		settings: &Settings{name: "node-1"}, metrics: m, recorder: newRecorder(newLogger(newLogWriter(io.Discard, "node-1", func() {}), "error", "node-1"), m),
-		streamVersions: streamversion.New(nil), partition: partition.NewDetector(), fleet: fleet.New(fleet.Topology{}), tracker: freshness.New(), eras: freshness.NewEras(uptime, nil), serverWatcher: &tableWatcher{}, synced: make(chan struct{}),
+		streamVersions: streamversion.New(nil), partition: partition.NewDetector(), fleet: fleet.New(fleet.Topology{}), tracker: freshness.New(), eras: freshness.NewEras(uptime, nil), serverWatcher: &tableWatcher{}, synced: make(chan struct{}), hosts: records.NewHostStore(&failingTable{}),
 	}
 }
 
--- a/test/entry/crashing_part_test.go
+++ b/test/entry/crashing_part_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cicadabeam/test/standin/backend"
+	"cicadabeam/test/standin/store"
 )
 
 const (
@@ -257,7 +258,16 @@
 
 // Guards against a request that is found anew when all hosts end before a server was there to try it.
 func TestSuspicionOutlivesAllHosts(t *testing.T) {
-	t.Parallel()
+	for name, outage := range map[string]bool{"the store is there": false, "the store is back after the start": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkSuspicionOutlivesHosts(t, outage)
+		})
+	}
+}
+
+func checkSuspicionOutlivesHosts(t *testing.T, outage bool) {
+	t.Helper()
 	s := start(t, 3)
 	e := s.addCrashingEngines(12)
 	const own = "77aa01b2:800"
@@ -275,23 +285,34 @@
 		n.Kill()
 	}
 	time.Sleep(2 * time.Second) // the servers are back
+	if outage {
+		s.store.SetMode(store.Unavailable)
+	}
 	for _, n := range s.nodes {
 		if err := n.Start(); err != nil {
 			t.Fatal(err)
 		}
 	}
-	for _, n := range s.nodes {
-		s.await(n.Name()+" is ready", testTimeout, n.Ready)
-	}
 	before := e.arrivalCount()
 	var g sync.WaitGroup
-	for range 4 {
+	ask := func() {
 		for _, n := range s.nodes {
 			g.Go(func() { n.askWith(own, firstPart, badPart) })
 		}
 	}
+	if outage {
+		time.Sleep(time.Second)
+		ask()
+		s.store.SetMode(store.Healthy)
+	}
+	for _, n := range s.nodes {
+		s.await(n.Name()+" is ready", testTimeout, n.Ready)
+	}
+	for range 4 {
+		ask()
+	}
 	g.Wait()
 	if reached := e.arrivalCount() - before; reached == 0 || reached > 6 {
-		t.Errorf("%d of 12 requests reached servers after the start, want 1 to 6 trials", reached)
+		t.Errorf("%d requests reached servers after the start, want 1 to 6 trials", reached)
 	}
 }
