core/fleet: a server that wants rest gets no requests for its predecessor at the address

Cause: a host that believes an address to have changed hands asks for the predecessor again after 1, 2, 4 s and so on, in case that is wrong. Where all servers of a service turn requests away, the predecessors are what is left, and whoever has the address gets the request: nothing looked at what that server wanted.

Now such a request waits while the server that has the address by its entry leaves or wants rest.

Evidence: TestServerThatWantsRestGetsNoRequestsForItsPredecessor before: "2s after the server at the address wanted rest: its predecessor gets requests: true, want false"; passes now.

--- a/core/fleet/handover.go
+++ b/core/fleet/handover.go
@@ -145,10 +145,10 @@
 }
 
 // awayLocked reports whether the server gets no requests as another one is known to have taken over
-// the address, and it is not yet time to ask for this one again.
+// the address, and it is not yet time to ask for this one again. The other one would get that request.
 func (m *Member) awayLocked(now time.Time) bool {
 	if m.handover.believed && !m.restarted {
-		return now.Before(m.handover.restUntil)
+		return now.Before(m.handover.restUntil) || m.successor != nil && !m.successor.deregistered(now) && m.successor.Declines(now)
 	}
 	return m.supersededLocked(now)
 }
--- a/core/fleet/handover_test.go
+++ b/core/fleet/handover_test.go
@@ -157,3 +157,21 @@
 		t.Errorf("a server got %d of 40 requests although it has answered since the entry came", n)
 	}
 }
+
+// Guards against requests that reach a server which wants none, as they are for its predecessor at the address.
+func TestServerThatWantsRestGetsNoRequestsForItsPredecessor(t *testing.T) {
+	const rest = 5 * time.Second
+	f := fleet.New(topology)
+	older := fleet.Server{ID: "before", Service: "orders", Address: "10.0.0.1:80", DataCentre: "a", Slots: 6, StartedMS: 1000}
+	newer := older
+	newer.ID, newer.StartedMS = "after", 2000
+	f.Upsert(older)
+	f.Upsert(newer)
+	f.RecordIdentity(f.Find("before"), "after", start)
+	f.Defer(f.Find("after"), rest, start)
+	for at, usable := range map[time.Duration]bool{0: false, 2 * time.Second: false, rest - time.Millisecond: false, rest: true} {
+		if got := f.FindUsable("before", start.Add(at)) != nil; got != usable {
+			t.Errorf("%v after the server at the address wanted rest: its predecessor gets requests: %v, want %v", at, got, usable)
+		}
+	}
+}
