--- a/test/soak/restore_test.go
+++ b/test/soak/restore_test.go
@@ -39,7 +39,7 @@
 }
 
 func runRestoreSeed(t *testing.T, seed uint64, d time.Duration) {
-	e, err := newTestEnv(binary, t.TempDir(), seed, hostCount)
+	e, err := newTestEnv(binary, t.TempDir(), seed, hostCount(t))
 	if e != nil {
 		defer e.close()
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -6,6 +6,7 @@
 //
 //	go test ./test/soak                                 # the seeds that CI runs
 //	SOAK_SEEDS=100-149 SOAK_SECONDS=20 go test ./test/soak -timeout 60m
+//	SOAK_SEEDS=100-109 SOAK_HOSTS=24 go test ./test/soak -parallel 1
 package soak
 
 import (
@@ -24,8 +25,9 @@
 )
 
 const (
-	hostCount   = 3
-	callerCount = 12
+	// defaultHosts is the default of SOAK_HOSTS, the number of entry hosts.
+	defaultHosts = 3
+	callerCount  = 12
 	// defaultSeconds is the default of SOAK_SECONDS, the time during which faults are injected.
 	defaultSeconds = 8
 	// maxPrinted limits the violations printed for a seed.
@@ -72,15 +74,26 @@
 
 func faultDuration(t *testing.T) time.Duration {
 	t.Helper()
-	text := os.Getenv("SOAK_SECONDS")
+	return time.Duration(setting(t, "SOAK_SECONDS", defaultSeconds)) * time.Second
+}
+
+func hostCount(t *testing.T) int {
+	t.Helper()
+	return setting(t, "SOAK_HOSTS", defaultHosts)
+}
+
+// setting returns the number that an environment variable holds, or a default.
+func setting(t *testing.T, name string, otherwise int) int {
+	t.Helper()
+	text := os.Getenv(name)
 	if text == "" {
-		return defaultSeconds * time.Second
+		return otherwise
 	}
 	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatalf("SOAK_SECONDS is %q, not a number", text)
+	if err != nil || n <= 0 {
+		t.Fatalf("%s is %q, not a number above 0", name, text)
 	}
-	return time.Duration(n) * time.Second
+	return n
 }
 
 // Faults of entry hosts, the store and the servers are injected under load. The results at
@@ -96,7 +109,7 @@
 }
 
 func runSeed(t *testing.T, seed uint64, d time.Duration) {
-	e, err := newTestEnv(binary, t.TempDir(), seed, hostCount)
+	e, err := newTestEnv(binary, t.TempDir(), seed, hostCount(t))
 	if e != nil {
 		defer e.close()
 	}
