io/serverpath, io/tunnel: whoever gave a connection up can know that the server has learnt of it

Callers saw two servers go on with one request: a stream that is silent moves to a second server while the first run is kept until the second one's head has arrived; if the path to the second one is cut meanwhile, it works, can't be told, and the first is kept. For the host to choose the connections have to tell: AwaitEnd waits until a time and reports whether the server is known to have learnt of the end. A direct connection knows it from its kernel (close acknowledged, ended by the server) or from a new connection that shows that the path works. A tunnel is given up in-band now (its sending side is closed), besides the report in packets of the lease; the node between waits for the end of its connection to the server for 0.5 s at most and says so in a last frame of a new kind. Any other end, also that of a node between of an earlier version, is not known; nodes behind of earlier versions only close, and don't read the frame.

A connection that the kernel ended after its time limit was taken for one whose server knew of its end (state closed); now it isn't, also where a read has taken the error before.

Tests: link of the tests passes half-closes on.

--- /dev/null
+++ b/io/serverpath/await_end_test.go
@@ -0,0 +1,60 @@
+package serverpath
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"cicadabeam/io/tcp"
+)
+
+// Guards against a run that is taken for ended although its server can't be told: two servers would go on with one request.
+func TestEndIsKnownOnlyIfTheServerIsReached(t *testing.T) {
+	s, d, _ := startEndedServer(t)
+	for _, cut := range []bool{false, true} {
+		c := s.connect(t, d, 1)[0]
+		s.cut(t, cut)
+		began := time.Now()
+		c.GiveUp()
+		_ = c.Close()
+		if known := c.AwaitEnd(began.Add(2 * endTimeout)); known == cut {
+			t.Errorf("cut %v: after %v the end is known %v", cut, time.Since(began), known)
+		} else if took := time.Since(began); !cut && took > 30*time.Millisecond {
+			t.Errorf("known after %v", took)
+		}
+		s.cut(t, false)
+		if !c.AwaitEnd(time.Now().Add(2 * pathTimeout)) {
+			t.Error("the path works, and the end is not known")
+		}
+	}
+}
+
+// Guards against an end that is taken for known as the kernel has ended the connection.
+func TestEndIsNotKnownWhereTheKernelEndedTheConnection(t *testing.T) {
+	for _, read := range []bool{false, true} {
+		s, d, _ := startEndedServer(t)
+		direct := d.Direct
+		d.Direct = func(ctx context.Context, server string) (net.Conn, error) {
+			c, err := direct(ctx, server)
+			if err == nil {
+				err = tcp.SetUserTimeout(c.(*net.TCPConn), 100*time.Millisecond)
+			}
+			return c, err
+		}
+		c := s.connect(t, d, 1)[0]
+		s.cut(t, true)
+		_, _ = c.Write([]byte("x"))
+		for tcp.State(c.TCPConn) != "closed" {
+			time.Sleep(time.Millisecond)
+		}
+		if read {
+			_, _ = c.Read(make([]byte, 1)) // the kernel tells why only once
+		}
+		c.GiveUp()
+		if c.AwaitEnd(time.Now().Add(100 * time.Millisecond)) {
+			t.Errorf("read before %v: the end is known", read)
+		}
+		s.cut(t, false)
+	}
+}
--- a/io/serverpath/dialer.go
+++ b/io/serverpath/dialer.go
@@ -6,6 +6,7 @@
 //	d := &serverpath.Dialer{Direct: dial, Through: dialThrough, Nodes: nodes, Partitioned: f, OnDirect: g, OnIndirect: h}
 //	c, direct, err := d.Dial(ctx, "10.1.0.7:80")
 //	if x, ok := c.(*serverpath.Conn); ok { x.GiveUp() } // the request goes on elsewhere
+//	known := x.AwaitEnd(time.Now().Add(100 * time.Millisecond)) // false: the server may work on
 package serverpath
 
 import (
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cicadabeam/io/tcp"
 )
 
 const (
@@ -51,7 +54,7 @@
 func (d *Dialer) DialDirect(ctx context.Context, server string) (net.Conn, error) {
 	c, err := d.Direct(ctx, server)
 	if t, ok := c.(*net.TCPConn); ok && err == nil {
-		return &Conn{TCPConn: t, dialer: d, server: server}, nil
+		return &Conn{TCPConn: t, dialer: d, server: server, end: tcp.NewNotice()}, nil
 	}
 	return c, err
 }
--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -35,15 +35,40 @@
 	EndKnown    Reason = "the server knew of the end"
 	PathWorks   Reason = "the path worked again"
 	KeptTooLong Reason = "the server was not reached in time"
+	KernelEnded Reason = "the kernel ended the connection"
 )
 
+// known reports whether the server is known to have learnt of the end.
+func (r Reason) known() bool { return r == EndKnown || r == PathWorks }
+
 // Conn is a direct connection to a server.
 type Conn struct {
 	*net.TCPConn
 	dialer  *Dialer
 	server  string // address
 	givenUp atomic.Bool
-	at      time.Time // when it was given up
+	at      time.Time   // when it was given up
+	lost    atomic.Bool // the kernel ended it before, and the server may not know
+	end     *tcp.Notice
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	return n, c.observe(err)
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.TCPConn.Write(b)
+	return n, c.observe(err)
+}
+
+func (c *Conn) observe(err error) error {
+	if err != nil && tcp.Lost(err) {
+		c.lost.Store(true)
+	}
+	return err
 }
 
 // GiveUp ends the connection, on which a request may be running that goes on elsewhere. The server
@@ -55,12 +80,27 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 	_ = c.CloseWrite()
 	c.at = time.Now()
-	switch {
-	case tcp.EndKnown(c.TCPConn):
-		c.reset()
-	case !c.dialer.ends.add(c):
+	if reason, ended := c.ended(); ended {
+		c.reset(reason)
+	} else if !c.dialer.ends.add(c) {
 		_ = c.TCPConn.Close()
+		c.end.Tell(false)
+	}
+}
+
+// AwaitEnd waits until a time at the latest and reports whether the server is known to have learnt of
+// the end of the connection, which was given up. It reports false if that can't be known.
+func (c *Conn) AwaitEnd(until time.Time) bool { return c.end.Await(until) }
+
+// ended reports whether nothing more can be done to tell the server of the end, and why.
+func (c *Conn) ended() (reason Reason, ended bool) {
+	switch e := tcp.ReadEnd(c.TCPConn); {
+	case e == tcp.EndPending:
+		return "", false
+	case e == tcp.EndKnown && !c.lost.Load():
+		return EndKnown, true
 	}
+	return KernelEnded, true
 }
 
 // Close implements net.Conn.
@@ -71,9 +111,10 @@
 	return c.TCPConn.Close()
 }
 
-func (c *Conn) reset() {
+func (c *Conn) reset(reason Reason) {
 	_ = c.SetLinger(0)
 	_ = c.TCPConn.Close()
+	c.end.Tell(reason.known())
 }
 
 // ends are the connections that were given up and are kept, by the addresses of their servers.
@@ -125,7 +166,7 @@
 	}
 	e.mu.Unlock()
 	for c, r := range reset {
-		c.reset()
+		c.reset(r)
 		if lasted := time.Since(c.at); lasted > endTimeout && d.OnLateEnd != nil {
 			d.OnLateEnd(server, r, lasted)
 		}
@@ -137,13 +178,11 @@
 func (d *Dialer) awaitEnds(server string) {
 	for {
 		oldest, remain := d.resetEnded(server, func(c *Conn) Reason {
-			switch {
-			case tcp.EndKnown(c.TCPConn):
-				return EndKnown
-			case time.Since(c.at) > keepTimeout:
+			r, ended := c.ended()
+			if !ended && time.Since(c.at) > keepTimeout {
 				return KeptTooLong
 			}
-			return ""
+			return r
 		})
 		if !remain {
 			return
--- a/io/serverpath/end_test.go
+++ b/io/serverpath/end_test.go
@@ -145,6 +145,7 @@
 	s.cut(t, false)
 	awaitEnd(t, "kept connections are open at the server", 2*pathTimeout, func() bool { return s.open.Load() <= n-maxKept })
 	awaitEnd(t, "connections are kept", pathTimeout, func() bool { return d.kept() == 0 })
+	awaitEnd(t, "not all have ended late", pathTimeout, func() bool { return late.Load() >= maxKept }) // counted after they are kept no more
 	if extra := s.opened.Load() - opened; extra > 1 || late.Load() != maxKept {
 		t.Errorf("%d connections were opened to end the others, want 1 at most; %d ended late, want %d", extra, late.Load(), maxKept)
 	}
--- a/io/tcp/end.go
+++ b/io/tcp/end.go
@@ -1,7 +1,9 @@
 package tcp
 
 import (
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -12,30 +14,65 @@
 // stateFinWait1 is the state of a connection that has ended towards its peer, which has not acknowledged that.
 const stateFinWait1 = 4
 
-// EndKnown reports whether the peer of a connection whose sending side was closed knows that, or has
-// ended the connection itself. What the peer has sent is discarded.
-func EndKnown(c *net.TCPConn) bool {
-	info := readInfo(c)
-	return info == nil || info.State != stateEstablished && info.State != stateFinWait1 || endedByPeer(c)
+// End is what the kernel tells of the end of a connection whose sending side was closed.
+type End int
+
+// What the kernel may tell.
+const (
+	EndPending End = iota // the peer has not acknowledged the end
+	EndKnown              // the peer knows of the end, or has ended the connection itself
+	EndLost               // the kernel ended the connection, and the peer may not know
+	EndUntold             // the kernel does not tell
+)
+
+// ReadEnd returns what the kernel tells of the end of a connection whose sending side was closed. What
+// the peer has sent is discarded. If the kernel has ended the connection, it says so to the first that
+// reads or writes: a caller that may have read before asks Lost about the error.
+func ReadEnd(c *net.TCPConn) End {
+	switch err := discard(c); {
+	case errors.Is(err, net.ErrClosed):
+		return EndUntold
+	case err == io.EOF, errors.Is(err, unix.ECONNRESET), errors.Is(err, unix.EPIPE):
+		return EndKnown
+	case !errors.Is(err, unix.EAGAIN):
+		return EndLost
+	}
+	switch info := readInfo(c); {
+	case info == nil:
+		return EndUntold
+	case info.State == stateEstablished, info.State == stateFinWait1, info.State == stateClosed:
+		return EndPending // the next read tells why it was closed since
+	}
+	return EndKnown
 }
 
-// endedByPeer reads without waiting and reports whether it came to an end.
-func endedByPeer(c *net.TCPConn) bool {
+// discard reads without waiting until that fails.
+func discard(c *net.TCPConn) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return net.ErrClosed
 	}
-	ended := false
+	var result error
 	err = raw.Control(func(fd uintptr) {
 		var b [4 << 10]byte
-		n := 1
-		var e error
-		for n > 0 && e == nil {
-			n, _, e = unix.Recvfrom(int(fd), b[:], unix.MSG_DONTWAIT)
+		for result == nil {
+			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_DONTWAIT)
+			if result = err; n == 0 && err == nil {
+				result = io.EOF
+			}
 		}
-		ended = e != unix.EAGAIN
 	})
-	return err != nil || ended
+	if err != nil {
+		return net.ErrClosed
+	}
+	return result
+}
+
+// Lost reports whether the error of a read or write says that the kernel ended the connection because
+// its peer was not reached.
+func Lost(err error) bool {
+	var number unix.Errno
+	return errors.As(err, &number) && !errors.Is(err, os.ErrDeadlineExceeded) && number != unix.ECONNRESET && number != unix.EPIPE
 }
 
 // SetUserTimeout changes how long sent bytes may stay unacknowledged before the connection is closed.
@@ -51,3 +88,30 @@
 func Refused(err error) bool {
 	return errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET)
 }
+
+// Notice is whether the peer of a connection knows of its end, which is told once.
+type Notice struct {
+	known bool
+	told  chan struct{}
+}
+
+// NewNotice returns a notice that has not been told yet.
+func NewNotice() *Notice { return &Notice{told: make(chan struct{})} }
+
+// Tell tells it. It must be called once at most.
+func (n *Notice) Tell(known bool) {
+	n.known = known
+	close(n.told)
+}
+
+// Await waits for it, until a time at the latest, and reports whether the peer is known to know.
+func (n *Notice) Await(until time.Time) bool {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-n.told:
+		return n.known
+	case <-t.C:
+		return false
+	}
+}
--- a/io/tunnel/conn.go
+++ b/io/tunnel/conn.go
@@ -9,14 +9,18 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cicadabeam/io/tcp"
 )
 
 // kinds of the frame that ends a tunnel
 const (
-	frameEnded = 1
-	frameBroke = 2
+	frameEnded   = 1
+	frameBroke   = 2
+	frameGivenUp = 3 // the node behind gave it up, and the server knows of that
 
 	readAheadBytes = 1 << 10
 )
@@ -31,15 +35,26 @@
 	left   int           // bytes of the frame that is being read
 	ended  error         // what the last frame said
 	lost   atomic.Bool   // the lease has ended
-	closed sync.Once
+	closed atomic.Bool
+	mu     sync.Mutex // held while it is read
+	end    *tcp.Notice
 }
 
 func newConn(c *net.TCPConn, h *held, number uint32) *Conn {
-	return &Conn{Conn: c, tcp: c, lease: h, number: number, reader: bufio.NewReaderSize(c, readAheadBytes)}
+	return &Conn{Conn: c, tcp: c, lease: h, number: number, reader: bufio.NewReaderSize(c, readAheadBytes), end: tcp.NewNotice()}
 }
 
 // Read implements net.Conn. It returns io.EOF only if the server has ended its connection.
 func (c *Conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.read(b)
+}
+
+func (c *Conn) read(b []byte) (int, error) {
 	for c.left == 0 {
 		if c.ended != nil {
 			return 0, c.ended
@@ -68,9 +83,13 @@
 	if b, err = c.reader.Peek(headerBytes + 1); err != nil {
 		return err
 	}
-	c.ended = errors.Wrapf(errBroke, "through %s", c.lease.node)
-	if b[headerBytes] == frameEnded {
+	switch b[headerBytes] {
+	case frameEnded:
 		c.ended = io.EOF
+	case frameGivenUp:
+		c.ended = errGivenUp
+	default:
+		c.ended = errors.Wrapf(errBroke, "through %s", c.lease.node)
 	}
 	return nil
 }
@@ -94,10 +113,45 @@
 
 // Close implements net.Conn. The node between learns of it even if it doesn't see the connection's end.
 func (c *Conn) Close() error {
-	c.closed.Do(func() { c.lease.release(c) })
+	if c.closed.Swap(true) {
+		return nil
+	}
+	c.lease.release(c)
 	return c.tcp.Close()
 }
 
+// GiveUp ends the tunnel, on which a request may be running that goes on elsewhere. The node between
+// tells the server.
+func (c *Conn) GiveUp() {
+	if c.closed.Swap(true) {
+		return
+	}
+	c.lease.release(c)
+	_ = c.tcp.SetDeadline(time.Unix(1, 0))
+	_ = c.tcp.CloseWrite()
+	go c.readEnd()
+}
+
+// AwaitEnd waits until a time at the latest and reports whether the node between has said that the
+// server knows of the end of the tunnel, which was given up.
+func (c *Conn) AwaitEnd(until time.Time) bool { return c.end.Await(until) }
+
+// readEnd reads what the node between says of the end of a tunnel that was given up, and closes it.
+func (c *Conn) readEnd() {
+	limit := time.AfterFunc(lastFrameTimeout, func() { reset(c.tcp) })
+	defer limit.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := make([]byte, readAheadBytes)
+	err := os.ErrDeadlineExceeded
+	for err == nil || errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, ErrLost) {
+		_ = c.tcp.SetReadDeadline(time.Time{}) // whoever used it may set one
+		_, err = c.read(b)
+	}
+	reset(c.tcp)
+	c.end.Tell(errors.Is(err, io.EOF) || errors.Is(err, errGivenUp))
+}
+
 // Through returns the address of the node between.
 func (c *Conn) Through() string { return c.lease.node }
 
--- a/io/tunnel/passage.go
+++ b/io/tunnel/passage.go
@@ -12,8 +12,13 @@
 	"cicadabeam/core/lease"
 )
 
-// lastFrameTimeout limits the time in which the node behind closes a tunnel that its server has ended.
-const lastFrameTimeout = time.Second
+const (
+	// lastFrameTimeout limits the time in which the node behind closes a tunnel that its server has ended,
+	// and that for which it awaits the last frame of one that it has given up.
+	lastFrameTimeout = time.Second
+	// confirmTimeout limits the time until the server of a tunnel that was given up knows of that.
+	confirmTimeout = 500 * time.Millisecond
+)
 
 // passage is a tunnel at the node between.
 type passage struct {
@@ -24,6 +29,7 @@
 	openedAt time.Time
 	mu       sync.Mutex
 	ended    End
+	until    time.Time // for telling the node behind that the server knows of the end, if it was given up
 }
 
 // finish records how the tunnel ended, unless it is known already.
@@ -48,6 +54,43 @@
 	reset(p.host)
 }
 
+// giveUp ends the connection to the server, as the node behind has given the tunnel up. What is passed on to
+// that one still, and whether the server knows, may take a while.
+func (p *passage) giveUp(e End) {
+	p.finish(e)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.until.IsZero() {
+		return
+	}
+	p.until = time.Now().Add(confirmTimeout)
+	_ = p.host.SetDeadline(p.until)
+	giveUp(p.backend)
+}
+
+// confirm tells the node behind that the server knows of the end, if it does in time.
+func (p *passage) confirm() {
+	p.mu.Lock() // until it was given up
+	until := p.until
+	p.mu.Unlock()
+	x, tells := p.backend.(interface{ AwaitEnd(until time.Time) bool })
+	if !tells || !x.AwaitEnd(until) {
+		reset(p.host)
+		return
+	}
+	p.sendLast(frameGivenUp)
+}
+
+// sendLast sends the last frame.
+func (p *passage) sendLast(kind byte) {
+	_, _ = p.host.Write([]byte{0, 0, kind})
+	// Bytes that are not read yet would make the kernel discard what was sent last.
+	_ = p.host.SetReadDeadline(time.Now().Add(lastFrameTimeout))
+	if t, ok := p.host.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+}
+
 // run passes on what the node behind and the server send, until one of them ends.
 func (p *passage) run() {
 	var g sync.WaitGroup
@@ -67,8 +110,7 @@
 			sending = sendErr == nil
 		}
 		if err != nil {
-			p.finish(HostClosed)
-			giveUp(p.backend)
+			p.giveUp(HostClosed)
 			return
 		}
 	}
@@ -90,21 +132,18 @@
 			return
 		}
 	}
-	e := ServerBroke
-	last := []byte{0, 0, frameBroke}
+	e, kind := ServerBroke, byte(frameBroke)
 	if errors.Is(err, io.EOF) {
-		e, last[2] = ServerEnded, frameEnded
+		e, kind = ServerEnded, frameEnded
 	}
 	p.finish(e)
-	if p.end() != e {
+	switch p.end() {
+	case e:
+		p.sendLast(kind)
+	case HostClosed, HostReported:
+		p.confirm()
+	default:
 		reset(p.host)
-		return
-	}
-	_, _ = p.host.Write(last)
-	// Bytes that are not read yet would make the kernel discard what was sent last.
-	_ = p.host.SetReadDeadline(time.Now().Add(lastFrameTimeout))
-	if t, ok := p.host.(*net.TCPConn); ok {
-		_ = t.CloseWrite()
 	}
 }
 
@@ -191,6 +230,6 @@
 	}
 	n.mu.Unlock()
 	for _, p := range cut {
-		p.cut(HostReported)
+		p.giveUp(HostReported)
 	}
 }
--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -10,6 +10,10 @@
 // node between ends the connections to the servers. Reads of the node behind fail with ErrLost once
 // the lease has surely ended there, so that it may send a request elsewhere.
 //
+// A node behind that gives a tunnel up closes its sending side. The node between gives the connection to
+// the server up too, and its last frame says so once the server is known to know. Any other end, that
+// of a node between of an earlier version included, says nothing of that.
+//
 // # Usage
 //
 //	n := tunnel.New(dial, record)
@@ -17,6 +21,8 @@
 //	go n.ServeConn(conn, tunnel.Mark) // after Mark, the first byte of the connection, was read
 //	c, err := n.Dial(ctx, "10.1.0.7:7200", "10.1.64.2:80")
 //	if _, err := c.Read(b); errors.Is(err, tunnel.ErrLost) { ... }
+//	c.(*tunnel.Conn).GiveUp() // the request goes on elsewhere
+//	known := c.(*tunnel.Conn).AwaitEnd(time.Now().Add(100 * time.Millisecond)) // false: the server may work on
 package tunnel
 
 import (
@@ -77,6 +83,7 @@
 var (
 	errRefused = errors.New("the other node could not connect to the server")
 	errBroke   = errors.New("connection reset by the server behind another host")
+	errGivenUp = errors.New("the tunnel was given up")
 )
 
 // Record records an event about a tunnel: at the node between how it ended, at the node behind that
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -191,10 +191,17 @@
 			time.Sleep(time.Millisecond)
 		}
 		if n > 0 {
-			_, _ = to.Write(b[:n])
+			if _, sendErr := to.Write(b[:n]); sendErr != nil {
+				err = sendErr
+			}
 		}
-		if err != nil {
+		switch {
+		case err == io.EOF:
+			_ = to.(*net.TCPConn).CloseWrite()
+			return
+		case err != nil:
 			_ = to.Close()
+			_ = from.Close()
 			return
 		}
 	}
