io/relay: a stream that moves to a server that is cut off leaves one server at work

Cause: a move makes before it breaks. The first run is kept until the head of the second response arrives, and the host picks one afterwards.

Now the host may stay with the first server only if the second one is known to have learnt of its end (AwaitEnd: the server's kernel has acknowledged it, or the host between says so) 100 ms after it was given up; else the first run, which can be told, is ended too, and the stream goes on elsewhere. The time in which both may work is bounded for all moves: 200 ms from a KV cache backup (300 ms before, 600 ms if the first server went on in it), and from when the prompt may be processed without one. There the second response may be awaited for longer only while connections to its server can be opened, each 100 ms: it has not begun then. If they can't, or another host is in between, the first run, silent for 1.5 s, is ended.

The tests' pool opens connections as hosts do (serverpath), since plain ones tell nothing of their ends.

--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -154,6 +154,14 @@
 	x.GiveUp()
 }
 
+// EndBy gives the connection up and reports whether its server is known to have learnt of the end. It
+// waits for that until a time at the latest.
+func (c *Conn) EndBy(until time.Time) bool {
+	c.GiveUp()
+	x, ok := c.net.(interface{ AwaitEnd(until time.Time) bool })
+	return ok && x.AwaitEnd(until)
+}
+
 // endObserved tells the pool's paths what became of the request that was sent.
 func (c *Conn) endObserved(responded, evidence bool) {
 	if c.end != nil {
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -69,6 +69,22 @@
 	return err == nil
 }
 
+// reaches reports whether a connection to a server can be opened by a time, without another node in
+// between. It fails if the server wants none.
+func (h *Handler) reaches(ctx context.Context, m *fleet.Member, by time.Time) bool {
+	if m.Declines(time.Now()) {
+		return false
+	}
+	ctx, cancel := context.WithDeadline(ctx, by)
+	defer cancel()
+	c, err := h.Pool.GetDirect(ctx, m.Address())
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
 // errServerEnded ends an attempt whose server is gone at the end of a response that has neither
 // a length nor chunks.
 var errServerEnded = errors.New("the server ended together with its response, which may not be whole")
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"time"
@@ -130,12 +131,15 @@
 }
 
 // sleep waits for d. It returns an error if the request ends before that.
-func (s *stream) sleep(d time.Duration) error {
-	t := time.NewTimer(d)
+func (s *stream) sleep(d time.Duration) error { return sleepUntil(s.ctx, time.Now().Add(d)) }
+
+// sleepUntil waits until a time. It returns an error if a context ends before that.
+func sleepUntil(ctx context.Context, until time.Time) error {
+	t := time.NewTimer(time.Until(until))
 	defer t.Stop()
 	select {
-	case <-s.ctx.Done():
-		return s.ctx.Err()
+	case <-ctx.Done():
+		return ctx.Err()
 	case <-t.C:
 		return nil
 	}
@@ -147,6 +151,9 @@
 	sent := s.open(a)
 	for sent && !s.forward(a) {
 		b := s.move(a)
+		if b == nil && a.err != nil {
+			break
+		}
 		if b == nil {
 			continue
 		}
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -48,6 +48,7 @@
 	backup          *fleet.Member
 	copies          *kvbackup.Run // copies that replace a lost backup, nil if the server can't make any
 	started         time.Time
+	mayRunFrom      time.Time // when the server may begin to work on the request, once it was sent
 	reportDue       time.Time // when the server is queried for its runs
 	serverLost      bool      // contact with the server had been lost before the request was sent
 	responseStarted bool
@@ -57,6 +58,7 @@
 	soundRecorded   bool
 	outcome         outcome
 	err             error
+	answered        bool           // a complete response that is no event stream has arrived
 	response        *http.Response // head of the signed event stream, nil before it has arrived
 	parts           chan received  // of the response, as they arrive
 	unread          *received      // part that was taken from parts and not handled yet
@@ -129,6 +131,10 @@
 		s.recordLoss(a)
 		return false
 	}
+	a.mayRunFrom = time.Now()
+	if !a.fromBackup() {
+		a.mayRunFrom = a.mayRunFrom.Add(a.member.PrefillTime(a.query) / 2)
+	}
 	s.h.firstEventMonitor.watch(a)
 	a.silence.Received(time.Now())
 	go s.receive(a)
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -1,15 +1,22 @@
 package relay
 
 import (
+	"context"
 	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// overlapTimeout is how long a stream waits for the server that is to take it over while that one and
-// the one before may both work on it.
-const overlapTimeout = 300 * time.Millisecond
+const (
+	// overlapTimeout is how long a stream waits for the server that is to take it over while that one and
+	// the one before may both work on it, and endTimeout how long until it is known that the first of them
+	// to be given up has learnt of that.
+	overlapTimeout = 200 * time.Millisecond
+	endTimeout     = 100 * time.Millisecond
+	// pathCheckInterval is the time between two checks of the path on which a response is awaited.
+	pathCheckInterval = 100 * time.Millisecond
+)
 
 var (
 	errNoResponse = errors.New("the server did not start its response in time")
@@ -17,11 +24,14 @@
 	// errQuarantined ends a request that may not be sent any more.
 	errQuarantined = errors.New("the request is quarantined because servers crashed while running it or others with a part of its prompt")
 	errWentOn      = errors.New("the server before went on")
+	// errCutOff ends a run because another server may work on the stream and can't be told.
+	errCutOff = errors.New("the server that was to take the stream over was not reached and may work on it")
 )
 
 // move tries to move a stream from the server of attempt a, which sends nothing but may be
 // sound, to another one. It returns the new attempt once its server has started the response,
-// or nil if the stream stays where it is. Meanwhile the response to a is kept.
+// or nil if the stream stays where it is. Meanwhile the response to a is kept, unless two servers would
+// go on with the stream: if a.err is set, a was given up.
 func (s *stream) move(a *streamAttempt) *streamAttempt {
 	silentSince := time.Now()
 	if a.responseStarted {
@@ -42,13 +52,12 @@
 			a.beside = time.Since(b.started)
 			return b
 		}
+		s.settle(a, b)
 		s.close(b)
-		if a.unread != nil {
+		if a.unread != nil || a.err != nil {
 			return nil
 		}
-		if b.fromBackup() {
-			a.failedSource = b.source
-		} else if b.outcome == refused && s.sleep(refusedRetryDelay) != nil {
+		if !b.fromBackup() && b.outcome == refused && s.sleep(refusedRetryDelay) != nil {
 			return nil
 		}
 	}
@@ -108,21 +117,17 @@
 	return b, ""
 }
 
-// awaitHead waits until the server of attempt b has started its response. If a goes on
-// meanwhile, b is abandoned: at once if it cannot have processed the prompt yet, else after
-// overlapTimeout, as it may just have begun to run. From a KV cache backup b begins at once, and is
-// abandoned after overlapTimeout also if a's server is silent but can be reached.
+// awaitHead waits until the server of attempt b has started its response, and reports whether it has.
+// It does so for overlapTimeout while both servers may work on the stream. Then b has failed if a has gone
+// on, or if it is to resume from a KV cache backup, which takes no time, and a can be reached. Else a is
+// given up.
 func (s *stream) awaitHead(a, b *streamAttempt) bool {
-	prefilled := time.NewTimer(b.member.PrefillTime(b.query) / 2)
-	defer prefilled.Stop()
 	limit := time.NewTimer(time.Until(s.headDeadline(b)))
 	defer limit.Stop()
-	mayRun := b.fromBackup()
-	overlap := time.NewTimer(time.Until(b.started.Add(overlapTimeout)))
+	overlap := time.NewTimer(time.Until(b.mayRunFrom.Add(overlapTimeout)))
 	defer overlap.Stop()
-	if !b.fromBackup() {
-		overlap.Stop()
-	}
+	reached, stop := s.watchPath(b)
+	defer stop()
 	fromA := a.parts
 	for {
 		select {
@@ -130,21 +135,29 @@
 			return s.acceptHead(b, &x)
 		case x := <-fromA:
 			a.unread, fromA = &x, nil
-			if x.err != nil && !a.isComplete(&x) {
+			if a.isBroken() {
 				a.conn.GiveUp() // the server may work on
 				continue
 			}
 			b.err = errWentOn
-			if !mayRun {
+			if time.Now().Before(b.mayRunFrom) {
 				return false
 			}
-			limit.Reset(min(time.Until(s.headDeadline(b)), overlapTimeout))
-		case <-prefilled.C:
-			mayRun = true
+		case at := <-reached: // it had not begun by then
+			if a.unread == nil {
+				overlap.Reset(time.Until(at.Add(overlapTimeout)))
+			}
 		case <-overlap.C:
-			if a.unread == nil && !a.member.Lost() {
+			switch {
+			case a.isBroken():
+			case a.unread != nil:
+				return false
+			case b.fromBackup() && !a.member.Lost():
 				b.err = errNoResponse
 				return false
+			default:
+				a.conn.GiveUp()
+				a.err, fromA = errMoved, nil
 			}
 		case <-b.suspected:
 			b.err = errNoResponse
@@ -162,6 +175,48 @@
 	}
 }
 
+// watchPath checks the path on which the response of a server is awaited that processes a prompt first,
+// and returns times at which the path worked. The path through another host can't be checked.
+func (s *stream) watchPath(b *streamAttempt) (reached <-chan time.Time, stop func()) {
+	if b.fromBackup() || b.conn.Through() != "" {
+		return nil, func() {}
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	times := make(chan time.Time)
+	go func() {
+		for at := b.mayRunFrom; sleepUntil(ctx, at) == nil; at = at.Add(pathCheckInterval) {
+			if s.h.reaches(ctx, b.member, at.Add(overlapTimeout)) {
+				select {
+				case times <- at:
+				case <-ctx.Done():
+				}
+			}
+		}
+	}()
+	return times, cancel
+}
+
+// isBroken reports whether the next part of the response to an attempt is that it broke off.
+func (a *streamAttempt) isBroken() bool {
+	return a.unread != nil && a.unread.err != nil && !a.isComplete(a.unread)
+}
+
+// settle ends one of two runs after attempt b, which was to take the stream over from a, has failed: the
+// second one if its server is known to have learnt of that, else the first one too.
+func (s *stream) settle(a, b *streamAttempt) {
+	if b.fromBackup() {
+		a.failedSource = b.source
+	}
+	if b.outcome != broken || b.answered || s.ctx.Err() != nil || a.err != nil || a.unread != nil && a.unread.err != nil {
+		return
+	}
+	if b.conn.EndBy(time.Now().Add(endTimeout)) {
+		return
+	}
+	a.conn.GiveUp()
+	a.err = errCutOff
+}
+
 // headDeadline returns until when the server of an attempt that is to take a stream over must
 // have started its response.
 func (s *stream) headDeadline(b *streamAttempt) time.Time {
@@ -179,6 +234,7 @@
 		s.recordLoss(b)
 		return false
 	}
+	b.answered = x.complete
 	if s.isEventStream(x.head) {
 		b.err = nil
 		s.recordHead(b, x.head)
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -22,6 +22,7 @@
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
 	"cicadabeam/io/relay"
+	"cicadabeam/io/serverpath"
 	"cicadabeam/platform"
 	"cicadabeam/test/standin/backend"
 )
@@ -100,13 +101,20 @@
 	return newHarnessWith(t, func(*relay.Dependencies) {})
 }
 
+// newPool returns a pool whose connections are direct ones of a host.
+func newPool() *http1.Pool {
+	p := http1.NewPool()
+	p.Use(directPaths{&serverpath.Dialer{Direct: p.Dial}})
+	return p
+}
+
 // newHarnessWith returns a harness whose relay has changed dependencies.
 func newHarnessWith(t testing.TB, change func(d *relay.Dependencies)) *harness {
 	t.Helper()
 	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1, versions: streamversion.New(nil)}
 	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north", "c": "north"}})
 	d := relay.Dependencies{
-		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), StreamVersions: h.versions, Pool: http1.NewPool(), Recorder: h,
+		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: fleet.NewPromptIndex(), StreamVersions: h.versions, Pool: newPool(), Recorder: h,
 		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime:    func() time.Duration { h.mu.Lock(); defer h.mu.Unlock(); return h.uptime },
 		NodeCount: func() int { return h.nodes }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
