io/serverpath: a server knows of the end of a run once it has ended its side, not once a kernel says so

Cause: the state of the connection (TCP_INFO, FIN_WAIT2: the peer's kernel has acknowledged the close) was taken for the knowledge of the server. And a process may not have read what its kernel has acknowledged.

Now the end is known once the server has ended its side or reset the connection, or a new connection, begun after the end was sent, has got through.

Tests: TestEndIsNotKnownFromAnAcknowledgement (known at once before). The server of the tests ends its side now as servers do; for one that doesn't, the new test allows one connection.

--- a/io/serverpath/await_end_test.go
+++ b/io/serverpath/await_end_test.go
@@ -30,6 +30,24 @@
 	}
 }
 
+// Guards against an end that is taken for known as the server's kernel has acknowledged it, while the server goes on.
+func TestEndIsNotKnownFromAnAcknowledgement(t *testing.T) {
+	s, d, _ := startEndedServer(t)
+	s.keepsOpen.Store(true)
+	c := s.connect(t, d, 1)[0]
+	began := time.Now()
+	c.GiveUp()
+	if c.AwaitEnd(began.Add(acknowledgedTimeout / 2)) {
+		t.Errorf("the end is known after %v", time.Since(began))
+	}
+	if !c.AwaitEnd(began.Add(acknowledgedTimeout + pathTimeout)) {
+		t.Error("the path works, and the end is not known")
+	}
+	if n := s.opened.Load(); n != 2 {
+		t.Errorf("%d connections were opened, want one to show that the path works", n-1)
+	}
+}
+
 // Guards against an end that is taken for known as the kernel has ended the connection.
 func TestEndIsNotKnownWhereTheKernelEndedTheConnection(t *testing.T) {
 	for _, read := range []bool{false, true} {
--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -17,9 +17,11 @@
 const (
 	// endCheckInterval is the time between two checks whether a server knows of the end of a connection,
 	// and endTimeout the time until the path is tried with a new one: longer than the kernel's first
-	// retransmission takes, as a reset ends these.
-	endCheckInterval = 10 * time.Millisecond
-	endTimeout       = 300 * time.Millisecond
+	// retransmission takes, as a reset ends these. No retransmission is due after an acknowledgement;
+	// acknowledgedTimeout is the time for the server to read it.
+	endCheckInterval    = 10 * time.Millisecond
+	endTimeout          = 300 * time.Millisecond
+	acknowledgedTimeout = 100 * time.Millisecond
 	// pathTimeout limits an attempt to connect. A round trip between regions takes 40 ms.
 	pathTimeout = 200 * time.Millisecond
 	// keepTimeout limits the time for which a connection is kept, and maxKept their number.
@@ -143,9 +145,17 @@
 	return true
 }
 
-// resetEnded resets the connections to a server for which reason returns one. It returns when the oldest
-// of those that remain was given up.
-func (d *Dialer) resetEnded(server string, reason func(c *Conn) Reason) (oldest time.Time, remain bool) {
+// tryFrom returns from when the path is tried with a new connection.
+func (c *Conn) tryFrom() time.Time {
+	if tcp.EndAcknowledged(c.TCPConn) {
+		return c.at.Add(acknowledgedTimeout)
+	}
+	return c.at.Add(endTimeout)
+}
+
+// resetEnded resets the connections to a server for which reason returns one. It returns from when the
+// path is tried for those that remain.
+func (d *Dialer) resetEnded(server string, reason func(c *Conn) Reason) (tryFrom time.Time, remain bool) {
 	e := &d.ends
 	reset := make(map[*Conn]Reason)
 	e.mu.Lock()
@@ -156,13 +166,14 @@
 			continue
 		}
 		kept = append(kept, c)
+		if t := c.tryFrom(); tryFrom.IsZero() || t.Before(tryFrom) {
+			tryFrom = t
+		}
 	}
 	e.count -= len(reset)
 	e.conns[server] = kept
 	if len(kept) == 0 {
 		delete(e.conns, server)
-	} else {
-		oldest = kept[0].at
 	}
 	e.mu.Unlock()
 	for c, r := range reset {
@@ -171,13 +182,13 @@
 			d.OnLateEnd(server, r, lasted)
 		}
 	}
-	return oldest, len(kept) > 0
+	return tryFrom, len(kept) > 0
 }
 
 // awaitEnds resets the connections to a server that were given up, until none is left.
 func (d *Dialer) awaitEnds(server string) {
 	for {
-		oldest, remain := d.resetEnded(server, func(c *Conn) Reason {
+		tryFrom, remain := d.resetEnded(server, func(c *Conn) Reason {
 			r, ended := c.ended()
 			if !ended && time.Since(c.at) > keepTimeout {
 				return KeptTooLong
@@ -189,11 +200,11 @@
 		}
 		time.Sleep(endCheckInterval)
 		began := time.Now()
-		if began.Sub(oldest) < endTimeout || !d.pathWorks(server) {
+		if began.Before(tryFrom) || !d.pathWorks(server) {
 			continue
 		}
 		_, remain = d.resetEnded(server, func(c *Conn) Reason {
-			if c.at.Before(began) {
+			if !began.Before(c.tryFrom()) {
 				return PathWorks
 			}
 			return ""
--- a/io/serverpath/end_test.go
+++ b/io/serverpath/end_test.go
@@ -11,8 +11,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// endedServer is a server that counts its connections. It sends nothing, and if it is cut off, nothing arrives.
+// endedServer is a server that counts its connections. It sends nothing, ends its side of a connection that
+// the other one has ended, and if it is cut off, nothing arrives.
 type endedServer struct {
+	keepsOpen    atomic.Bool // its side
 	listener     *net.TCPListener
 	mu           sync.Mutex
 	conns        []*net.TCPConn
@@ -51,6 +53,9 @@
 			go func() {
 				defer s.open.Add(-1)
 				_, _ = a.Read(make([]byte, 1))
+				if !s.keepsOpen.Load() {
+					_ = a.CloseWrite()
+				}
 			}()
 		}
 		return c, err
--- a/io/tcp/end.go
+++ b/io/tcp/end.go
@@ -11,23 +11,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// stateFinWait1 is the state of a connection that has ended towards its peer, which has not acknowledged that.
-const stateFinWait1 = 4
-
-// End is what the kernel tells of the end of a connection whose sending side was closed.
+// End is what is known of the end of a connection whose sending side was closed.
 type End int
 
-// What the kernel may tell.
+// What may be known.
 const (
-	EndPending End = iota // the peer has not acknowledged the end
-	EndKnown              // the peer knows of the end, or has ended the connection itself
+	EndPending End = iota // the peer has said nothing
+	EndKnown              // the peer has ended the connection too
 	EndLost               // the kernel ended the connection, and the peer may not know
-	EndUntold             // the kernel does not tell
+	EndUntold             // the connection was closed before
 )
 
-// ReadEnd returns what the kernel tells of the end of a connection whose sending side was closed. What
-// the peer has sent is discarded. If the kernel has ended the connection, it says so to the first that
-// reads or writes: a caller that may have read before asks Lost about the error.
+// ReadEnd returns what is known of the end of a connection whose sending side was closed. What the peer
+// has sent is discarded. If the kernel has ended the connection, it says so to the first that reads or
+// writes: a caller that may have read before asks Lost about the error.
 func ReadEnd(c *net.TCPConn) End {
 	switch err := discard(c); {
 	case errors.Is(err, net.ErrClosed):
@@ -37,16 +34,23 @@
 	case !errors.Is(err, unix.EAGAIN):
 		return EndLost
 	}
-	switch info := readInfo(c); {
-	case info == nil:
-		return EndUntold
-	case info.State == stateEstablished, info.State == stateFinWait1, info.State == stateClosed:
-		return EndPending // the next read tells why it was closed since
-	}
-	return EndKnown
+	return EndPending
+}
+
+// stateFinWait2 is the state of a connection whose end its peer's kernel has acknowledged.
+const stateFinWait2 = 5
+
+// EndAcknowledged reports whether the peer's kernel has acknowledged the end of a connection whose sending
+// side was closed, as far as this one tells. Its process may not have read it.
+func EndAcknowledged(c *net.TCPConn) bool {
+	info := readInfo(c)
+	return info != nil && info.State == stateFinWait2
 }
 
-// discard reads without waiting until that fails.
+// maxDiscarded limits what is discarded at once of a response that goes on, in buffers.
+const maxDiscarded = 32
+
+// discard reads without waiting until that fails, or much was read.
 func discard(c *net.TCPConn) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
@@ -55,7 +59,11 @@
 	var result error
 	err = raw.Control(func(fd uintptr) {
 		var b [4 << 10]byte
-		for result == nil {
+		for i := 0; result == nil; i++ {
+			if i == maxDiscarded {
+				result = unix.EAGAIN
+				return
+			}
 			n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_DONTWAIT)
 			if result = err; n == 0 && err == nil {
 				result = io.EOF
