io/relay: a stream whose run a move has ended may go back to its server

What callers saw: 502 "no server is available" where a move before the first event failed on a path that was cut and no third server was there: the run at the first server is ended then, and that server counted as tried. It is reserved again now if there is no other. TestStreamIsServedAfterMoveToServerThatIsCutOff: 2 of 2 red before, green after. Failed try: the server no longer counts as tried at once.

--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -43,6 +43,7 @@
 	bound           bool          // the caller has received a part of the answer in this request
 	begun           bool          // the caller has received an event in this response
 	unnumbered      bool          // the last event that the caller has received has no ID
+	endedAt         *fleet.Member // server whose run was ended although it may have been sound
 	emptyEnds       int           // attempts that ended the stream without an event, since the last event
 	version         string        // software version of the servers that the caller's part came from, if any
 }
@@ -92,6 +93,9 @@
 	}
 	s.resumeFrom = kvSource{}
 	m := s.h.Fleet.Reserve(q)
+	if m == nil {
+		m = s.reserveEnded(q)
+	}
 	if m == nil && s.responseStarted {
 		m = s.reserveTriedServer(q)
 	}
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/fleet"
 )
 
 const (
@@ -156,8 +158,8 @@
 				b.err = errNoResponse
 				return false
 			default:
-				a.conn.GiveUp()
-				a.err, fromA = errMoved, nil
+				s.end(a, errMoved)
+				fromA = nil
 			}
 		case <-b.suspected:
 			b.err = errNoResponse
@@ -213,8 +215,24 @@
 	if b.conn.EndBy(time.Now().Add(endTimeout)) {
 		return
 	}
+	s.end(a, errCutOff)
+}
+
+// end ends the run of an attempt for a reason that says nothing of its server.
+func (s *stream) end(a *streamAttempt, reason error) {
 	a.conn.GiveUp()
-	a.err = errCutOff
+	a.err = reason
+	s.endedAt = a.member
+}
+
+// reserveEnded reserves the server whose run was ended although it may have been sound, once.
+func (s *stream) reserveEnded(q fleet.Query) *fleet.Member {
+	if s.endedAt == nil {
+		return nil
+	}
+	delete(s.tried, s.endedAt.ID())
+	s.endedAt = nil
+	return s.h.Fleet.Reserve(q)
 }
 
 // headDeadline returns until when the server of an attempt that is to take a stream over must
