io/relay: the path to a server that takes a stream over is checked from when it has the request

What callers saw: two servers went on with one request, if the second one had processed the prompt sooner than reckoned (half of the time that its learned rate gives, in which waits in its queue count; parts of prompts that it has already). Its path was checked from then on only. It is checked from when the request was sent, for direct connections; through another host nothing can be checked, and half of the time remains.

--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -126,10 +126,14 @@
 func (s *stream) awaitHead(a, b *streamAttempt) bool {
 	limit := time.NewTimer(time.Until(s.headDeadline(b)))
 	defer limit.Stop()
-	overlap := time.NewTimer(time.Until(b.mayRunFrom.Add(overlapTimeout)))
-	defer overlap.Stop()
 	reached, stop := s.watchPath(b)
 	defer stop()
+	from := b.mayRunFrom
+	if reached != nil {
+		from = time.Now() // it may begin sooner than expected
+	}
+	overlap := time.NewTimer(time.Until(from.Add(overlapTimeout)))
+	defer overlap.Stop()
 	fromA := a.parts
 	for {
 		select {
@@ -186,7 +190,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	times := make(chan time.Time)
 	go func() {
-		for at := b.mayRunFrom; sleepUntil(ctx, at) == nil; at = at.Add(pathCheckInterval) {
+		for at := time.Now(); sleepUntil(ctx, at) == nil; at = at.Add(pathCheckInterval) {
 			if s.h.reaches(ctx, b.member, at.Add(overlapTimeout)) {
 				select {
 				case times <- at:
