--- a/test/relay/failed_move_test.go
+++ b/test/relay/failed_move_test.go
@@ -153,3 +153,20 @@
 		t.Errorf("two servers worked on the request for %v", d)
 	}
 }
+
+// Guards against two servers that go on with one request because the response of the second one is lost while its path works.
+func TestMoveToServerWhoseResponseIsLostLeavesOneServerAtWork(t *testing.T) {
+	h := newHarness(t)
+	w := newWork()
+	h.startServer("report", "a", w.step("first", 0, 2500*time.Millisecond, nil))
+	second := h.startServer("report", "b", w.step("second", 0, 0, nil))
+	c := h.dialStream("/long/1", "id-lost")
+	go func() { _, _ = io.Copy(io.Discard, c) }()
+	time.Sleep(2 * time.Second)
+	if len(second.Requests()) == 0 {
+		t.Fatal("the stream did not move")
+	}
+	if d := w.sideBySide("first", "second"); d > maxSideBySide {
+		t.Errorf("two servers worked on the request for %v", d)
+	}
+}
