io/engine: engines learn of the end of an attempt soon after their path has healed

Of an answer through serve two engines went on: one that was given up 1.2 s after its last chunk, behind a cut path, worked on after the path had healed, beside the one that the answer had moved to. The answers were not mixed.

Cause: net/http closed the connection of the attempt and forgot it. The kernel repeats a close at times that double, and a path that was cut for 3.3 s carries it up to 1.25 s after the healing.

Attempts now dial through serverpath and their connections are given up when they are closed: they are kept until the engine knows of the end, or a new connection shows that the path works.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -117,7 +117,7 @@
 	n := &Node{
 		settings: s, version: version, incarnation: uuid.NewString(), started: time.Now(), log: l, metrics: newMetrics(),
 		nodes: membership.New(s.Self()), loads: balance.New(), quarantine: quarantine.New(), concurrencyLimiter: admit.NewConcurrencyLimiter(), rateLimiter: admit.NewRateLimiter(),
-		engine: engine.New(), traffic: &peer.Traffic{},
+		traffic:          &peer.Traffic{},
 		heartbeatTrigger: make(chan struct{}, 1), restored: make(chan struct{}, 1), drainStarted: make(chan struct{}), ctx: ctx, stop: stop,
 	}
 	n.state.Store(starting)
@@ -128,6 +128,7 @@
 	n.claims = records.NewClaimStore(n.platform)
 	n.peers = peer.NewClient(n.nodes, s.PeerSecret(), s.PeerClientTLS(), n.traffic)
 	n.router = route.New(n.loads, n)
+	n.engine = engine.New(n.recordLateEnd)
 	n.service = service.New(n)
 	n.replicator = replication.New(n.peers, n.nodes)
 	n.crashes = generation.NewCrashDetector(n)
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -13,6 +13,7 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
 	"cicadabeam/io/caller"
+	"cicadabeam/io/serverpath"
 )
 
 const (
@@ -120,6 +121,11 @@
 	n.log.WithFields(f).Warn("attempt failed")
 }
 
+// recordLateEnd records that an engine learnt late of the end of an attempt, or not at all.
+func (n *Node) recordLateEnd(server string, reason serverpath.Reason, lasted time.Duration) {
+	n.log.WithFields(log.Fields{"address": server, "reason": string(reason), "ms": lasted.Milliseconds()}).Info("run ended late")
+}
+
 // AnswerResumed implements generation.Observer.
 func (n *Node) AnswerResumed(j generation.Job, server string, latency time.Duration) {
 	n.metrics.recordLatency("resume_seconds", j.Service.Name(), latency)
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c := engine.New()
+//	c := engine.New(onLateEnd)
 //	s, err := c.OpenStream(ctx, server, attempt)
 //	defer s.Close()
 //	chunk, err := s.Next()   // generation.ErrEndOfStream after the end marker
@@ -27,6 +27,7 @@
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
+	"cicadabeam/io/serverpath"
 )
 
 const (
@@ -43,10 +44,31 @@
 	controlClient *http.Client
 }
 
-// New returns a client without connections.
-func New() *Client {
+// streamConn is the connection of an attempt. While its path is cut, it is kept after it was closed,
+// so that the engine learns of the end soon after it is reached again.
+type streamConn struct{ *serverpath.Conn }
+
+// Close implements net.Conn.
+func (c streamConn) Close() error {
+	c.GiveUp()
+	return nil
+}
+
+// New returns a client without connections. onLateEnd is called for each attempt whose engine learnt late
+// of its end, with the engine's address, host and port, unless it is nil.
+func New(onLateEnd func(server string, reason serverpath.Reason, lasted time.Duration)) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	streams := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	paths := &serverpath.Dialer{OnLateEnd: onLateEnd, Direct: func(ctx context.Context, server string) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", server)
+	}}
+	dial := func(ctx context.Context, _, server string) (net.Conn, error) {
+		c, err := paths.DialDirect(ctx, server)
+		if x, ok := c.(*serverpath.Conn); ok && err == nil {
+			return streamConn{x}, nil
+		}
+		return c, err
+	}
+	streams := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
 	control := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute, DisableCompression: true}
 	return &Client{streamClient: &http.Client{Transport: streams}, controlClient: &http.Client{Transport: control}}
 }
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, client := c.Servers("s")[0], New()
+	server, client := c.Servers("s")[0], New(nil)
 	if _, err := client.OpenStream(context.Background(), server, generation.Attempt{Request: "r", Path: "/v1/completions", Number: 1}); err == nil {
 		t.Fatal("the first attempt was not refused")
 	}
