test/relay: purchases beside cancelled hedges are not counted as broken while the test stands still

TestCancelledHedgeDoesNotBreakPurchase was listed: purchases reached their deadlines at a load of 50.

Cause: caller, relay and servers are one process, and purchases had 2 s. Traced beside three busy processes, loads of 35 to 43: 2 of 15 runs failed, and of 10 with a clock the one in which the process stood still for 1.93 s; 0.80 s at most in the others. Stopped for 2.5 s by a signal, 3 of 3 runs fail in the same way (10, 19 and 12 purchases with 504).

Purchases have 6 s now, and may take 2 s beyond the time in which the process stood still: what a cancelled hedge breaks fails as before, and so does a purchase that hangs.

--- a/test/relay/interrupt_test.go
+++ b/test/relay/interrupt_test.go
@@ -26,7 +26,7 @@
 	})
 	read, buy := newRoute("read", catalog.Idempotent, 2), newRoute("buy", catalog.AtMostOnce, 1)
 	read.LatencyGoal = 10 * time.Millisecond
-	buy.Targets[0].Service = "read"
+	buy.Targets[0].Service, buy.Timeout = "read", longTimeout
 	h.tracker.Update(catalog.New(catalog.Spec{
 		Revision: 8, RequireKeys: true, Organisations: map[string]catalog.Organisation{testKey: {Name: "ndox", Priority: -1}},
 		Limits: catalog.Limits{BodyBytes: 1 << 20}, Routes: []catalog.Route{read, buy}, Services: []catalog.Service{{Name: "read"}},
@@ -42,6 +42,7 @@
 	for range 2 {
 		h.startServer("read", "a", step)
 	}
+	standstill := startStandstillClock(t)
 	end := time.Now().Add(4 * time.Second)
 	var g sync.WaitGroup
 	for w := range 40 {
@@ -49,8 +50,13 @@
 			for time.Now().Before(end) {
 				if w%2 == 0 {
 					_ = h.send(http.MethodGet, "/read/1", nil)
-				} else if got := h.send(http.MethodPost, "/buy/1", nil); got.status != 200 {
-					t.Errorf("a purchase got status %d, body %q, error %v", got.status, got.body, got.err)
+					continue
+				}
+				began, stood := time.Now(), standstill()
+				got := h.send(http.MethodPost, "/buy/1", func(r *http.Request) { r.Header.Set("X-Deadline-Ms", "6000") })
+				took := time.Since(began)
+				if stood = standstill() - stood; got.status != 200 || took-stood > testTimeout {
+					t.Errorf("a purchase got status %d, body %q, error %v after %v, in which the test stood still for %v", got.status, got.body, got.err, took, stood)
 				}
 			}
 		})
@@ -58,6 +64,28 @@
 	g.Wait()
 }
 
+// startStandstillClock returns a function that tells for how long this process, which is caller, relay and
+// servers in one, has stood still so far.
+func startStandstillClock(t *testing.T) func() time.Duration {
+	const tick, least = 10 * time.Millisecond, 50 * time.Millisecond
+	var total, last atomic.Int64
+	start := time.Now()
+	late := func() time.Duration {
+		if d := time.Since(start) - time.Duration(last.Load()) - tick; d > least {
+			return d
+		}
+		return 0
+	}
+	go func() {
+		for t.Context().Err() == nil {
+			time.Sleep(tick)
+			total.Add(int64(late()))
+			last.Store(int64(time.Since(start)))
+		}
+	}()
+	return func() time.Duration { return time.Duration(total.Load()) + late() }
+}
+
 // Callers leave at any moment while their request is sent to the server.
 func TestCallerWhoLeavesWhileRequestIsSentCancelsIt(t *testing.T) {
 	h := newHarness(t)
