io/serverpath: a path that has healed is found within 0.1 s

After a path had healed, the end of a run came up to 0.2 s and a round trip late: attempts to connect took 0.2 s each, one after the other, and one whose first packet is lost tells nothing of a path that has healed since (the kernel sends it again after 1 s). Attempts begin each 0.1 s now and overlap, the first one after 240 ms, so that its response is there when a reset may be sent, after 300 ms as before (TestLostResetIsNotTheLastWord). One that got through is proof for 0.2 s. The polling of the connections goes on beside, so that an acknowledged end is known within 10 ms also while an attempt waits.

--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -16,11 +16,16 @@
 
 const (
 	// endCheckInterval is the time between two checks whether a server knows of the end of a connection,
-	// and endTimeout the time until the path is tried with a new one: longer than the kernel's first
-	// retransmission takes, as a reset ends these.
+	// and endTimeout the time until one may be reset: longer than the kernel's first retransmission takes,
+	// as a reset ends these.
 	endCheckInterval = 10 * time.Millisecond
 	endTimeout       = 300 * time.Millisecond
-	// pathTimeout limits an attempt to connect. A round trip between regions takes 40 ms.
+	// tryDelay is the time until the path is tried with new connections, and tryInterval that between two
+	// of them. They overlap, as one whose first packet is lost tells nothing of a path that has healed since.
+	tryDelay    = 240 * time.Millisecond
+	tryInterval = 100 * time.Millisecond
+	// pathTimeout limits an attempt to connect, and how long one that got through is proof that the path
+	// works. A round trip between regions takes 40 ms.
 	pathTimeout = 200 * time.Millisecond
 	// keepTimeout limits the time for which a connection is kept, and maxKept their number.
 	keepTimeout = 10 * time.Second
@@ -176,24 +181,24 @@
 
 // awaitEnds resets the connections to a server that were given up, until none is left.
 func (d *Dialer) awaitEnds(server string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var worked atomic.Pointer[time.Time] // when the last attempt began that got through
+	var next time.Time                   // attempt
 	for {
+		now := time.Now()
+		proof := worked.Load()
+		if proof != nil && now.Sub(*proof) > pathTimeout {
+			proof = nil
+		}
 		oldest, remain := d.resetEnded(server, func(c *Conn) Reason {
 			r, ended := c.ended()
-			if !ended && time.Since(c.at) > keepTimeout {
+			switch age := now.Sub(c.at); {
+			case ended:
+				return r
+			case age > keepTimeout:
 				return KeptTooLong
-			}
-			return r
-		})
-		if !remain {
-			return
-		}
-		time.Sleep(endCheckInterval)
-		began := time.Now()
-		if began.Sub(oldest) < endTimeout || !d.pathWorks(server) {
-			continue
-		}
-		_, remain = d.resetEnded(server, func(c *Conn) Reason {
-			if c.at.Before(began) {
+			case age >= endTimeout && proof != nil && c.at.Before(*proof):
 				return PathWorks
 			}
 			return ""
@@ -201,18 +206,25 @@
 		if !remain {
 			return
 		}
+		if now.Sub(oldest) >= tryDelay && !now.Before(next) && (proof == nil || !oldest.Before(*proof)) {
+			began := now
+			next = now.Add(tryInterval)
+			go func() {
+				if d.pathWorks(ctx, server) {
+					worked.Store(&began)
+				}
+			}()
+		}
+		time.Sleep(endCheckInterval)
 	}
 }
 
 // pathWorks reports whether the host of a server responds to the opening of a connection.
-func (d *Dialer) pathWorks(server string) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(pathTimeout))
+func (d *Dialer) pathWorks(ctx context.Context, server string) bool {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(pathTimeout))
 	defer cancel()
 	c, err := d.Direct(ctx, server)
 	if err != nil {
-		if ctx.Err() == nil && !tcp.Refused(err) {
-			<-ctx.Done()
-		}
 		return tcp.Refused(err)
 	}
 	_ = c.Close()
