--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -16,13 +16,18 @@
 
 const (
 	// endCheckInterval is the time between two checks whether a server knows of the end of a connection,
-	// and endTimeout the time until the path is tried with a new one: longer than the kernel's first
-	// retransmission takes, as a reset ends these. No retransmission is due after an acknowledgement;
-	// acknowledgedTimeout is the time for the server to read it.
+	// and endTimeout the time until one may be reset: longer than the kernel's first retransmission takes,
+	// as a reset ends these. None is due after an acknowledgement, and acknowledgedTimeout is the time
+	// for the server to read it.
 	endCheckInterval    = 10 * time.Millisecond
 	endTimeout          = 300 * time.Millisecond
 	acknowledgedTimeout = 100 * time.Millisecond
-	// pathTimeout limits an attempt to connect. A round trip between regions takes 40 ms.
+	// tryDelay is the time until the path is tried with new connections, and tryInterval that between two
+	// of them. They overlap, as one whose first packet is lost tells nothing of a path that has healed since.
+	tryDelay    = 240 * time.Millisecond
+	tryInterval = 100 * time.Millisecond
+	// pathTimeout limits an attempt to connect, and how long one that got through is proof that the path
+	// works. A round trip between regions takes 40 ms.
 	pathTimeout = 200 * time.Millisecond
 	// keepTimeout limits the time for which a connection is kept, and maxKept their number.
 	keepTimeout = 10 * time.Second
@@ -145,14 +150,24 @@
 	return true
 }
 
-// tryFrom returns from when the path is tried with a new connection.
-func (c *Conn) tryFrom() time.Time {
+// resetFrom returns from when the connection may be reset.
+func (c *Conn) resetFrom() time.Time {
 	if tcp.EndAcknowledged(c.TCPConn) {
 		return c.at.Add(acknowledgedTimeout)
 	}
 	return c.at.Add(endTimeout)
 }
 
+// tryFrom returns from when the path is tried with new connections.
+func (c *Conn) tryFrom() time.Time { return earlier(c.resetFrom(), c.at.Add(tryDelay)) }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // resetEnded resets the connections to a server for which reason returns one. It returns from when the
 // path is tried for those that remain.
 func (d *Dialer) resetEnded(server string, reason func(c *Conn) Reason) (tryFrom time.Time, remain bool) {
@@ -187,24 +202,24 @@
 
 // awaitEnds resets the connections to a server that were given up, until none is left.
 func (d *Dialer) awaitEnds(server string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var worked atomic.Pointer[time.Time] // when the last attempt began that got through
+	var next time.Time                   // attempt
 	for {
+		now := time.Now()
+		proof := worked.Load()
+		if proof != nil && now.Sub(*proof) > pathTimeout {
+			proof = nil
+		}
 		tryFrom, remain := d.resetEnded(server, func(c *Conn) Reason {
 			r, ended := c.ended()
-			if !ended && time.Since(c.at) > keepTimeout {
+			switch age := now.Sub(c.at); {
+			case ended:
+				return r
+			case age > keepTimeout:
 				return KeptTooLong
-			}
-			return r
-		})
-		if !remain {
-			return
-		}
-		time.Sleep(endCheckInterval)
-		began := time.Now()
-		if began.Before(tryFrom) || !d.pathWorks(server) {
-			continue
-		}
-		_, remain = d.resetEnded(server, func(c *Conn) Reason {
-			if !began.Before(c.tryFrom()) {
+			case proof != nil && c.at.Before(*proof) && !now.Before(c.resetFrom()):
 				return PathWorks
 			}
 			return ""
@@ -212,18 +227,25 @@
 		if !remain {
 			return
 		}
+		if !now.Before(tryFrom) && !now.Before(next) {
+			began := now
+			next = now.Add(tryInterval)
+			go func() {
+				if d.pathWorks(ctx, server) {
+					worked.Store(&began)
+				}
+			}()
+		}
+		time.Sleep(endCheckInterval)
 	}
 }
 
 // pathWorks reports whether the host of a server responds to the opening of a connection.
-func (d *Dialer) pathWorks(server string) bool {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(pathTimeout))
+func (d *Dialer) pathWorks(ctx context.Context, server string) bool {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(pathTimeout))
 	defer cancel()
 	c, err := d.Direct(ctx, server)
 	if err != nil {
-		if ctx.Err() == nil && !tcp.Refused(err) {
-			<-ctx.Done()
-		}
 		return tcp.Refused(err)
 	}
 	_ = c.Close()
