--- a/io/sse/events_test.go
+++ b/io/sse/events_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/iotest"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/io/sse"
 )
 
@@ -119,13 +120,36 @@
 	}
 }
 
+// Guards against a reader that keeps the buffer of a long event, or grows without room for it.
+func TestBufferOfLongEventIsHeldOnlyWhileItIsRead(t *testing.T) {
+	long := "data: " + strings.Repeat("x", 100_000) + "\n\n"
+	b := bytebudget.New(1 << 20)
+	h := b.Hold("event", nil)
+	r := sse.NewReader(io.MultiReader(strings.NewReader(long), iotest.OneByteReader(strings.NewReader("data: a\n\n"))))
+	r.Hold(h)
+	for _, most := range []int64{256 << 10, 256} {
+		if _, err := r.Next(); err != nil || b.Held() > most {
+			t.Errorf("%d bytes are held, error %v; want at most %d", b.Held(), err, most)
+		}
+	}
+	r = sse.NewReader(strings.NewReader(long))
+	r.Hold(bytebudget.New(50_000).Hold("event", nil))
+	if e, err := r.Next(); !errors.Is(err, bytebudget.ErrSpent) {
+		t.Errorf("got %d bytes, error %v, want bytebudget.ErrSpent", len(e.Bytes), err)
+	}
+}
+
 func FuzzReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r := sse.NewReader(strings.NewReader(string(text)))
+		r, slow := sse.NewReader(strings.NewReader(string(text))), sse.NewReader(iotest.OneByteReader(strings.NewReader(string(text))))
 		var got []byte
 		for {
 			e, err := r.Next()
+			same, slowErr := slow.Next()
+			if string(e.Bytes) != string(same.Bytes) || e.ID != same.ID || e.Proceeds != same.Proceeds || !errors.Is(slowErr, err) {
+				t.Fatalf("got %q, ID %d, error %v; one byte at a time %q, ID %d, error %v", e.Bytes, e.ID, err, same.Bytes, same.ID, slowErr)
+			}
 			if err != nil {
 				break
 			}
@@ -136,3 +160,42 @@
 		}
 	})
 }
+
+// benchmarkReader reads a text that is repeated to a number of bytes.
+func benchmarkReader(b *testing.B, text string, size int) {
+	source := strings.Repeat(text, size/len(text))
+	b.SetBytes(int64(len(source)))
+	b.ReportAllocs()
+	for b.Loop() {
+		r := sse.NewReader(iotest.DataErrReader(strings.NewReader(source)))
+		for {
+			if _, err := r.Next(); err != nil {
+				break
+			}
+		}
+	}
+}
+
+func BenchmarkEventsThatDoNotProceed(b *testing.B) { benchmarkReader(b, ": x\n\n", 1<<20) }
+
+func BenchmarkEventWithoutEnd(b *testing.B) { benchmarkReader(b, "x", 1<<20) }
+
+func BenchmarkShortEvents(b *testing.B) { benchmarkReader(b, "data: token of text\n\n", 1<<20) }
+
+// shortReads returns few bytes at each read, as a connection does.
+type shortReads struct{ source io.Reader }
+
+func (s shortReads) Read(p []byte) (int, error) { return s.source.Read(p[:min(len(p), 1<<10)]) }
+
+func BenchmarkLongEventInShortReads(b *testing.B) {
+	source := strings.Repeat("x", 1<<20)
+	b.SetBytes(int64(len(source)))
+	for b.Loop() {
+		r := sse.NewReader(shortReads{strings.NewReader(source)})
+		for {
+			if _, err := r.Next(); err != nil {
+				break
+			}
+		}
+	}
+}
