relay, entry: what is buffered is limited for all connections of a host together

400 requests at a time whose servers send much that stays below each limit of a connection, and then a byte each 100 ms, made a host with memory-mb = 184 use up to 489 MB; 400 such callers 479 MB. On the users' platform it would have been killed, with all requests on it.

Cause: limits held for each connection, and nothing bounded their sum.

Heads, bodies and events of responses, bodies of callers, late responses and reports of engines now take their bytes from one budget (setting buffer-mb, a fifth of memory-mb) before a buffer grows; the holder that has most gives way when they are short, also if it is at rest. A long response is passed on as it comes if there is no room to buffer it; other attempts have failed; a caller whose body finds no room gets 503 not_ready, which has not run. Log event 'no room', metrics buffered_bytes and buffer_refusals.

--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -29,6 +29,7 @@
 	mu         sync.Mutex
 	counters   map[string]tally.Counter
 	histograms map[string]tally.Histogram
+	totals     map[string]int64 // counted so far by countTo
 }
 
 func newMetrics() *metrics {
@@ -36,7 +37,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: metricsPrefix, CachedReporter: r, Separator: prometheus.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &metrics{scope: scope, closer: closer, reporter: r, counters: make(map[string]tally.Counter), histograms: make(map[string]tally.Histogram)}
+	return &metrics{scope: scope, closer: closer, reporter: r, counters: make(map[string]tally.Counter), histograms: make(map[string]tally.Histogram), totals: make(map[string]int64)}
 }
 
 func (m *metrics) close() { _ = m.closer.Close() }
@@ -73,4 +74,16 @@
 	h.RecordDuration(d)
 }
 
+// countTo raises counters to totals, by the value of a tag.
+func (m *metrics) countTo(name, tag string, totals map[string]int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for value, n := range totals {
+		value = eventLabel(value)
+		counted := m.totals[name+" "+value]
+		m.scope.Tagged(map[string]string{tag: value}).Counter(name).Inc(n - counted)
+		m.totals[name+" "+value] = n
+	}
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -23,6 +23,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/sys/unix"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/drain"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
@@ -60,6 +61,7 @@
 	versionsMissed atomic.Bool // a server that was never known has left
 	pool           *http1.Pool
 	store          *platform.StoreClient
+	buffers        *bytebudget.Budget
 	handler        *relay.Handler
 	callers        *httpserver.Server
 	// configurationWatcher and serverWatcher follow the store's tables.
@@ -102,6 +104,7 @@
 		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: fleet.NewPromptIndex(), pool: http1.NewPool(),
 		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
+	n.buffers = bytebudget.New(s.bufferBytes)
 	n.pool.From(s.source)
 	n.partition = partition.NewDetector()
 	n.tunnels = tunnel.New(n.dialForPeer, n.recordTunnel)
@@ -114,7 +117,7 @@
 	n.recorder = newRecorder(newLogger(n.logWriter, s.logLevel, s.name), n.metrics)
 	n.streamVersions = streamversion.New(streamPeers{n})
 	n.handler = relay.New(relay.Dependencies{
-		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits,
+		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits, Buffers: n.buffers,
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
@@ -262,6 +265,8 @@
 		n.pool.CloseUnusable(now)
 		n.fleet.Expire(now)
 		n.prompts.Expire(now)
+		n.metrics.gauge("buffered_bytes", float64(n.buffers.Held()))
+		n.metrics.countTo("buffer_refusals", "kind", n.buffers.Refusals())
 		n.metrics.gauge("running", float64(n.handler.Running()))
 		n.metrics.gauge("store_era", float64(n.eras.Current()))
 		n.metrics.gauge("store_calls", float64(n.store.Calls()))
--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -23,7 +23,11 @@
 	defaultRetryWindow  = 10 * time.Second
 	defaultRetryExtra   = 100
 	defaultMemoryMB     = 256
-	maxDuration         = time.Hour
+	// defaultBufferShare and maxBufferShare are shares of memory-mb: what may be buffered by default
+	// and at most.
+	defaultBufferShare = 0.2
+	maxBufferShare     = 0.4
+	maxDuration        = time.Hour
 )
 
 // Settings are the validated settings of an entry host on the users' platform.
@@ -41,10 +45,12 @@
 	platform   string // address of the platform's store
 	source     net.IP // from which connections to servers are opened, nil if the system chooses it
 	memoryMB   int
-	cores      int
-	grace      time.Duration
-	limits     relay.Limits
-	logLevel   string
+	// bufferBytes is what may be buffered of requests and responses.
+	bufferBytes int64
+	cores       int
+	grace       time.Duration
+	limits      relay.Limits
+	logLevel    string
 }
 
 // Load reads and validates a settings file. The error lists every problem.
@@ -76,6 +82,7 @@
 	s.readSource(d.Section("servers"))
 	x = d.Section("limits")
 	s.memoryMB = int(nonNegative(x, "memory-mb", defaultMemoryMB))
+	s.readBuffers(x)
 	s.cores = int(nonNegative(x, "cores", 1))
 	s.readLimits(d.Section("bounds"))
 	s.logLevel = d.Section("log").OneOf("level", "info", "debug", "info", "warn", "error")
@@ -87,6 +94,19 @@
 	return s, d.Err()
 }
 
+// readBuffers reads how much may be buffered of requests and responses.
+func (s *Settings) readBuffers(x *inifile.Section) {
+	memory := float64(s.memoryMB)
+	if s.memoryMB == 0 {
+		memory = defaultMemoryMB
+	}
+	mb := nonNegative(x, "buffer-mb", defaultBufferShare*memory)
+	if most := maxBufferShare * memory; mb <= 0 || mb > most {
+		x.AddProblem("buffer-mb", "is %v; allowed is more than 0 and at most %.1f, %v of memory-mb", mb, most, maxBufferShare)
+	}
+	s.bufferBytes = int64(mb * (1 << 20))
+}
+
 func (s *Settings) readSource(x *inifile.Section) {
 	text := x.Value("source", "")
 	if text == "" {
--- /dev/null
+++ b/cmd/entry/settings_test.go
@@ -0,0 +1,20 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+)
+
+// Guards against a budget for buffers that leaves no memory for anything else.
+func TestBufferSettings(t *testing.T) {
+	const base = "[node]\nname = n\ndata-centre = a\n[listen]\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\nneighbours = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n[limits]\nmemory-mb = 200\n"
+	for text, want := range map[string]int64{"": 40 << 20, "buffer-mb = 8\n": 8 << 20, "buffer-mb = 81\n": 0, "buffer-mb = 0\n": 0, "buffer-mb = x\n": 0} {
+		s, err := Parse("entry.ini", []byte(base+text))
+		switch {
+		case want == 0 && (err == nil || !strings.Contains(err.Error(), "buffer-mb")):
+			t.Errorf("%q: got error %v, want one about buffer-mb", text, err)
+		case want > 0 && (err != nil || s.bufferBytes != want):
+			t.Errorf("%q: got %d bytes, error %v, want %d", text, s.bufferBytes, err, want)
+		}
+	}
+}
--- a/core/bytebudget/bytebudget.go
+++ b/core/bytebudget/bytebudget.go
@@ -94,9 +94,9 @@
 	if h == nil || h.budget == nil {
 		return nil
 	}
-	victims, err := h.budget.take(h, int64(n))
-	for _, v := range victims {
-		v.evict()
+	evictions, err := h.budget.take(h, int64(n))
+	for _, evict := range evictions {
+		evict()
 	}
 	return err
 }
@@ -159,28 +159,28 @@
 
 // take grants n bytes or returns ErrSpent. The evict functions of the holders that give way are to
 // be called.
-func (b *Budget) take(h *Holder, n int64) ([]*Holder, error) {
+func (b *Budget) take(h *Holder, n int64) ([]func(), error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h.evicted {
 		return nil, ErrSpent
 	}
-	var victims []*Holder
+	var evictions []func()
 	for !b.fits(h, n) {
 		v := b.largest()
 		if v == nil || v.held <= h.held+n || b.leaving > 0 && b.leaving+v.held > b.limit/4 {
 			b.refuse(h, n)
-			return victims, ErrSpent
+			return evictions, ErrSpent
 		}
 		b.expel(v)
-		victims = append(victims, v)
+		evictions = append(evictions, v.evict)
 	}
 	h.held += n
 	b.held += n
 	if h.held > floor && h.evict != nil {
 		b.large[h] = struct{}{}
 	}
-	return victims, nil
+	return evictions, nil
 }
 
 // fits reports whether there is room for n bytes more for a holder. What evicted holders have is
--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -29,6 +29,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/io/tcp"
 )
 
@@ -86,6 +87,7 @@
 	readsResponse bool       // a part of the next response has been read
 	bodyResult    chan error // receives the result of sending a large body; nil if none is pending
 	observe       func(*http.Response)
+	held          *bytebudget.Holder // of the heads of responses, nil for no limit
 }
 
 // Dial opens a direct connection to a server.
@@ -166,6 +168,10 @@
 // must not read the body.
 func (c *Conn) Observe(f func(*http.Response)) { c.observe = f }
 
+// Hold sets the holder that takes what the heads of responses need, until the connection is put back.
+// The caller releases it.
+func (c *Conn) Hold(h *bytebudget.Holder) { c.held = h }
+
 // Interrupt makes pending and later reads and writes fail.
 func (c *Conn) Interrupt() {
 	c.interrupted.Store(true)
@@ -225,10 +231,10 @@
 
 // ReadResponse reads the head of the response to the request with an ID. Responses to other
 // requests, which arrive late or twice, are skipped. A response without an ID is
-// accepted only on a connection that has not been reused. After an error the connection
-// must be closed.
+// accepted only on a connection that has not been reused. The error is bytebudget.ErrSpent if there
+// is no room for the head. After an error the connection must be closed.
 func (c *Conn) ReadResponse(method, id string, requestID func(http.Header) string, deadline time.Time) (*http.Response, error) {
-	heads := byteBudget{left: maxHeadBytes, err: errHeadTooLarge}
+	heads := byteBudget{left: maxHeadBytes, err: errHeadTooLarge, held: c.held}
 	skipped := byteBudget{left: maxSkippedBytes, err: errSkippedTooLarge}
 	defer func() { c.source.budget = nil }()
 	for range maxResponsesRead {
@@ -297,7 +303,7 @@
 	if c.readsResponse {
 		return
 	}
-	c.source.budget = &byteBudget{left: maxHeadBytes, err: errHeadTooLarge}
+	c.source.budget = &byteBudget{left: maxHeadBytes, err: errHeadTooLarge, held: c.held}
 	for time.Now().Before(until) {
 		_ = c.net.SetReadDeadline(until)
 		_, err := c.reader.Peek(1)
--- a/io/http1/limit.go
+++ b/io/http1/limit.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cicadabeam/core/bytebudget"
 )
 
 // Limits of what a server may send before the head of the response to a request is
@@ -18,6 +20,8 @@
 	// maxHeadTime limits the time from the first byte of a response to the end of its head
 	// or, if it is skipped, of its body. A sound server may pause for more than a second.
 	maxHeadTime = 3 * time.Second
+	// headMemory is the memory, in bytes, that a byte of a head needs while net/http parses it.
+	headMemory = 4
 )
 
 var (
@@ -30,6 +34,7 @@
 type byteBudget struct {
 	left int64
 	err  error
+	held *bytebudget.Holder // of what is read, nil if it is not kept
 }
 
 // limitedReader reads from a connection within a budget, without one if it is nil.
@@ -49,5 +54,8 @@
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	if spent := b.held.Take(headMemory * n); spent != nil {
+		return 0, spent
+	}
 	return n, err
 }
--- a/io/http1/pool.go
+++ b/io/http1/pool.go
@@ -120,7 +120,7 @@
 		return
 	}
 	_ = c.net.SetDeadline(time.Time{})
-	c.observe = nil
+	c.observe, c.held = nil, nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[c.address]
--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -11,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/fault"
 )
@@ -129,9 +129,16 @@
 	}
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(x.deadline)
+	x.held = x.h.Buffers.Hold(bodyHolder, func() { _ = control.SetReadDeadline(time.Now()) })
+	if !x.held.HasRoom(x.r.ContentLength) {
+		return x.refuseBody()
+	}
 	stop := context.AfterFunc(callerConn(x.r).base, func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stop()
-	b, err := io.ReadAll(io.LimitReader(x.r.Body, limit+1))
+	b, err := bytebudget.ReadAll(x.r.Body, limit+1, x.r.ContentLength, x.held)
+	if kept := x.held.Keep(); kept != nil || errors.Is(err, bytebudget.ErrSpent) {
+		return x.refuseBody()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		x.bodyRead = true
 		if x.stopping() {
--- a/io/relay/connect.go
+++ b/io/relay/connect.go
@@ -136,7 +136,13 @@
 		c.GiveUp()
 		return
 	}
-	go c.ObserveLate(x.r.Method, now.Add(lateResponseTime))
+	go func() {
+		held := x.h.Buffers.Hold(lateHolder, c.Interrupt)
+		defer held.Release()
+		c.Hold(held)
+		c.ObserveLate(x.r.Method, now.Add(lateResponseTime))
+		x.recordNoRoom(held, "not observed")
+	}()
 }
 
 // observe records what the server that sent a response says of itself.
--- a/io/relay/first_event.go
+++ b/io/relay/first_event.go
@@ -178,7 +178,7 @@
 // if the engine has produced at least lostEventsThreshold events for it, or if the
 // engine is idle and does not know it.
 func (f *firstEventMonitor) queryRuns(m *fleet.Member, c *http1.Conn) {
-	body, err := queryEngine(c, f.h.Codec.ReportRequest(), time.Now().Add(reportTimeout))
+	body, err := f.h.queryEngine(c, f.h.Codec.ReportRequest(), time.Now().Add(reportTimeout))
 	if err != nil {
 		c.Close()
 		f.h.Recorder.Record("no report", Fields{"server": m.ID(), "error": err.Error()})
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/crashcause"
 	"cicadabeam/core/deferral"
@@ -53,6 +54,8 @@
 	Pool           *http1.Pool
 	Recorder       Recorder
 	Limits         Limits
+	// Buffers limits what is buffered of requests and responses, nil for no limit.
+	Buffers *bytebudget.Budget
 	// Uptime reads a clock that keeps running while the host is suspended.
 	Uptime func() time.Duration
 	// NodeCount returns the number of nodes that share the limits.
@@ -173,7 +176,8 @@
 	version        string // software version that a stream is to go on at, "" for a new one
 	header         http.Header
 	body           []byte
-	bodyRead       bool // nothing more of the request is to be read
+	held           *bytebudget.Holder // of the body
+	bodyRead       bool               // nothing more of the request is to be read
 	arrived        time.Time
 	readDelay      time.Duration // time that the request may have waited in the kernel before arrived
 	deadline       time.Time
@@ -205,6 +209,7 @@
 	x.ctx = ctx
 	defer h.crashDetector.endTrial(x)
 	if err := x.prepare(); err != nil {
+		x.held.Release()
 		x.respondError(err)
 		return
 	}
@@ -213,6 +218,7 @@
 	defer budget.End()
 	defer x.recordDuration()
 	if x.route.Kind.IsStream() {
+		defer x.held.Release()
 		x.serveStream()
 		return
 	}
--- a/io/relay/prompts.go
+++ b/io/relay/prompts.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/fleet"
 	"cicadabeam/io/http1"
 )
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := queryEngine(c, q, deadline)
+	body, err := h.queryEngine(c, q, deadline)
 	if err != nil {
 		c.Close()
 		return nil, err
@@ -68,7 +68,10 @@
 }
 
 // queryEngine sends a query on a connection and returns the body of the response.
-func queryEngine(c *http1.Conn, q *http1.Request, deadline time.Time) ([]byte, error) {
+func (h *Handler) queryEngine(c *http1.Conn, q *http1.Request, deadline time.Time) ([]byte, error) {
+	held := h.Buffers.Hold(reportHolder, c.Interrupt)
+	defer held.Release()
+	c.Hold(held)
 	if err := c.Send(q, deadline); err != nil {
 		return nil, err
 	}
@@ -76,7 +79,10 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxReportBytes+1))
+	body, err := bytebudget.ReadAll(r.Body, maxReportBytes+1, r.ContentLength, held)
+	if kept := held.Keep(); kept != nil {
+		err = kept
+	}
 	if err != nil {
 		return nil, errors.Wrap(err, "read")
 	}
--- a/io/relay/stream_reader.go
+++ b/io/relay/stream_reader.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"io"
 	"mime"
 	"net/http"
 	"strings"
 	"time"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/io/sse"
 )
 
@@ -19,7 +19,7 @@
 	// maxUnforwarded is how many parts of a response are read ahead of the caller, and
 	// maxReadAhead the size in bytes of the largest event that more is read after.
 	maxUnforwarded = 4
-	maxReadAhead   = 16 << 10
+	maxReadAhead   = 2 << 10
 )
 
 // received is one part of the response to an attempt: the head, an event, or the error that
@@ -37,21 +37,37 @@
 // apart from the handler, so that a stream can wait for its server and try another one at the
 // same time.
 func (s *stream) receive(a *streamAttempt) {
+	held := s.h.Buffers.Hold(streamHolder, a.conn.Interrupt)
+	defer held.Release()
+	a.conn.Hold(held)
 	r, err := a.conn.ReadResponse(s.r.Method, s.meta.ID, s.h.Codec.RequestID, s.deadline)
+	err = spentError(err, held)
 	x := received{head: r, err: err}
 	isStream := err == nil && s.isEventStream(r)
 	if err == nil && !isStream {
 		a.conn.SetReadDeadline(earliest(s.deadline, time.Now().Add(errorBodyTimeout)))
-		x.body, err = io.ReadAll(io.LimitReader(r.Body, maxBufferedBytes))
-		x.complete = err == nil && len(x.body) < maxBufferedBytes
+		x.body, err = bytebudget.ReadAll(r.Body, maxBufferedBytes, r.ContentLength, held)
+		x.complete = held.Keep() == nil && err == nil && len(x.body) < maxBufferedBytes
 	}
-	if !a.deliver(x) || !isStream {
+	s.recordNoRoom(held, broken.String())
+	if !a.deliver(x) {
+		return
+	}
+	if !isStream {
+		<-a.closed // the handler needs the body
 		return
 	}
 	reader := sse.NewReader(r.Body)
+	reader.Hold(held)
 	for err == nil {
 		var e sse.Event
 		e, err = reader.Next()
+		if err != nil {
+			if kept := held.Keep(); kept != nil {
+				err = kept
+			}
+			s.recordNoRoom(held, broken.String())
+		}
 		if err == nil && !e.Proceeds {
 			continue // a server that sends only such events is as good as silent
 		}
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
@@ -43,7 +44,8 @@
 	outcome    outcome
 	response   *http.Response
 	body       []byte
-	unreadConn *http1.Conn // connection with the unread rest of a long response
+	held       *bytebudget.Holder // of the head and the body
+	unreadConn *http1.Conn        // connection with the unread rest of a long response
 	err        error
 	// connectionFailed is set if no connection could be made or it ended before the
 	// head of the response was read.
@@ -60,12 +62,18 @@
 	return a.response.StatusCode
 }
 
-// closeUnread closes the connection of a long response that is not sent to the caller.
-func (a *attempt) closeUnread() {
-	if a != nil && a.unreadConn != nil {
+// discard releases the response, and closes the connection of a long one that is not sent to the
+// caller.
+func (a *attempt) discard() {
+	if a == nil {
+		return
+	}
+	if a.unreadConn != nil {
 		a.unreadConn.Close()
 		a.unreadConn = nil
 	}
+	a.body = nil
+	a.held.Release()
 }
 
 // serveUnary forwards a request whose response is not an event stream.
@@ -74,14 +82,19 @@
 	ctx, cancel := x.attemptContext()
 	defer cancel()
 	inFlight := 0
-	defer func() { go discardResults(results, inFlight) }()
+	defer func() {
+		go func() {
+			discardResults(results, inFlight)
+			x.held.Release() // attempts that go on without the caller send the body
+		}()
+	}()
 	if x.startAttempt(ctx, results) {
 		inFlight++
 	}
 	hedge := x.hedgeTimer()
 	defer hedge.Stop()
 	var last *attempt
-	defer func() { last.closeUnread() }()
+	defer func() { last.discard() }()
 	for inFlight > 0 {
 		select {
 		case a := <-results:
@@ -93,7 +106,7 @@
 			if last == nil || a.outcome >= last.outcome {
 				last, a = a, last
 			}
-			a.closeUnread()
+			a.discard()
 			if x.shouldRetry() && x.startAttempt(ctx, results) {
 				inFlight++
 			}
@@ -123,11 +136,10 @@
 	return context.WithCancel(x.ctx)
 }
 
-// discardResults closes the connections of attempts whose responses are no longer
-// needed.
+// discardResults discards the responses of attempts that are no longer needed.
 func discardResults(results <-chan *attempt, inFlight int) {
 	for range inFlight {
-		(<-results).closeUnread()
+		(<-results).discard()
 	}
 }
 
@@ -194,6 +206,8 @@
 		a.err = errors.New("the deadline has passed")
 		return
 	}
+	a.held = x.h.Buffers.Hold(responseHolder, c.Interrupt)
+	c.Hold(a.held)
 	stop := context.AfterFunc(ctx, c.Interrupt)
 	defer stop()
 	if x.callerLeft() {
@@ -215,6 +229,7 @@
 	}
 	a.response, a.err = c.ReadResponse(x.r.Method, x.meta.ID, x.h.Codec.RequestID, x.deadline)
 	if a.err != nil {
+		a.err = spentError(a.err, a.held)
 		x.abandon(c)
 		return
 	}
@@ -231,10 +246,21 @@
 	h.Pool.Put(c)
 }
 
-// readResponseBody reads the body of a response, or the first maxBufferedBytes of a
-// long one.
+// readResponseBody reads the body of a response, or the beginning of a long one: what may be
+// buffered, or there is room for.
 func (x *exchange) readResponseBody(a *attempt, c *http1.Conn, stop func() bool) {
-	a.body, a.err = io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes+1))
+	limit := int64(maxBufferedBytes)
+	if x.route.Kind == catalog.AtMostOnce {
+		limit = maxUnrepeatableBytes
+	}
+	a.body, a.err = bytebudget.ReadAll(a.response.Body, limit+1, a.response.ContentLength, a.held)
+	long := int64(len(a.body)) > limit
+	if errors.Is(a.err, bytebudget.ErrSpent) {
+		long, a.err = true, nil
+	}
+	if kept := a.held.Keep(); kept != nil {
+		a.err = kept
+	}
 	if a.err != nil {
 		c.Close()
 		return
@@ -245,7 +271,8 @@
 		return
 	}
 	a.outcome = answered
-	if len(a.body) > maxBufferedBytes {
+	if long {
+		x.recordNoRoom(a.held, "passed on")
 		a.unreadConn = c
 		return
 	}
@@ -262,21 +289,25 @@
 func (x *exchange) recordOutcome(a *attempt, elapsed time.Duration) {
 	now := time.Now()
 	interrupted := a.outcome == broken
-	a.connectionFailed = a.connectionFailed && !pathLost(a.err)
+	spent := errors.Is(a.err, bytebudget.ErrSpent)
+	a.connectionFailed = a.connectionFailed && !pathLost(a.err) && !spent
 	switch {
 	case a.outcome == answered:
 		x.evaluateResponse(a, elapsed, now)
+	case spent:
+		a.member.RecordFailure(now)
+		x.recordNoRoom(a.held, a.outcome.String())
 	case x.callerLeft() && (a.outcome == notOffered || x.route.Kind != catalog.AtMostOnce), !a.connectionFailed, a.outcome == notOffered && x.ctx.Err() != nil:
 	case errors.Is(a.err, os.ErrDeadlineExceeded) && interrupted:
 		x.recordTimeout(a, elapsed, now)
 	default:
 		x.h.recordLoss(a.member, now)
 	}
-	if interrupted && !pathLost(a.err) {
+	if interrupted && !pathLost(a.err) && !spent {
 		x.h.crashDetector.watchServer(x, a.member, true, a.serverLost, a.err)
 	}
 	if a.outcome != answered {
-		a.closeUnread()
+		a.discard()
 	}
 	f := Fields{"request": x.meta.ID, "server": a.member.ID(), "address": a.member.Address(), "outcome": a.outcome.String(), "status": a.status(), "ms": ms(elapsed)}
 	if a.through != "" {
@@ -392,6 +423,7 @@
 
 // writeResponse sends a server's response to the caller.
 func (x *exchange) writeResponse(a *attempt) {
+	defer a.discard()
 	x.copyResponseHeaders(a.response)
 	x.h.Recorder.Record("answered", Fields{
 		"request": x.meta.ID, "route": x.route.Name, "server": a.member.ID(), "status": a.status(), "attempts": x.attempts, "ms": ms(time.Since(x.arrived)),
@@ -423,6 +455,7 @@
 	}
 	x.w.WriteHeader(a.status())
 	_, err := x.w.Write(a.body)
+	a.discard()
 	if err == nil {
 		_, err = io.Copy(x.w, a.response.Body)
 	}
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -41,6 +41,8 @@
 	// started are all nodes that were started; nodes are those to which a test sends.
 	started []*node
 	linked  bool // hosts connect to each other by links
+	// settings are added to those of each host.
+	settings string
 }
 
 type node struct {
@@ -49,19 +51,27 @@
 }
 
 // start starts a store and nodes. The nodes alternate between data centres a and b.
-func start(t *testing.T, nodes int) *system { return startSystem(t, nodes, false) }
+func start(t *testing.T, nodes int) *system { return startSystem(t, nodes, &system{}) }
+
+// startWith is like start; settings are added to those of each node.
+func startWith(t *testing.T, nodes int, settings string) *system {
+	t.Helper()
+	return startSystem(t, nodes, &system{settings: settings})
+}
 
 // startLinked is like start; the nodes connect to each other by links.
-func startLinked(t *testing.T, nodes int) *system { return startSystem(t, nodes, true) }
+func startLinked(t *testing.T, nodes int) *system {
+	return startSystem(t, nodes, &system{linked: true})
+}
 
-func startSystem(t *testing.T, nodes int, linked bool) *system {
+func startSystem(t *testing.T, nodes int, s *system) *system {
 	t.Helper()
 	x, err := store.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(x.Close)
-	s := &system{t: t, store: x, linked: linked}
+	s.t, s.store = t, x
 	s.keepLogs()
 	s.configure(1, []string{"key-1", "key-2"})
 	for i := range nodes {
@@ -108,6 +118,9 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if err := h.AddSettings(s.settings); err != nil {
+		s.t.Fatal(err)
+	}
 	n := &node{Host: h, storeEndpoint: endpoint}
 	if s.linked {
 		if err := n.AddLink(); err != nil {
--- a/test/entryhost/host.go
+++ b/test/entryhost/host.go
@@ -10,6 +10,7 @@
 package entryhost
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -108,6 +109,16 @@
 	return h, nil
 }
 
+// AddSettings adds sections to the settings of the host, which hasn't started yet.
+func (h *Host) AddSettings(text string) error {
+	f, err := os.OpenFile(h.settings, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteString(text)
+	return errors.Join(err, f.Close())
+}
+
 // AddLink makes other hosts connect to this one, which hasn't started yet, by a link.
 func (h *Host) AddLink() error {
 	text, err := os.ReadFile(h.settings)
