serve: bodies, events and responses take from one budget of bytes

The limits of serve held for each request: 4 MiB for a body, 1 MiB for an event of an engine, 8 MiB for a service's response; nothing bounded their sum, as in entry. They take from a budget now before they grow (setting buffer-bytes). A body without room gets 503 not_ready and has not run; an event or response without room ends its attempt as a failure of the server. A response of a service counts only while it is read. Unit tests; the memory of a process was not measured.

--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -26,6 +26,7 @@
 	"cicadabeam/core/admit"
 	"cicadabeam/core/answer"
 	"cicadabeam/core/balance"
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/config"
 	"cicadabeam/core/drain"
@@ -74,6 +75,7 @@
 	hosts              *records.HostStore
 	configs            *records.ConfigStore
 	claims             *records.ClaimStore
+	buffers            *bytebudget.Budget
 	traffic            *peer.Traffic
 	peers              *peer.Client
 
@@ -117,7 +119,7 @@
 	n := &Node{
 		settings: s, version: version, incarnation: uuid.NewString(), started: time.Now(), log: l, metrics: newMetrics(),
 		nodes: membership.New(s.Self()), loads: balance.New(), quarantine: quarantine.New(), concurrencyLimiter: admit.NewConcurrencyLimiter(), rateLimiter: admit.NewRateLimiter(),
-		engine: engine.New(), traffic: &peer.Traffic{},
+		engine: engine.New(), buffers: bytebudget.New(s.BufferBytes()), traffic: &peer.Traffic{},
 		heartbeatTrigger: make(chan struct{}, 1), restored: make(chan struct{}, 1), drainStarted: make(chan struct{}), ctx: ctx, stop: stop,
 	}
 	n.state.Store(starting)
@@ -129,6 +131,8 @@
 	n.peers = peer.NewClient(n.nodes, s.PeerSecret(), s.PeerClientTLS(), n.traffic)
 	n.router = route.New(n.loads, n)
 	n.service = service.New(n)
+	n.service.Limit(n.buffers)
+	n.engine.Limit(n.buffers)
 	n.replicator = replication.New(n.peers, n.nodes)
 	n.crashes = generation.NewCrashDetector(n)
 	n.runner = generation.New(n.engine, n.replicator, n.loads, n.router, n.quarantine, n.crashes, n)
@@ -163,7 +167,7 @@
 }
 
 func (n *Node) addListeners(g *run.Group) error {
-	limits := caller.Limits{MaxBodyBytes: n.settings.MaxBodyBytes(), BodyReadTimeout: n.settings.BodyTimeout(), WriteTimeout: n.settings.WriteTimeout()}
+	limits := caller.Limits{MaxBodyBytes: n.settings.MaxBodyBytes(), Buffers: n.buffers, BodyReadTimeout: n.settings.BodyTimeout(), WriteTimeout: n.settings.WriteTimeout()}
 	callers := caller.New(n, limits, n)
 	if err := n.addHTTP(g, n.settings.CallerAddress(), nil, callers); err != nil {
 		return err
@@ -201,6 +205,7 @@
 		IdleTimeout:       n.settings.IdleTimeout(),
 	}
 	x := httpserver.New(l, s)
+	x.Limit(n.buffers)
 	g.Add(x.Run, func(error) {
 		x.Drain(time.Now().Add(shutdownTimeout))
 		cancel(caller.ErrStopping)
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -60,6 +61,10 @@
 func (n *Node) updateGauges() {
 	c := n.holder.Counts()
 	s := n.metrics.scope
+	s.Gauge("buffered_bytes").Update(float64(n.buffers.Held()))
+	for kind, refusals := range n.buffers.Refusals() {
+		s.Tagged(map[string]string{"kind": strings.ReplaceAll(kind, " ", "_")}).Gauge("buffer_refusals").Update(float64(refusals))
+	}
 	s.Gauge("answers_held").Update(float64(c.Held))
 	s.Gauge("answers_copies").Update(float64(c.Copies))
 	s.Gauge("answers_producing").Update(float64(c.Producing))
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -22,6 +22,8 @@
 const (
 	defaultBodyBytes     = 4 << 20
 	maxBodyBytes         = 256 << 20
+	defaultBufferBytes   = 256 << 20
+	maxBufferBytes       = 1 << 40
 	defaultHeaderBytes   = 32 << 10
 	maxHeaderBytes       = 1 << 20
 	minSecretLength      = 16
@@ -48,6 +50,7 @@
 	logLevel        string
 	maxBodyBytes    int
 	maxHeaderBytes  int
+	bufferBytes     int
 	headerTimeout   time.Duration
 	idleTimeout     time.Duration
 	bodyTimeout     time.Duration
@@ -130,6 +133,10 @@
 func (s *Settings) readLimits(x *inifile.Section) {
 	s.maxBodyBytes = x.Int("body-bytes", defaultBodyBytes, 1, maxBodyBytes)
 	s.maxHeaderBytes = x.Int("header-bytes", defaultHeaderBytes, 1<<10, maxHeaderBytes)
+	s.bufferBytes = x.Int("buffer-bytes", max(defaultBufferBytes, 2*s.maxBodyBytes), 1<<20, maxBufferBytes)
+	if s.bufferBytes < 2*s.maxBodyBytes {
+		x.AddProblem("buffer-bytes", "is %d; allowed is twice body-bytes, %d, or more", s.bufferBytes, 2*s.maxBodyBytes)
+	}
 	s.headerTimeout = x.Duration("header-wait", defaultHeaderTimeout, time.Millisecond, maxTimeout)
 	s.idleTimeout = x.Duration("idle-wait", defaultIdleTimeout, time.Millisecond, maxTimeout)
 	s.bodyTimeout = x.Duration("body-wait", defaultBodyTimeout, time.Millisecond, maxTimeout)
@@ -182,6 +189,10 @@
 // MaxBodyBytes returns the maximum size of a request body.
 func (s *Settings) MaxBodyBytes() int64 { return int64(s.maxBodyBytes) }
 
+// BufferBytes returns the number of bytes that may be buffered of requests and responses of all
+// connections together.
+func (s *Settings) BufferBytes() int64 { return int64(s.bufferBytes) }
+
 // MaxHeaderBytes returns the maximum size of a request header.
 func (s *Settings) MaxHeaderBytes() int { return s.maxHeaderBytes }
 
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -20,6 +20,7 @@
 	"github.com/google/uuid"
 
 	"cicadabeam/core/answer"
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/completion"
 	"cicadabeam/core/config"
@@ -52,8 +53,9 @@
 // Limits are the size and time limits of a request and its response.
 type Limits struct {
 	MaxBodyBytes    int64
-	BodyReadTimeout time.Duration // time limit for reading the request body
-	WriteTimeout    time.Duration // time limit for each write of a response
+	Buffers         *bytebudget.Budget // of request bodies, nil for no limit
+	BodyReadTimeout time.Duration      // time limit for reading the request body
+	WriteTimeout    time.Duration      // time limit for each write of a response
 }
 
 // RequestSummary describes a request that has ended, for the log and the metrics.
@@ -108,9 +110,12 @@
 	config        *config.Config
 	summary       RequestSummary
 	headerWritten bool
-	bodyLimited   bool // the time for reading the rest of the request is limited
+	held          *bytebudget.Holder // of the body
+	bodyLimited   bool               // the time for reading the rest of the request is limited
 }
 
+func (x *exchange) release() { x.held.Release() }
+
 // handlerFunc handles an authenticated request.
 type handlerFunc func(x *exchange) error
 
@@ -120,6 +125,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{w: w, r: r, config: h.backend.Config()}
 		x.summary = RequestSummary{RequestID: uuid.NewString(), Method: r.Method, Path: r.URL.Path, StartedAt: time.Now()}
+		defer x.release()
 		err := x.requestError(h.authenticate(x, next))
 		if err != nil && !x.headerWritten {
 			x.limitUnreadBody()
@@ -176,7 +182,15 @@
 	_ = c.SetReadDeadline(time.Now().Add(h.limits.BodyReadTimeout))
 	stop := context.AfterFunc(x.r.Context(), func() { _ = c.SetReadDeadline(time.Now()) })
 	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.limits.MaxBodyBytes))
+	x.held = h.limits.Buffers.Hold("request body", func() { _ = c.SetReadDeadline(time.Now()) })
+	var body []byte
+	err := bytebudget.ErrSpent
+	if x.held.HasRoom(x.r.ContentLength) {
+		body, err = bytebudget.ReadAll(http.MaxBytesReader(x.w, x.r.Body, h.limits.MaxBodyBytes), h.limits.MaxBodyBytes+1, x.r.ContentLength, x.held)
+	}
+	if kept := x.held.Keep(); kept != nil {
+		err = kept
+	}
 	if err == nil {
 		_ = c.SetReadDeadline(time.Time{})
 		return body, nil
@@ -184,6 +198,9 @@
 	// The read deadline is kept, because net/http reads the rest of the body before it
 	// sends the response.
 	x.w.Header().Set("Connection", "close")
+	if errors.Is(err, bytebudget.ErrSpent) {
+		return nil, fault.Newf(fault.NotReady, "read-body", "", "this node has no room for the request body").WithRetryAt(time.Now().Add(time.Second))
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, fault.Newf(fault.TooLarge, "read-body", "", "the request body exceeds %d bytes", large.Limit)
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/balance"
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
@@ -41,8 +42,12 @@
 type Client struct {
 	streamClient  *http.Client
 	controlClient *http.Client
+	buffers       *bytebudget.Budget
 }
 
+// Limit sets what events of streams may take. It is called before the client is used.
+func (c *Client) Limit(b *bytebudget.Budget) { c.buffers = b }
+
 // New returns a client without connections.
 func New() *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
@@ -78,7 +83,7 @@
 		defer cancel()
 		return nil, statusError(response, s)
 	}
-	return newStream(response.Body, cancel, s.Name()), nil
+	return newStream(response.Body, cancel, s.Name(), c.buffers.Hold("stream", cancel)), nil
 }
 
 // statusError returns the fault for a response with a status other than 200.
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
 )
@@ -17,6 +18,9 @@
 // that of the lines without data before it.
 const maxEventBytes = 1 << 20
 
+// firstLineBytes is the first size of a stream's buffer.
+const firstLineBytes = 4 << 10
+
 // stream reads the server-sent events of an attempt.
 type stream struct {
 	body    io.ReadCloser
@@ -24,19 +28,36 @@
 	cancel  context.CancelFunc
 	server  string
 	tokens  int
+	held    *bytebudget.Holder // of the scanner's buffer
+	size    int                // bytes taken for it
 }
 
-func newStream(body io.ReadCloser, cancel context.CancelFunc, server string) *stream {
-	s := &stream{body: body, scanner: bufio.NewScanner(body), cancel: cancel, server: server}
-	s.scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+func newStream(body io.ReadCloser, cancel context.CancelFunc, server string, held *bytebudget.Holder) *stream {
+	s := &stream{body: body, scanner: bufio.NewScanner(body), cancel: cancel, server: server, held: held}
+	s.scanner.Buffer(make([]byte, 0, firstLineBytes), maxEventBytes)
+	s.scanner.Split(s.splitLines)
 	return s
 }
 
+// splitLines splits lines. It takes bytes before the scanner, whose buffer doubles, reads more of a
+// long one.
+func (s *stream) splitLines(data []byte, atEOF bool) (int, []byte, error) {
+	advance, line, err := bufio.ScanLines(data, atEOF)
+	if need := min(2*len(data), maxEventBytes); advance == 0 && len(data) > firstLineBytes/2 && need > s.size {
+		if err := s.held.Take(need - s.size); err != nil {
+			return 0, nil, err
+		}
+		s.size = need
+	}
+	return advance, line, err
+}
+
 // Close implements generation.Stream. It closes the connection, which makes the engine
 // stop generating.
 func (s *stream) Close() {
 	s.cancel()
 	_ = s.body.Close()
+	s.held.Release()
 }
 
 // Next implements generation.Stream.
--- a/io/engine/stream_test.go
+++ b/io/engine/stream_test.go
@@ -7,12 +7,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
 )
 
 func readAll(text string) ([]generation.Chunk, error) {
-	s := newStream(io.NopCloser(strings.NewReader(text)), func() {}, "engine-1")
+	s := newStream(io.NopCloser(strings.NewReader(text)), func() {}, "engine-1", nil)
 	var all []generation.Chunk
 	for {
 		c, err := s.Next()
@@ -50,6 +51,23 @@
 	}
 }
 
+// Guards against events whose sum over all streams nothing limits.
+func TestLongEventTakesFromBudget(t *testing.T) {
+	text := "data: {\"choices\":[{\"text\":\"" + strings.Repeat("x", 100_000) + "\"}]}\n\ndata: [DONE]\n"
+	for limit, complete := range map[int64]bool{50_000: false, 1 << 20: true} {
+		b := bytebudget.New(limit)
+		s := newStream(io.NopCloser(strings.NewReader(text)), func() {}, "engine-1", b.Hold("stream", func() {}))
+		_, err := s.Next()
+		if (err == nil) != complete || !complete && !errors.Is(err, bytebudget.ErrSpent) || complete && b.Held() < 100_000 {
+			t.Errorf("limit %d: got error %v, %d bytes held", limit, err, b.Held())
+		}
+		s.Close()
+		if b.Held() != 0 {
+			t.Errorf("limit %d: %d bytes are held after the stream was closed", limit, b.Held())
+		}
+	}
+}
+
 // Token counts come from the engine's usage report; without one, each event with text
 // counts as one token.
 func TestStreamCountsTokens(t *testing.T) {
--- a/io/service/client.go
+++ b/io/service/client.go
@@ -16,7 +16,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -27,6 +26,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
@@ -49,10 +49,14 @@
 
 // Client calls services that are not model engines.
 type Client struct {
-	router Router
-	client *http.Client
+	router  Router
+	client  *http.Client
+	buffers *bytebudget.Budget
 }
 
+// Limit sets what responses may take while they are read. It is called before the client is used.
+func (c *Client) Limit(b *bytebudget.Budget) { c.buffers = b }
+
 // New returns a client that uses r to select servers.
 func New(r Router) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
@@ -156,7 +160,12 @@
 		return claim.Response{}, sent.Load(), err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	held := c.buffers.Hold("response", cancel)
+	defer held.Release()
+	body, err := bytebudget.ReadAll(response.Body, maxResponseBytes+1, response.ContentLength, held)
+	if kept := held.Keep(); kept != nil {
+		err = kept
+	}
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.Newf("the response body exceeds %d bytes", maxResponseBytes)
 	}
