--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/balance"
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/generation"
@@ -42,8 +43,12 @@
 type Client struct {
 	streamClient  *http.Client
 	controlClient *http.Client
+	buffers       *bytebudget.Budget
 }
 
+// Limit sets what events of streams may take. It is called before the client is used.
+func (c *Client) Limit(b *bytebudget.Budget) { c.buffers = b }
+
 // streamConn is the connection of an attempt. While its path is cut, it is kept after it was closed,
 // so that the engine learns of the end soon after it is reached again.
 type streamConn struct{ *serverpath.Conn }
@@ -100,7 +105,7 @@
 		defer cancel()
 		return nil, statusError(response, s)
 	}
-	return newStream(response.Body, cancel, s.Name()), nil
+	return newStream(response.Body, cancel, s.Name(), c.buffers.Hold("stream", cancel)), nil
 }
 
 // statusError returns the fault for a response with a status other than 200.
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -42,6 +42,8 @@
 	started []*node
 	linked  bool // hosts connect to each other by links
 	repeats int  // repeat-extra of the hosts, 0 for that of entryhost
+	// settings are added to those of each host.
+	settings string
 }
 
 type node struct {
@@ -50,20 +52,27 @@
 }
 
 // start starts a store and nodes. The nodes alternate between data centres a and b.
-func start(t *testing.T, nodes int) *system { return startSystem(t, nodes, system{}) }
+func start(t *testing.T, nodes int) *system { return startSystem(t, nodes, &system{}) }
+
+// startWith is like start; settings are added to those of each node.
+func startWith(t *testing.T, nodes int, settings string) *system {
+	t.Helper()
+	return startSystem(t, nodes, &system{settings: settings})
+}
 
 // startLinked is like start; the nodes connect to each other by links.
-func startLinked(t *testing.T, nodes int) *system { return startSystem(t, nodes, system{linked: true}) }
+func startLinked(t *testing.T, nodes int) *system {
+	return startSystem(t, nodes, &system{linked: true})
+}
 
-func startSystem(t *testing.T, nodes int, x system) *system {
+func startSystem(t *testing.T, nodes int, s *system) *system {
 	t.Helper()
-	y, err := store.Start("127.0.0.1:0")
+	x, err := store.Start("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(y.Close)
-	s := &x
-	s.t, s.store = t, y
+	t.Cleanup(x.Close)
+	s.t, s.store = t, x
 	s.keepLogs()
 	s.configure(1, []string{"key-1", "key-2"})
 	for i := range nodes {
@@ -110,6 +119,9 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if err := h.AddSettings(s.settings); err != nil {
+		s.t.Fatal(err)
+	}
 	n := &node{Host: h, storeEndpoint: endpoint}
 	if s.repeats > 0 {
 		if err := n.ChangeSetting("repeat-extra = 150", fmt.Sprint("repeat-extra = ", s.repeats)); err != nil {
--- a/test/entry/tunnel_test.go
+++ b/test/entry/tunnel_test.go
@@ -90,7 +90,7 @@
 // callers, which go through the other hosts. done returns how many of them ended whole.
 func startTunnelled(t *testing.T) (s *system, runs *streamRuns, done func() int) {
 	t.Helper()
-	s = startSystem(t, 4, system{repeats: tunnelRepeats})
+	s = startSystem(t, 4, &system{repeats: tunnelRepeats})
 	runs = &streamRuns{}
 	var servers []*backend.Server
 	for i := range 4 {
