io/serverpath: a run whose connection the kernel has ended ends soon after its path has healed

Callers could see two servers at work on one request: a path is cut for 3.9 s, no other server is there for 3.3 s, and this host's kernel ends the connection after 3 s (user timeout, probes). Now the host opens connections to the server from the same port, for 0.2 s each and 10 s at most. The end is known if the new connection opens or is refused.

A connection whose read or write says that the kernel ended it does so on Close as well, as callers close what has broken off.

Tried: bind with SO_REUSEADDR. It fails while any other connection of the host has the port (address already in use), at a load about half of the time. IP_LOCAL_PORT_RANGE and IP_BIND_ADDRESS_NO_PORT (Linux 6.3) leave only the same pair in the way; bind is left for older kernels. Not done: a longer time limit of the kernel, as a request that no server has received must not arrive late (late_request_test.go).

--- a/io/serverpath/await_end_test.go
+++ b/io/serverpath/await_end_test.go
@@ -30,31 +30,44 @@
 	}
 }
 
-// Guards against an end that is taken for known as the kernel has ended the connection.
-func TestEndIsNotKnownWhereTheKernelEndedTheConnection(t *testing.T) {
-	for _, read := range []bool{false, true} {
-		s, d, _ := startEndedServer(t)
-		direct := d.Direct
-		d.Direct = func(ctx context.Context, server string) (net.Conn, error) {
-			c, err := direct(ctx, server)
-			if err == nil {
-				err = tcp.SetUserTimeout(c.(*net.TCPConn), 100*time.Millisecond)
+// Guards against an end that is taken for known as the kernel has ended the connection, and against servers that
+// work on after their path has healed, as nothing can be sent on it any more.
+func TestServerLearnsOfConnectionThatTheKernelEnded(t *testing.T) {
+	for name, end := range map[string]func(c *Conn){
+		"given up": (*Conn).GiveUp, "read and given up": func(c *Conn) { _, _ = c.Read(make([]byte, 1)); c.GiveUp() },
+		"read and closed": func(c *Conn) { _, _ = c.Read(make([]byte, 1)); _ = c.Close() }, // the kernel tells why only once
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, d, _ := startEndedServer(t)
+			direct := d.Direct
+			d.Direct = func(ctx context.Context, server string) (net.Conn, error) {
+				c, err := direct(ctx, server)
+				if err == nil {
+					err = tcp.SetUserTimeout(c.(*net.TCPConn), 100*time.Millisecond)
+				}
+				return c, err
 			}
-			return c, err
-		}
-		c := s.connect(t, d, 1)[0]
-		s.cut(t, true)
-		_, _ = c.Write([]byte("x"))
-		for tcp.State(c.TCPConn) != "closed" {
-			time.Sleep(time.Millisecond)
-		}
-		if read {
-			_, _ = c.Read(make([]byte, 1)) // the kernel tells why only once
-		}
-		c.GiveUp()
-		if c.AwaitEnd(time.Now().Add(100 * time.Millisecond)) {
-			t.Errorf("read before %v: the end is known", read)
-		}
-		s.cut(t, false)
+			c := s.connect(t, d, 1)[0]
+			s.cut(t, true)
+			_, _ = c.Write([]byte("x"))
+			for tcp.State(c.TCPConn) != "closed" {
+				time.Sleep(time.Millisecond)
+			}
+			end(c)
+			if c.AwaitEnd(time.Now().Add(700 * time.Millisecond)) {
+				t.Error("the end is known")
+			}
+			if s.open.Load() != 1 {
+				t.Fatal("the server has not been cut off")
+			}
+			s.cut(t, false)
+			healed := time.Now()
+			awaitEnd(t, "the connection is open at the server", 2*pathTimeout, func() bool { return s.open.Load() == 0 })
+			t.Logf("ended %v after the healing", time.Since(healed))
+			if !c.AwaitEnd(healed.Add(3 * pathTimeout)) {
+				t.Error("the end is not known")
+			}
+		})
 	}
 }
--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -41,6 +41,7 @@
 	PathWorks   Reason = "the path worked again"
 	KeptTooLong Reason = "the server was not reached in time"
 	KernelEnded Reason = "the kernel ended the connection"
+	Untold      Reason = "the kernel does not tell"
 )
 
 // known reports whether the server is known to have learnt of the end.
@@ -85,9 +86,12 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 	_ = c.CloseWrite()
 	c.at = time.Now()
-	if reason, ended := c.ended(); ended {
+	switch reason, ended := c.ended(); {
+	case reason == KernelEnded:
+		c.endStale()
+	case ended:
 		c.reset(reason)
-	} else if !c.dialer.ends.add(c) {
+	case !c.dialer.ends.add(c):
 		_ = c.TCPConn.Close()
 		c.end.Tell(false)
 	}
@@ -102,14 +106,21 @@
 	switch e := tcp.ReadEnd(c.TCPConn); {
 	case e == tcp.EndPending:
 		return "", false
-	case e == tcp.EndKnown && !c.lost.Load():
-		return EndKnown, true
+	case e == tcp.EndLost, c.lost.Load():
+		return KernelEnded, true
+	case e == tcp.EndUntold:
+		return Untold, true
 	}
-	return KernelEnded, true
+	return EndKnown, true
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A server that may work on, as only this host's kernel has ended the connection,
+// learns of the end like that of one that was given up.
 func (c *Conn) Close() error {
+	if c.lost.Load() {
+		c.GiveUp()
+		return nil
+	}
 	if c.givenUp.Swap(true) {
 		return nil
 	}
