--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -220,6 +220,7 @@
 	if b.conn.EndBy(time.Now().Add(endTimeout)) {
 		return
 	}
+	s.attempts-- // a server that is cut off doesn't count
 	s.end(a, errCutOff)
 }
 
