core/generation: a test that attempts end before the next one begins

It doesn't: an attempt is cancelled before the next one is routed, when its engine is silent, slow for longer than it may be, or has it in its queue while another one has a free slot.

--- a/core/generation/runner_test.go
+++ b/core/generation/runner_test.go
@@ -34,6 +34,9 @@
 	failures []error
 	resumed  []time.Duration
 	finish   answer.Finish
+	last     context.Context // of the last attempt
+	overlaps int             // attempts that began before the one before had ended
+	loads    *balance.Table  // set by run
 	// attempts is the number of attempts that the service allows, if not 0. spendBudget
 	// leaves no retries in the budget.
 	attempts    int
@@ -109,6 +112,10 @@
 func (h *harness) OpenStream(ctx context.Context, s config.Server, a generation.Attempt) (generation.Stream, error) {
 	h.mu.Lock()
 	h.opened = append(h.opened, s.Name())
+	if h.last != nil && h.last.Err() == nil {
+		h.overlaps++
+	}
+	h.last = ctx
 	h.mu.Unlock()
 	ctx, stop := context.WithCancel(ctx)
 	x := &stream{chunks: make(chan generation.Chunk), end: make(chan error, 1), stop: stop}
@@ -133,6 +140,7 @@
 		t.Fatal(err)
 	}
 	loads := balance.New()
+	h.loads = loads
 	r := generation.New(h, h, loads, route.New(loads, h), quarantine.New(), generation.NewCrashDetector(h), h)
 	for h.spendBudget && r.RetryBudget().TryWithdraw() {
 	}
@@ -231,6 +239,45 @@
 	}
 }
 
+// Guards against two engines that work on one answer although the first one can be reached.
+func TestAttemptEndsBeforeNextOneBegins(t *testing.T) {
+	for name, c := range map[string]struct {
+		queues bool // the engine reports a queue
+		health generation.Health
+		after  int // chunks before the engine falls silent
+	}{
+		"silent before the first chunk":    {false, generation.Unresponsive, 0},
+		"silent after it":                  {false, generation.Unresponsive, 3},
+		"slow for longer than it may be":   {false, generation.Healthy, 3},
+		"waits in the queue of the engine": {true, generation.Healthy, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, 2)
+				h.probe = func(context.Context, string) generation.Health { return c.health }
+				h.script = func(ctx context.Context, server string, attempt int, send func(generation.Chunk)) error {
+					if attempt == 2 {
+						send(generation.Chunk{Text: "y", Finish: "stop"})
+						return generation.ErrEndOfStream
+					}
+					if c.queues {
+						h.loads.Report(balance.Report{Server: server, Waiting: 1, At: time.Now().UnixMilli()}, time.Now())
+					}
+					for n := 1; n <= c.after; n++ {
+						send(generation.Chunk{Text: "x", Completion: n})
+					}
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				h.run(t)
+				if len(h.opened) != 2 || h.overlaps > 0 || h.finish.Reason != "stop" {
+					t.Errorf("%d attempts, %d of which began before the one before had ended, finish %+v", len(h.opened), h.overlaps, h.finish)
+				}
+			})
+		})
+	}
+}
+
 // A stream that ends without a finish reason is incomplete and is resumed, whether
 // it ended with the end marker or with a broken connection.
 func TestStreamEndWithoutFinishReason(t *testing.T) {
