io/relay, io/serverpath: a failed move ends no sound run at a server that ignores the close

What callers saw: test/relay TestLostServersQuarantineNoPromptPart served 89 of 90 requests (once, load 30): three moves that failed had ended the first run, although all servers could be reached.

Cause: a server that ends its side only when it can't write any more is found by a new connection, which was opened 100 ms after the close, just when the host stopped waiting for the end. It is opened after 60 ms now (no server is known to end its side later than 50 ms, a round trip between regions), and the end is awaited for 130 ms. Without a backup, the first run is ended only after one more check of the second one's path, as on a busy machine the checks before may have been late (TestSuspicionBeforeFirstEventDoesNotMoveStreamLater, once in that run). What is discarded of a response that goes on after it was given up is 16 KiB each 10 ms instead of 128: its server had written 4 MiB and 291 bytes (4 MiB allowed).

--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -15,7 +15,7 @@
 	// the one before may both work on it, and endTimeout how long until it is known that the first of them
 	// to be given up has learnt of that.
 	overlapTimeout = 200 * time.Millisecond
-	endTimeout     = 100 * time.Millisecond
+	endTimeout     = 130 * time.Millisecond
 	// pathCheckInterval is the time between two checks of the path on which a response is awaited.
 	pathCheckInterval = 100 * time.Millisecond
 )
@@ -162,6 +162,8 @@
 			case b.fromBackup() && !a.member.Lost():
 				b.err = errNoResponse
 				return false
+			case reached != nil && time.Now().Before(expected) && s.h.reaches(s.ctx, b.member, time.Now().Add(endTimeout)):
+				overlap.Reset(overlapTimeout) // the checks were late
 			default:
 				s.end(a, errMoved)
 				fromA = nil
--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -21,7 +21,7 @@
 	// for the server to read it.
 	endCheckInterval    = 10 * time.Millisecond
 	endTimeout          = 300 * time.Millisecond
-	acknowledgedTimeout = 100 * time.Millisecond
+	acknowledgedTimeout = 60 * time.Millisecond
 	// tryDelay is the time until the path is tried with new connections, and tryInterval that between two
 	// of them. They overlap, as one whose first packet is lost tells nothing of a path that has healed since.
 	tryDelay    = 240 * time.Millisecond
--- a/io/tcp/end.go
+++ b/io/tcp/end.go
@@ -48,7 +48,7 @@
 }
 
 // maxDiscarded limits what is discarded at once of a response that goes on, in buffers.
-const maxDiscarded = 32
+const maxDiscarded = 4
 
 // discard reads without waiting until that fails, or much was read.
 func discard(c *net.TCPConn) error {
