--- a/io/httpserver/head.go
+++ b/io/httpserver/head.go
@@ -30,8 +30,9 @@
 	read   bool               // the head is complete
 }
 
-// take takes what n further bytes need, unless they are not of a head.
-func (h *head) take(n int, evict func()) error {
+// takeHead takes what n further bytes need, unless they are not of a head.
+func (c *conn) takeHead(n int) error {
+	h := &c.head
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.read || h.budget == nil {
@@ -42,7 +43,7 @@
 		return nil
 	}
 	if h.held == nil {
-		h.held = h.budget.Hold(headHolder, evict)
+		h.held = h.budget.Hold(headHolder, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
 	}
 	return h.held.Take(headMemory * n)
 }
@@ -74,7 +75,7 @@
 // Read implements net.Conn. A head that finds no room is refused at once.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	spent := c.head.take(n, func() { _ = c.SetReadDeadline(time.Unix(1, 0)) })
+	spent := c.takeHead(n)
 	if spent == nil && (err == nil || !c.head.evicted()) {
 		return n, err
 	}
