--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/kvbackup"
 	"cicadabeam/core/stall"
@@ -192,7 +193,7 @@
 		a.conn.GiveUp()
 	}
 	now := time.Now()
-	if a.responseLost.Load() {
+	if a.responseLost.Load() || errors.Is(a.err, bytebudget.ErrSpent) {
 		a.member.RecordFailure(now)
 		return
 	}
