--- /dev/null
+++ b/core/stall/pace.go
@@ -0,0 +1,143 @@
+package stall
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// halfLife is the time after which what was seen of a server counts half.
+	halfLife = time.Second
+	// memory is the time since its last event for which a server is known.
+	memory = 4 * time.Second
+	// usualMargin and minMargin are how much longer than the pace of the other servers a silence may
+	// last: usually, and at least if the pause is to meet its goal.
+	usualMargin = 1.5
+	minMargin   = 1.25
+)
+
+// Bounds limit the accepted time of silence.
+type Bounds struct {
+	Min, Max time.Duration
+	// Goal is the limit that should not be exceeded for the sake of callers while servers at their
+	// present pace keep it. It is 0 if there is none.
+	Goal time.Duration
+}
+
+// Paces holds the paces of services by name. The zero Paces knows of no service.
+type Paces struct {
+	mu       sync.Mutex
+	services map[string]*Pace
+}
+
+// Of returns the pace of a service.
+func (p *Paces) Of(service string) *Pace {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.services == nil {
+		p.services = make(map[string]*Pace)
+	}
+	x := p.services[service]
+	if x == nil {
+		x = &Pace{servers: make(map[string]*serverPace)}
+		p.services[service] = x
+	}
+	return x
+}
+
+// Pace knows how long the servers of a service were silent between events of their runs in the last
+// seconds. The pace of a server is the length of the silence that a moment falls into on average, so
+// that many short ones don't hide a long one. A silence counts while it lasts.
+type Pace struct {
+	mu      sync.Mutex
+	servers map[string]*serverPace // by server ID
+}
+
+// serverPace is what is known of a server.
+type serverPace struct {
+	lastEvent time.Time
+	asOf      time.Time // of the sums
+	seconds   float64   // sum of the silences
+	squares   float64   // sum of their squares
+}
+
+// RecordEvent records an event of a run at a server. begun is not set if it is the first one of its
+// run, before which the server processed the prompt. It is to be called before w.Received.
+func (p *Pace) RecordEvent(server string, w *Watch, begun bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil {
+		p.expire(now)
+		s = &serverPace{asOf: now}
+		p.servers[server] = s
+	}
+	s.lastEvent = now
+	if begun {
+		s.add(w, now)
+	}
+}
+
+// RecordSilence records that a server of which a run has begun is still silent.
+func (p *Pace) RecordSilence(server string, w *Watch, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		s.add(w, now)
+	}
+}
+
+// Limit returns the accepted time of silence of a server. It follows from the pace of the other
+// servers of the service, as a run moves to one of them. Half of them must be slow for it to rise.
+func (p *Pace) Limit(server string, b Bounds, now time.Time) time.Duration {
+	pace := p.others(server, now)
+	limit := time.Duration(usualMargin * pace * float64(time.Second))
+	if float64(b.Goal) >= minMargin*pace*float64(time.Second) && b.Goal > 0 {
+		limit = min(limit, b.Goal)
+	}
+	return min(max(limit, b.Min), b.Max)
+}
+
+// others returns the lower median of the paces of all known servers but one, in seconds, 0 if there
+// are none.
+func (p *Pace) others(server string, now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]float64, 0, len(p.servers))
+	for id, s := range p.servers {
+		if id != server && s.seconds > 0 && s.known(now) {
+			all = append(all, s.squares/s.seconds)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
+
+// expire removes servers that are no longer known.
+func (p *Pace) expire(now time.Time) {
+	for id, s := range p.servers {
+		if !s.known(now) {
+			delete(p.servers, id)
+		}
+	}
+}
+
+func (s *serverPace) known(now time.Time) bool { return now.Before(s.lastEvent.Add(memory)) }
+
+// add adds the part of a silence that was not counted yet.
+func (s *serverPace) add(w *Watch, now time.Time) {
+	if d := now.Sub(s.asOf); d > 0 {
+		f := math.Exp2(-d.Seconds() / halfLife.Seconds())
+		s.seconds *= f
+		s.squares *= f
+		s.asOf = now
+	}
+	from, to := w.count(now)
+	s.seconds += to - from
+	s.squares += to*to - from*from
+}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -22,6 +22,7 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/stall"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
 )
@@ -85,6 +86,7 @@
 	inFlight          atomic.Int64
 	firstEventMonitor *firstEventMonitor
 	crashDetector     *crashDetector
+	paces             stall.Paces // of the servers of streams
 	mu                sync.Mutex
 	budgets           map[string]*retrybudget.Budget
 }
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// stallTimeoutWithBackup is the time without events after which a stream is
+	// stallTimeoutWithBackup is the least time without events after which a stream is
 	// resumed at another server from the KV cache backup. Events arrive every 30 to
 	// 210 ms, and pauses up to 700 ms still meet the event gap goal.
 	stallTimeoutWithBackup = 400 * time.Millisecond
@@ -382,11 +382,16 @@
 	}
 }
 
-// stallTimeout returns the maximum time between two events of an attempt.
+// stallTimeout returns the maximum time between two events of an attempt. With a backup it is the
+// longer, the slower the service's other servers are.
 func (s *stream) stallTimeout(a *streamAttempt) time.Duration {
 	now := time.Now()
+	pace := s.h.paces.Of(s.service.Name)
+	if a.responseStarted && a.silence.SilentFor(now) >= stallTimeoutWithBackup {
+		pace.RecordSilence(a.member.ID(), &a.silence, now)
+	}
 	if s.route.Kind.Retryable() && s.h.Fleet.FindUsable(s.sourceAfter(a).server, now) != nil {
-		return stallTimeoutWithBackup
+		return pace.Limit(a.member.ID(), stall.Bounds{Min: stallTimeoutWithBackup, Max: stallTimeoutWithoutBackup, Goal: s.route.EventGapGoal - overlapTimeout}, now)
 	}
 	return stallTimeoutWithoutBackup
 }
--- a/io/relay/stream_events.go
+++ b/io/relay/stream_events.go
@@ -79,7 +79,7 @@
 func (s *stream) onProgress(a *streamAttempt) {
 	now := time.Now()
 	a.member.RecordContact(now)
-	s.recordEventTime(now)
+	s.recordEventTime(a, now)
 	if !a.responseStarted {
 		a.responseStarted = true
 		s.h.firstEventMonitor.unwatch(a)
@@ -98,8 +98,9 @@
 }
 
 // recordEventTime records when the first event arrived and the maximum time between
-// events.
-func (s *stream) recordEventTime(now time.Time) {
+// events, and the pace of the server.
+func (s *stream) recordEventTime(a *streamAttempt, now time.Time) {
+	s.h.paces.Of(s.service.Name).RecordEvent(a.member.ID(), &a.silence, a.responseStarted, now)
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt = now
 	} else {
