--- a/core/stall/pace.go
+++ b/core/stall/pace.go
@@ -89,10 +89,11 @@
 	}
 }
 
-// Limit returns the accepted time of silence of a server. It follows from the pace of the other
-// servers of the service, as a run moves to one of them. Half of them must be slow for it to rise.
-func (p *Pace) Limit(server string, b Bounds, now time.Time) time.Duration {
-	pace := p.others(server, now)
+// Limit returns the accepted time of silence of a server, where target, if known, is the server that
+// the run would move to. It follows from the target's pace, or else from that of the service's other
+// servers. It does not rise while more than half of these are fast.
+func (p *Pace) Limit(server, target string, b Bounds, now time.Time) time.Duration {
+	pace := p.expected(server, target, now)
 	limit := time.Duration(usualMargin * pace * float64(time.Second))
 	if float64(b.Goal) >= minMargin*pace*float64(time.Second) && b.Goal > 0 {
 		limit = min(limit, b.Goal)
@@ -100,14 +101,14 @@
 	return min(max(limit, b.Min), b.Max)
 }
 
-// others returns the lower median of the paces of all known servers but one, in seconds, 0 if there
-// are none.
-func (p *Pace) others(server string, now time.Time) float64 {
+// expected returns the pace, in seconds, that a run would find if it left a server, 0 if nothing is
+// known of others: the target's, but at most the upper median of all others, or else the lower one.
+func (p *Pace) expected(server, target string, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make([]float64, 0, len(p.servers))
 	for id, s := range p.servers {
-		if id != server && s.seconds > 0 && s.known(now) {
+		if id != server && s.known(now) {
 			all = append(all, s.squares/s.seconds)
 		}
 	}
@@ -115,19 +116,24 @@
 		return 0
 	}
 	slices.Sort(all)
+	if t := p.servers[target]; t != nil && t.known(now) {
+		return min(t.squares/t.seconds, all[len(all)/2])
+	}
 	return all[(len(all)-1)/2]
 }
 
 // expire removes servers that are no longer known.
 func (p *Pace) expire(now time.Time) {
 	for id, s := range p.servers {
-		if !s.known(now) {
+		if s.expired(now) {
 			delete(p.servers, id)
 		}
 	}
 }
 
-func (s *serverPace) known(now time.Time) bool { return now.Before(s.lastEvent.Add(memory)) }
+func (s *serverPace) expired(now time.Time) bool { return !now.Before(s.lastEvent.Add(memory)) }
+
+func (s *serverPace) known(now time.Time) bool { return s.seconds > 0 && !s.expired(now) }
 
 // add adds the part of a silence that was not counted yet.
 func (s *serverPace) add(w *Watch, now time.Time) {
--- a/core/stall/pace_test.go
+++ b/core/stall/pace_test.go
@@ -61,7 +61,7 @@
 				}
 				if silent := r.watch.SilentFor(s.now); silent >= bounds.Min && r.watch.MayMove(s.now) {
 					s.pace.RecordSilence(serverID(i), &r.watch, s.now)
-					if r.watch.Wait(s.now, s.pace.Limit(serverID(i), bounds, s.now)) <= 0 {
+					if r.watch.Wait(s.now, s.pace.Limit(serverID(i), "", bounds, s.now)) <= 0 {
 						moves[i]++
 						shortest = min(shortest, silent)
 						r.watch.MoveFailed(s.now)
@@ -126,7 +126,7 @@
 	}
 	slow = false
 	s.play(4 * time.Second)
-	if d := s.pace.Limit(serverID(0), bounds, s.now); d != bounds.Min {
+	if d := s.pace.Limit(serverID(0), "", bounds, s.now); d != bounds.Min {
 		t.Errorf("4 s after the servers sped up: got a limit of %v, want %v", d, bounds.Min)
 	}
 }
@@ -154,6 +154,25 @@
 	}
 }
 
+func TestLimitRisesOnlyIfTheTargetIsSlow(t *testing.T) {
+	for _, c := range []struct {
+		slow, servers int // the first ones are slow
+		target        int
+		want          time.Duration
+	}{{2, 3, 1, 1050}, {2, 3, 2, 400}, {2, 4, 1, 400}, {3, 5, 2, 1050}, {3, 5, 9, 400}, {4, 5, 9, 1050}} {
+		s := newSimulation(c.servers, func(_ *simulation, server int) time.Duration {
+			if server < c.slow {
+				return 700 * time.Millisecond
+			}
+			return 40 * time.Millisecond
+		})
+		s.play(4 * time.Second)
+		if d := s.pace.Limit(serverID(0), serverID(c.target), bounds, s.now).Round(time.Millisecond); d != c.want*time.Millisecond {
+			t.Errorf("%d of %d servers slow, from the first to server %d: got a limit of %v, want %d ms", c.slow, c.servers, c.target, d, c.want)
+		}
+	}
+}
+
 // A server that sends nothing must not look fast because it records no gap.
 func TestSilenceCountsWhileItLasts(t *testing.T) {
 	mute := false
@@ -168,16 +187,16 @@
 		}
 	})
 	s.play(4 * time.Second)
-	if d := s.pace.Limit(serverID(0), bounds, s.now); d != bounds.Min {
+	if d := s.pace.Limit(serverID(0), "", bounds, s.now); d != bounds.Min {
 		t.Errorf("beside a fast server: got a limit of %v, want %v", d, bounds.Min)
 	}
 	mute = true
 	s.play(2 * time.Second)
-	if d := s.pace.Limit(serverID(0), bounds, s.now); d < 700*time.Millisecond {
+	if d := s.pace.Limit(serverID(0), "", bounds, s.now); d < 700*time.Millisecond {
 		t.Errorf("beside a server that has been mute for 2 s: got a limit of %v, want more than 700ms", d)
 	}
 	s.play(5 * time.Second)
-	if d := s.pace.Limit(serverID(0), bounds, s.now); d != bounds.Min {
+	if d := s.pace.Limit(serverID(0), "", bounds, s.now); d != bounds.Min {
 		t.Errorf("beside a server of which nothing is known any more: got a limit of %v, want %v", d, bounds.Min)
 	}
 }
@@ -190,7 +209,7 @@
 		b.Goal = c.goal * time.Millisecond
 		s := newSimulation(3, func(*simulation, int) time.Duration { return c.gap * time.Millisecond })
 		s.play(4 * time.Second)
-		if d := s.pace.Limit(serverID(0), b, s.now).Round(time.Millisecond); d != c.want*time.Millisecond {
+		if d := s.pace.Limit(serverID(0), "", b, s.now).Round(time.Millisecond); d != c.want*time.Millisecond {
 			t.Errorf("an event each %d ms, goal %d ms: got a limit of %v, want %d ms", c.gap, c.goal, d, c.want)
 		}
 	}
@@ -207,7 +226,7 @@
 	})
 	b.Run("limit of 40 servers", func(b *testing.B) {
 		for range b.N {
-			s.pace.Limit(serverID(0), bounds, s.now)
+			s.pace.Limit(serverID(0), "", bounds, s.now)
 		}
 	})
 }
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -383,15 +383,17 @@
 }
 
 // stallTimeout returns the maximum time between two events of an attempt. With a backup it is the
-// longer, the slower the service's other servers are.
+// longer, the slower the server with the backup, or the service's other servers, are.
 func (s *stream) stallTimeout(a *streamAttempt) time.Duration {
 	now := time.Now()
 	pace := s.h.paces.Of(s.service.Name)
 	if a.responseStarted && a.silence.SilentFor(now) >= stallTimeoutWithBackup {
 		pace.RecordSilence(a.member.ID(), &a.silence, now)
 	}
-	if s.route.Kind.Retryable() && s.h.Fleet.FindUsable(s.sourceAfter(a).server, now) != nil {
-		return pace.Limit(a.member.ID(), stall.Bounds{Min: stallTimeoutWithBackup, Max: stallTimeoutWithoutBackup, Goal: s.route.EventGapGoal - overlapTimeout}, now)
+	target := s.sourceAfter(a).server
+	if s.route.Kind.Retryable() && s.h.Fleet.FindUsable(target, now) != nil {
+		b := stall.Bounds{Min: stallTimeoutWithBackup, Max: stallTimeoutWithoutBackup, Goal: s.route.EventGapGoal - overlapTimeout}
+		return pace.Limit(a.member.ID(), target, b, now)
 	}
 	return stallTimeoutWithoutBackup
 }
