--- a/core/stall/pace.go
+++ b/core/stall/pace.go
@@ -12,15 +12,20 @@
 	halfLife = time.Second
 	// memory is the time since its last event for which a server is known.
 	memory = 4 * time.Second
+	// longShare is the share of a server's time in long silences from which on they are its pace.
+	longShare = 0.2
 	// usualMargin and minMargin are how much longer than the pace of the other servers a silence may
 	// last: usually, and at least if the pause is to meet its goal.
 	usualMargin = 1.5
 	minMargin   = 1.25
 )
 
+// LongSilence is the least accepted time of silence.
+const LongSilence = 400 * time.Millisecond
+
 // Bounds limit the accepted time of silence.
 type Bounds struct {
-	Min, Max time.Duration
+	Max time.Duration
 	// Goal is the limit that should not be exceeded for the sake of callers while servers at their
 	// present pace keep it. It is 0 if there is none.
 	Goal time.Duration
@@ -48,8 +53,9 @@
 }
 
 // Pace knows how long the servers of a service were silent between events of their runs in the last
-// seconds. The pace of a server is the length of the silence that a moment falls into on average, so
-// that many short ones don't hide a long one. A silence counts while it lasts.
+// seconds. The pace of a server is the length of the long silence that a moment falls into on average,
+// or 0 if few moments fall into one, so that neither many short silences hide the long ones nor a
+// single long one counts. A silence counts while it lasts.
 type Pace struct {
 	mu      sync.Mutex
 	servers map[string]*serverPace // by server ID
@@ -60,7 +66,8 @@
 	lastEvent time.Time
 	asOf      time.Time // of the sums
 	seconds   float64   // sum of the silences
-	squares   float64   // sum of their squares
+	long      float64   // sum of the long ones
+	squares   float64   // sum of the squares of the long ones
 }
 
 // RecordEvent records an event of a run at a server. begun is not set if it is the first one of its
@@ -98,18 +105,18 @@
 	if float64(b.Goal) >= minMargin*pace*float64(time.Second) && b.Goal > 0 {
 		limit = min(limit, b.Goal)
 	}
-	return min(max(limit, b.Min), b.Max)
+	return min(max(limit, LongSilence), b.Max)
 }
 
 // expected returns the pace, in seconds, that a run would find if it left a server, 0 if nothing is
-// known of others: the target's, but at most the upper median of all others, or else the lower one.
+// known of others or they are fast: the target's, but at most the upper median of all others, or else the lower one.
 func (p *Pace) expected(server, target string, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	all := make([]float64, 0, len(p.servers))
 	for id, s := range p.servers {
 		if id != server && s.known(now) {
-			all = append(all, s.squares/s.seconds)
+			all = append(all, s.pace())
 		}
 	}
 	if len(all) == 0 {
@@ -117,7 +124,7 @@
 	}
 	slices.Sort(all)
 	if t := p.servers[target]; t != nil && t.known(now) {
-		return min(t.squares/t.seconds, all[len(all)/2])
+		return min(t.pace(), all[len(all)/2])
 	}
 	return all[(len(all)-1)/2]
 }
@@ -140,10 +147,26 @@
 	if d := now.Sub(s.asOf); d > 0 {
 		f := math.Exp2(-d.Seconds() / halfLife.Seconds())
 		s.seconds *= f
+		s.long *= f
 		s.squares *= f
 		s.asOf = now
 	}
 	from, to := w.count(now)
 	s.seconds += to - from
+	if to < LongSilence.Seconds() {
+		return
+	}
+	if from < LongSilence.Seconds() {
+		from = 0
+	}
+	s.long += to - from
 	s.squares += to*to - from*from
 }
+
+// pace returns the server's pace in seconds.
+func (s *serverPace) pace() float64 {
+	if s.long <= longShare*s.seconds {
+		return 0
+	}
+	return s.squares / s.long
+}
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -20,7 +20,7 @@
 	// stallTimeoutWithBackup is the least time without events after which a stream is
 	// resumed at another server from the KV cache backup. Events arrive every 30 to
 	// 210 ms, and pauses up to 700 ms still meet the event gap goal.
-	stallTimeoutWithBackup = 400 * time.Millisecond
+	stallTimeoutWithBackup = stall.LongSilence
 	// stallTimeoutWithoutBackup is the time without events after which a stream is
 	// resumed at a server that must process the prompt again.
 	stallTimeoutWithoutBackup = 1500 * time.Millisecond
@@ -392,7 +392,7 @@
 	}
 	target := s.sourceAfter(a).server
 	if s.route.Kind.Retryable() && s.h.Fleet.FindUsable(target, now) != nil {
-		b := stall.Bounds{Min: stallTimeoutWithBackup, Max: stallTimeoutWithoutBackup, Goal: s.route.EventGapGoal - overlapTimeout}
+		b := stall.Bounds{Max: stallTimeoutWithoutBackup, Goal: s.route.EventGapGoal - overlapTimeout}
 		return pace.Limit(a.member.ID(), target, b, now)
 	}
 	return stallTimeoutWithoutBackup
