--- a/core/stall/pace.go
+++ b/core/stall/pace.go
@@ -108,8 +108,9 @@
 	return min(max(limit, LongSilence), b.Max)
 }
 
-// expected returns the pace, in seconds, that a run would find if it left a server, 0 if nothing is
-// known of others or they are fast: the target's, but at most the upper median of all others, or else the lower one.
+// expected returns the pace, in seconds, that a run would find if it left a server: the target's, but
+// at most the upper median of all others, or else their lower median. It is 0 if they are fast or not
+// known.
 func (p *Pace) expected(server, target string, now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
