--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// stallTimeoutWithBackup is the time without events after which a stream is
+	// stallTimeoutWithBackup is the least time without events after which a stream is
 	// resumed at another server from the KV cache backup. Events arrive every 30 to
 	// 210 ms, and pauses up to 700 ms still meet the event gap goal.
-	stallTimeoutWithBackup = 400 * time.Millisecond
+	stallTimeoutWithBackup = stall.LongSilence
 	// stallTimeoutWithoutBackup is the time without events after which a stream is
 	// resumed at a server that must process the prompt again.
 	stallTimeoutWithoutBackup = 1500 * time.Millisecond
@@ -389,11 +389,18 @@
 	}
 }
 
-// stallTimeout returns the maximum time between two events of an attempt.
+// stallTimeout returns the maximum time between two events of an attempt. With a backup it is the
+// longer, the slower the server with the backup, or the service's other servers, are.
 func (s *stream) stallTimeout(a *streamAttempt) time.Duration {
 	now := time.Now()
-	if s.route.Kind.Retryable() && s.h.Fleet.FindUsable(s.sourceAfter(a).server, now) != nil {
-		return stallTimeoutWithBackup
+	pace := s.h.paces.Of(s.service.Name)
+	if a.responseStarted && a.silence.SilentFor(now) >= stallTimeoutWithBackup {
+		pace.RecordSilence(a.member.ID(), &a.silence, now)
+	}
+	target := s.sourceAfter(a).server
+	if s.route.Kind.Retryable() && s.h.Fleet.FindUsable(target, now) != nil {
+		b := stall.Bounds{Max: stallTimeoutWithoutBackup, Goal: s.route.EventGapGoal - overlapTimeout}
+		return pace.Limit(a.member.ID(), target, b, now)
 	}
 	return stallTimeoutWithoutBackup
 }
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -69,7 +69,7 @@
 func (s *stream) stay(a *streamAttempt, denied string) {
 	now := time.Now()
 	s.h.Recorder.Record("stream stays", Fields{
-		"request": s.meta.ID, "server": a.member.ID(), "silent_ms": ms(a.silence.SilentFor(now)), "last": s.lastEvent, "denied": denied, "attempts": s.attempts,
+		"request": s.meta.ID, "server": a.member.ID(), "silent_ms": ms(a.silence.SilentFor(now)), "limit_ms": ms(s.silenceLimit(a)), "last": s.lastEvent, "denied": denied, "attempts": s.attempts,
 	})
 	a.silence.MoveFailed(now)
 }
