core/crashcause: a trial is sent to one server

The log of node-0, s of the minute:

37.28 p3-27 crashes i-10, 37.66 i-12, 37.94 i-14 38.01 its last attempt meets no server (connection refused) 39.36 it is the trial, and is sent to i-17, which crashes 40.07 it is the trial again, and is sent to i-18, which crashes

A request that was sent before may be sent once more as a trial. That was used up only if the attempt before the trial had been broken off; after one that no server had accepted, the trial had one more server. Now it is used up by whatever comes first.

TestTrialIsSentToOneServerAfterOneThatDidNotAcceptIt failed before.

--- a/core/crashcause/suspicion.go
+++ b/core/crashcause/suspicion.go
@@ -48,9 +48,7 @@
 		return false
 	}
 	may := !again || s.retry
-	if again {
-		s.retry = false
-	}
+	s.retry = false
 	return may
 }
 
--- a/core/crashcause/suspicion_test.go
+++ b/core/crashcause/suspicion_test.go
@@ -174,3 +174,16 @@
 		}
 	}
 }
+
+// A trial that no server had accepted at first was sent to two servers.
+func TestTrialIsSentToOneServerAfterOneThatDidNotAcceptIt(t *testing.T) {
+	l := suspected(t)
+	now := at(5 * time.Second)
+	r := request(20, "first")
+	if _, refused := l.RefusesRetry(r, now); refused || !l.MaySend(r, false, now) || !l.MaySend(r, false, now) {
+		t.Fatal("a request that was sent before may not be the trial")
+	}
+	if _, refused := l.RefusesRetry(r, now); refused || l.MaySend(r, true, now) {
+		t.Error("the trial is sent to a second server after the loss of its first")
+	}
+}
