io/relay: a request waits while its second crash is evaluated

A request waits for the evaluation of a crash if one more may be enough to tell the cause; but the crash that is being evaluated was not counted until it was recorded, 0.3 s after it. Now it counts if another one under the same feature is recorded. A request that has only met one end goes on at once, as before, and what has run well is not waited for.

TestRequestIsNotSentOnWhileItsSecondCrashIsEvaluated failed 3 of 3 times before (3 servers within 1.2 s instead of 2), and passed 3 of 3 times.

--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -311,8 +311,8 @@
 }
 
 // Suspects reports whether one more crash may be enough for a feature of a request to be taken
-// for a cause.
-func (l *List) Suspects(r Request, now time.Time) bool {
+// for a cause. Under requests with some features, unrecorded, a server may just have crashed.
+func (l *List) Suspects(r Request, now time.Time, unrecorded ...Feature) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.ContainsFunc(r.Features, func(f Feature) bool {
@@ -322,6 +322,9 @@
 				n++
 			}
 		}
+		if n > 0 && slices.Contains(unrecorded, f) {
+			n++
+		}
 		return n >= crashThreshold-1
 	})
 }
--- a/io/relay/crash_evaluation.go
+++ b/io/relay/crash_evaluation.go
@@ -15,52 +15,56 @@
 	maxExpected = 4096
 )
 
-// evaluations holds until when it will be known whether requests with a feature have crashed a
-// server.
+// evaluations holds when servers may have ended under requests with a feature, until it is known
+// whether they have, and why.
 type evaluations struct {
 	mu    sync.Mutex
-	until map[crashcause.Feature]time.Time
+	ended map[crashcause.Feature]time.Time
 }
 
-func (e *evaluations) expect(r crashcause.Request, until time.Time) {
+func (e *evaluations) expect(r crashcause.Request, at time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.until == nil || len(e.until) > maxExpected {
-		e.until = make(map[crashcause.Feature]time.Time)
+	if e.ended == nil || len(e.ended) > maxExpected {
+		e.ended = make(map[crashcause.Feature]time.Time)
 	}
 	for _, f := range r.Features {
-		e.until[f] = until
+		e.ended[f] = at
 	}
 }
 
-// expected returns the request with those of its features of which an evaluation is expected, and
-// when the last of these is over.
-func (e *evaluations) expected(r crashcause.Request, now time.Time) (x crashcause.Request, until time.Time) {
+// expected returns the request with those of its features of which an evaluation is expected, those of
+// them under which an end may not be recorded yet, and when the last evaluation is over.
+func (e *evaluations) expected(r crashcause.Request, now time.Time) (x crashcause.Request, unrecorded []crashcause.Feature, until time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	x.Class = r.Class
 	for _, f := range r.Features {
-		at, found := e.until[f]
+		at, found := e.ended[f]
+		over := at.Add(serverChecks[0] + evaluationDelay + evaluationSlack)
 		switch {
 		case !found:
-		case !now.Before(at):
-			delete(e.until, f)
-		default:
-			x.Features = append(x.Features, f)
-			if at.After(until) {
-				until = at
-			}
+			continue
+		case !now.Before(over):
+			delete(e.ended, f)
+			continue
+		case now.Before(at.Add(serverChecks[0])):
+			unrecorded = append(unrecorded, f)
+		}
+		x.Features = append(x.Features, f)
+		if over.After(until) {
+			until = over
 		}
 	}
-	return x, until
+	return x, unrecorded, until
 }
 
 // awaitEvaluation waits until it is known whether requests like this one have just crashed a
 // server, if one more crash may be enough to tell. Meanwhile it would crash another one.
 func (d *crashDetector) awaitEvaluation(ctx context.Context, x *exchange) {
 	now := time.Now()
-	r, until := d.evaluations.expected(x.features, now)
-	if len(r.Features) == 0 || !d.causes.Suspects(r, now) {
+	r, unrecorded, until := d.evaluations.expected(x.features, now)
+	if len(r.Features) == 0 || !d.causes.Suspects(r, now, unrecorded...) {
 		return
 	}
 	d.h.Recorder.Record("awaits crash evaluation", Fields{"request": x.meta.ID, "ms": ms(until.Sub(now))})
--- a/io/relay/crash_watch.go
+++ b/io/relay/crash_watch.go
@@ -83,7 +83,7 @@
 	a.unsure = lost
 	a.byServer = x.ctx.Err() == nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	if a.byServer {
-		d.evaluations.expect(a.request, a.at.Add(serverChecks[0]+evaluationDelay+evaluationSlack))
+		d.evaluations.expect(a.request, a.at)
 	}
 	d.scheduleCheck(a, 0)
 }
--- a/test/relay/crashing_part_test.go
+++ b/test/relay/crashing_part_test.go
@@ -396,3 +396,16 @@
 	defer f.mu.Unlock()
 	f.leaving = true
 }
+
+// A request that had just crashed its second server was sent to a third one at once.
+func TestRequestIsNotSentOnWhileItsSecondCrashIsEvaluated(t *testing.T) {
+	t.Parallel()
+	f := newPartFleet(t, func(crash backend.Step) backend.Step { return backend.OneEvent(350*time.Millisecond, crash) })
+	go f.send(newPrompt([]string{firstPart, badPart, ""}))
+	time.Sleep(1200 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.arrivals); n != 2 {
+		t.Errorf("the request reached %d servers, want 2", n)
+	}
+}
