--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -14,8 +14,10 @@
 	// overlapTimeout is how long a stream waits for the server that is to take it over while that one and
 	// the one before may both work on it, and endTimeout how long until it is known that the first of them
 	// to be given up has learnt of that.
-	overlapTimeout = 200 * time.Millisecond
+	overlapTimeout = 170 * time.Millisecond
 	endTimeout     = 130 * time.Millisecond
+	// minEndTimeout is a round trip between regions and some more, for a host that is late itself.
+	minEndTimeout = 60 * time.Millisecond
 	// pathCheckInterval is the time between two checks of the path on which a response is awaited.
 	pathCheckInterval = 100 * time.Millisecond
 )
@@ -219,7 +221,12 @@
 	if b.outcome != broken || b.answered || s.ctx.Err() != nil || a.err != nil || a.unread != nil && a.unread.err != nil {
 		return
 	}
-	if b.conn.EndBy(time.Now().Add(endTimeout)) {
+	now := time.Now()
+	until := b.mayRunFrom.Add(overlapTimeout + endTimeout)
+	if least := now.Add(minEndTimeout); until.Before(least) {
+		until = least
+	}
+	if b.conn.EndBy(earliest(until, now.Add(endTimeout))) {
 		return
 	}
 	s.attempts-- // a server that is cut off doesn't count
