io/serverpath: ends that are awaited cost a host less

Cause: connections that are given up are kept since ends count as known only if the server says so, and each cost much. And each server's connections were looked at each 10 ms, with a connection each 0.1 s.

Now the first connection from another port ends the attempts; attempts to connect have 20 ms between them on a host, unless one has just got through; connections are looked at each 25 ms after the first 0.24 s.

--- a/io/serverpath/end.go
+++ b/io/serverpath/end.go
@@ -20,12 +20,16 @@
 	// as a reset ends these. None is due after an acknowledgement, and acknowledgedTimeout is the time
 	// for the server to read it.
 	endCheckInterval    = 10 * time.Millisecond
+	lateCheckInterval   = 25 * time.Millisecond // once the server should have read it
 	endTimeout          = 300 * time.Millisecond
 	acknowledgedTimeout = 60 * time.Millisecond
 	// tryDelay is the time until the path is tried with new connections, and tryInterval that between two
 	// of them. They overlap, as one whose first packet is lost tells nothing of a path that has healed since.
 	tryDelay    = 240 * time.Millisecond
 	tryInterval = 100 * time.Millisecond
+	// trySpacing is the least time between two attempts to any servers, unless one has just got through:
+	// paths are often cut, and heal, together.
+	trySpacing = 20 * time.Millisecond
 	// pathTimeout limits an attempt to connect, and how long one that got through is proof that the path
 	// works. A round trip between regions takes 40 ms.
 	pathTimeout = 200 * time.Millisecond
@@ -137,9 +141,28 @@
 
 // ends are the connections that were given up and are kept, by the addresses of their servers.
 type ends struct {
-	mu    sync.Mutex
-	conns map[string][]*Conn
-	count int
+	mu      sync.Mutex
+	conns   map[string][]*Conn
+	count   int
+	nextTry time.Time // to connect to any server
+	worked  time.Time // when an attempt last got through
+}
+
+// mayTry reports whether another attempt to connect may be made now.
+func (e *ends) mayTry(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now.Before(e.nextTry) && now.Sub(e.worked) > pathTimeout {
+		return false
+	}
+	e.nextTry = now.Add(trySpacing)
+	return true
+}
+
+func (e *ends) recordWorked(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.worked = now
 }
 
 // add keeps a connection. It reports false if too many are kept.
@@ -170,7 +193,12 @@
 }
 
 // tryFrom returns from when the path is tried with new connections.
-func (c *Conn) tryFrom() time.Time { return earlier(c.resetFrom(), c.at.Add(tryDelay)) }
+func (c *Conn) tryFrom(now time.Time) time.Time {
+	if first := c.at.Add(acknowledgedTimeout); now.Before(first) {
+		return first
+	}
+	return earlier(c.resetFrom(), c.at.Add(tryDelay))
+}
 
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
@@ -179,10 +207,11 @@
 	return b
 }
 
-// resetEnded resets the connections to a server for which reason returns one. It returns from when the
-// path is tried for those that remain.
-func (d *Dialer) resetEnded(server string, reason func(c *Conn) Reason) (tryFrom time.Time, remain bool) {
+// resetEnded resets the connections to a server for which reason returns one. Of those that remain it
+// returns from when the path is tried, and when the newest one was given up.
+func (d *Dialer) resetEnded(server string, reason func(c *Conn) Reason) (tryFrom, newest time.Time, remain bool) {
 	e := &d.ends
+	now := time.Now()
 	reset := make(map[*Conn]Reason)
 	e.mu.Lock()
 	var kept []*Conn
@@ -192,7 +221,8 @@
 			continue
 		}
 		kept = append(kept, c)
-		if t := c.tryFrom(); tryFrom.IsZero() || t.Before(tryFrom) {
+		newest = c.at
+		if t := c.tryFrom(now); tryFrom.IsZero() || t.Before(tryFrom) {
 			tryFrom = t
 		}
 	}
@@ -208,7 +238,7 @@
 			d.OnLateEnd(server, r, lasted)
 		}
 	}
-	return tryFrom, len(kept) > 0
+	return tryFrom, newest, len(kept) > 0
 }
 
 // awaitEnds resets the connections to a server that were given up, until none is left.
@@ -223,7 +253,7 @@
 		if proof != nil && now.Sub(*proof) > pathTimeout {
 			proof = nil
 		}
-		tryFrom, remain := d.resetEnded(server, func(c *Conn) Reason {
+		tryFrom, newest, remain := d.resetEnded(server, func(c *Conn) Reason {
 			r, ended := c.ended()
 			switch age := now.Sub(c.at); {
 			case ended:
@@ -238,16 +268,21 @@
 		if !remain {
 			return
 		}
-		if !now.Before(tryFrom) && !now.Before(next) {
+		if !now.Before(tryFrom) && !now.Before(next) && d.ends.mayTry(now) {
 			began := now
 			next = now.Add(tryInterval)
 			go func() {
 				if d.pathWorks(ctx, server) {
 					worked.Store(&began)
+					d.ends.recordWorked(time.Now())
 				}
 			}()
 		}
-		time.Sleep(endCheckInterval)
+		if now.Sub(newest) < tryDelay {
+			time.Sleep(endCheckInterval)
+		} else {
+			time.Sleep(lateCheckInterval)
+		}
 	}
 }
 
--- a/io/serverpath/stale.go
+++ b/io/serverpath/stale.go
@@ -25,11 +25,8 @@
 	go func() {
 		defer c.dialer.ends.unreserve()
 		reason := KeptTooLong
-		for until := c.at.Add(keepTimeout); time.Now().Before(until); {
-			if openedFrom(local, c.server) {
-				reason = PathWorks
-				break
-			}
+		for until := c.at.Add(keepTimeout); reason == KeptTooLong && time.Now().Before(until); {
+			reason = openFrom(local, c.server)
 		}
 		c.end.Tell(reason.known())
 		if c.dialer.OnLateEnd != nil {
@@ -38,25 +35,27 @@
 	}()
 }
 
-// openedFrom reports whether the server's host responds to the opening of a connection from a local
-// address, and has no other one from there any more. It takes pathTimeout if not.
-func openedFrom(local *net.TCPAddr, server string) bool {
+// openFrom opens a connection to a server from a local address. It returns PathWorks if the server's host
+// responds and has no other connection from there any more, KernelEnded if the connection was opened from
+// another address, so that more attempts don't help, and KeptTooLong after pathTimeout.
+func openFrom(local *net.TCPAddr, server string) Reason {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(pathTimeout))
 	defer cancel()
 	d := net.Dialer{Control: tcp.From(local)}
 	c, err := d.DialContext(ctx, "tcp", server)
 	if err == nil {
-		x, same := c.LocalAddr().(*net.TCPAddr)
-		same = same && x.Port == local.Port
+		x, ok := c.LocalAddr().(*net.TCPAddr)
 		_ = c.(*net.TCPConn).SetLinger(0)
-		if _ = c.Close(); same {
-			return true
+		if _ = c.Close(); ok && x.Port == local.Port {
+			return PathWorks
 		}
-	} else if tcp.Refused(err) {
-		return true
+		return KernelEnded
+	}
+	if tcp.Refused(err) {
+		return PathWorks
 	}
 	<-ctx.Done()
-	return false
+	return KeptTooLong
 }
 
 // reserve counts a connection that is kept. It reports false if too many are.
