core/bytebudget: a buffer that is replaced counts once

Cause: while a buffer grows, a holder has the old and the new one, 92,769 bytes for a body of 60,001. That made it a large holder, which leaves a quarter of the budget to others. Six bodies that grow at once were more than three quarters. What a holder keeps decides now. TestBuffersThatAreReplacedLeaveHoldersSmall refuses two of six holders before.

--- a/core/bytebudget/buffer.go
+++ b/core/bytebudget/buffer.go
@@ -45,7 +45,7 @@
 
 // grow returns a buffer with a greater capacity, for which it takes bytes from the holder.
 func grow(b []byte, size int, h *Holder) ([]byte, error) {
-	if err := h.Take(size); err != nil {
+	if err := h.Replace(cap(b), size); err != nil {
 		return nil, err
 	}
 	grown := make([]byte, len(b), size)
--- a/core/bytebudget/bytebudget.go
+++ b/core/bytebudget/bytebudget.go
@@ -90,11 +90,15 @@
 
 // Take takes n further bytes. It returns ErrSpent if there is no room for them, and once the holder
 // was evicted. It doesn't wait.
-func (h *Holder) Take(n int) error {
+func (h *Holder) Take(n int) error { return h.Replace(0, n) }
+
+// Replace takes the bytes of a buffer that replaces a smaller one, which the caller gives back once
+// it has copied it. It returns ErrSpent as Take does.
+func (h *Holder) Replace(from, to int) error {
 	if h == nil || h.budget == nil {
 		return nil
 	}
-	evictions, err := h.budget.take(h, int64(n))
+	evictions, err := h.budget.take(h, int64(to), int64(from))
 	for _, evict := range evictions {
 		evict()
 	}
@@ -140,7 +144,7 @@
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.fits(h, n) || b.largest() != nil && b.largest().held > h.held+n {
+	if b.fits(h, n, 0) || b.largest() != nil && b.largest().held > h.held+n {
 		return true
 	}
 	b.refuse(h, n)
@@ -157,18 +161,18 @@
 	return h.refusal
 }
 
-// take grants n bytes or returns ErrSpent. The evict functions of the holders that give way are to
-// be called.
-func (b *Budget) take(h *Holder, n int64) ([]func(), error) {
+// take grants n bytes, which replace others of the holder, or returns ErrSpent. The evict functions
+// of the holders that give way are to be called.
+func (b *Budget) take(h *Holder, n, replaced int64) ([]func(), error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if h.evicted {
 		return nil, ErrSpent
 	}
 	var evictions []func()
-	for !b.fits(h, n) {
+	for !b.fits(h, n, replaced) {
 		v := b.largest()
-		if v == nil || v.held <= h.held+n || b.leaving > 0 && b.leaving+v.held > b.limit/4 {
+		if v == nil || v.held <= h.held+n-replaced || b.leaving > 0 && b.leaving+v.held > b.limit/4 {
 			b.refuse(h, n)
 			return evictions, ErrSpent
 		}
@@ -183,14 +187,14 @@
 	return evictions, nil
 }
 
-// fits reports whether there is room for n bytes more for a holder. What evicted holders have is
-// about to become free.
-func (b *Budget) fits(h *Holder, n int64) bool {
-	limit := b.limit
-	if h.held+n > largeSize {
+// fits reports whether there is room for n bytes more for a holder, which replace others of it. What
+// evicted holders have is about to become free. The size of a holder is what it keeps.
+func (b *Budget) fits(h *Holder, n, replaced int64) bool {
+	limit, size := b.limit, h.held+n-replaced
+	if size > largeSize {
 		limit -= limit / 4
 	}
-	return h.held+n <= floor || b.held-b.leaving+n <= limit
+	return size <= floor || b.held-b.leaving+n <= limit
 }
 
 // largest returns the holder with most bytes of those that can be evicted, nil if there is none.
--- a/core/bytebudget/bytebudget_test.go
+++ b/core/bytebudget/bytebudget_test.go
@@ -106,3 +106,27 @@
 		t.Errorf("got error %v, want io.ErrUnexpectedEOF", err)
 	}
 }
+
+// Guards against ordinary bodies that are refused because the buffers they are copied from count as theirs.
+func TestBuffersThatAreReplacedLeaveHoldersSmall(t *testing.T) {
+	b := bytebudget.New(600 << 10)
+	var holders []*bytebudget.Holder
+	for range 6 {
+		h := b.Hold("request body", nil)
+		if err := h.Take(32 << 10); err != nil {
+			t.Fatalf("32 KiB: %v", err)
+		}
+		holders = append(holders, h)
+	}
+	for i, h := range holders {
+		if err := h.Replace(32<<10, 60_000); err != nil {
+			t.Errorf("60,000 bytes for the buffer of holder %d: %v", i, err)
+		}
+	}
+	for _, h := range holders {
+		h.Give(32 << 10)
+	}
+	if got := b.Held(); got != 360_000 {
+		t.Errorf("%d bytes are held, want 360,000", got)
+	}
+}
--- a/io/sse/events.go
+++ b/io/sse/events.go
@@ -140,7 +140,7 @@
 func (r *Reader) move(size int) error {
 	unread, to := r.buffer[r.start:], r.buffer[:0]
 	if size != cap(r.buffer) {
-		if err := r.held.Take(size); err != nil {
+		if err := r.held.Replace(cap(r.buffer), size); err != nil {
 			return err
 		}
 		to = make([]byte, 0, size)
