io/relay: attempts that are not sent spend no retry, moves reserve one

Callers saw streams broken off and reads refused with 502 while sound servers were there.

Cause: the retry budget was asked for each attempt after the first one that was sent. A granted retry is now used by the next attempt, or returned when the request ends, and counts as of the time when it is sent. A move reserves a second one if there is one, which is returned as soon as one server goes on.

TestReservedRetryCountsWhenItIsMade guards the budget's window.

--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -20,6 +20,9 @@
 //	b.Begin(now)                              // for each request, before its first attempt
 //	defer b.End()
 //	if !b.AllowRetry(now, nodes, 1) { ... }   // before its first retry
+//	r, ok := b.Reserve(now, nodes, 2)         // a retry that may be needed
+//	b.Renew(r, now)                           // it is made, or
+//	b.Return(r)                               // it is not
 //	b.RecordPeerUsage("node-2", usage, 1, now) // usage reported by another node
 //	b.RecordFinalUsage("node-2", usage, now)   // last usage of a node that is stopping
 package retrybudget
@@ -76,6 +79,12 @@
 	uncoordinated int // retries granted without current reports from the other nodes
 }
 
+// Reservation is a retry that was reserved.
+type Reservation struct {
+	bucket        int64
+	uncoordinated int // 1 without current reports from the other nodes, else 0
+}
+
 type report struct {
 	usage      Usage
 	nodes      int // that the report covers
@@ -178,22 +187,57 @@
 // AllowRetry reports whether the limit allows a retry, and counts it if so. nodes is the
 // number of nodes that share the limit. retry is 1 for the first retry of a request.
 func (b *Budget) AllowRetry(now time.Time, nodes, retry int) bool {
+	_, allowed := b.Reserve(now, nodes, retry)
+	return allowed
+}
+
+// Reserve reserves a retry that may be needed soon. It counts as if it was made, unless it is
+// returned. The parameters and the result are those of AllowRetry.
+func (b *Budget) Reserve(now time.Time, nodes, retry int) (Reservation, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.bucketAt(now)
+	r := Reservation{bucket: c.index}
 	switch {
 	case b.coordinated(now, nodes):
 		if !b.coordinatedAllows(now, retry) {
-			return false
+			return r, false
 		}
 	case b.uncoordinatedAllows(now, max(nodes, 1)):
 		c.uncoordinated++
+		r.uncoordinated = 1
 	default:
-		return false
+		return r, false
 	}
 	c.usage.Repeats++
 	b.retries++
-	return true
+	return r, true
+}
+
+// Renew counts a reserved retry as of the time when it is made.
+func (b *Budget) Renew(r Reservation, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.discount(r)
+	c := b.bucketAt(now)
+	c.usage.Repeats++
+	c.uncoordinated += r.uncoordinated
+}
+
+// Return returns a reserved retry that was not made. Other nodes may have granted retries
+// since, in ignorance of that, so that the total doesn't decrease.
+func (b *Budget) Return(r Reservation) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.discount(r)
+}
+
+// discount removes a reserved retry from its bucket, unless that has left the window.
+func (b *Budget) discount(r Reservation) {
+	if c := &b.buckets[r.bucket%buckets]; c.index == r.bucket {
+		c.usage.Repeats--
+		c.uncoordinated -= r.uncoordinated
+	}
 }
 
 // countNodes counts the nodes with valid reports and removes expired reports.
--- a/core/retrybudget/retrybudget_test.go
+++ b/core/retrybudget/retrybudget_test.go
@@ -339,3 +339,38 @@
 		}
 	}
 }
+
+// Guards against reserved retries that count although they were not made, or not as of the time when they were.
+func TestReservedRetryCountsWhenItIsMade(t *testing.T) {
+	for _, nodes := range []int{1, 2} { // with and without reports of all nodes
+		b := retrybudget.New(retrybudget.Limit{Extra: 40, Window: 10 * time.Second})
+		now := time.Unix(1_000_000, 0)
+		reserve := func() (all []retrybudget.Reservation) {
+			for r, ok := b.Reserve(now, nodes, 1); ok; r, ok = b.Reserve(now, nodes, 1) {
+				all = append(all, r)
+			}
+			return all
+		}
+		first := reserve()
+		for _, r := range first {
+			b.Return(r)
+		}
+		if again := reserve(); len(first) == 0 || len(again) != len(first) {
+			t.Fatalf("%d nodes: %d retries after %d were returned", nodes, len(again), len(first))
+		}
+		for _, r := range first {
+			b.Renew(r, now.Add(8*time.Second))
+		}
+		now = now.Add(12 * time.Second)
+		if got := len(reserve()); got != 0 {
+			t.Errorf("%d nodes: %d retries within a window of those that were made, want none", nodes, got)
+		}
+		now = now.Add(20 * time.Second)
+		kept := reserve()
+		now = now.Add(20 * time.Second)
+		b.Return(kept[0])
+		if got := len(reserve()); got != len(first) {
+			t.Errorf("%d nodes: %d retries in a later window, want %d", nodes, got, len(first))
+		}
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -52,6 +52,7 @@
 func (x *exchange) serveStream() {
 	x.awaitPromptServer()
 	s := &stream{exchange: x, lastEvent: x.meta.LastEventID, version: x.version}
+	defer x.returnRetries()
 	for {
 		a := s.nextAttempt()
 		if a == nil {
@@ -158,6 +159,7 @@
 		if b == nil && a.err != nil {
 			break
 		}
+		s.returnRetries()
 		if b == nil {
 			continue
 		}
@@ -226,11 +228,7 @@
 // allowRetry reports whether the retry budget allows another attempt, if an earlier one was
 // sent. retry is 1 for the first retry of the request.
 func (s *stream) allowRetry(retry int) bool {
-	if s.sentAttempts == 0 || s.h.budget(s.service.Name).AllowRetry(time.Now(), s.h.NodeCount(), retry) {
-		return true
-	}
-	s.h.Recorder.Record("repeat denied", Fields{"request": s.meta.ID, "service": s.service.Name, "attempts": s.attempts})
-	return false
+	return s.sentAttempts == 0 || s.exchange.allowRetry(retry)
 }
 
 // retryNumber returns which retry follows an attempt: 1 for the first. An attempt that was
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -127,7 +127,9 @@
 	a.outcome = broken
 	a.serverLost = a.member.Lost()
 	s.attempts++
-	s.sentAttempts++
+	if s.sentAttempts++; s.sentAttempts > 1 {
+		s.useRetry()
+	}
 	if a.err = c.Send(request, s.deadline); a.err != nil {
 		s.recordLoss(a)
 		return false
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -118,6 +118,9 @@
 		b.member.Release(b.query, false)
 		return nil, "budget"
 	}
+	if len(s.retries) < 2 {
+		s.reserveRetry(s.sentAttempts + 1) // for a stream that neither server goes on with
+	}
 	return b, ""
 }
 
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -14,6 +14,7 @@
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
+	"cicadabeam/core/retrybudget"
 	"cicadabeam/io/http1"
 )
 
@@ -53,6 +54,8 @@
 	through          string // node between, if any
 	serverLost       bool   // contact with the server had been lost before the request was sent
 	repeatable       bool   // the route allows a further attempt
+	isRetry          bool   // it uses a granted retry
+	retry            retrybudget.Reservation
 }
 
 func (a *attempt) status() int {
@@ -81,6 +84,7 @@
 	results := make(chan *attempt, maxUnaryAttempts)
 	ctx, cancel := x.attemptContext()
 	defer cancel()
+	defer x.returnRetries()
 	inFlight := 0
 	defer func() {
 		go func() {
@@ -159,7 +163,7 @@
 // mayHedge reports whether the request may be sent to a second server while the first
 // has not responded. Brittle servers have no room for requests that run twice.
 func (x *exchange) mayHedge() bool {
-	return !x.h.Fleet.Brittle(x.service.Name, time.Now()) && !x.h.crashDetector.causes.OnTrial(x.features) && x.h.crashDetector.maySend(x, x.lost) && x.attempts < x.route.Attempts && x.h.budget(x.service.Name).AllowRetry(time.Now(), x.h.NodeCount(), max(x.sentAttempts, 1))
+	return !x.h.Fleet.Brittle(x.service.Name, time.Now()) && !x.h.crashDetector.causes.OnTrial(x.features) && x.h.crashDetector.maySend(x, x.lost) && x.attempts < x.route.Attempts && (len(x.retries) > 0 || x.reserveRetry(max(x.sentAttempts, 1)))
 }
 
 // startAttempt sends the request to another server. It reports whether a server was
@@ -173,6 +177,7 @@
 	x.tried[m.ID()] = true
 	x.attempts++
 	a := &attempt{member: m, repeatable: x.mayAskAgain()}
+	a.retry, a.isRetry = x.useRetry()
 	go func() {
 		defer m.Release(q, false)
 		x.runAttempt(ctx, a)
@@ -369,6 +374,9 @@
 	switch a.outcome {
 	case notOffered:
 		x.attempts--
+		if a.isRetry {
+			x.retries = append(x.retries, a.retry)
+		}
 		return false
 	case moved:
 		x.attempts--
