io/relay: the run before a move is ended once

A path check that came back after the first run had been ended rearmed the overlap timer, which ended that run again and recorded its server a second time as one to return to. Found by reading; no caller has seen it. The tests of moves in test/relay pass.

--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -171,7 +171,7 @@
 				overlap.Reset(overlapTimeout) // the checks were late
 			default:
 				s.end(a, errMoved)
-				fromA = nil
+				fromA, reached = nil, nil
 			}
 		case <-b.suspected:
 			b.err = errNoResponse
