--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -189,8 +189,8 @@
 	// that now belongs to another server is not counted, nor, for a stream, one that the
 	// server refused.
 	attempts     int
-	sentAttempts int // attempts whose request was sent at least in part
-	retries      retries
+	sentAttempts int                       // attempts whose request was sent at least in part
+	retries      []retrybudget.Reservation // granted and not sent yet
 	dispatched   dispatch.Attempts
 	features     crashcause.Request
 	whole        []crashcause.Feature // of the request as a whole
--- a/io/relay/retries.go
+++ b/io/relay/retries.go
@@ -6,9 +6,6 @@
 	"cicadabeam/core/retrybudget"
 )
 
-// retries are the retries of a request that the retry budget has granted and that were not sent yet.
-type retries []retrybudget.Reservation
-
 // allowRetry reports whether the retry budget allows another attempt. retry is 1 for the first retry of
 // the request. A retry that was granted for an attempt that was not sent is used first.
 func (x *exchange) allowRetry(retry int) bool {
