--- a/core/crashcause/narrow_test.go
+++ b/core/crashcause/narrow_test.go
@@ -64,3 +64,26 @@
 		t.Error("a request without the part is refused")
 	}
 }
+
+// Of two parts with equally many crashes that were nobody else's, the one with more beside other losses is
+// the likelier cause: the other one was convicted, and explained what was left of the first.
+func TestCrashesBesideOtherLossesDecideBetweenParts(t *testing.T) {
+	l := crashcause.New()
+	l.RecordSound(request(100, "first", "else"), at(0))
+	for i, organisation := range []string{"organisation-1", "organisation-1", "organisation-3", "organisation-4"} {
+		crash(l, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), request(uint64(i), "first", "bad-1", organisation), request(uint64(50+i), "first", fmt.Sprint("other-", i)))
+	}
+	l.Evaluate(at(4 * time.Second))
+	crash(l, "s10", at(6*time.Second), request(10, "first", "bad", "organisation-1"))
+	crash(l, "s11", at(7*time.Second), request(11, "first", "bad", "organisation-5"), request(12, "first", "bad", "organisation-6"))
+	crash(l, "s12", at(8*time.Second), request(13, "first", "bad", "organisation-7"))
+	for i := range uint64(2) {
+		l.RecordCrash(crashcause.Crash{
+			Server: fmt.Sprint("s", 20+i), At: at(time.Duration(9+i) * time.Second), LostWith: []string{"s30"},
+			Requests: []crashcause.Request{request(20+i, "first", "bad", fmt.Sprint("organisation-", 20+i))},
+		})
+	}
+	now := at(11 * time.Second)
+	l.Evaluate(now)
+	checkOnlyBadRefused(t, l, now)
+}
--- a/core/crashcause/suspicion_test.go
+++ b/core/crashcause/suspicion_test.go
@@ -187,3 +187,71 @@
 		t.Error("the trial is sent to a second server after the loss of its first")
 	}
 }
+
+// A crash on another server took the trial from its host, so that its request and others were sent beside it.
+func TestTrialEndsWithItsOwnOutcomeOnly(t *testing.T) {
+	now := at(6 * time.Second)
+	r := request(20, "first")
+	for name, x := range map[string]struct {
+		request crashcause.Request
+		at      time.Time
+	}{
+		"a request that was sent before":  {request(40, "first"), now.Add(100 * time.Millisecond)},
+		"an earlier attempt of the trial": {r, now.Add(-100 * time.Millisecond)},
+	} {
+		l := suspected(t)
+		if _, refused := l.RefusesRetry(r, now); refused || !l.MaySend(r, true, now) {
+			t.Fatalf("%s: no request runs", name)
+		}
+		crash(l, "s8", x.at, x.request)
+		l.Evaluate(now.Add(400 * time.Millisecond))
+		later := now.Add(4 * time.Second)
+		if _, refused := l.RefusesRetry(r, later); !refused && l.MaySend(r, true, later) {
+			t.Errorf("%s: the trial is sent to a second server", name)
+		}
+		if !refuses(l, request(21, "first"), later) {
+			t.Errorf("%s: a second trial runs beside the first", name)
+		}
+		if crash(l, "s9", later, r); l.OnTrial(r) {
+			t.Errorf("%s: the trial goes on after the crash of its server", name)
+		}
+	}
+}
+
+func TestTrialOutlastsAFindingOfAnotherHost(t *testing.T) {
+	l, other := suspected(t), crashcause.New()
+	now := at(7 * time.Second)
+	r := request(20, "first")
+	if refuses(l, r, now) {
+		t.Fatal("no request runs")
+	}
+	never := func(string, time.Time) bool { return false }
+	for i := range uint64(3) {
+		crash(other, fmt.Sprint("s", i), at(time.Duration(i+1)*time.Second), request(10*i, "first"), request(10*i+1, "first"))
+	}
+	if found := other.Evaluate(now); len(found) != 1 {
+		t.Fatalf("got causes %v, want one", found)
+	}
+	l.Merge(other.Report(now), now, never)
+	if !l.OnTrial(r) || !refuses(l, request(21, "first"), now.Add(4*time.Second)) {
+		t.Error("the host gives up its trial")
+	}
+}
+
+func TestTrialEndsWithACrashThatWasJudgedBefore(t *testing.T) {
+	l := suspected(t)
+	now := at(6 * time.Second)
+	r := request(20, "first")
+	if refuses(l, r, now) {
+		t.Fatal("no request runs")
+	}
+	crash(l, "s9", now.Add(time.Second), request(40, "first"))
+	l.Evaluate(now.Add(1200 * time.Millisecond))
+	if !l.OnTrial(r) {
+		t.Fatal("the crash of a server that the trial is not known on ends it")
+	}
+	crash(l, "s9", now.Add(time.Second), r)
+	if l.OnTrial(r) || refuses(l, request(21, "first"), now.Add(3500*time.Millisecond)) {
+		t.Error("the trial goes on after the crash of its server")
+	}
+}
--- a/core/probation/probation_test.go
+++ b/core/probation/probation_test.go
@@ -72,3 +72,26 @@
 		t.Error("a trial of another node is not awaited, or for too long")
 	}
 }
+
+// All nodes began their trials at the moment at which the lease of another one's trial ended.
+func TestTrialsAfterTheEndOfALeaseAreSpread(t *testing.T) {
+	var first, last time.Time
+	for range 100 {
+		p := probation.New(start)
+		now := start.Add(2 * time.Second)
+		for range 10 {
+			now = now.Add(200 * time.Millisecond)
+			p.BegunElsewhere(now)
+		}
+		end := p.BlockedUntil(now)
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+		if end.After(last) {
+			last = end
+		}
+	}
+	if d := last.Sub(first); d < 300*time.Millisecond {
+		t.Errorf("100 nodes begin their trials within %v", d)
+	}
+}
