core/retrybudget: a renewed reservation is that of its new time

A retry whose attempt could not be sent was renewed again as if it still counted at its first time, so that one retry counted twice once that time had left the window. Found by reading the diff; the counts were too high, never too low.

--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -21,7 +21,7 @@
 //	defer b.End()
 //	if !b.AllowRetry(now, nodes, 1) { ... }   // before its first retry
 //	r, ok := b.Reserve(now, nodes, 2)         // a retry that may be needed
-//	b.Renew(r, now)                           // it is made, or
+//	r = b.Renew(r, now)                       // it is made, or
 //	b.Return(r)                               // it is not
 //	b.RecordPeerUsage("node-2", usage, 1, now) // usage reported by another node
 //	b.RecordFinalUsage("node-2", usage, now)   // last usage of a node that is stopping
@@ -214,14 +214,16 @@
 	return r, true
 }
 
-// Renew counts a reserved retry as of the time when it is made.
-func (b *Budget) Renew(r Reservation, now time.Time) {
+// Renew counts a reserved retry as of the time when it is made, and returns it with that time.
+func (b *Budget) Renew(r Reservation, now time.Time) Reservation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.discount(r)
 	c := b.bucketAt(now)
 	c.usage.Repeats++
 	c.uncoordinated += r.uncoordinated
+	r.bucket = c.index
+	return r
 }
 
 // Return returns a reserved retry that was not made. Other nodes may have granted retries
--- a/core/retrybudget/retrybudget_test.go
+++ b/core/retrybudget/retrybudget_test.go
@@ -358,10 +358,13 @@
 		if again := reserve(); len(first) == 0 || len(again) != len(first) {
 			t.Fatalf("%d nodes: %d retries after %d were returned", nodes, len(again), len(first))
 		}
-		for _, r := range first {
-			b.Renew(r, now.Add(8*time.Second))
+		for _, r := range first { // twice, as for an attempt that could not be sent
+			b.Renew(b.Renew(r, now.Add(4*time.Second)), now.Add(8*time.Second))
 		}
 		now = now.Add(12 * time.Second)
+		if got := b.Usage(now).Repeats; got != len(first) {
+			t.Errorf("%d nodes: %d retries count, want the %d that were made", nodes, got, len(first))
+		}
 		if got := len(reserve()); got != 0 {
 			t.Errorf("%d nodes: %d retries within a window of those that were made, want none", nodes, got)
 		}
--- a/io/relay/retries.go
+++ b/io/relay/retries.go
@@ -32,8 +32,7 @@
 	}
 	r := x.retries[0]
 	x.retries = x.retries[1:]
-	x.h.budget(x.service.Name).Renew(r, time.Now())
-	return r, true
+	return x.h.budget(x.service.Name).Renew(r, time.Now()), true
 }
 
 // returnRetries returns the retries that were granted and are not needed.
