cmd/entry: large configurations are sent compressed and to a few hosts at a time

Cause: a configuration with many routes (some 700 kB) was fetched by all hosts of a data centre from the one that read it, uncompressed and at the same time. Over a link of 10 Mbit/s none had it before the request timed out after 1 s; the connection was closed, which also ended exchanges of reports and fetches of servers, and all asked again.

Hosts of earlier versions get the plain form.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -28,6 +28,7 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/partition"
+	"cicadabeam/core/readers"
 	"cicadabeam/core/records"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
@@ -76,6 +77,7 @@
 	serverFreshness      serverFreshness
 	changeLog            changeLog
 	wholeList            wholeList
+	configurationLimit   readers.ConfigurationLimit
 	stallDetector        freshness.StallDetector
 	draining             atomic.Bool
 	hostListTried        atomic.Bool // the host list was read, or reading it failed
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -328,16 +328,6 @@
 	}
 }
 
-func (n *Node) fetchConfiguration(p *peer) error {
-	sent := uptime()
-	x, err := p.client.Configuration(time.Now().Add(fetchTimeout))
-	if err != nil || !x.Fact.Known {
-		return err
-	}
-	n.installConfiguration(x.Value, sent-x.Fact.Age, true, p.host.Name)
-	return nil
-}
-
 func (n *Node) fetchServers(p *peer) error {
 	known, since := n.serverFreshness.at()
 	if !known {
@@ -365,16 +355,6 @@
 // Hosts implements neighbour.Handler.
 func (n *Node) Hosts() neighbour.HostList { return n.directory.hostList(uptime()) }
 
-// Configuration implements neighbour.Handler.
-func (n *Node) Configuration() neighbour.ConfigurationReply {
-	encoded := n.encoded.Load()
-	f := n.configurationFreshness(uptime())
-	if encoded == nil || !f.Known || encoded.revision != f.Version {
-		return neighbour.ConfigurationReply{}
-	}
-	return neighbour.ConfigurationReply{Fact: f, Value: encoded.value}
-}
-
 // Servers implements neighbour.Handler.
 func (n *Node) Servers(since freshness.StoreVersion) neighbour.ServerList {
 	n.serversMu.Lock() // the servers are exactly those of the version reported with them
--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -50,7 +50,7 @@
 		n.tracker.Confirm(c.Revision(), asOf)
 	}
 	if newer {
-		n.encoded.Store(&rawConfiguration{revision: c.Revision(), value: value})
+		n.encoded.Store(newRawConfiguration(c.Revision(), value))
 		n.triggerExchange()
 	}
 	n.checkSynced()
@@ -66,12 +66,6 @@
 	}
 }
 
-// rawConfiguration is a configuration as encoded in the store.
-type rawConfiguration struct {
-	revision uint64
-	value    []byte
-}
-
 // serverFreshness records which version of the server table is known, and when that
 // version was last confirmed as the newest.
 type serverFreshness struct {
--- a/cmd/entry/whole_list.go
+++ b/cmd/entry/whole_list.go
@@ -84,16 +84,5 @@
 
 // peerWithServers returns a random live peer that knows the servers, or p if there is none.
 func (n *Node) peerWithServers(p *peer) *peer {
-	now := time.Now()
-	n.peers.mu.Lock()
-	defer n.peers.mu.Unlock()
-	found := 0
-	for _, x := range n.peers.all {
-		if x.report.Servers.Known && now.Sub(x.reportedAt) < livenessTimeout {
-			if found++; rand.N(found) == 0 {
-				p = x
-			}
-		}
-	}
-	return p
+	return n.randomPeer(p, func(r *neighbour.NodeReport) bool { return r.Servers.Known })
 }
--- a/io/neighbour/accept_test.go
+++ b/io/neighbour/accept_test.go
@@ -13,8 +13,10 @@
 
 type emptyHandler struct{}
 
-func (emptyHandler) Exchange(NodeReport) NodeReport            { return NodeReport{} }
-func (emptyHandler) Configuration() ConfigurationReply         { return ConfigurationReply{} }
+func (emptyHandler) Exchange(NodeReport) NodeReport { return NodeReport{} }
+func (emptyHandler) Configuration(ConfigurationRequest) ConfigurationReply {
+	return ConfigurationReply{}
+}
 func (emptyHandler) Servers(freshness.StoreVersion) ServerList { return ServerList{} }
 func (emptyHandler) WholeServers() WholeServerList             { return WholeServerList{} }
 func (emptyHandler) Hosts() HostList                           { return HostList{} }
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -95,10 +95,20 @@
 	Brittle        slotshare.Report
 }
 
-// ConfigurationReply carries a configuration in the form in which the operator wrote it.
+// ConfigurationRequest says in which forms the caller understands a configuration. It is an integer, as
+// the empty request of earlier versions is.
+type ConfigurationRequest int
+
+// AcceptsPacked says that the caller understands Packed and Busy.
+const AcceptsPacked ConfigurationRequest = 1
+
+// ConfigurationReply carries a configuration in the form in which the operator wrote it, or that form
+// compressed by PackBytes. A node that has just sent too many sets Busy instead.
 type ConfigurationReply struct {
-	Fact  VersionInfo
-	Value []byte
+	Fact   VersionInfo
+	Value  []byte
+	Packed []byte
+	Busy   bool
 }
 
 // ServerChange is the new state of a server or, if Gone is set, its deregistration, which
@@ -154,7 +164,7 @@
 // Handler handles the requests of other nodes.
 type Handler interface {
 	Exchange(n NodeReport) NodeReport
-	Configuration() ConfigurationReply
+	Configuration(r ConfigurationRequest) ConfigurationReply
 	Servers(since freshness.StoreVersion) ServerList
 	WholeServers() WholeServerList
 	Hosts() HostList
@@ -169,8 +179,8 @@
 	return nil
 }
 
-func (m *methods) Configuration(_ Empty, r *ConfigurationReply) error {
-	*r = m.handler.Configuration()
+func (m *methods) Configuration(q ConfigurationRequest, r *ConfigurationReply) error {
+	*r = m.handler.Configuration(q)
 	return nil
 }
 
@@ -245,10 +255,15 @@
 // Configuration returns the configuration of the called node.
 func (c *Client) Configuration(deadline time.Time) (ConfigurationReply, error) {
 	r := new(ConfigurationReply)
-	if err := c.call("Configuration", Empty(0), r, deadline); err != nil {
+	if err := c.call("Configuration", AcceptsPacked, r, deadline); err != nil {
 		return ConfigurationReply{}, err // net/rpc may still decode a late reply into r
 	}
-	return *r, nil
+	if len(r.Packed) == 0 {
+		return *r, nil
+	}
+	var err error
+	r.Value, err = UnpackBytes(r.Packed)
+	return *r, err
 }
 
 // Servers returns the servers that changed after the version since, or all servers that
--- a/io/neighbour/pack.go
+++ b/io/neighbour/pack.go
@@ -34,3 +34,28 @@
 	err := gob.NewDecoder(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxUnpacked)).Decode(&all)
 	return all, errors.Wrap(err, "neighbour: unpack servers")
 }
+
+// PackBytes compresses b. A configuration with many routes takes a tenth of its size or less.
+func PackBytes(b []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "neighbour: pack")
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Wrap(err, "neighbour: pack")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "neighbour: pack")
+	}
+	return packed.Bytes(), nil
+}
+
+// UnpackBytes returns what PackBytes compressed. It fails if that exceeds maxUnpacked bytes.
+func UnpackBytes(packed []byte) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked+1))
+	if err == nil && len(b) > maxUnpacked {
+		err = errors.Newf("more than %d bytes", maxUnpacked)
+	}
+	return b, errors.Wrap(err, "neighbour: unpack")
+}
