core/aggregation: aggregated reports go to the nodes that lack them

Cause: while servers are lost, each node of a data centre sent the aggregated reports of all others to each other node of its own every 60 ms, although it had got them from the gateways as they had. With 87 nodes and the engines of a data centre lost every 6 s this was 600 to 1,000 kB a second for each node in and out, on links of 10 Mbit/s (10 kB a second in calm); 21 of the 23 kB of a report were aggregates, 17 of them crashes. Requests, reports and fetches waited for the link.

Now a report names the aggregates that its node has, with their ages, and a node sends what the peer lacks; nodes that are no gateways do so only where the gateways don't reach the peer. Between two full sets, 500 ms apart, aggregates carry the crashes of the last 300 ms only.

--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"cicadabeam/core/aggregation"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
@@ -18,11 +19,6 @@
 const (
 	gatewaysPerDataCentre = 2
 	fullMeshMaxPeers      = 24
-	// aggregateInterval is the minimum time between two sets of aggregates sent to a node.
-	aggregateInterval = 500 * time.Millisecond
-	// aggregateIntervalOnLoss applies while servers are being lost, because the outage of a
-	// data centre is over after little more than a second.
-	aggregateIntervalOnLoss = 60 * time.Millisecond
 	// aggregateMaxAge is the maximum age of an aggregate that is forwarded.
 	aggregateMaxAge = 3 * time.Second
 	// unresponsiveAfter is the time without contact after which another gateway is used
@@ -45,7 +41,7 @@
 	}
 	var selected []records.EntryHost
 	remote := make(map[string]int)
-	isGateway := n.isGateway(all, now)
+	isGateway := n.gateway(now)
 	for _, h := range all {
 		if h.DataCentre == n.settings.topology.DataCentre {
 			selected = append(selected, h)
@@ -59,19 +55,6 @@
 	return selected
 }
 
-// isGateway reports whether this node is a gateway: one of the live nodes of its data
-// centre with the lowest names.
-func (n *Node) isGateway(all []records.EntryHost, now time.Time) bool {
-	ahead := 0
-	for _, h := range all {
-		p := n.peers.all[h.Name]
-		if h.DataCentre == n.settings.topology.DataCentre && h.Name < n.settings.name && p != nil && now.Sub(p.reportedAt) < livenessTimeout {
-			ahead++
-		}
-	}
-	return ahead < gatewaysPerDataCentre
-}
-
 // unresponsive reports whether a peer has not been in contact for between
 // unresponsiveAfter and unresponsiveRetryAfter.
 func (p *peers) unresponsive(name string, now time.Time) bool {
@@ -92,32 +75,57 @@
 func (n *Node) usesGateways() bool { return n.directory.count() > fullMeshMaxPeers+1 }
 
 // aggregatesFor returns the aggregates to send to a node, or nil if none are due. A
-// node of this data centre gets those of the other data centres. A node of another one
-// gets that of this data centre.
+// node of this data centre gets those of the other data centres that it lacks. A node of another
+// one gets that of this data centre.
 func (n *Node) aggregatesFor(name, dataCentre string, now time.Time) map[string]neighbour.DataCentreReport {
 	if !n.usesGateways() {
 		return nil
 	}
 	n.peers.mu.Lock()
 	defer n.peers.mu.Unlock()
-	wait := aggregateInterval
-	if n.hasRecentLosses(now) {
-		wait = aggregateIntervalOnLoss
-	}
-	if now.Sub(n.peers.aggregatesSentAt[name]) < wait {
+	due, full := n.forwarding.Due(name, n.hasRecentLosses(now), now)
+	if !due {
 		return nil
 	}
-	n.peers.aggregatesSentAt[name] = now
 	all := make(map[string]neighbour.DataCentreReport)
 	if dataCentre != n.settings.topology.DataCentre {
-		all[n.settings.topology.DataCentre] = n.aggregateOwnDataCentre(now)
+		x := n.aggregateOwnDataCentre(now)
+		if !full {
+			x.Crashes = x.Crashes.Recent(aggregation.RecentAge)
+		}
+		all[n.settings.topology.DataCentre] = x
 		return all
 	}
-	for name, r := range n.peers.aggregates {
-		if now.Sub(r.at) < aggregateMaxAge {
+	gateway := n.gateway(now)
+	for dc, r := range n.peers.aggregates {
+		if now.Sub(r.at) < aggregateMaxAge && n.forwarding.Needs(name, dc, r.at, gateway, now) {
 			x := r.aggregate
 			x.Age = now.Sub(r.at)
-			all[name] = x
+			all[dc] = x
+		}
+	}
+	return all
+}
+
+// gateway reports whether this node is a gateway, by the nodes that are its peers.
+func (n *Node) gateway(now time.Time) bool {
+	ahead := 0
+	for _, p := range n.peers.all {
+		if p.host.DataCentre == n.settings.topology.DataCentre && p.host.Name < n.settings.name && now.Sub(p.reportedAt) < livenessTimeout {
+			ahead++
+		}
+	}
+	return ahead < gatewaysPerDataCentre
+}
+
+// aggregateAges returns the ages of the known aggregates, by data centre.
+func (n *Node) aggregateAges(now time.Time) map[string]time.Duration {
+	n.peers.mu.Lock()
+	defer n.peers.mu.Unlock()
+	all := make(map[string]time.Duration, len(n.peers.aggregates))
+	for dc, r := range n.peers.aggregates {
+		if age := now.Sub(r.at); age < aggregateMaxAge {
+			all[dc] = age
 		}
 	}
 	return all
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -23,6 +23,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/sys/unix"
 
+	"cicadabeam/core/aggregation"
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/drain"
 	"cicadabeam/core/fleet"
@@ -78,6 +79,7 @@
 	changeLog            changeLog
 	wholeList            wholeList
 	configurationLimit   readers.ConfigurationLimit
+	forwarding           *aggregation.Forwarding // of aggregates
 	stallDetector        freshness.StallDetector
 	draining             atomic.Bool
 	hostListTried        atomic.Bool // the host list was read, or reading it failed
@@ -127,6 +129,7 @@
 	n.serverWatcher = n.newWatcher(platform.ServersTable, n.applyServerUpdate, n.serversKnown)
 	n.serverWatcher.batchDelay = serverBatchDelay
 	n.peers.init()
+	n.forwarding = aggregation.NewForwarding()
 	return n
 }
 
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -52,15 +52,14 @@
 
 // peers holds the peers of this node and the state of the exchanges with them.
 type peers struct {
-	mu               sync.Mutex
-	all              map[string]*peer
-	wake             chan struct{} // requests an exchange without waiting for the interval
-	readUntil        time.Time     // this node reads the store until then, see readTakeoverHold
-	readsStore       bool          // the last result of Node.readsStore
-	fetching         map[string]bool
-	riseMissed       bool                         // the servers that have yet to register again are to be fetched
-	aggregates       map[string]receivedAggregate // by data centre
-	aggregatesSentAt map[string]time.Time         // by node
+	mu         sync.Mutex
+	all        map[string]*peer
+	wake       chan struct{} // requests an exchange without waiting for the interval
+	readUntil  time.Time     // this node reads the store until then, see readTakeoverHold
+	readsStore bool          // the last result of Node.readsStore
+	fetching   map[string]bool
+	riseMissed bool                         // the servers that have yet to register again are to be fetched
+	aggregates map[string]receivedAggregate // by data centre
 }
 
 func (p *peers) init() {
@@ -68,7 +67,6 @@
 	p.wake = make(chan struct{}, 1)
 	p.fetching = make(map[string]bool)
 	p.aggregates = make(map[string]receivedAggregate)
-	p.aggregatesSentAt = make(map[string]time.Time)
 }
 
 func (n *Node) addPeerServer(g *run.Group) error {
@@ -205,7 +203,7 @@
 		promptsFrom = time.Time{}
 	}
 	x := neighbour.NodeReport{
-		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
+		Host: n.self(), AggregateAges: n.aggregateAges(now), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Limits: n.fleet.LimitReport(now),
 		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Leases: true, Brittle: n.fleet.BrittleReport(now),
@@ -246,6 +244,7 @@
 	missedRise := n.eras.Merge(x.Era, x.Host.Name)
 	n.directory.add(x.Host)
 	n.applyAggregates(x.Handed, now)
+	n.forwarding.RecordKnown(x.Host.Name, x.AggregateAges, now)
 	if !n.usesGateways() || x.Host.DataCentre == n.settings.topology.DataCentre {
 		n.fleet.RecordPeerWork(x.Host.Name, x.Work, now)
 		n.handler.MergeLimits(x.Host.Name, x.Limits, 1, now)
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -121,6 +121,12 @@
 	return all
 }
 
+// Recent returns the report with those crashes only that were noticed within age, and all causes.
+func (r Report) Recent(age time.Duration) Report {
+	r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c CrashReport) bool { return c.Noticed > age })
+	return r
+}
+
 // Add adds the crashes of another node's report that was received some time ago.
 func (r *Report) Add(x Report, age time.Duration) {
 	for _, c := range x.Crashes {
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -69,6 +69,8 @@
 	Limits        serverlimit.Report           // that servers named, and the node's use of these servers
 	Lost          map[string]time.Duration     // time since the node lost contact with a server, by server ID
 	Handed        map[string]DataCentreReport  // aggregated reports, by data centre
+	// AggregateAges are the ages of the aggregated reports that the node has, by data centre.
+	AggregateAges map[string]time.Duration
 	// LeavingServers said recently that they leave, to this node or to one that told it.
 	LeavingServers []fleet.LeavingServer
 	Streams        streamversion.Report // that the node began, with their software versions
