crashcause, probation: a trial ends with its own outcome only

A host that evaluated a crash on another server, or under an earlier attempt of its trial's request, gave up its trial, so that the request went to a second server and other hosts began trials beside it. A trial now ends only with a later crash of a server on which its request is known, or when it is no longer awaited, also if the crash was judged before or another host finds the same suspicion. Hosts begin trials up to 0.5 s apart after the lease of another one's trial. Of parts with equally many crashes, those with more beside other losses are the likelier cause.

--- a/core/crashcause/cause.go
+++ b/core/crashcause/cause.go
@@ -88,6 +88,7 @@
 	}
 	c.remaining = slices.DeleteFunc(c.remaining, func(x Feature) bool { return x == f })
 	if c.suspicion != nil {
+		c.suspicion.Release()
 		c.suspicion.Restart(at)
 	}
 	return true
--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -198,7 +198,7 @@
 			l.concerned[f] = true
 		}
 		l.renewCauses(r, known.At)
-		l.judgeTrial(known, r)
+		l.endTrials(known)
 	}
 	return known
 }
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -185,7 +185,8 @@
 }
 
 // suspects returns the features with enough crashes, the likeliest ones first: those with the
-// most crashes, and of these the ones that the fewest requests have.
+// most crashes, of these the ones with the most beside other losses, and then those that the fewest
+// requests have.
 func (l *List) suspects(now time.Time) []suspect {
 	crashes := make(map[Feature]int)
 	for c := range l.allCrashes() {
@@ -219,7 +220,9 @@
 		}
 	}
 	slices.SortFunc(ranked, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.requests, b.requests), cmp.Compare(a.feature, b.feature))
+		return cmp.Or(
+			cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(len(b.beside), len(a.beside)), cmp.Compare(a.requests, b.requests), cmp.Compare(a.feature, b.feature),
+		)
 	})
 	return ranked
 }
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -190,6 +190,9 @@
 	switch {
 	case convicted, !together && !suspected && x.since.After(known.since):
 		x.stored, x.ownStored = known.stored || x.stored, known.ownStored
+		if x.suspicion != nil && known.suspicion != nil && known.suspicion.awaits(now) {
+			x.suspicion = known.suspicion
+		}
 		*known = *x
 		l.acquitSound(known)
 		l.notify()
--- a/core/crashcause/suspicion.go
+++ b/core/crashcause/suspicion.go
@@ -15,6 +15,7 @@
 	*probation.Probation
 	held     bool // by a trial of this node
 	trial    Request
+	trialAt  time.Time // when it began
 	trialEnd time.Time // until when its outcome is awaited
 	// retry is set if the trial is a request that was sent before the suspicion arose.
 	retry   bool
@@ -34,7 +35,7 @@
 
 func (s *suspicion) begin(r Request, now time.Time) {
 	s.trialEnd = s.Begin(now)
-	s.held, s.trial, s.retry = true, r, false
+	s.held, s.trial, s.trialAt, s.retry = true, r, now, false
 }
 
 // awaits reports whether this node awaits the outcome of a trial.
@@ -42,6 +43,12 @@
 
 func (s *suspicion) holds(r Request) bool { return s.held && s.trial.equal(r) }
 
+// endedBy reports whether a crash is the outcome of the trial of this node: its request was on the
+// server, and not in an attempt of before the trial.
+func (s *suspicion) endedBy(x *crash) bool {
+	return s.held && !x.At.Before(s.trialAt) && slices.ContainsFunc(x.Requests, s.trial.equal)
+}
+
 // maySend reports whether a request is the trial, and is sent to its first server since it is.
 func (s *suspicion) maySend(r Request, again bool) bool {
 	if !s.holds(r) {
@@ -132,18 +139,25 @@
 	return released
 }
 
-// judgeTrial draws the conclusion from a crash of the server of a trial of this node.
-func (l *List) judgeTrial(x *crash, r Request) {
-	if x.judged {
-		return
-	}
-	var held []*cause
-	for _, c := range l.causesWith(r) {
-		if c.suspicion != nil && c.suspicion.holds(r) {
-			held = append(held, c)
+// endTrials ends the trials of this node whose server has crashed, and draws the conclusion. Crashes of
+// other servers leave them alone: else the request would be sent to a second server, beside trials of
+// other nodes.
+func (l *List) endTrials(x *crash) {
+	var ended []*cause
+	for _, c := range l.causesOf(x) {
+		if s := c.suspicion; s != nil && s.endedBy(x) {
+			s.held = false
+			s.Release()
+			s.Restart(x.At)
+			ended = append(ended, c)
 		}
 	}
-	l.judgeAmong(x, held)
+	if !x.judged {
+		l.judgeAmong(x, ended)
+	}
+	if len(ended) > 0 {
+		l.notify()
+	}
 }
 
 // judge draws the conclusion from a crash of a server on which a request with a suspected cause was
@@ -167,7 +181,6 @@
 			l.recordTrialCrash(c, x.Requests[slices.IndexFunc(x.Requests, c.matches)], x.At)
 			continue
 		}
-		c.suspicion.held = false
 		c.suspicion.Restart(x.At)
 	}
 }
@@ -195,7 +208,6 @@
 	if len(s.crashed) < maxTrialCrashes && !slices.ContainsFunc(s.crashed, r.equal) {
 		s.crashed = append(s.crashed, r)
 	}
-	s.held = false
 	if s.Crashed(explained, at) {
 		l.convict(c, at)
 		l.convicted = append(l.convicted, c)
--- a/core/probation/probation.go
+++ b/core/probation/probation.go
@@ -35,6 +35,9 @@
 	trialTimeout = 10 * time.Second
 	// peerTrialLease is how long a node that has reported a trial is taken to await its outcome.
 	peerTrialLease = 1500 * time.Millisecond
+	// leaseSpread is the time over which nodes begin trials after such a lease, which ends at the same
+	// moment on all of them.
+	leaseSpread = 500 * time.Millisecond
 	// crashNotice is how long after a trial broke off its server's crash may become known.
 	crashNotice = 1500 * time.Millisecond
 	// firstPause is the pause after a trial that ended in a crash that does not convict. Each
@@ -48,25 +51,27 @@
 
 // Probation is the state of one suspicion. It is not safe for concurrent use.
 type Probation struct {
-	opensAt      time.Time // when the next trial may begin
-	claimedUntil time.Time // until when the outcome of a trial is awaited
-	crashes      int       // of trials, that did not convict
-	suspected    int       // requests
-	others       int       // of the same kind
+	opensAt      time.Time     // when the next trial may begin
+	claimedUntil time.Time     // until when the outcome of a trial is awaited
+	leaseSpread  time.Duration // by which this node awaits trials of others for longer
+	crashes      int           // of trials, that did not convict
+	suspected    int           // requests
+	others       int           // of the same kind
 }
 
 // New returns the probation of a suspicion that arose at a time.
 func New(now time.Time) *Probation {
-	p := new(Probation)
+	p := &Probation{leaseSpread: rand.N(leaseSpread)}
 	p.Restart(now)
 	return p
 }
 
-// Restart delays the next trial, as at the beginning. It is to be called if the suspicion changes.
-func (p *Probation) Restart(now time.Time) {
-	p.opensAt = now.Add(settleTime + rand.N(settleSpread))
-	p.claimedUntil = time.Time{}
-}
+// Restart delays the next trial, as at the beginning. It is to be called if the suspicion changes, or after
+// a crash. A trial whose outcome is awaited goes on; see Release.
+func (p *Probation) Restart(now time.Time) { p.opensAt = now.Add(settleTime + rand.N(settleSpread)) }
+
+// Release records that the outcome of a trial is known, and not awaited any more.
+func (p *Probation) Release() { p.claimedUntil = time.Time{} }
 
 // OpensAt returns when the next trial may begin if none is awaited.
 func (p *Probation) OpensAt() time.Time { return p.opensAt }
@@ -92,7 +97,7 @@
 // BegunElsewhere records that another node awaits the outcome of a trial. It is to be called
 // again while that node does.
 func (p *Probation) BegunElsewhere(now time.Time) {
-	if until := now.Add(peerTrialLease); until.After(p.claimedUntil) {
+	if until := now.Add(peerTrialLease + p.leaseSpread); until.After(p.claimedUntil) {
 		p.claimedUntil = until
 	}
 }
@@ -137,14 +142,14 @@
 	return float64(p.suspected) >= nearlyAll*float64(p.suspected+p.others)
 }
 
-// Crashed records that the server of a trial has crashed. explained is set if a narrower suspicion
-// may explain the crash. It reports whether the crash convicts.
+// Crashed records that a server has crashed under a request that is suspected. explained is set if a
+// narrower suspicion may explain the crash. It reports whether the crash convicts. If it doesn't, a trial
+// that is awaited goes on; see Release.
 func (p *Probation) Crashed(explained bool, now time.Time) bool {
 	switch {
 	case explained:
 		p.Restart(now)
 	case p.Broad():
-		p.claimedUntil = time.Time{}
 		p.Postpone(now.Add(p.pause()))
 		p.crashes++
 	default:
