--- a/core/crashcause/crashcause.go
+++ b/core/crashcause/crashcause.go
@@ -35,6 +35,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cicadabeam/core/recency"
 )
 
 const (
@@ -135,10 +137,10 @@
 type List struct {
 	mu          sync.Mutex
 	namesReused bool
-	trials      bool                // causes are suspected before they are quarantined
-	crashes     map[string][]*crash // by server
-	sound       map[Feature]time.Time
-	causes      map[string]*cause // by key
+	trials      bool                  // causes are suspected before they are quarantined
+	crashes     map[string][]*crash   // by server
+	sound       *recency.Log[Feature] // when requests last ran well
+	causes      map[string]*cause     // by key
 	// concerned are the features of the requests that may have caused crashes.
 	concerned map[Feature]bool
 	// changed are the keys of the causes that this node's evidence has changed, for TakeChanges.
@@ -153,7 +155,7 @@
 // New returns an empty list for servers that have another name after a restart.
 func New() *List {
 	return &List{
-		trials: true, crashes: make(map[string][]*crash), sound: make(map[Feature]time.Time), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
+		trials: true, crashes: make(map[string][]*crash), sound: recency.New[Feature](maxSound), causes: make(map[string]*cause), concerned: make(map[Feature]bool),
 	}
 }
 
@@ -312,16 +314,7 @@
 }
 
 func (l *List) recordSound(f Feature, at time.Time) {
-	last, known := l.sound[f]
-	if !known && len(l.sound) >= maxSound {
-		for x := range l.sound {
-			delete(l.sound, x)
-			break
-		}
-	}
-	if at.After(last) {
-		l.sound[f] = at
-	}
+	l.sound.Record(f, at)
 	for _, c := range l.causes {
 		if c.acquit(f, at) {
 			l.updateStored(c)
@@ -381,9 +374,8 @@
 			l.concerned[f] = true
 		}
 	}
-	for f, at := range l.sound {
-		if age := now.Sub(at); age > 2*soundMemory && !l.concerned[f] || age > crashRetention+soundMemory {
-			delete(l.sound, f)
-		}
-	}
+	l.sound.DeleteFunc(func(f Feature, at time.Time) bool {
+		age := now.Sub(at)
+		return age > 2*soundMemory && !l.concerned[f] || age > crashRetention+soundMemory
+	})
 }
--- a/core/crashcause/evaluate.go
+++ b/core/crashcause/evaluate.go
@@ -248,7 +248,7 @@
 func (l *List) outlastsOutages(s *suspect, now time.Time) bool {
 	all := append(slices.Clone(s.crashes), s.shielded...)
 	sortByTime(all)
-	untested := l.trials && len(all) >= crashThreshold && !l.soundSince(s.class, now.Add(-soundMemory))
+	untested := l.trials && len(all) >= crashThreshold && !l.sound.Since(s.class, now.Add(-soundMemory))
 	if !untested && moments(all) < outageThreshold {
 		return false
 	}
@@ -299,7 +299,7 @@
 }
 
 // acquitted reports whether a request with a feature has run well since shortly before a crash.
-func (l *List) acquitted(f Feature, c *crash) bool { return l.soundSince(f, c.At.Add(-soundMemory)) }
+func (l *List) acquitted(f Feature, c *crash) bool { return l.sound.Since(f, c.At.Add(-soundMemory)) }
 
 // shielded reports whether other servers were lost with one that crashed, and no requests with a
 // feature are known to have been starting on them.
@@ -332,11 +332,6 @@
 	})
 }
 
-func (l *List) soundSince(f Feature, t time.Time) bool {
-	at, known := l.sound[f]
-	return known && at.After(t)
-}
-
 // inCommon returns the feature of a suspect and further ones that a share of the different requests
 // with it have in common.
 func (l *List) inCommon(s suspect, share float64) []Feature {
@@ -382,7 +377,7 @@
 // comparable reports whether other requests than those with the feature of a suspect have run
 // well. If none has, the feature may be one that all requests have.
 func (l *List) comparable(s suspect) bool {
-	return l.soundSince(s.class, s.crashes[0].At.Add(-soundMemory))
+	return l.sound.Since(s.class, s.crashes[0].At.Add(-soundMemory))
 }
 
 // inAllRequests reports whether all requests of a class that may have caused crashes have the
--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -101,7 +101,7 @@
 		}
 	}
 	for f := range reported {
-		if at, known := l.sound[f]; known && now.Sub(at) < soundMemory && len(r.Sound) < maxReportedSound {
+		if at, known := l.sound.Last(f); known && now.Sub(at) < soundMemory && len(r.Sound) < maxReportedSound {
 			r.Sound = append(r.Sound, SoundReport{Feature: f, Age: now.Sub(at)})
 		}
 	}
@@ -113,7 +113,7 @@
 func (l *List) unproven(c *crash) []Request {
 	var all []Request
 	for _, r := range c.own {
-		r.Features = slices.DeleteFunc(slices.Clone(r.Features), func(f Feature) bool { return l.soundSince(f, c.At.Add(-soundMemory)) })
+		r.Features = slices.DeleteFunc(slices.Clone(r.Features), func(f Feature) bool { return l.sound.Since(f, c.At.Add(-soundMemory)) })
 		if len(r.Features) > 0 {
 			all = append(all, r)
 		}
@@ -211,7 +211,7 @@
 
 // acquitSound takes the features of requests that have run well out of a cause.
 func (l *List) acquitSound(c *cause) {
-	for f, at := range l.sound {
+	for f, at := range l.sound.All() {
 		c.acquit(f, at)
 	}
 }
--- a/core/crashcause/suspicion.go
+++ b/core/crashcause/suspicion.go
@@ -149,15 +149,13 @@
 			s.held = false
 			s.Release()
 			s.Restart(x.At)
+			l.notify()
 			ended = append(ended, c)
 		}
 	}
 	if !x.judged {
 		l.judgeAmong(x, ended)
 	}
-	if len(ended) > 0 {
-		l.notify()
-	}
 }
 
 // judge draws the conclusion from a crash of a server on which a request with a suspected cause was
@@ -190,7 +188,7 @@
 // speaks against it.
 func (l *List) recordTrialCrash(c *cause, r Request, at time.Time) {
 	s := c.suspicion
-	if s.comparable || l.soundSince(c.class, at.Add(-soundMemory)) {
+	if s.comparable || l.sound.Since(c.class, at.Add(-soundMemory)) {
 		l.convict(c, at)
 		l.convicted = append(l.convicted, c)
 		return
@@ -242,7 +240,7 @@
 	var all [][]Feature
 	add := func(keep func(Feature) bool) {
 		features := slices.DeleteFunc(slices.Clone(r.Features), func(f Feature) bool {
-			return !slices.Contains(c.remaining, f) && (l.soundSince(f, at.Add(-soundMemory)) || !keep(f))
+			return !slices.Contains(c.remaining, f) && (l.sound.Since(f, at.Add(-soundMemory)) || !keep(f))
 		})
 		if len(features) > len(c.remaining) {
 			all = append(all, features)
@@ -269,12 +267,7 @@
 
 // quarantines reports whether all requests with the features are quarantined.
 func (l *List) quarantines(features []Feature) bool {
-	for _, x := range l.causes {
-		if x.suspicion == nil && x.matches(Request{Features: features}) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.causesWith(Request{Features: features}), func(x *cause) bool { return x.suspicion == nil })
 }
 
 // takeConvicted returns the causes that trials have convicted since the last call.
