cmd/entry, core/fleet, io/relay: self-contained parts in packages of their own

The change log of servers is core/changelog, the limit of log lines cmd/linelimit, the prompt index core/promptindex, and the retry budgets by service are retrybudget.Services. Behaviour is unchanged.

--- a/cmd/entry/log.go
+++ b/cmd/entry/log.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"cicadabeam/cmd/linelimit"
 	"cicadabeam/io/relay"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
@@ -89,14 +90,14 @@
 type recorder struct {
 	log     log.Interface
 	metrics *metrics
-	limit   *lineLimit
+	limit   *linelimit.Limit
 
 	mu                sync.Mutex
 	droppedReportedAt time.Time
 }
 
 func newRecorder(l log.Interface, m *metrics) *recorder {
-	return &recorder{log: l, metrics: m, limit: newLineLimit()}
+	return &recorder{log: l, metrics: m, limit: linelimit.New()}
 }
 
 // run reports dropped lines until done is closed, also when nothing is logged any more.
@@ -124,7 +125,7 @@
 }
 
 func (r *recorder) reportDropped() {
-	all := r.limit.takeDropped()
+	all := r.limit.TakeDropped()
 	if len(all) == 0 {
 		return
 	}
@@ -148,7 +149,7 @@
 		r.metrics.observe(event, time.Duration(ms)*time.Millisecond)
 	}
 	now := time.Now()
-	ok := r.limit.allow(event, now)
+	ok := r.limit.Allow(event, now)
 	if ok {
 		r.log.WithFields(log.Fields(f)).Info(event)
 	} else {
--- a/cmd/entry/log_test.go
+++ b/cmd/entry/log_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"cicadabeam/cmd/linelimit"
 	"cicadabeam/io/relay"
 )
 
@@ -69,7 +70,7 @@
 	r.Record("answered", relay.Fields{"request": "r"})
 	w.flush()
 	text := b.String()
-	if n := strings.Count(text, "message=attempt"); n < maxLineBurst || n > maxLineBurst+2*maxLinesPerSecond {
+	if n := strings.Count(text, "message=attempt"); n < linelimit.MaxLineBurst || n > linelimit.MaxLineBurst+2*linelimit.MaxLinesPerSecond {
 		t.Errorf("%d of 10,000 lines were written, want at least the burst and at most the burst plus two seconds of the rate", n)
 	}
 	if !strings.Contains(text, "message=answered") || !strings.Contains(text, `message="lines dropped"`) {
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -381,7 +381,7 @@
 	defer n.serversMu.Unlock()
 	x := neighbour.ServerList{Fact: n.serverFreshness.freshness(uptime())}
 	now := time.Now()
-	ids, complete := n.changeLog.since(since)
+	ids, complete := n.changeLog.Since(since)
 	x.Whole = !complete
 	known := make(map[string]fleet.Registration)
 	for _, s := range n.fleet.Registered() {
--- a/cmd/entry/server_list.go
+++ b/cmd/entry/server_list.go
@@ -42,7 +42,7 @@
 	}
 	n.enterEra(l.version, time.Now())
 	if l.whole {
-		n.changeLog.start(l.version)
+		n.changeLog.Start(l.version)
 	}
 	listed := make(map[string]bool, len(l.changes))
 	for _, c := range l.changes {
@@ -151,7 +151,7 @@
 	}
 	n.observeVersion(s, n.tracker.Catalog())
 	if n.fleet.Upsert(s) {
-		n.changeLog.add(s.ID, version)
+		n.changeLog.Add(s.ID, version)
 		n.recorder.Record("server", relay.Fields{
 			"server": s.ID, "service": s.Service, "address": s.Address, "software": s.Version, "leaving": s.Leaving, "version": version.Version, "era": version.Era, "from": from,
 		})
@@ -192,7 +192,7 @@
 
 func (n *Node) deregisterServer(id string, version freshness.StoreVersion, at time.Time) {
 	if n.fleet.Deregister(id, at) {
-		n.changeLog.add(id, version)
+		n.changeLog.Add(id, version)
 		n.recorder.Record("server gone", relay.Fields{"server": id, "in_ms": time.Until(at).Milliseconds()})
 	}
 }
--- a/cmd/entry/log_limit.go
+++ b/cmd/linelimit/linelimit.go
@@ -1,4 +1,11 @@
-package entry
+// Package linelimit limits the log lines of a node, by event and in total.
+//
+// # Usage
+//
+//	l := linelimit.New()
+//	if l.Allow("attempt", now) { ... }
+//	dropped := l.TakeDropped()   // by event, since the last call
+package linelimit
 
 import (
 	"sync"
@@ -8,10 +15,10 @@
 )
 
 const (
-	// maxLinesPerSecond and maxLineBurst limit the log lines of each event. Under any load
+	// MaxLinesPerSecond and MaxLineBurst limit the log lines of each event. Under any load
 	// the system is designed for, a node writes fewer.
-	maxLinesPerSecond = 400
-	maxLineBurst      = 2000
+	MaxLinesPerSecond = 400
+	MaxLineBurst      = 2000
 	// maxTotalLinesPerSecond and maxTotalLineBurst limit those of all events together.
 	maxTotalLinesPerSecond = 1000
 	maxTotalLineBurst      = 4000
@@ -21,8 +28,8 @@
 	reservedLineBurst      = 50
 )
 
-// lineLimit limits the log lines of a node, and counts those beyond the limits.
-type lineLimit struct {
+// Limit limits the log lines of a node, and counts those beyond the limits.
+type Limit struct {
 	mu      sync.Mutex
 	total   *rate.Limiter
 	events  map[string]eventLimit
@@ -31,17 +38,18 @@
 
 type eventLimit struct{ own, reserved *rate.Limiter }
 
-func newLineLimit() *lineLimit {
-	return &lineLimit{total: rate.NewLimiter(maxTotalLinesPerSecond, maxTotalLineBurst), events: make(map[string]eventLimit), dropped: make(map[string]int)}
+// New returns the limits of a node.
+func New() *Limit {
+	return &Limit{total: rate.NewLimiter(maxTotalLinesPerSecond, maxTotalLineBurst), events: make(map[string]eventLimit), dropped: make(map[string]int)}
 }
 
-// allow reports whether a line of an event may be written.
-func (l *lineLimit) allow(event string, now time.Time) bool {
+// Allow reports whether a line of an event may be written.
+func (l *Limit) Allow(event string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e, found := l.events[event]
 	if !found {
-		e = eventLimit{own: rate.NewLimiter(maxLinesPerSecond, maxLineBurst), reserved: rate.NewLimiter(reservedLinesPerSecond, reservedLineBurst)}
+		e = eventLimit{own: rate.NewLimiter(MaxLinesPerSecond, MaxLineBurst), reserved: rate.NewLimiter(reservedLinesPerSecond, reservedLineBurst)}
 		l.events[event] = e
 	}
 	if e.own.AllowN(now, 1) && (e.reserved.AllowN(now, 1) || l.total.AllowN(now, 1)) {
@@ -51,8 +59,8 @@
 	return false
 }
 
-// takeDropped returns the number of dropped lines by event since the last call.
-func (l *lineLimit) takeDropped() map[string]int {
+// TakeDropped returns the number of dropped lines by event since the last call.
+func (l *Limit) TakeDropped() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.dropped) == 0 {
--- a/cmd/entry/log_limit_test.go
+++ b/cmd/linelimit/linelimit_test.go
@@ -1,4 +1,4 @@
-package entry
+package linelimit
 
 import (
 	"fmt"
@@ -10,18 +10,18 @@
 // hides none of the others.
 func TestLinesOfAllEventsAreLimited(t *testing.T) {
 	const events, seconds = 40, 10
-	l := newLineLimit()
+	l := New()
 	start := time.Unix(1_000_000, 0)
 	rare := 0
 	var bySecond [seconds]int
 	for ms := range seconds * 1000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
 		for e := range events {
-			if l.allow(fmt.Sprint("event ", e), now) {
+			if l.Allow(fmt.Sprint("event ", e), now) {
 				bySecond[ms/1000]++
 			}
 		}
-		if ms%200 == 0 && l.allow("rare", now) {
+		if ms%200 == 0 && l.Allow("rare", now) {
 			rare++
 		}
 	}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +21,7 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/promptindex"
 	"cicadabeam/core/retrybudget"
 	"cicadabeam/core/stall"
 	"cicadabeam/core/streamversion"
@@ -49,7 +49,7 @@
 	Codec       Codec
 	Catalog     *freshness.Tracker
 	Fleet       *fleet.Fleet
-	PromptIndex *fleet.PromptIndex
+	PromptIndex *promptindex.Index
 	// StreamVersions knows which software versions began streams.
 	StreamVersions *streamversion.Index
 	Pool           *http1.Pool
@@ -83,6 +83,7 @@
 // Handler serves callers' requests.
 type Handler struct {
 	Dependencies
+	*retrybudget.Services
 	started           time.Time
 	draining          atomic.Pointer[drain.Window]
 	durations         drain.Durations
@@ -90,13 +91,12 @@
 	firstEventMonitor *firstEventMonitor
 	crashDetector     *crashDetector
 	paces             stall.Paces // of the servers of streams
-	mu                sync.Mutex
-	budgets           map[string]*retrybudget.Budget
 }
 
 // New returns a handler that uses the dependencies.
 func New(d Dependencies) *Handler {
-	h := &Handler{Dependencies: d, started: time.Now(), budgets: make(map[string]*retrybudget.Budget)}
+	h := &Handler{Dependencies: d, started: time.Now()}
+	h.Services = retrybudget.NewServices(d.Limits.RetryLimit, h.serviceNames)
 	h.firstEventMonitor = newFirstEventMonitor(h)
 	h.crashDetector = newCrashDetector(h)
 	return h
@@ -105,63 +105,17 @@
 // Running returns the number of requests in flight.
 func (h *Handler) Running() int64 { return h.inFlight.Load() }
 
-func (h *Handler) budget(service string) *retrybudget.Budget {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	b := h.budgets[service]
-	if b == nil {
-		b = retrybudget.New(h.Limits.RetryLimit)
-		h.budgets[service] = b
+// serviceNames returns the names of the configured services.
+func (h *Handler) serviceNames() []string {
+	c := h.Catalog.Catalog()
+	if c == nil {
+		return nil
 	}
-	return b
-}
-
-// ensureBudgets creates the budgets of all services, so that reports of other nodes are
-// known when the first request for a service arrives.
-func (h *Handler) ensureBudgets(usage map[string]retrybudget.Usage) {
-	for service := range usage {
-		h.budget(service)
-	}
-	if c := h.Catalog.Catalog(); c != nil {
-		for _, s := range c.Services() {
-			h.budget(s.Name)
-		}
-	}
-}
-
-// RetryUsage returns the usage of the retry budgets that this node counted, by service.
-func (h *Handler) RetryUsage(now time.Time) map[string]retrybudget.Usage {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	all := make(map[string]retrybudget.Usage, len(h.budgets))
-	for service, b := range h.budgets {
-		if u := b.Usage(now); u != (retrybudget.Usage{}) {
-			all[service] = u
-		}
-	}
-	return all
-}
-
-// RecordPeerUsage records a usage report of another node, or of one that reports on
-// behalf of several nodes, as of time at. Services that the report does not contain had
-// no usage.
-func (h *Handler) RecordPeerUsage(from string, usage map[string]retrybudget.Usage, nodes int, at time.Time) {
-	h.ensureBudgets(usage)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service, b := range h.budgets {
-		b.RecordPeerUsage(from, usage[service], nodes, at)
-	}
-}
-
-// RecordFinalUsage records the last usage report of a node that is stopping.
-func (h *Handler) RecordFinalUsage(from string, usage map[string]retrybudget.Usage, at time.Time) {
-	h.ensureBudgets(usage)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service, b := range h.budgets {
-		b.RecordFinalUsage(from, usage[service], at)
+	var names []string
+	for _, s := range c.Services() {
+		names = append(names, s.Name)
 	}
+	return names
 }
 
 // exchange is a caller's request and the state of its processing.
@@ -216,7 +170,7 @@
 		x.respondError(err)
 		return
 	}
-	budget := h.budget(x.service.Name)
+	budget := h.Budget(x.service.Name)
 	budget.Begin(x.arrived)
 	defer budget.End()
 	defer x.recordDuration()
