--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -11,6 +11,7 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/inifile"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/rollout"
 	"cicadabeam/io/relay"
 )
 
@@ -22,6 +23,7 @@
 	defaultRetryRatio   = 0.5
 	defaultRetryWindow  = 10 * time.Second
 	defaultRetryExtra   = 100
+	defaultRollback     = 5 * time.Second
 	defaultMemoryMB     = 256
 	// defaultBufferShare and maxBufferShare are shares of memory-mb: what may be buffered by default
 	// and at most.
@@ -50,6 +52,7 @@
 	cores       int
 	grace       time.Duration
 	limits      relay.Limits
+	exposure    rollout.Limits
 	logLevel    string
 }
 
@@ -85,6 +88,7 @@
 	s.readBuffers(x)
 	s.cores = int(nonNegative(x, "cores", 1))
 	s.readLimits(d.Section("bounds"))
+	s.readExposure(d.Section("bounds"))
 	s.logLevel = d.Section("log").OneOf("level", "info", "debug", "info", "warn", "error")
 	s.topology.Regions = make(map[string]string)
 	for _, x := range d.Sections("data-centre") {
@@ -131,6 +135,18 @@
 	}
 }
 
+// readExposure reads what a new software version may get. Without exposure-share, roll-outs are
+// disabled. The tolerance and the time to roll back are bounds of the platform that a roll-out keeps
+// whatever their values are, so they are only checked.
+func (s *Settings) readExposure(x *inifile.Section) {
+	s.exposure.ExposureShare = nonNegative(x, "exposure-share", 0)
+	if s.exposure.ExposureShare > 1 {
+		x.AddProblem("exposure-share", "is %v; allowed is a share from 0 to 1", s.exposure.ExposureShare)
+	}
+	nonNegative(x, "exposure-tolerance", 0)
+	x.Duration("rollback", defaultRollback, time.Millisecond, maxDuration)
+}
+
 // nonNegative returns the value of key, a number of at least 0 that may have a fraction.
 func nonNegative(x *inifile.Section, key string, fallback float64) float64 {
 	v := x.Value(key, "")
--- a/core/records/table.go
+++ b/core/records/table.go
@@ -26,6 +26,7 @@
 	Key      string
 	Revision freshness.StoreVersion
 	Value    []byte
+	ReadMS   int64 // the store's clock when Get read the row, or found that there is none; 0 if unknown
 }
 
 // Condition requires that a row is at a revision; the zero revision requires that the row
--- a/test/standin/store/store.go
+++ b/test/standin/store/store.go
@@ -208,6 +208,13 @@
 	s.apply(transaction{Remove: []row{{Table: table, Key: key}}})
 }
 
+// Value returns the value of a row, nil if there is none.
+func (s *Store) Value(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[table][key].Value
+}
+
 // Keys returns the keys of a table in ascending order.
 func (s *Store) Keys(table string) []string {
 	s.mu.Lock()
