--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -216,8 +216,10 @@
 	// Begun is set if the caller has received a part of the answer in this request. What the
 	// server gets at a time after it refused requests is not limited then, unless it is on trial.
 	Begun bool
-	// Version is the software version that the server must have, "" if any will do.
-	Version string
+	// Version is the software version that the server must have, "" if any will do. Versions limits
+	// the others while the service changes to another one; nil for no limit.
+	Version  string
+	Versions Versions
 	// Nodes is the number of nodes that share the limits that servers name.
 	Nodes int
 	// MaxConnections limits the connections from this node to one server.
@@ -233,6 +235,15 @@
 	quota         int
 }
 
+// Versions tells which servers of a service may be used while it changes to another software version.
+type Versions interface {
+	Allows(version string) bool
+	// LastResort reports whether servers of a version may be used only if no other one is usable.
+	LastResort(version string) bool
+	// Subset returns the servers of a version that may be used. ids are all that it has.
+	Subset(version string, ids []string) []string
+}
+
 // Reserve selects a server and counts the request against it until Release. It returns
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
@@ -248,7 +259,7 @@
 // with the lowest cost, preferably in another data centre of the same region. It has primary's
 // software version, as the run can't go on at another one.
 func (f *Fleet) SelectBackup(q Query, primary *Member) *Member {
-	if q.Version = primary.Version(); q.Version == "" {
+	if q.Version, q.Versions = primary.Version(), nil; q.Version == "" {
 		return nil
 	}
 	q.AvoidDataCentre = primary.DataCentre()
@@ -343,7 +354,7 @@
 	found := make([]candidate, 0, len(all))
 	q.peerWorkKnown = f.peerWorkKnown(q.Now)
 	out := f.outagesByDataCentre(q.Service, all, q.Now)
-	for _, m := range all {
+	for _, m := range q.selectable(all) {
 		if q.Exclude[m.ID()] || !m.matches(q) || !m.usable(q.Now) {
 			continue
 		}
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -120,8 +120,10 @@
 // Version returns the version of the server's software, "" if it is unknown.
 func (m *Member) Version() string { return m.server.Version }
 
-// matches reports whether the server has the software version that a query asks for, if any.
-func (m *Member) matches(q Query) bool { return q.Version == "" || q.Version == m.server.Version }
+// matches reports whether a query allows the server's software version.
+func (m *Member) matches(q Query) bool {
+	return (q.Version == "" || q.Version == m.server.Version) && (q.Versions == nil || q.Versions.Allows(m.server.Version))
+}
 
 // update applies the fields of a registry entry that may change. The ID, service, version and
 // address do not change. It reports whether anything changed.
