--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -5,7 +5,7 @@
 
 // NewJudge returns a Judge of an order. exposed and bad are totals of an earlier driver, whose
 // windows this host may not have seen; the judge's own are used once they are higher.
-func NewJudge(service string, orderID uint64, exposed, bad int) *Judge { return &Judge{} }
+func NewJudge(orderID uint64, exposed, bad int) *Judge { return &Judge{} }
 
 // Merge adds the report of an origin, a host or a data centre. Reports on other orders are ignored.
 func (j *Judge) Merge(origin string, r ServiceReport) {}
--- a/core/rollout/next.go
+++ b/core/rollout/next.go
@@ -8,7 +8,8 @@
 
 // Limits bound what a version gets before its verdict.
 type Limits struct {
-	ExposureShare float64 // of all requests of the service; 0 disables roll-outs
+	ExposureShare     float64 // of all requests of the service; 0 disables roll-outs
+	ExposureTolerance int     // requests beyond it
 }
 
 // Inputs is what a driver knows.
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	t := rollout.NewTable(rollout.Limits{ExposureShare: 0.1})
+//	t := rollout.NewTable(rollout.Limits{ExposureShare: 0.1}, nil)
 //	t.SetOrders(orders, now)                    // with each configuration
 //	t.Merge(state, age, now)                    // from the driver or a peer
 //	c := t.Choose("chat", "/v1/chat", now)      // first attempt
--- a/core/rollout/table.go
+++ b/core/rollout/table.go
@@ -20,8 +20,8 @@
 // Report has the progress of roll-outs by service.
 type Report map[string]Progress
 
-// NewTable returns a Table without orders.
-func NewTable(l Limits) *Table { return &Table{} }
+// NewTable returns a Table without orders. random returns numbers in [0, 1), math/rand/v2.Float64 if nil.
+func NewTable(l Limits, random func() float64) *Table { return &Table{} }
 
 // SetOrders sets the current orders, as the store had them at a time.
 func (t *Table) SetOrders(all []Order, asOf time.Duration) {}
