--- a/core/canary/canary.go
+++ b/core/canary/canary.go
@@ -16,7 +16,10 @@
 //	a.Respond(d)                            // first event or response
 //	a.End(failed, gap)                      // or a.Cancel()
 //	report := r.Report(nowMS)               // to other hosts
-//	sum := canary.Sum(report, peerReport)   // of a data centre, by a gateway
+//
+//	c := canary.NewCollector()              // sums of a data centre, for a gateway
+//	c.Merge("host-1", report)
+//	sum := c.Report()
 //
 //	j := canary.NewJudge(order.ID, 0, 0)
 //	j.Merge("host-1", report["chat"])       // on each host that may become the driver
@@ -59,6 +62,7 @@
 	Cancelled int         // by the caller or in favour of another attempt, without an outcome
 	Failed    int         // a 5xx of the server, a lost, broken or unsigned response
 	Lost      int         // those of Failed that had no first event or response
+	Untimed   int         // responses whose time says nothing about the version
 	First     map[int]int // by bucket of the time to the response or first event
 	Gap       map[int]int // by bucket of the mean time between the events of a stream
 }
