--- a/cmd/entry/http_server.go
+++ b/cmd/entry/http_server.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/io/httpserver"
-	"cicadabeam/io/relay"
+	"cicadabeam/io/tcp"
 )
 
 const (
@@ -30,6 +30,6 @@
 	}
 	return httpserver.New(l, &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: relay.ConnContext,
+		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: tcp.ConnContext,
 	}), nil
 }
--- a/io/relay/headers.go
+++ b/io/http1/headers.go
@@ -1,4 +1,4 @@
-package relay
+package http1
 
 import (
 	"net/http"
@@ -13,12 +13,12 @@
 // EndToEndHeaders returns a copy of the headers without the hop-by-hop ones.
 func EndToEndHeaders(h http.Header) http.Header {
 	out := make(http.Header, len(h))
-	copyEndToEnd(out, h)
+	CopyEndToEnd(out, h)
 	return out
 }
 
-// copyEndToEnd copies the headers without the hop-by-hop ones to others.
-func copyEndToEnd(to, from http.Header) {
+// CopyEndToEnd copies the headers without the hop-by-hop ones to others.
+func CopyEndToEnd(to, from http.Header) {
 	named := make(map[string]bool)
 	for _, v := range from.Values("Connection") {
 		for _, name := range strings.Split(v, ",") {
@@ -31,16 +31,3 @@
 		}
 	}
 }
-
-// copyResponseHeaders copies the headers of a server's response to the response to the
-// caller.
-func (x *exchange) copyResponseHeaders(r *http.Response) {
-	header := x.w.Header()
-	copyEndToEnd(header, r.Header)
-	if header.Get("Content-Type") == "" {
-		header["Content-Type"] = nil // keeps net/http from detecting one
-	}
-	if x.h.draining.Load() != nil {
-		header.Set("Connection", "close")
-	}
-}
--- a/io/relay/admit.go
+++ b/io/relay/admit.go
@@ -13,6 +13,7 @@
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/fault"
+	"cicadabeam/io/tcp"
 )
 
 // startupWait is how long after the start of the node requests wait for the first
@@ -133,7 +134,7 @@
 	if !x.held.HasRoom(x.r.ContentLength) {
 		return x.refuseBody()
 	}
-	stop := context.AfterFunc(callerConn(x.r).base, func() { _ = control.SetReadDeadline(time.Now()) })
+	stop := context.AfterFunc(tcp.CallerConnOf(x.r).Base, func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stop()
 	b, err := bytebudget.ReadAll(x.r.Body, limit+1, x.r.ContentLength, x.held)
 	if kept := x.held.Keep(); kept != nil || errors.Is(err, bytebudget.ErrSpent) {
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -26,6 +26,7 @@
 	"cicadabeam/core/stall"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
+	"cicadabeam/io/tcp"
 )
 
 // Limits are the limits that the relay enforces.
@@ -393,14 +394,14 @@
 // only stopped sending still reads the response.
 func (x *exchange) parentContext() context.Context {
 	if x.route.Kind == catalog.AtMostOnce {
-		return callerConn(x.r).base
+		return tcp.CallerConnOf(x.r).Base
 	}
 	return x.r.Context()
 }
 
 // stopping reports whether the node stops.
 func (x *exchange) stopping() bool {
-	return errors.Is(context.Cause(callerConn(x.r).base), ErrStopping)
+	return errors.Is(context.Cause(tcp.CallerConnOf(x.r).Base), ErrStopping)
 }
 
 // callerLeft reports whether the caller has closed its connection, or at least its sending
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -474,3 +474,16 @@
 	}
 	x.h.putBack(c, stop)
 }
+
+// copyResponseHeaders copies the headers of a server's response to the response to the
+// caller.
+func (x *exchange) copyResponseHeaders(r *http.Response) {
+	header := x.w.Header()
+	http1.CopyEndToEnd(header, r.Header)
+	if header.Get("Content-Type") == "" {
+		header["Content-Type"] = nil // keeps net/http from detecting one
+	}
+	if x.h.draining.Load() != nil {
+		header.Set("Connection", "close")
+	}
+}
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -24,6 +24,7 @@
 	"cicadabeam/io/http1"
 	"cicadabeam/io/relay"
 	"cicadabeam/io/serverpath"
+	"cicadabeam/io/tcp"
 	"cicadabeam/platform"
 	"cicadabeam/test/standin/backend"
 )
@@ -125,7 +126,7 @@
 	ctx, stop := context.WithCancelCause(context.Background())
 	h.stop = func() { stop(relay.ErrStopping) }
 	h.frontend = httptest.NewUnstartedServer(h.handler)
-	h.frontend.Config.ConnContext = relay.ConnContext
+	h.frontend.Config.ConnContext = tcp.ConnContext
 	h.frontend.Config.BaseContext = func(net.Listener) context.Context { return ctx }
 	h.frontend.Start()
 	t.Cleanup(func() {
--- a/test/relay/read_delay_test.go
+++ b/test/relay/read_delay_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"cicadabeam/io/relay"
+	"cicadabeam/io/tcp"
 	"cicadabeam/test/standin/backend"
 )
 
@@ -42,7 +42,7 @@
 	s := httptest.NewUnstartedServer(h.handler)
 	_ = s.Listener.Close()
 	s.Listener = &delayedListener{Listener: l, acceptFrom: acceptFrom, readFrom: readFrom}
-	s.Config.ConnContext = relay.ConnContext
+	s.Config.ConnContext = tcp.ConnContext
 	s.Start()
 	h.t.Cleanup(s.Close)
 	return l.Addr().String()
