core/rollout/traffic, io/relay: apply roll-outs to requests

Selects the version of the server for each attempt, and records what was sent, the runs on each version and the outcomes. Without a Traffic, requests are served as before.

--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -23,6 +23,7 @@
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/promptindex"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/rollout/traffic"
 	"cicadabeam/core/stall"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
@@ -74,6 +75,9 @@
 	// Partitioned reports whether this node reaches no server itself. What it sees of servers is no
 	// evidence against them then. If it is nil, the node is not.
 	Partitioned func() bool
+	// Rollouts selects the software versions of servers while services change to new ones, nil if that
+	// is disabled.
+	Rollouts *traffic.Traffic
 	// StallDetector detects stalls of the process.
 	StallDetector *freshness.StallDetector
 	// Ready is closed once the configuration and the servers have been loaded for the
@@ -150,6 +154,7 @@
 	features     crashcause.Request
 	whole        []crashcause.Feature // of the request as a whole
 	lost         bool                 // a connection ended while a server ran the request
+	rollout      *traffic.Request
 }
 
 // ServeHTTP implements http.Handler. It is on the stack while a response is written, and with a few
@@ -175,6 +180,8 @@
 	budget.Begin(x.arrived)
 	defer budget.End()
 	defer x.recordDuration()
+	x.rollout = h.Rollouts.Begin(x.service.Name, x.route.Name)
+	defer x.rollout.End()
 	if x.route.Kind.IsStream() {
 		defer x.held.Release()
 		x.serveStream()
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -93,7 +93,7 @@
 		return a
 	}
 	s.resumeFrom = kvSource{}
-	m := s.h.Fleet.Reserve(q)
+	m := s.rollout.Reserve(s.h.Fleet, q)
 	if m == nil {
 		m = s.reserveEnded(q)
 	}
@@ -113,7 +113,7 @@
 		return nil
 	}
 	m := s.h.Fleet.FindUsable(source.server, q.Now)
-	if m == nil || !s.h.Fleet.ReserveServer(m, q) {
+	if m == nil || !s.h.Fleet.ReserveServer(m, s.rollout.Limit(q)) {
 		return nil
 	}
 	return s.newAttempt(m, q, source)
@@ -124,7 +124,7 @@
 func (s *stream) reserveTriedServer(q fleet.Query) *fleet.Member {
 	q.Exclude = nil
 	for range reserveRetries {
-		if m := s.h.Fleet.Reserve(q); m != nil {
+		if m := s.rollout.Reserve(s.h.Fleet, q); m != nil {
 			return m
 		}
 		if s.sleep(reserveRetryInterval) != nil {
--- a/io/relay/stream_attempt.go
+++ b/io/relay/stream_attempt.go
@@ -13,6 +13,7 @@
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/kvbackup"
+	"cicadabeam/core/rollout/traffic"
 	"cicadabeam/core/stall"
 	"cicadabeam/io/http1"
 )
@@ -73,12 +74,13 @@
 	// responseLost is set if the server ran the request but its response does not
 	// arrive.
 	responseLost atomic.Bool
+	rollout      *traffic.Attempt
 }
 
 // newAttempt returns an attempt on a reserved server.
 func (s *stream) newAttempt(m *fleet.Member, q fleet.Query, source kvSource) *streamAttempt {
 	return &streamAttempt{
-		requestID: s.meta.ID, member: m, query: q, source: source,
+		requestID: s.meta.ID, member: m, query: q, source: source, rollout: s.rollout.Attempt(m),
 		parts: make(chan received, maxUnforwarded), suspected: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 }
@@ -124,6 +126,7 @@
 	}
 	a.removeInterrupt = context.AfterFunc(s.ctx, c.Interrupt)
 	s.dispatched.Begin()
+	a.rollout.Sent()
 	a.outcome = broken
 	a.serverLost = a.member.Lost()
 	s.attempts++
@@ -178,6 +181,7 @@
 		a.conn.Close()
 	}
 	a.member.Release(a.query, a.responseStarted)
+	s.endRollout(a, time.Now())
 	s.logAttempt(a)
 }
 
@@ -324,6 +328,7 @@
 	case a.outcome != broken:
 	case final && x.complete && !s.responseStarted && s.h.Codec.DecodeResponse(x.head).Signed:
 		a.outcome = answered
+		a.rollout.End(rolloutOutcome(status >= http.StatusInternalServerError), 0)
 		s.writeResponse(&attempt{member: a.member, response: x.head, body: x.body})
 	default:
 		a.member.RecordFailure(time.Now())
--- a/io/relay/stream_events.go
+++ b/io/relay/stream_events.go
@@ -84,6 +84,7 @@
 		a.responseStarted = true
 		s.h.firstEventMonitor.unwatch(a)
 		a.member.PromptProcessed(a.query, now.Sub(a.started))
+		a.rollout.Respond(a.timeToFirstEvent(now))
 		if s.resumes > 0 {
 			s.h.Recorder.Record("resumed", Fields{"request": s.meta.ID, "server": a.member.ID(), "from_copy": a.fromBackup(), "after": s.lastEvent, "ms": ms(now.Sub(s.interruptedAt))})
 		}
--- a/io/relay/stream_move.go
+++ b/io/relay/stream_move.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/fleet"
+	"cicadabeam/core/rollout/traffic"
 )
 
 const (
@@ -104,10 +105,10 @@
 		return nil, "servers"
 	}
 	if b == nil {
-		m := s.h.Fleet.Reserve(q)
+		m := s.rollout.Reserve(s.h.Fleet, q)
 		if m == nil && s.responseStarted && !again {
 			q.Exclude = map[string]bool{a.member.ID(): true}
-			m = s.h.Fleet.Reserve(q)
+			m = s.rollout.Reserve(s.h.Fleet, q)
 		}
 		if m == nil {
 			return nil, "servers"
@@ -116,6 +117,7 @@
 	}
 	if !s.allowRetry(s.sentAttempts) {
 		b.member.Release(b.query, false)
+		b.rollout.End(traffic.Unknown, 0)
 		return nil, "budget"
 	}
 	if len(s.retries) < 2 {
@@ -250,7 +252,7 @@
 	}
 	delete(s.tried, s.endedAt.ID())
 	s.endedAt = nil
-	return s.h.Fleet.Reserve(q)
+	return s.rollout.Reserve(s.h.Fleet, q)
 }
 
 // headDeadline returns until when the server of an attempt that is to take a stream over must
--- a/io/relay/stream_version.go
+++ b/io/relay/stream_version.go
@@ -73,6 +73,7 @@
 // bind records the software version of the server whose events the caller gets from now on.
 func (s *stream) bind(version string) {
 	s.bound = true
+	s.rollout.Bind(version)
 	if s.version != "" || version == "" {
 		return
 	}
--- a/io/relay/unary.go
+++ b/io/relay/unary.go
@@ -15,6 +15,7 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/rollout/traffic"
 	"cicadabeam/io/http1"
 )
 
@@ -56,6 +57,7 @@
 	repeatable       bool   // the route allows a further attempt
 	isRetry          bool   // it uses a granted retry
 	retry            retrybudget.Reservation
+	rollout          *traffic.Attempt
 }
 
 func (a *attempt) status() int {
@@ -170,13 +172,13 @@
 // available.
 func (x *exchange) startAttempt(ctx context.Context, results chan<- *attempt) bool {
 	q := x.query()
-	m := x.h.Fleet.Reserve(q)
+	m := x.rollout.Reserve(x.h.Fleet, q)
 	if m == nil {
 		return false
 	}
 	x.tried[m.ID()] = true
 	x.attempts++
-	a := &attempt{member: m, repeatable: x.mayAskAgain()}
+	a := &attempt{member: m, repeatable: x.mayAskAgain(), rollout: x.rollout.Attempt(m)}
 	a.retry, a.isRetry = x.useRetry()
 	go func() {
 		defer m.Release(q, false)
@@ -225,6 +227,7 @@
 		a.err = errors.New("a response was sent to the caller before the request could be sent")
 		return
 	}
+	a.rollout.Sent()
 	a.outcome, a.through = broken, c.Through()
 	a.connectionFailed = true
 	a.serverLost = a.member.Lost()
@@ -308,6 +311,7 @@
 	default:
 		x.h.recordLoss(a.member, now)
 	}
+	x.endRollout(a, elapsed, now)
 	if interrupted && !pathLost(a.err) && !spent {
 		x.h.crashDetector.watchServer(x, a.member, true, a.serverLost, a.err)
 	}
