--- a/core/canary/merge.go
+++ b/core/canary/merge.go
@@ -30,6 +30,7 @@
 		e.origins[name] = o
 	}
 	combineWindows(o.windows, r.Windows, larger)
+	e.removeBefore(e.newest()/windowMS - retentionWindows)
 	if r.AtMS >= o.atMS {
 		o.atMS, o.recent = r.AtMS, o.recent[:0]
 		for i := range r.Windows {
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -20,7 +20,11 @@
 //	s, d := rollout.Next(s, inputs)
 package rollout
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// LeaseTime is how long a driver's lease lasts by the store's clock, and RenewInterval how often
@@ -79,10 +83,34 @@
 	Bad          int      // those that failed or were slow
 }
 
+// rank orders the phases that nothing of the same order undoes.
+func (p Phase) rank() int {
+	switch p {
+	case Completed:
+		return 2
+	case RolledBack, Withdrawn:
+		return 1
+	}
+	return 0
+}
+
 // Supersedes reports whether s replaces t, a state of the same service: it is of a newer order,
 // final, or a later announcement. A completed roll-out stays so, as its old servers have stopped;
 // a rolled back or withdrawn one can only turn out to be completed.
-func (s State) Supersedes(t State) bool { return false }
+func (s State) Supersedes(t State) bool {
+	return cmp.Or(
+		cmp.Compare(s.ID, t.ID),
+		cmp.Compare(s.Phase.rank(), t.Phase.rank()),
+		cmp.Compare(s.Term, t.Term),
+		cmp.Compare(s.Seq, t.Seq),
+		cmp.Compare(s.LeaseUntilMS, t.LeaseUntilMS),
+	) > 0
+}
+
+// Follows reports whether p is of the state s or a later one of its order.
+func (p Progress) Follows(s State) bool {
+	return p.OrderID == s.ID && cmp.Or(cmp.Compare(p.Term, s.Term), cmp.Compare(p.Seq, s.Seq)) >= 0
+}
 
 // Later returns the one of two states of a service that replaces the other.
 func Later(s, t State) State {
@@ -91,3 +119,22 @@
 	}
 	return s
 }
+
+// ended returns the versions that get nothing after the roll-out.
+func (s State) ended() []string {
+	if s.Phase == Completed {
+		return union(s.Excluded, s.Old, s.Target)
+	}
+	return union(s.Excluded, []string{s.Target}, "")
+}
+
+// union returns the versions of two lists without one of them, in order.
+func union(a, b []string, without string) []string {
+	var all []string
+	for _, v := range slices.Concat(a, b) {
+		if v != without && !slices.Contains(all, v) {
+			all = append(all, v)
+		}
+	}
+	return all
+}
