--- a/core/records/rollouts.go
+++ b/core/records/rollouts.go
@@ -60,3 +60,6 @@
 		Writes:     []Write{{Table: rolloutsTable, Key: s.Service, Value: value}, r.status(s)},
 	})
 }
+
+// Era returns the newest known era of the store.
+func (r *RolloutStore) Era() uint64 { return r.table.Eras().Current() }
--- a/core/rollout/traffic/traffic.go
+++ b/core/rollout/traffic/traffic.go
@@ -69,12 +69,18 @@
 	return d
 }
 
-// Progress returns what this host follows, and its runs on the servers of other versions.
+// Progress returns what this host follows, and its runs on the servers of other versions. Outcomes are
+// counted for the roll-outs that were in progress at the last call.
 func (t *Traffic) Progress() rollout.Report {
 	now := t.uptime()
+	watched := make(map[string]uint64)
 	for _, a := range t.table.States(now) {
 		t.follow(a.State, now)
+		if !a.State.Phase.Final() {
+			watched[a.State.Service] = a.State.ID
+		}
 	}
+	t.recorder.Watch(watched)
 	return t.table.Report(func(service, target string) int { return t.oldRuns(service, target, now) }, now)
 }
 
