--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -138,7 +138,7 @@
 
 // aggregateOwnDataCentre aggregates the latest reports of the nodes of this data centre.
 func (n *Node) aggregateOwnDataCentre(now time.Time) neighbour.DataCentreReport {
-	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Crashes: n.handler.CrashReport(now), Limits: n.fleet.LimitReport(now), Streams: n.streamVersions.Report(now, false), Brittle: n.fleet.BrittleReport(now)}
+	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Crashes: n.handler.CrashReport(now), Limits: n.fleet.LimitReport(now), Streams: n.streamVersions.Report(now, false), Brittle: n.fleet.BrittleReport(now), Rollouts: n.rollouts.Sum(n.peers.rolloutOrigins(n.settings.topology.DataCentre, now))}
 	for _, p := range n.peers.all {
 		if p.host.DataCentre != n.settings.topology.DataCentre || now.Sub(p.reportedAt) > livenessTimeout {
 			continue
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -87,3 +87,7 @@
 }
 
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
+
+func (m *metrics) serviceGauge(name, service string, value float64) {
+	m.scope.Tagged(map[string]string{"service": service}).Gauge(name).Update(value)
+}
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -23,6 +23,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/sys/unix"
 
+	"cicadabeam/cmd/rollouts"
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/changelog"
 	"cicadabeam/core/drain"
@@ -98,6 +99,7 @@
 	partition            *partition.Detector
 	tunnels              *tunnel.Node
 	dialer               *serverpath.Dialer // of connections to servers
+	rollouts             *rollouts.Rollouts // nil if they are disabled
 }
 
 // New returns a node that is not listening yet. It logs to out.
@@ -118,9 +120,10 @@
 	n.hosts = records.NewHostStore(platform.NewTable(n.store))
 	n.recorder = newRecorder(newLogger(n.logWriter, s.logLevel, s.name), n.metrics)
 	n.streamVersions = streamversion.New(streamPeers{n})
+	n.rollouts = n.newRollouts()
 	n.handler = relay.New(relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits, Buffers: n.buffers,
-		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Ready: n.synced,
+		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Rollouts: n.rollouts.Traffic(), Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
 	n.configurationWatcher.pollWait = n.configurationPollWait
@@ -194,6 +197,7 @@
 	g.Add(func() error { return n.maintainVersions(ctx) }, halt)
 	g.Add(func() error { return n.maintainStreams(ctx) }, halt)
 	g.Add(func() error { return n.watchPartition(ctx) }, halt)
+	g.Add(func() error { return n.rollouts.Run(ctx) }, halt)
 	if err := n.addPeerServer(&g); err != nil {
 		return err
 	}
@@ -268,6 +272,7 @@
 		n.pool.CloseUnusable(now)
 		n.fleet.Expire(now)
 		n.prompts.Expire(now)
+		n.rollouts.Gauges(n.metrics.serviceGauge)
 		n.metrics.gauge("buffered_bytes", float64(n.buffers.Held()))
 		n.metrics.countTo("buffer_refusals", "kind", n.buffers.Refusals())
 		n.metrics.gauge("running", float64(n.handler.Running()))
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -208,7 +208,7 @@
 		Host: n.self(), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Limits: n.fleet.LimitReport(now),
-		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Leases: true, Brittle: n.fleet.BrittleReport(now),
+		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Leases: true, Brittle: n.fleet.BrittleReport(now), Rollouts: n.rollouts.Report(),
 	}
 	return x
 }
@@ -281,6 +281,7 @@
 	if recovered {
 		n.recorder.Record("node heard", relay.Fields{"peer": x.Host.Name, "revision": x.Configuration.Version})
 	}
+	n.mergeRollouts(p, x, sent)
 	if fetchMissing {
 		go n.fetch(p, "servers to register", n.fetchMissingServers)
 	}
@@ -334,6 +335,7 @@
 	if err != nil || !x.Fact.Known {
 		return err
 	}
+	n.rollouts.Merge(x.Rollouts, sent) // no host knows a configuration without its orders
 	n.installConfiguration(x.Value, sent-x.Fact.Age, true, p.host.Name)
 	return nil
 }
@@ -372,7 +374,7 @@
 	if encoded == nil || !f.Known || encoded.revision != f.Version {
 		return neighbour.ConfigurationReply{}
 	}
-	return neighbour.ConfigurationReply{Fact: f, Value: encoded.value}
+	return neighbour.ConfigurationReply{Fact: f, Value: encoded.value, Rollouts: n.rollouts.Orders()}
 }
 
 // Servers implements neighbour.Handler.
--- a/cmd/entry/server_list.go
+++ b/cmd/entry/server_list.go
@@ -44,6 +44,8 @@
 	if l.whole {
 		n.changeLog.Start(l.version)
 	}
+	n.setVersions(l.changes)
+	defer n.setVersions(nil)
 	listed := make(map[string]bool, len(l.changes))
 	for _, c := range l.changes {
 		listed[c.server.ID] = true
--- a/cmd/entry/updates.go
+++ b/cmd/entry/updates.go
@@ -16,6 +16,7 @@
 
 // applyConfigurationUpdate applies an update of the configuration table.
 func (n *Node) applyConfigurationUpdate(u tableUpdate) {
+	n.applyOrders(u)
 	var newest []byte
 	for _, r := range u.page.Rows { // changes are in order of version; a row occurs once for each of its changes
 		if r.Key == platform.ConfigKey && !r.Deleted {
--- a/core/rollout/driver/service.go
+++ b/core/rollout/driver/service.go
@@ -104,20 +104,17 @@
 // concerns reports whether this host has to look at the row: the order may have no driver, or the store
 // may lack its final state.
 func (s *service) concerns(o rollout.Order, ordered bool, now time.Duration) bool {
-	if !s.d.Peers.ReadsStore() {
-		return false
-	}
 	known, age, found := s.d.Table.State(s.name, now)
+	due := false
 	switch {
 	case ordered && (!found || known.ID < o.ID):
-		return true
-	case !found:
-		return false
-	case known.Phase.Final():
-		return s.stored != known.ID || s.storedEra != s.d.Store.Era()
-	default:
-		return age > rollout.PermitTime
+		due = true
+	case found && known.Phase.Final():
+		due = s.stored != known.ID || s.storedEra != s.d.Store.Era()
+	case found:
+		due = age > rollout.PermitTime
 	}
+	return due && s.d.Peers.ReadsStore()
 }
 
 // consider decides on a row that was just read whether this host becomes the driver, or writes again
--- a/core/rollout/traffic/request.go
+++ b/core/rollout/traffic/request.go
@@ -171,7 +171,7 @@
 	now := a.t.uptime()
 	version := a.member.Version()
 	a.t.table.Sent(a.service, version, now)
-	ms, timed := a.t.table.StoreMS(now)
+	ms, timed := a.t.table.StoreMS(a.service, now)
 	if s, _, found := a.t.table.State(a.service, now); timed && found && !s.Phase.Final() {
 		a.count = a.t.recorder.Begin(canary.Request{Service: a.service, Route: a.route, Server: a.member.ID(), DataCentre: a.member.DataCentre(), New: version == s.Target}, ms)
 	}
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -18,11 +18,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/canary"
 	"cicadabeam/core/crashcause"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/rollout"
 	"cicadabeam/core/serverlimit"
 	"cicadabeam/core/slotshare"
 	"cicadabeam/core/streamversion"
@@ -77,6 +79,18 @@
 	// ServerAge is the time since a server last responded to the node itself, negative if none has.
 	ServerAge time.Duration
 	Leases    bool // the node grants leases for tunnels
+	Rollouts  *RolloutReport
+}
+
+// RolloutReport is what a node knows of roll-outs, nil if they are disabled. A report of a data centre
+// has Progress and Evidence only.
+type RolloutReport struct {
+	OrdersKnown bool
+	OrdersAge   time.Duration // since these were known to be the orders in the store
+	Orders      []rollout.Order
+	States      []rollout.Announced
+	Progress    rollout.Report
+	Evidence    canary.Report
 }
 
 // DataCentreReport is the aggregated report of a data centre. One of its nodes compiles
@@ -93,12 +107,15 @@
 	Limits         serverlimit.Report
 	Streams        streamversion.Report
 	Brittle        slotshare.Report
+	Rollouts       *RolloutReport
 }
 
-// ConfigurationReply carries a configuration in the form in which the operator wrote it.
+// ConfigurationReply carries a configuration in the form in which the operator wrote it, and the orders
+// beside it.
 type ConfigurationReply struct {
-	Fact  VersionInfo
-	Value []byte
+	Fact     VersionInfo
+	Value    []byte
+	Rollouts *RolloutReport
 }
 
 // ServerChange is the new state of a server or, if Gone is set, its deregistration, which
@@ -160,6 +177,8 @@
 	Hosts() HostList
 	RecordStream(s StreamBegun)
 	FindStream(ids []streamversion.ID) FoundStream
+	// Rollouts returns the orders and states that the node knows.
+	Rollouts() RolloutReport
 }
 
 type methods struct{ handler Handler }
@@ -199,6 +218,11 @@
 	return nil
 }
 
+func (m *methods) Rollouts(_ Empty, r *RolloutReport) error {
+	*r = m.handler.Rollouts()
+	return nil
+}
+
 // Tunnels serves connections that are to become tunnels, after their first byte was read.
 type Tunnels interface {
 	ServeConn(c net.Conn, mark byte)
@@ -293,6 +317,15 @@
 	return *r, nil
 }
 
+// Rollouts returns the orders and states that the called node knows.
+func (c *Client) Rollouts(deadline time.Time) (RolloutReport, error) {
+	r := new(RolloutReport)
+	if err := c.call("Rollouts", Empty(0), r, deadline); err != nil {
+		return RolloutReport{}, err // net/rpc may still decode a late reply into r
+	}
+	return *r, nil
+}
+
 func (c *Client) call(method string, in, out any, deadline time.Time) error {
 	conn, err := c.connect()
 	if err != nil {
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -42,8 +42,9 @@
 	started []*node
 	linked  bool // hosts connect to each other by links
 	repeats int  // repeat-extra of the hosts, 0 for that of entryhost
-	// settings are added to those of each host.
+	// settings are added to those of each host, bounds to their section of bounds.
 	settings string
+	bounds   string
 }
 
 type node struct {
@@ -123,6 +124,9 @@
 		s.t.Fatal(err)
 	}
 	n := &node{Host: h, storeEndpoint: endpoint}
+	if err := n.ChangeSetting("[bounds]\n", "[bounds]\n"+s.bounds); err != nil {
+		s.t.Fatal(err)
+	}
 	if s.repeats > 0 {
 		if err := n.ChangeSetting("repeat-extra = 150", fmt.Sprint("repeat-extra = ", s.repeats)); err != nil {
 			s.t.Fatal(err)
