--- a/core/rollout/traffic/traffic.go
+++ b/core/rollout/traffic/traffic.go
@@ -27,7 +27,7 @@
 const (
 	// minDraining is how long a host reports runs on old servers after it learnt that they are drained,
 	// so that callers whose connection has just been lost can continue their streams there.
-	minDraining = time.Second
+	minDraining = 300 * time.Millisecond
 	// closedTime is how long after the driver confirmed its lease a host keeps to it that nothing is
 	// sent to old servers any more. A driver that was lost before it completed the roll-out would
 	// otherwise leave the host without servers.
--- a/test/entry/rollout_test.go
+++ b/test/entry/rollout_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"fmt"
 	"net/http"
-	"os"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -23,6 +21,7 @@
 	rolloutBounds  = "exposure-share = 0.1\nexposure-tolerance = 50\nrollback = 5000ms\n"
 	rolloutLength  = 12 * time.Second
 	rolloutCallers = 12
+	workTime       = 100 * time.Millisecond // of a request
 	badRollback    = 5 * time.Second
 	badResponses   = 50 // from which on a bad version must be left within badRollback
 )
@@ -45,7 +44,7 @@
 func startRollout(t *testing.T, nodes int) *rolloutRun {
 	r := &rolloutRun{system: startSystem(t, nodes, &system{bounds: rolloutBounds}), stop: make(chan struct{})}
 	for i := range 4 {
-		r.older = append(r.older, r.addRolloutServer(fmt.Sprint("old-", i), "v1", backend.Delay(8*time.Millisecond, backend.Respond(http.StatusOK, "ok"))))
+		r.older = append(r.older, r.addRolloutServer(fmt.Sprint("old-", i), "v1", backend.Delay(workTime, backend.Respond(http.StatusOK, "ok"))))
 	}
 	for _, n := range r.nodes {
 		r.awaitStatus(n, "/buy/1", "key-1", http.StatusOK, testTimeout)
@@ -166,7 +165,7 @@
 // once the operator reads that they may stop.
 func TestSoundVersionIsCompleted(t *testing.T) {
 	r := startRollout(t, 4)
-	r.order(backend.Delay(8*time.Millisecond, backend.Respond(http.StatusOK, "ok")))
+	r.order(backend.Delay(workTime, backend.Respond(http.StatusOK, "ok")))
 	r.awaitStatusRow("in_progress", 3*time.Second)
 	r.awaitStatusRow("completed", rolloutLength)
 	before := countRequests(r.older)
@@ -198,11 +197,11 @@
 				if n.Add(1)%3 == 0 {
 					return r.recordBad(backend.Respond(http.StatusInternalServerError, "failed"))(c, q, body)
 				}
-				return backend.Delay(8*time.Millisecond, backend.Respond(http.StatusOK, "ok"))(c, q, body)
+				return backend.Delay(workTime, backend.Respond(http.StatusOK, "ok"))(c, q, body)
 			}
 		}},
 		{"slow", func(r *rolloutRun) backend.Step {
-			return r.recordBad(backend.Delay(60*time.Millisecond, backend.Respond(http.StatusOK, "ok")))
+			return r.recordBad(backend.Delay(4*workTime, backend.Respond(http.StatusOK, "ok")))
 		}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -224,7 +223,7 @@
 // Guards against a roll-out that ends with the host that drives it, or exceeds its share by that.
 func TestRolloutSurvivesItsDriver(t *testing.T) {
 	r := startRollout(t, 4)
-	r.order(backend.Delay(8*time.Millisecond, backend.Respond(http.StatusOK, "ok")))
+	r.order(backend.Delay(workTime, backend.Respond(http.StatusOK, "ok")))
 	r.awaitStatusRow("in_progress", 3*time.Second)
 	time.Sleep(1500 * time.Millisecond)
 	d := r.driver()
@@ -253,15 +252,3 @@
 	}
 	r.await("the server gets requests without an order", 5*time.Second, func() bool { return len(b.Requests()) > 0 })
 }
-
-// rolloutEvents returns the lines of the roll-out in a node's log.
-func rolloutEvents(n *node) string {
-	b, _ := os.ReadFile(n.OutputPath())
-	var kept []string
-	for _, line := range strings.Split(string(b), "\n") {
-		if strings.Contains(line, "message=rollout") || strings.Contains(line, `message="rollout`) {
-			kept = append(kept, line)
-		}
-	}
-	return strings.Join(kept, "\n")
-}
