--- a/test/entry/rollout_test.go
+++ b/test/entry/rollout_test.go
@@ -252,3 +252,75 @@
 	}
 	r.await("the server gets requests without an order", 5*time.Second, func() bool { return len(b.Requests()) > 0 })
 }
+
+// Guards against streams that are cut, or go on at another version, as the service changes versions.
+func TestStreamsDuringRollout(t *testing.T) {
+	const events, pause = 20, 60 * time.Millisecond
+	s := startSystem(t, 3, &system{bounds: rolloutBounds})
+	add := func(id, version string) *backend.Server {
+		b, err := backend.Start("127.0.0.1:0", backend.StreamOf(version, events, 0, pause, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(b.Close)
+		s.registerVersion(id, b.Address(), version)
+		return b
+	}
+	var older []*backend.Server
+	for i := range 3 {
+		older = append(older, add(fmt.Sprint("old-", i), "v1"))
+	}
+	for _, n := range s.nodes {
+		s.await("servers are known", testTimeout, func() bool {
+			return (&take{versions: make(map[string]bool)}).attempt(n, fmt.Sprint("first-", time.Now().UnixNano()), "", events) == http.StatusOK
+		})
+	}
+	stop := make(chan struct{})
+	var mu sync.Mutex
+	var all []*take
+	var callers sync.WaitGroup
+	for i := range 16 {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				x := &take{id: fmt.Sprintf("%04x%04x%08x", i, k, time.Now().Nanosecond()), versions: make(map[string]bool)}
+				x.attempt(s.nodes[(i+k)%len(s.nodes)], x.id, "", events)
+				mu.Lock()
+				all = append(all, x)
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := range 3 {
+		add(fmt.Sprint("new-", i), "v2")
+	}
+	s.store.Put("op", "rollout/llm", fmt.Appendf(nil, `{"Service":"llm","To":"v2","DurationS":%v}`, rolloutLength.Seconds()))
+	want := `{"State":"completed","To":"v2"}`
+	s.await("the roll-out is completed", rolloutLength, func() bool { return string(s.store.Value("status", "rollout/llm")) == want })
+	before := countRequests(older)
+	for _, b := range older {
+		b.Reset()
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	callers.Wait()
+	if n := countRequests(older); n > before {
+		t.Errorf("old servers got %d requests after the roll-out was completed", n-before)
+	}
+	newer := 0
+	for _, x := range all {
+		if len(x.versions) != 1 || x.last != events {
+			t.Errorf("stream %s got %d of %d events of versions %v", x.id, x.last, events, x.versions)
+		}
+		if x.versions["v2"] {
+			newer++
+		}
+	}
+	t.Logf("%d streams, %d of them at new servers", len(all), newer)
+}
