--- a/core/rollout/driver/driver.go
+++ b/core/rollout/driver/driver.go
@@ -74,10 +74,13 @@
 type Driver struct {
 	Host
 	services map[string]*service
+	wake     chan struct{} // a call to the store has ended
 }
 
 // New returns a Driver that drives nothing yet.
-func New(h Host) *Driver { return &Driver{Host: h, services: make(map[string]*service)} }
+func New(h Host) *Driver {
+	return &Driver{Host: h, services: make(map[string]*service), wake: make(chan struct{}, 1)}
+}
 
 // Run drives roll-outs until ctx is done.
 func (d *Driver) Run(ctx context.Context) error {
@@ -88,8 +91,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-t.C:
-			d.tick(ctx)
+		case <-d.wake:
 		}
+		d.tick(ctx)
 	}
 }
 
--- a/core/rollout/driver/service.go
+++ b/core/rollout/driver/service.go
@@ -243,6 +243,10 @@
 		ctx, cancel := context.WithDeadline(ctx, time.Now().Add(callTimeout))
 		defer cancel()
 		s.done <- f(ctx)
+		select {
+		case s.d.wake <- struct{}{}:
+		default:
+		}
 	}()
 }
 
