--- a/core/retrybudget/services.go
+++ b/core/retrybudget/services.go
@@ -7,14 +7,14 @@
 
 // Services holds the budgets of all services.
 type Services struct {
-	limit   Limit
+	limit   func() Limit
 	names   func() []string
 	mu      sync.Mutex
 	budgets map[string]*Budget
 }
 
-// NewServices returns budgets with a limit. names returns the configured services.
-func NewServices(l Limit, names func() []string) *Services {
+// NewServices returns budgets with the limit that l returns when they are created. names returns the configured services.
+func NewServices(l func() Limit, names func() []string) *Services {
 	return &Services{limit: l, names: names, budgets: make(map[string]*Budget)}
 }
 
@@ -24,7 +24,7 @@
 	defer s.mu.Unlock()
 	b := s.budgets[service]
 	if b == nil {
-		b = New(s.limit)
+		b = New(s.limit())
 		s.budgets[service] = b
 	}
 	return b
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -101,7 +101,7 @@
 // New returns a handler that uses the dependencies.
 func New(d Dependencies) *Handler {
 	h := &Handler{Dependencies: d, started: time.Now()}
-	h.Services = retrybudget.NewServices(d.Limits.RetryLimit, h.serviceNames)
+	h.Services = retrybudget.NewServices(func() retrybudget.Limit { return h.Limits.RetryLimit }, h.serviceNames)
 	h.firstEventMonitor = newFirstEventMonitor(h)
 	h.crashDetector = newCrashDetector(h)
 	return h
--- a/test/soak/check.go
+++ b/test/soak/check.go
@@ -45,6 +45,7 @@
 	c.checkLimits(arrivals)
 	c.checkUnframed()
 	c.checkVersions(results)
+	c.checkRollout(arrivals)
 	e.logFault("%d paths from a host to a server that it said leaves, %d rests, %d responses without length, %d limited servers, %d crashes by a part, %d streams taken up, %d of them went on, %d of two versions", c.leavingPaths, c.rests, c.unframed, c.limits, len(e.crashes), c.takenUp, c.wentOn, c.mixed)
 	return c.violations
 }
--- a/test/soak/env.go
+++ b/test/soak/env.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -71,7 +72,8 @@
 	faultMu sync.Mutex // held by its current fault
 	current *incarnation
 
-	unframed     bool // its servers send responses without length or chunks
+	unframed     bool   // its servers send responses without length or chunks
+	version      string // of its servers, "" for that of their number
 	disruptionMu sync.Mutex
 	disruptions  []span // of the link or the connections
 }
@@ -113,6 +115,8 @@
 	crashes      []time.Time               // by the part that crashes servers
 	quietEnd     time.Time                 // end of the time without other faults
 	restarts     sync.WaitGroup            // of servers that crashed
+	rolloutState string                    // at its end, and the time of that
+	rolloutEnd   time.Time
 }
 
 func newTestEnv(binary, dir string, seed uint64, hosts int) (*testEnv, error) {
@@ -156,6 +160,9 @@
 	if err != nil {
 		return err
 	}
+	if hasRollout(e.seed) {
+		e.recordError(h.ChangeSetting("[bounds]\n", "[bounds]\nexposure-share = 0.1\n"))
+	}
 	x := &host{Host: h, storeEndpoint: endpoint}
 	e.hosts = append(e.hosts, x)
 	return x.Start()
@@ -163,12 +170,17 @@
 
 // addServer starts a server at a new address behind its own link.
 func (e *testEnv) addServer(service string, seed uint64) error {
+	return e.addServerOf(service, "", seed)
+}
+
+// addServerOf is like addServer for servers of a software version.
+func (e *testEnv) addServerOf(service, version string, seed uint64) error {
 	ip := entryhost.NextAddress()
 	link, err := cluster.NewLink("server-"+ip, ip+":9001", ip+":9000")
 	if err != nil {
 		return err
 	}
-	a := &serverAddress{listen: ip + ":9000", link: link}
+	a := &serverAddress{listen: ip + ":9000", link: link, version: version}
 	e.addresses = append(e.addresses, a)
 	return e.startServer(a, service, seed)
 }
@@ -178,7 +190,7 @@
 	e.mu.Lock()
 	e.incarnations++
 	id := fmt.Sprintf("i-%d", e.incarnations)
-	version := softwareVersion(e.seed, e.incarnations)
+	version := cmp.Or(a.version, softwareVersion(e.seed, e.incarnations))
 	e.addressOf[id] = a
 	e.mu.Unlock()
 	s := &incarnation{id: id, service: service, version: version, address: a.address(), unframed: a.unframed, recordWhole: e.recordWhole, born: time.Now(), arrivals: e.arrivals, addViolation: e.addViolation, random: rand.New(rand.NewPCG(seed, 3))}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -130,6 +130,9 @@
 	if seed >= firstSeedWithParts {
 		e.startPartCallers(seed, &g, stop)
 	}
+	if hasRollout(seed) {
+		e.startRollout(d)
+	}
 	until := time.Now().Add(d)
 	var beside sync.WaitGroup
 	beside.Go(func() { e.injectRestores(until) })
@@ -138,6 +141,9 @@
 	if seed >= firstSeedWithLimits {
 		beside.Go(func() { e.injectLimits(seed, until) })
 	}
+	if hasRollout(seed) {
+		beside.Go(func() { e.awaitRollout(d + rolloutEndTimeout) })
+	}
 	e.injectFaults(faults, until)
 	beside.Wait()
 	if seed >= firstSeedWithParts {
