--- a/core/canary/judge.go
+++ b/core/canary/judge.go
@@ -9,7 +9,8 @@
 	// badAt is the log likelihood ratio from which a version is bad, with the evidence of the worst
 	// server left out where others have some: a crash or a server that fails is usual, on either
 	// version. aloneRequests is how many requests condemn a version of which only one server got any.
-	badAt         = 5.0
+	badAt         = 6.0
+	restBadAt     = 4.0
 	aloneRequests = 8
 	// soundAt is the one down to which a version is sound. A third of the requests failing reaches it
 	// in 1 of 500 roll-outs; at 14% of usual failures it takes 60 responses.
@@ -19,6 +20,9 @@
 	// enoughBad is the number of bad responses that end a roll-out if they are rather the version's:
 	// callers tolerate 50.
 	enoughBad = 35
+	// recentWindows is for how long evidence that doesn't suffice holds up a shift: until the responses
+	// of streams show whether it was chance.
+	recentWindows = 6
 	// rateWindows is the number of windows over which the rate of requests is measured.
 	rateWindows = 3
 )
@@ -83,11 +87,11 @@
 
 	all := s.test("")
 	v.Weight = all.now
-	v.Against = all.highest() >= againstAt
+	v.Against = all.against()
 	v.Result, v.Reason = all.result("all routes")
 	for _, route := range s.routes() {
 		x := s.test(route)
-		v.Against = v.Against || x.highest() >= againstAt
+		v.Against = v.Against || x.against()
 		if r, reason := x.result("route " + route); r == Bad && v.Result != Bad {
 			v.Result, v.Reason = r, reason
 		}
@@ -105,29 +109,45 @@
 	return v
 }
 
-// test is the outcome of a sequential test, as log likelihood ratios.
+// test is the outcome of sequential tests against several alternatives.
 type test struct {
 	requests int
 	bad      float64
-	servers  int     // that have evidence
-	now      float64 // of all windows
-	settled  float64 // of the windows whose slow responses are known
-	sum      float64 // since the window from which it is highest, so that a version that turns bad late is found
-	rest     float64 // the same without the worst server
+	servers  int      // that have evidence
+	now      float64  // log likelihood ratio of all windows, without the worst server, of the least alternative
+	settled  float64  // the same with all servers, of the windows whose slow responses are known
+	peak     crossing // of all windows
+	recent   crossing // of the last recentWindows
 }
 
-// highest returns the evidence against the version.
-func (x test) highest() float64 {
-	if x.servers > 1 {
-		return min(x.sum, x.rest)
+// crossing is how close a test came to its thresholds: the highest log likelihood ratio since some
+// earlier window, so that a version that turns bad late is found, and the one at the same time
+// without the worst server.
+type crossing struct{ sum, rest float64 }
+
+// max returns the one of two crossings that is closer to a pair of thresholds.
+func (c crossing) max(x crossing) crossing {
+	if min(x.sum/badAt, x.rest/restBadAt) > min(c.sum/badAt, c.rest/restBadAt) {
+		return x
 	}
-	return x.sum
+	return c
+}
+
+func (c crossing) reaches(sum, rest float64) bool { return c.sum >= sum && c.rest >= rest }
+
+// condemns reports whether the evidence suffices against the version.
+func (x test) condemns() bool {
+	return x.peak.reaches(badAt, restBadAt) && (x.servers > 1 || x.requests >= aloneRequests)
 }
 
+// against reports whether the evidence is rather against the version.
+func (x test) against() bool { return x.recent.reaches(againstAt, againstAt) }
+
 func (x test) result(what string) (Result, string) {
-	text := fmt.Sprintf("%s: %.1f of %d requests bad, evidence %.1f", what, x.bad, x.requests, x.highest())
+	text := fmt.Sprintf("%s: %.0f of %d requests bad, evidence %.1f, %.1f without the worst of %d servers",
+		what, x.bad, x.requests, x.peak.sum, x.peak.rest, x.servers)
 	switch {
-	case x.highest() >= badAt && (x.servers > 1 || x.requests >= aloneRequests):
+	case x.condemns():
 		return Bad, text
 	case x.settled <= soundAt:
 		return Sound, text
@@ -138,46 +158,97 @@
 // test evaluates the requests of a route, or of all if it is empty.
 func (s *sample) test(route string) test {
 	var x test
-	byServer := make(map[string]map[int64]float64)
-	highest := make(map[string]float64)
 	windows := s.windows()
+	servers := make(map[string]map[int64]*clump)
 	for _, i := range windows {
 		for _, c := range s.cells[i] {
 			if c.key.Server == "" || route != "" && c.key.Route != route {
 				continue
 			}
-			x.requests += c.n
-			x.bad += c.bad
-			x.settled += s.weight(i, c.key, c.settledN, c.settledBad)
-			w := s.weight(i, c.key, c.n, c.bad)
-			x.now += w
-			m := byServer[c.key.Server]
+			m := servers[c.key.Server]
 			if m == nil {
-				m = make(map[int64]float64)
-				byServer[c.key.Server] = m
+				m = make(map[int64]*clump)
+				servers[c.key.Server] = m
 			}
-			m[i] += w
-			highest[c.key.Server] += w
+			if m[i] == nil {
+				m[i] = &clump{}
+			}
+			m[i].add(s, c)
+			x.requests += c.n
+			x.bad += c.bad
 		}
 	}
-	x.servers = len(byServer)
-	worst := ""
-	for server := range byServer {
-		if worst == "" || highest[server] > highest[worst] {
-			worst = server
-		}
+	x.servers = len(servers)
+	for k := range excesses {
+		x.cross(k, windows, servers, s.correlation)
+	}
+	return x
+}
+
+// clump has the requests of a server in a window, and their log likelihood ratios.
+type clump struct {
+	n        int
+	weights  [len(excesses)]float64
+	settledN int
+	settled  float64
+}
+
+func (x *clump) add(s *sample, c *cell) {
+	x.n += c.n
+	for k, excess := range excesses {
+		x.weights[k] += s.weight(c, c.n, c.bad, excess)
 	}
+	x.settledN += c.settledN
+	x.settled += s.weight(c, c.settledN, c.settledBad, excesses[0])
+}
+
+// discount divides a weight by as much as the sum of n correlated responses varies more.
+func discount(w float64, n int, correlation float64) float64 {
+	return w / (1 + float64(max(0, n-1))*correlation)
+}
+
+// cross evaluates an alternative.
+func (x *test) cross(k int, windows []int64, servers map[string]map[int64]*clump, correlation float64) {
+	var sum, now, most float64
+	rest := make(map[string]float64)
+	total := make(map[string]float64)
 	for _, i := range windows {
-		w, rest := 0.0, 0.0
-		for server, m := range byServer {
-			w += m[i]
-			if server != worst {
-				rest += m[i]
+		w := 0.0
+		byServer := make(map[string]float64)
+		for server, m := range servers {
+			if c := m[i]; c != nil {
+				byServer[server] = discount(c.weights[k], c.n, correlation)
+				w += byServer[server]
+				total[server] += byServer[server]
+				if k == 0 {
+					x.settled += discount(c.settled, c.settledN, correlation)
+				}
 			}
 		}
-		x.sum, x.rest = max(0, x.sum+w), max(0, x.rest+rest)
+		now += w
+		sum = max(0, sum+w)
+		c := crossing{sum, sum}
+		for server := range servers {
+			if len(servers) > 1 {
+				rest[server] = max(0, rest[server]+w-byServer[server])
+				c.rest = min(c.rest, rest[server])
+			}
+		}
+		x.peak = x.peak.max(c)
+		if i > windows[len(windows)-1]-recentWindows {
+			x.recent = x.recent.max(c)
+		}
+	}
+	if k > 0 {
+		return
+	}
+	for _, w := range total {
+		most = max(most, w)
+	}
+	x.now = now
+	if len(servers) > 1 {
+		x.now -= most
 	}
-	return x
 }
 
 // routes returns the routes with requests to the new version.
--- a/core/canary/sample.go
+++ b/core/canary/sample.go
@@ -8,14 +8,15 @@
 )
 
 const (
-	// excess is by how much a bad version's share of bad responses is larger at least.
-	excess = 0.15
 	// slowFactor is how many times the old version's median a slow response takes, on the scale of
 	// position: 2.5 times.
 	slowFactor = 2.644
 	// leastBad is the least share of bad responses that the old version is assumed to have: one more
 	// by chance has to weigh little.
 	leastBad = 0.02
+	// leastPart is how many times larger an alternative is than the share that is assumed beside it at
+	// least, so that a bad response weighs no more than 2, and three condemn no version.
+	leastPart = 6
 	// mostBad keeps evidence finite where nearly all old responses are bad.
 	mostBad = 0.98
 	// localMedian is the number of responses from which the median of a few seconds is used.
@@ -26,10 +27,24 @@
 	// one's failures can't be compared with those of an outage: the data centre with the most of them
 	// is left out.
 	controls = 5
+	// usualCorrelation is assumed as if it had been seen in correlationPairs.
+	usualCorrelation = 0.1
+	correlationPairs = 200.0
+	mostCorrelation  = 0.5
+	// outageFailures and outageFactor tell an outage of a data centre: so many failures, and so many
+	// times their share elsewhere.
+	outageFailures = 3
+	outageFactor   = 3
 )
 
+// excesses are the alternatives: the share of a bad version's responses that are bad and would not
+// have been so. The least one is what callers are to be protected from; larger ones are found sooner
+// with an alternative of their own.
+var excesses = [...]float64{0.15, 0.4, 0.8}
+
 // cell is what a stratum of a window says of all origins.
 type cell struct {
+	window     int64
 	key        Stratum
 	n          int // without cancelled ones
 	failed     float64
@@ -46,11 +61,15 @@
 	failed map[string]float64          // share of failures of the old version, by route
 	slow   map[string]share            // slow ones of the old version, by route
 	// Of the old version by window, with the one before and the one after it:
-	outage map[int64]map[string]float64 // share of failures beyond the usual, by data centre
-	late   map[int64]map[string]share
-	old    map[int64]int
+	finished map[int64]float64            // part of the failures that are known already, by those of all windows
+	outage   map[int64]map[string]float64 // share of failures beyond the usual, by data centre
+	late     map[int64]map[string]share
+	old      map[int64]int
 	// skipped is the data centre that doesn't count in a window without controls.
 	skipped map[int64]string
+	// correlation is that of the responses of one server in one window: a slow machine or a crash
+	// affects several.
+	correlation float64
 }
 
 type share struct{ n, bad float64 }
@@ -79,6 +98,7 @@
 		}
 	}
 	s.setUsual()
+	s.setCorrelation()
 	return s
 }
 
@@ -88,7 +108,7 @@
 			return c
 		}
 	}
-	c := &cell{key: k}
+	c := &cell{window: i, key: k}
 	s.cells[i] = append(s.cells[i], c)
 	return c
 }
@@ -208,18 +228,20 @@
 	for route, x := range routes {
 		s.failed[route] = x.of()
 	}
+	s.finished = make(map[int64]float64)
 	s.outage = make(map[int64]map[string]float64)
 	s.late = make(map[int64]map[string]share)
 	s.old = make(map[int64]int)
 	s.skipped = make(map[int64]string)
 	for i := range s.cells {
 		s.late[i] = make(map[string]share)
-		same := s.outages(i)
-		near := s.outages(around(i)...)
-		for centre, x := range near {
-			near[centre] = max(x, same[centre])
+		near := s.centres(around(i)...)
+		s.finished[i] = finished(near)
+		s.outage[i] = make(map[string]float64)
+		same := s.centres(i)
+		for name, x := range near {
+			s.outage[i][name] = max(x.outage(s.finished[i]), same[name].outage(s.finished[i]))
 		}
-		s.outage[i] = near
 		for _, j := range around(i) {
 			for _, c := range s.cells[j] {
 				if c.key.Server != "" {
@@ -236,11 +258,15 @@
 	}
 }
 
-// outages returns the share of failures of the old version beyond those that are usual for its
-// routes, by data centre, in some windows.
-func (s *sample) outages(windows ...int64) map[string]float64 {
-	type sums struct{ n, failed, usual float64 }
-	all := make(map[string]sums)
+// centre has the requests of a data centre to the old version in some windows.
+type centre struct {
+	n, failed float64
+	usual     float64 // failures, by the shares of the routes
+}
+
+// centres returns the requests to the old version in some windows by data centre.
+func (s *sample) centres(windows ...int64) map[string]centre {
+	all := make(map[string]centre)
 	for _, i := range windows {
 		for _, c := range s.cells[i] {
 			if c.key.Server != "" || c.n == 0 {
@@ -253,12 +279,55 @@
 			all[c.key.DataCentre] = x
 		}
 	}
-	shares := make(map[string]float64)
-	for centre, x := range all {
-		// One request more that did not fail, so that a single failure is no outage.
-		shares[centre] = max(0, (x.failed-x.usual)/(x.n+1-x.usual))
+	return all
+}
+
+// finished returns the part of the usual failures that are known: streams fail as late as they end,
+// so that recent windows have few. A data centre with an outage doesn't count.
+func finished(all map[string]centre) float64 {
+	var sum centre
+	worst := ""
+	for name, x := range all {
+		sum.n, sum.failed, sum.usual = sum.n+x.n, sum.failed+x.failed, sum.usual+x.usual
+		if worst == "" || x.failed*all[worst].n > all[worst].failed*x.n {
+			worst = name
+		}
+	}
+	x := all[worst]
+	if x.failed >= outageFailures && x.failed*(sum.n-x.n) > outageFactor*(sum.failed-x.failed)*x.n {
+		sum.failed, sum.usual = sum.failed-x.failed, sum.usual-x.usual
+	}
+	return (sum.failed + 1) / (sum.usual + 1)
+}
+
+// outage returns the share of failures beyond the usual.
+func (x centre) outage(finished float64) float64 {
+	usual := x.usual * finished
+	// One request more that did not fail, so that a single failure is no outage.
+	return max(0, (x.failed-usual)/max(1, x.n+1-usual))
+}
+
+// setCorrelation estimates how much responses of the old version depend on each other, from how much
+// more the bad ones of a data centre and window vary than by chance.
+func (s *sample) setCorrelation() {
+	type sums struct{ n, bad, usual, variance float64 }
+	beyond, pairs := usualCorrelation*correlationPairs, correlationPairs
+	for i, cells := range s.cells {
+		all := make(map[string]sums)
+		for _, c := range cells {
+			if c.key.Server != "" {
+				continue
+			}
+			n, p := float64(c.n), s.usual(i, c.key)
+			x := all[c.key.DataCentre]
+			all[c.key.DataCentre] = sums{x.n + n, x.bad + c.bad, x.usual + n*p, x.variance + n*p*(1-p)}
+		}
+		for _, x := range all {
+			beyond += (x.bad-x.usual)*(x.bad-x.usual) - x.variance
+			pairs += (x.n - 1) * x.variance
+		}
 	}
-	return shares
+	s.correlation = min(max(0, beyond/pairs), mostCorrelation)
 }
 
 // mostFailed returns the data centre with the most failures of the new version in a window.
@@ -279,18 +348,20 @@
 
 // usual returns the old version's share of bad responses that a stratum is compared with.
 func (s *sample) usual(i int64, k Stratum) float64 {
-	failed := 1 - (1-s.failed[k.Route])*(1-s.outage[i][k.DataCentre])
+	failed := 1 - (1-min(1, s.failed[k.Route]*s.finished[i]))*(1-s.outage[i][k.DataCentre])
 	near, whole := s.late[i][k.Route], s.slow[k.Route].of()
 	slow := (near.bad + shrinkage*whole) / (near.n + shrinkage)
 	return min(max(leastBad, 1-(1-failed)*(1-slow)), mostBad)
 }
 
-// weight returns the log likelihood ratio of n requests to the new version, some of them bad.
-func (s *sample) weight(i int64, k Stratum, n int, bad float64) float64 {
-	if s.skipped[i] != "" && s.skipped[i] == k.DataCentre {
+// weight returns the log likelihood ratio of n requests of a stratum of the new version, some of them
+// bad, for an alternative.
+func (s *sample) weight(c *cell, n int, bad, excess float64) float64 {
+	if s.skipped[c.window] != "" && s.skipped[c.window] == c.key.DataCentre {
 		return 0
 	}
-	p := s.usual(i, k)
+	p := s.usual(c.window, c.key)
+	p = max(p, excess/leastPart)
 	q := p + excess*(1-p)
 	return bad*math.Log(q/p) + (float64(n)-bad)*math.Log((1-q)/(1-p))
 }
--- a/core/rollout/next.go
+++ b/core/rollout/next.go
@@ -18,9 +18,7 @@
 	// to report it. Without a verdict it begins at undecidedShift of the length at the earliest.
 	earliestShift  = 0.3
 	undecidedShift = 0.7
-	shiftTime      = 2500 * time.Millisecond
-	// stepTime is the time between two steps of a shift.
-	stepTime = 400 * time.Millisecond
+	shiftTime      = 4500 * time.Millisecond
 	// hostTTL is how long after its last report a host is taken for gone, and confirmTTL how old the
 	// report may be by which it has left the old servers: soon after that its permit may end.
 	hostTTL    = 3 * time.Second
@@ -34,8 +32,17 @@
 	maxExcluded = 32
 )
 
-// steps are the shares of a shift. Draining follows the last one.
-var steps = []float64{0.25, 0.5, 1}
+// steps are the shares of a shift and how long they are kept. At the first one, the servers in use have
+// the load that they will have later, where they are few for the first time: it is kept until
+// responses to it have been reported. Draining follows the last one.
+var steps = []struct {
+	share float64
+	time  time.Duration
+}{
+	{0.25, 1600 * time.Millisecond},
+	{0.5, 400 * time.Millisecond},
+	{1, 400 * time.Millisecond},
+}
 
 // Limits bound what a version gets before its verdict.
 type Limits struct {
@@ -160,15 +167,21 @@
 	switch s.Phase {
 	case Canary:
 		if reason, ok := s.mayShift(in); ok {
-			return s.advance(Shifting, steps[0], reason, in), WriteFirst
+			return s.advance(Shifting, steps[0].share, reason, in), WriteFirst
 		}
 	case Shifting:
-		if in.Verdict.Against || in.NowMS < s.ChangedMS+stepTime.Milliseconds() {
+		if in.Verdict.Against {
 			break
 		}
-		for _, x := range steps {
-			if x > s.Share {
-				return s.advance(Shifting, x, s.Reason, in), WriteFirst
+		for i, x := range steps {
+			if x.share < s.Share {
+				continue
+			}
+			if in.NowMS < s.ChangedMS+x.time.Milliseconds() {
+				return s, Keep
+			}
+			if i+1 < len(steps) {
+				return s.advance(Shifting, steps[i+1].share, s.Reason, in), WriteFirst
 			}
 		}
 		return s.advance(Draining, 1, s.Reason, in), WriteFirst
