--- a/core/canary/sample.go
+++ b/core/canary/sample.go
@@ -30,6 +30,7 @@
 	// usualCorrelation is assumed as if it had been seen in correlationPairs.
 	usualCorrelation = 0.1
 	correlationPairs = 200.0
+	leastCorrelation = 0.01
 	mostCorrelation  = 0.5
 	// outageFailures and outageFactor tell an outage of a data centre: so many failures, and so many
 	// times their share elsewhere.
@@ -327,7 +328,7 @@
 			pairs += (x.n - 1) * x.variance
 		}
 	}
-	s.correlation = min(max(0, beyond/pairs), mostCorrelation)
+	s.correlation = min(max(leastCorrelation, beyond/pairs), mostCorrelation)
 }
 
 // mostFailed returns the data centre with the most failures of the new version in a window.
@@ -354,18 +355,6 @@
 	return min(max(leastBad, 1-(1-failed)*(1-slow)), mostBad)
 }
 
-// weight returns the log likelihood ratio of n requests of a stratum of the new version, some of them
-// bad, for an alternative.
-func (s *sample) weight(c *cell, n int, bad, excess float64) float64 {
-	if s.skipped[c.window] != "" && s.skipped[c.window] == c.key.DataCentre {
-		return 0
-	}
-	p := s.usual(c.window, c.key)
-	p = max(p, excess/leastPart)
-	q := p + excess*(1-p)
-	return bad*math.Log(q/p) + (float64(n)-bad)*math.Log((1-q)/(1-p))
-}
-
 // totals returns the requests to the new version by window.
 func (s *sample) totals() map[int64]total {
 	all := make(map[int64]total)
--- a/core/rollout/choice.go
+++ b/core/rollout/choice.go
@@ -10,7 +10,7 @@
 
 // leastServers is the number of new servers that get requests at least, so that a failing server is
 // told from a failing version.
-const leastServers = 2
+const leastServers = 3
 
 // Choice tells which servers of a service an attempt may use. The zero Choice allows all of them.
 type Choice struct {
--- a/core/rollout/exposure.go
+++ b/core/rollout/exposure.go
@@ -23,7 +23,6 @@
 	orderID  uint64
 	credit   float64
 	reserved int // requests that were selected and not sent yet
-	requests int
 	routes   map[string]*routeUse
 	stepped  float64 // part of a request, while the share rises
 }
@@ -56,18 +55,19 @@
 	if r == nil {
 		if len(e.routes) == maxRoutes {
 			clear(e.routes)
-			e.requests = 0
 		}
 		r = &routeUse{}
 		e.routes[route] = r
 	}
 	r.requests++
-	e.requests++
 	if e.credit < 1 || float64(r.exposed) >= rareRoutePart*float64(r.requests) {
 		return false
 	}
-	// The chance is inverse to how frequent the route is, compared with the average one.
-	chance := float64(e.requests) / float64(len(e.routes)*r.requests)
+	rarest := r.requests
+	for _, x := range e.routes {
+		rarest = min(rarest, x.requests)
+	}
+	chance := float64(rarest) / float64(r.requests)
 	if e.credit < plentyCredit && random() >= max(commonRouteChance, chance) {
 		return false
 	}
