--- a/core/rollout/next.go
+++ b/core/rollout/next.go
@@ -66,7 +66,8 @@
 	Hosts map[string]Progress
 	Runs  time.Duration // usual duration of the runs on the old servers
 	// Completing is set while the outcome of writing Completed is not known: the old servers may
-	// have stopped, so that nothing can be taken back.
+	// have stopped, so that nothing can be taken back. As the write may still be on its way, it has
+	// failed only once the row has another revision, be it by a renewal of the lease.
 	Completing bool
 }
 
@@ -164,6 +165,10 @@
 	case s.Phase != Draining && past && in.Verdict.Against:
 		return s.end(RolledBack, "no verdict by the deadline, evidence against the version", in), AnnounceNow
 	}
+	if in.NowMS >= s.LeaseUntilMS-(LeaseTime-PermitTime).Milliseconds() {
+		// The hosts' permits have ended, so that they have to follow anew.
+		return s.advance(s.Phase, s.Share, s.Reason, in), WriteFirst
+	}
 	switch s.Phase {
 	case Canary:
 		if reason, ok := s.mayShift(in); ok {
