--- a/io/neighbour/accept_test.go
+++ b/io/neighbour/accept_test.go
@@ -19,6 +19,7 @@
 func (emptyHandler) WholeServers() WholeServerList             { return WholeServerList{} }
 func (emptyHandler) Hosts() HostList                           { return HostList{} }
 func (emptyHandler) RecordStream(StreamBegun)                  {}
+func (emptyHandler) Rollouts() RolloutReport                   { return RolloutReport{} }
 func (emptyHandler) FindStream([]streamversion.ID) FoundStream {
 	return FoundStream{}
 }
