--- a/core/rollout/driver/service.go
+++ b/core/rollout/driver/service.go
@@ -159,12 +159,7 @@
 
 // drive advances a roll-out of which this host is the driver.
 func (s *service) drive(ctx context.Context, in rollout.Inputs, now time.Duration) {
-	next, decision := s.state, rollout.WriteFirst
-	if in.Ordered && in.Order.ID > s.state.ID {
-		next = rollout.Begin(in.Order, &s.state, in)
-	} else {
-		next, decision = rollout.Next(s.state, in)
-	}
+	next, decision := rollout.Next(s.state, in)
 	if decision == rollout.AnnounceNow {
 		s.state, s.dirty = next, true
 		s.announce(next, now-s.confirmedAt)
