--- a/core/fleet/deferral.go
+++ b/core/fleet/deferral.go
@@ -88,13 +88,15 @@
 
 // Relief returns the earliest time at which a server of a service may take requests again, if all
 // that stay have turned requests away, or named limits, and take none now.
-func (f *Fleet) Relief(service string, now time.Time) (earliest time.Time, found bool) {
+// Servers that q does not allow don't count.
+func (f *Fleet) Relief(q Query) (earliest time.Time, found bool) {
+	now := q.Now
 	f.mu.RLock()
-	all := f.services[service]
+	all := f.services[q.Service]
 	f.mu.RUnlock()
 	for _, m := range all {
 		at, remains, holdsBack := m.relief(now)
-		if !remains {
+		if !remains || !m.matches(q) {
 			continue
 		}
 		if limitedUntil, limited := f.limitRelief(m, now); limited {
--- a/core/fleet/deferral_test.go
+++ b/core/fleet/deferral_test.go
@@ -22,15 +22,15 @@
 	if m.Usable(now) || m.Reserve(promptQuery(now)) || f.FindUsable("llm-b-0", now) != nil || !m.Declines(now) || !m.Remains(now) {
 		t.Error("the server is a candidate, or is taken for lost")
 	}
-	if _, found := f.Relief("llm", now); found {
+	if _, found := f.Relief(fleet.Query{Service: "llm", Now: now}); found {
 		t.Error("callers are told to wait although there is another server")
 	}
 	f.Defer(primary, 5*time.Second, start)
-	if at, found := f.Relief("llm", now); !found || !at.Equal(start.Add(2*time.Second)) {
+	if at, found := f.Relief(fleet.Query{Service: "llm", Now: now}); !found || !at.Equal(start.Add(2*time.Second)) {
 		t.Errorf("callers may come back at %v (%v), want %v", at, found, start.Add(2*time.Second))
 	}
 	f.RecordLeaving(m, now)
-	if at, found := f.Relief("llm", now); !found || !at.Equal(start.Add(5*time.Second)) {
+	if at, found := f.Relief(fleet.Query{Service: "llm", Now: now}); !found || !at.Equal(start.Add(5*time.Second)) {
 		t.Errorf("callers may come back at %v (%v), want %v", at, found, start.Add(5*time.Second))
 	}
 	if m.Remains(now) || !m.Declines(start.Add(time.Minute)) {
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -33,7 +33,7 @@
 	if m := f.Reserve(q); m != nil {
 		t.Errorf("got server %s beyond its limit", m.ID())
 	}
-	if at, found := f.Relief("orders", now); !found || !at.After(now) {
+	if at, found := f.Relief(fleet.Query{Service: "orders", Now: now}); !found || !at.After(now) {
 		t.Errorf("callers are told to come back at %v, %v; want a later time", at, found)
 	}
 	if !f.EndLimit(limited, now.Add(time.Second)) {
--- a/core/fleet/overload_test.go
+++ b/core/fleet/overload_test.go
@@ -218,7 +218,7 @@
 func (x *overloadRun) refuse(began, now time.Time, number, node int) {
 	x.budgets[node].End()
 	at := now.Add(300 * time.Millisecond)
-	if earliest, found := x.fleets[node].Relief("orders", now); found {
+	if earliest, found := x.fleets[node].Relief(fleet.Query{Service: "orders", Now: now}); found {
 		at = deferral.RetryAt(earliest, now, x.random.Float64())
 	}
 	left := began.Add(x.deadline).Sub(now)
--- a/core/fleet/versions_test.go
+++ b/core/fleet/versions_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"cicadabeam/core/fleet"
 )
@@ -56,6 +57,16 @@
 	if q := promptQuery(start); f.ReserveServer(f.Find("a2"), limited(q, choice{excluded: "v2"})) {
 		t.Error("a given server of an excluded version is reserved")
 	}
+	for _, id := range []string{"a1", "b1"} {
+		f.Defer(f.Find(id), time.Second, start)
+	}
+	q := fleet.Query{Service: "llm", Now: start}
+	if _, found := f.Relief(q); found {
+		t.Error("servers that turn requests away are waited for although others take them")
+	}
+	if _, found := f.Relief(limited(q, choice{excluded: "v2"})); !found {
+		t.Error("a server of an excluded version counts as one that takes requests")
+	}
 	if got := f.Versions("llm", start); got["v1"] != 2 || got["v2"] != 2 {
 		t.Errorf("got versions %v", got)
 	}
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -249,7 +249,7 @@
 	if code == fault.Draining {
 		return x.drainingError(step, text)
 	}
-	earliest, found := x.h.Fleet.Relief(x.service.Name, now)
+	earliest, found := x.h.Fleet.Relief(x.rollout.Limit(fleet.Query{Service: x.service.Name, Now: now}))
 	if !found || code == fault.CallerLeft {
 		return notRunError(code, step, text, retryAfterNoServer)
 	}
