--- a/core/fleet/versions_test.go
+++ b/core/fleet/versions_test.go
@@ -57,9 +57,8 @@
 	if q := promptQuery(start); f.ReserveServer(f.Find("a2"), limited(q, choice{excluded: "v2"})) {
 		t.Error("a given server of an excluded version is reserved")
 	}
-	for _, id := range []string{"a1", "b1"} {
-		f.Defer(f.Find(id), time.Second, start)
-	}
+	f.RecordLeaving(f.Find("b1"), start)
+	f.Defer(f.Find("a1"), time.Second, start)
 	q := fleet.Query{Service: "llm", Now: start}
 	if _, found := f.Relief(q); found {
 		t.Error("servers that turn requests away are waited for although others take them")
