--- a/core/rollout/driver/driver_test.go
+++ b/core/rollout/driver/driver_test.go
@@ -37,7 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			run(t, 3, func(e *env) {
 				turns := time.Now().Add(from)
-				e.isBad = func() bool { return time.Now().After(turns) && rand.N(10) < 4 }
+				e.setBad(func() bool { return time.Now().After(turns) && rand.N(10) < 4 })
 				e.awaitPhase(rollout.RolledBack, orderLength)
 				e.checkExposure()
 				time.Sleep(time.Second)
@@ -152,7 +152,7 @@
 		e.awaitPhase(rollout.Canary, time.Second)
 		time.Sleep(time.Second)
 		e.store.set(func(s *fakeStore) { s.down = true })
-		e.isBad = func() bool { return rand.N(10) < 7 }
+		e.setBad(func() bool { return rand.N(10) < 7 })
 		for _, h := range e.all() {
 			e.await(h.name+" has not rolled back", 4*time.Second, func() bool { return h.state().Phase == rollout.RolledBack })
 		}
--- a/core/rollout/driver/harness_test.go
+++ b/core/rollout/driver/harness_test.go
@@ -203,6 +203,19 @@
 	return all
 }
 
+// setBad sets whether requests to the new version fail.
+func (e *env) setBad(f func() bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isBad = f
+}
+
+func (e *env) fails() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isBad()
+}
+
 // setOrders makes all hosts know other orders.
 func (e *env) setOrders(all ...rollout.Order) {
 	e.mu.Lock()
@@ -271,7 +284,7 @@
 		}
 		h.recorder.Watch(map[string]uint64{serviceName: s.ID})
 		a := h.recorder.Begin(canary.Request{Service: serviceName, Route: "r", Server: fmt.Sprint(version, "-", i%4), DataCentre: "a", New: version == s.Target}, ms)
-		failed := version == "v2" && h.e.isBad()
+		failed := version == "v2" && h.e.fails()
 		if !failed {
 			a.Respond(10 * time.Millisecond)
 		}
