--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -144,8 +144,8 @@
 			continue
 		}
 		x.Nodes++
-		addWork(x.Work, p.report.Work)
-		addUsage(x.Usage, p.report.Usage)
+		fleet.AddWork(x.Work, p.report.Work)
+		retrybudget.AddUsage(x.Usage, p.report.Usage)
 		mergeLosses(x.Lost, p.report.Lost, now.Sub(p.reportedAt))
 		x.Crashes.Add(p.report.Crashes, now.Sub(p.reportedAt))
 		x.Limits = x.Limits.Add(p.report.Limits, now.Sub(p.reportedAt))
@@ -155,26 +155,6 @@
 	return x
 }
 
-func addWork(sum, more map[string]fleet.Work) {
-	for id, w := range more {
-		s := sum[id]
-		s.Running += w.Running
-		s.Prompts += w.Prompts
-		s.Memory += w.Memory
-		sum[id] = s
-	}
-}
-
-func addUsage(sum, more map[string]retrybudget.Usage) {
-	for service, u := range more {
-		s := sum[service]
-		s.Firsts += u.Firsts
-		s.Repeats += u.Repeats
-		s.Running += u.Running
-		sum[service] = s
-	}
-}
-
 // mergeLosses adds losses that were reported some time ago. Of two losses of a server the
 // later one is kept.
 func mergeLosses(sum, more map[string]time.Duration, reportAge time.Duration) {
--- a/core/fleet/work.go
+++ b/core/fleet/work.go
@@ -109,3 +109,14 @@
 	}
 	return m.reservedKVCacheTokens + m.sumPeerWork(now).Memory, true
 }
+
+// AddWork adds the work of another node, by server ID, to a sum.
+func AddWork(sum, more map[string]Work) {
+	for id, w := range more {
+		s := sum[id]
+		s.Running += w.Running
+		s.Prompts += w.Prompts
+		s.Memory += w.Memory
+		sum[id] = s
+	}
+}
--- a/core/retrybudget/services.go
+++ b/core/retrybudget/services.go
@@ -75,3 +75,14 @@
 		b.RecordFinalUsage(from, usage[service], at)
 	}
 }
+
+// AddUsage adds the usage of another node, by service, to a sum.
+func AddUsage(sum, more map[string]Usage) {
+	for service, u := range more {
+		s := sum[service]
+		s.Firsts += u.Firsts
+		s.Repeats += u.Repeats
+		s.Running += u.Running
+		sum[service] = s
+	}
+}
