--- a/cmd/entry/settings_test.go
+++ b/cmd/entry/settings_test.go
@@ -18,3 +18,14 @@
 		}
 	}
 }
+
+// Guards against roll-outs that are enabled by mistake, or with a share that can't be.
+func TestExposureSettings(t *testing.T) {
+	const base = "[node]\nname = n\ndata-centre = a\n[listen]\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\nneighbours = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n[bounds]\n"
+	for text, want := range map[string]float64{"": 0, "exposure-tolerance = 50\nrollback = 5000ms\n": 0, "exposure-share = 0.1\n": 0.1, "exposure-share = 1.5\n": -1, "exposure-share = x\n": -1, "rollback = soon\n": -1} {
+		s, err := Parse("entry.ini", []byte(base+text))
+		if (err != nil) != (want < 0) || err == nil && s.exposure.ExposureShare != want {
+			t.Errorf("%q: got %+v, error %v, want share %v", text, s.exposure, err, want)
+		}
+	}
+}
