--- a/core/rollout/next.go
+++ b/core/rollout/next.go
@@ -14,11 +14,11 @@
 	// resumed streams, which go to the version that began them.
 	canaryPart = 0.8
 	// A shift begins no earlier than at earliestShift of the order's length and else as late as the
-	// runs on the old servers and shiftTime allow: the shift itself, and how long hosts take to follow and
-	// to report it. Without a verdict it begins at undecidedShift of the length at the earliest.
+	// runs on the old servers, the first step and shiftTime allow: the other steps, and how long hosts
+	// take to follow and to report it. Without a verdict it begins at undecidedShift of the length at the earliest.
 	earliestShift  = 0.3
 	undecidedShift = 0.7
-	shiftTime      = 4500 * time.Millisecond
+	shiftTime      = 2900 * time.Millisecond
 	// hostTTL is how long after its last report a host is taken for gone, and confirmTTL how old the
 	// report may be by which it has left the old servers: soon after that its permit may end.
 	hostTTL    = 3 * time.Second
@@ -32,16 +32,23 @@
 	maxExcluded = 32
 )
 
-// steps are the shares of a shift and how long they are kept. At the first one, the servers in use have
-// the load that they will have later, where they are few for the first time: it is kept until
-// responses to it have been reported. Draining follows the last one.
-var steps = []struct {
-	share float64
-	time  time.Duration
-}{
-	{0.25, 1600 * time.Millisecond},
-	{0.5, 400 * time.Millisecond},
-	{1, 400 * time.Millisecond},
+// steps are the shares of a shift. Draining follows the last one.
+var steps = []float64{0.25, 0.5, 1}
+
+const (
+	stepTime = 400 * time.Millisecond
+	// The first step is kept until responses to it have been reported, as the servers in use may have
+	// the load that they will have later for the first time: for firstStepTime or, if the runs take
+	// longer, half of one, as those that break off do so in the middle. Evidence against the version that
+	// doesn't suffice prolongs it to maxFirstStepTime at most. No later step is prolonged: more requests
+	// are exposed there, and decide soon.
+	firstStepTime    = 1600 * time.Millisecond
+	maxFirstStepTime = 3 * time.Second
+)
+
+// firstStep returns how long the first step is kept.
+func firstStep(runs time.Duration) time.Duration {
+	return min(max(firstStepTime, runs/2), maxFirstStepTime)
 }
 
 // Limits bound what a version gets before its verdict.
@@ -162,7 +169,7 @@
 		return s.end(RolledBack, in.Verdict.Reason, in), AnnounceNow
 	case in.Versions[s.Target] == 0 && (past || s.Phase != Canary):
 		return s.end(RolledBack, "the version has no servers", in), AnnounceNow
-	case s.Phase != Draining && past && in.Verdict.Against:
+	case s.Phase == Canary && past && in.Verdict.Against && in.Verdict.Weight > 0:
 		return s.end(RolledBack, "no verdict by the deadline, evidence against the version", in), AnnounceNow
 	}
 	if in.NowMS >= s.LeaseUntilMS-(LeaseTime-PermitTime).Milliseconds() {
@@ -172,21 +179,22 @@
 	switch s.Phase {
 	case Canary:
 		if reason, ok := s.mayShift(in); ok {
-			return s.advance(Shifting, steps[0].share, reason, in), WriteFirst
+			return s.advance(Shifting, steps[0], reason, in), WriteFirst
 		}
 	case Shifting:
-		if in.Verdict.Against {
-			break
-		}
-		for i, x := range steps {
-			if x.share < s.Share {
-				continue
-			}
-			if in.NowMS < s.ChangedMS+x.time.Milliseconds() {
-				return s, Keep
+		kept := stepTime
+		if s.Share == steps[0] {
+			kept = firstStep(in.Runs)
+			if in.Verdict.Against {
+				kept = maxFirstStepTime
 			}
-			if i+1 < len(steps) {
-				return s.advance(Shifting, steps[i+1].share, s.Reason, in), WriteFirst
+		}
+		if in.NowMS < s.ChangedMS+kept.Milliseconds() {
+			return s, Keep
+		}
+		for _, x := range steps {
+			if x > s.Share {
+				return s.advance(Shifting, x, s.Reason, in), WriteFirst
 			}
 		}
 		return s.advance(Draining, 1, s.Reason, in), WriteFirst
@@ -215,7 +223,7 @@
 // ShiftFromMS returns when the shift may begin, by the store's clock: as late as the runs on the old
 // servers allow, as more evidence is known then.
 func (s State) ShiftFromMS(runs time.Duration) int64 {
-	return s.StartedMS + max(s.part(earliestShift), (s.Length-runs-shiftTime).Milliseconds())
+	return s.StartedMS + max(s.part(earliestShift), (s.Length-runs-firstStep(runs)-shiftTime).Milliseconds())
 }
 
 // part returns a part of the order's length in ms.
@@ -223,7 +231,7 @@
 
 func (s State) mayShift(in Inputs) (reason string, ok bool) {
 	from, past := s.ShiftFromMS(in.Runs), in.NowMS >= s.DeadlineMS
-	if in.NowMS < from || in.Verdict.Against || in.Versions[s.Target] == 0 {
+	if in.NowMS < from || in.Verdict.Against && !past || in.Versions[s.Target] == 0 {
 		return "", false
 	}
 	old := 0
