--- a/core/canary/sample.go
+++ b/core/canary/sample.go
@@ -28,9 +28,9 @@
 	// is left out.
 	controls = 5
 	// usualCorrelation is assumed as if it had been seen in correlationPairs.
-	usualCorrelation = 0.1
+	usualCorrelation = 0.15
 	correlationPairs = 200.0
-	leastCorrelation = 0.01
+	leastCorrelation = 0.12
 	mostCorrelation  = 0.5
 	// outageFailures and outageFactor tell an outage of a data centre: so many failures, and so many
 	// times their share elsewhere.
@@ -55,9 +55,16 @@
 	settledBad float64
 }
 
+// place is a stratum of a window.
+type place struct {
+	window int64
+	key    Stratum
+}
+
 // sample has the evidence in the form in which it is tested.
 type sample struct {
 	cells  map[int64][]*cell
+	index  map[place]*cell
 	limits map[int64]map[string]limits // beyond which a response is slow, by route
 	failed map[string]float64          // share of failures of the old version, by route
 	slow   map[string]share            // slow ones of the old version, by route
@@ -88,6 +95,7 @@
 func newSample(e *evidence) *sample {
 	s := &sample{
 		cells:  make(map[int64][]*cell),
+		index:  make(map[place]*cell),
 		limits: make(map[int64]map[string]limits),
 	}
 	s.setLimits(e)
@@ -104,13 +112,13 @@
 }
 
 func (s *sample) cell(i int64, k Stratum) *cell {
-	for _, c := range s.cells[i] {
-		if c.key == k {
-			return c
-		}
+	at := place{i, k}
+	c := s.index[at]
+	if c == nil {
+		c = &cell{window: i, key: k}
+		s.index[at] = c
+		s.cells[i] = append(s.cells[i], c)
 	}
-	c := &cell{window: i, key: k}
-	s.cells[i] = append(s.cells[i], c)
 	return c
 }
 
