--- a/core/rollout/driver/service.go
+++ b/core/rollout/driver/service.go
@@ -171,12 +171,21 @@
 		s.load(ctx, s.resolve)
 	case decision == rollout.WriteFirst:
 		s.save(ctx, rollout.Renew(next, s.clock.latest(now)), s.revision)
-	case s.dirty || now >= s.confirmedAt+rollout.RenewInterval:
+	case s.dirty || now >= s.confirmedAt+renewInterval(next.Phase):
 		s.state = next
 		s.save(ctx, rollout.Renew(next, s.clock.latest(now)), s.revision)
 	}
 }
 
+// renewInterval returns the time between two renewals of the lease. While old servers are drained, a
+// host whose permit ends can send to neither version, so that the lease is renewed twice as often.
+func renewInterval(p rollout.Phase) time.Duration {
+	if p == rollout.Draining {
+		return rollout.RenewInterval / 2
+	}
+	return rollout.RenewInterval
+}
+
 // resolve finds out from the row whether a write without a response succeeded. If the row is as it was
 // before, the next write settles it: only one of the two can succeed.
 func (s *service) resolve(r records.RolloutRow) {
