--- a/cmd/entry/configuration.go
+++ b/cmd/entry/configuration.go
@@ -38,16 +38,16 @@
 		return neighbour.ConfigurationReply{}
 	}
 	if q != neighbour.AcceptsPacked || len(encoded.value) < packedFrom {
-		return neighbour.ConfigurationReply{Fact: f, Value: encoded.value}
+		return neighbour.ConfigurationReply{Fact: f, Value: encoded.value, Rollouts: n.rollouts.Orders()}
 	}
 	packed := encoded.packed()
 	if packed == nil {
-		return neighbour.ConfigurationReply{Fact: f, Value: encoded.value}
+		return neighbour.ConfigurationReply{Fact: f, Value: encoded.value, Rollouts: n.rollouts.Orders()}
 	}
 	if !n.configurationLimit.Allow(len(packed), time.Now()) {
 		return neighbour.ConfigurationReply{Fact: f, Busy: true}
 	}
-	return neighbour.ConfigurationReply{Fact: f, Packed: packed}
+	return neighbour.ConfigurationReply{Fact: f, Packed: packed, Rollouts: n.rollouts.Orders()}
 }
 
 // fetchConfiguration fetches the configuration from a peer, or from another one that has it if it is
@@ -61,6 +61,7 @@
 			return err
 		}
 		if !x.Busy {
+			n.rollouts.Merge(x.Rollouts, sent) // no host knows a configuration without its orders
 			n.installConfiguration(x.Value, sent-x.Fact.Age, true, p.host.Name)
 			n.recorder.Record("configuration fetched", relay.Fields{"peer": p.host.Name, "revision": x.Fact.Version, "bytes": len(x.Value), "packed_bytes": len(x.Packed), "ms": (uptime() - sent).Milliseconds()})
 			return nil
--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -146,14 +146,14 @@
 
 // aggregateOwnDataCentre aggregates the latest reports of the nodes of this data centre.
 func (n *Node) aggregateOwnDataCentre(now time.Time) neighbour.DataCentreReport {
-	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Crashes: n.handler.CrashReport(now), Limits: n.fleet.LimitReport(now), Streams: n.streamVersions.Report(now, false), Brittle: n.fleet.BrittleReport(now)}
+	x := neighbour.DataCentreReport{Nodes: 1, Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now), Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Crashes: n.handler.CrashReport(now), Limits: n.fleet.LimitReport(now), Streams: n.streamVersions.Report(now, false), Brittle: n.fleet.BrittleReport(now), Rollouts: n.rollouts.Sum(n.peers.rolloutOrigins(n.settings.topology.DataCentre, now))}
 	for _, p := range n.peers.all {
 		if p.host.DataCentre != n.settings.topology.DataCentre || now.Sub(p.reportedAt) > livenessTimeout {
 			continue
 		}
 		x.Nodes++
-		addWork(x.Work, p.report.Work)
-		addUsage(x.Usage, p.report.Usage)
+		fleet.AddWork(x.Work, p.report.Work)
+		retrybudget.AddUsage(x.Usage, p.report.Usage)
 		mergeLosses(x.Lost, p.report.Lost, now.Sub(p.reportedAt))
 		x.Crashes.Add(p.report.Crashes, now.Sub(p.reportedAt))
 		x.Limits = x.Limits.Add(p.report.Limits, now.Sub(p.reportedAt))
@@ -163,26 +163,6 @@
 	return x
 }
 
-func addWork(sum, more map[string]fleet.Work) {
-	for id, w := range more {
-		s := sum[id]
-		s.Running += w.Running
-		s.Prompts += w.Prompts
-		s.Memory += w.Memory
-		sum[id] = s
-	}
-}
-
-func addUsage(sum, more map[string]retrybudget.Usage) {
-	for service, u := range more {
-		s := sum[service]
-		s.Firsts += u.Firsts
-		s.Repeats += u.Repeats
-		s.Running += u.Running
-		sum[service] = s
-	}
-}
-
 // mergeLosses adds losses that were reported some time ago. Of two losses of a server the
 // later one is kept.
 func mergeLosses(sum, more map[string]time.Duration, reportAge time.Duration) {
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -206,7 +206,7 @@
 		Host: n.self(), AggregateAges: n.aggregateAges(now), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
 		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Limits: n.fleet.LimitReport(now),
-		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Leases: true, Brittle: n.fleet.BrittleReport(now),
+		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Leases: true, Brittle: n.fleet.BrittleReport(now), Rollouts: n.rollouts.Report(),
 	}
 	return x
 }
@@ -280,6 +280,7 @@
 	if recovered {
 		n.recorder.Record("node heard", relay.Fields{"peer": x.Host.Name, "revision": x.Configuration.Version})
 	}
+	n.mergeRollouts(p, x, sent)
 	if fetchMissing {
 		go n.fetch(p, "servers to register", n.fetchMissingServers)
 	}
@@ -360,7 +361,7 @@
 	defer n.serversMu.Unlock()
 	x := neighbour.ServerList{Fact: n.serverFreshness.freshness(uptime())}
 	now := time.Now()
-	ids, complete := n.changeLog.since(since)
+	ids, complete := n.changeLog.Since(since)
 	x.Whole = !complete
 	known := make(map[string]fleet.Registration)
 	for _, s := range n.fleet.Registered() {
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,10 +21,13 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/promptindex"
 	"cicadabeam/core/retrybudget"
+	"cicadabeam/core/rollout/traffic"
 	"cicadabeam/core/stall"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
+	"cicadabeam/io/tcp"
 )
 
 // Limits are the limits that the relay enforces.
@@ -49,7 +51,7 @@
 	Codec       Codec
 	Catalog     *freshness.Tracker
 	Fleet       *fleet.Fleet
-	PromptIndex *fleet.PromptIndex
+	PromptIndex *promptindex.Index
 	// StreamVersions knows which software versions began streams.
 	StreamVersions *streamversion.Index
 	Pool           *http1.Pool
@@ -73,6 +75,9 @@
 	// Partitioned reports whether this node reaches no server itself. What it sees of servers is no
 	// evidence against them then. If it is nil, the node is not.
 	Partitioned func() bool
+	// Rollouts selects the software versions of servers while services change to new ones, nil if that
+	// is disabled.
+	Rollouts *traffic.Traffic
 	// StallDetector detects stalls of the process.
 	StallDetector *freshness.StallDetector
 	// Ready is closed once the configuration and the servers have been loaded for the
@@ -83,6 +88,7 @@
 // Handler serves callers' requests.
 type Handler struct {
 	Dependencies
+	*retrybudget.Services
 	started           time.Time
 	draining          atomic.Pointer[drain.Window]
 	durations         drain.Durations
@@ -90,13 +96,12 @@
 	firstEventMonitor *firstEventMonitor
 	crashDetector     *crashDetector
 	paces             stall.Paces // of the servers of streams
-	mu                sync.Mutex
-	budgets           map[string]*retrybudget.Budget
 }
 
 // New returns a handler that uses the dependencies.
 func New(d Dependencies) *Handler {
-	h := &Handler{Dependencies: d, started: time.Now(), budgets: make(map[string]*retrybudget.Budget)}
+	h := &Handler{Dependencies: d, started: time.Now()}
+	h.Services = retrybudget.NewServices(func() retrybudget.Limit { return h.Limits.RetryLimit }, h.serviceNames)
 	h.firstEventMonitor = newFirstEventMonitor(h)
 	h.crashDetector = newCrashDetector(h)
 	return h
@@ -105,63 +110,17 @@
 // Running returns the number of requests in flight.
 func (h *Handler) Running() int64 { return h.inFlight.Load() }
 
-func (h *Handler) budget(service string) *retrybudget.Budget {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	b := h.budgets[service]
-	if b == nil {
-		b = retrybudget.New(h.Limits.RetryLimit)
-		h.budgets[service] = b
+// serviceNames returns the names of the configured services.
+func (h *Handler) serviceNames() []string {
+	c := h.Catalog.Catalog()
+	if c == nil {
+		return nil
 	}
-	return b
-}
-
-// ensureBudgets creates the budgets of all services, so that reports of other nodes are
-// known when the first request for a service arrives.
-func (h *Handler) ensureBudgets(usage map[string]retrybudget.Usage) {
-	for service := range usage {
-		h.budget(service)
-	}
-	if c := h.Catalog.Catalog(); c != nil {
-		for _, s := range c.Services() {
-			h.budget(s.Name)
-		}
-	}
-}
-
-// RetryUsage returns the usage of the retry budgets that this node counted, by service.
-func (h *Handler) RetryUsage(now time.Time) map[string]retrybudget.Usage {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	all := make(map[string]retrybudget.Usage, len(h.budgets))
-	for service, b := range h.budgets {
-		if u := b.Usage(now); u != (retrybudget.Usage{}) {
-			all[service] = u
-		}
-	}
-	return all
-}
-
-// RecordPeerUsage records a usage report of another node, or of one that reports on
-// behalf of several nodes, as of time at. Services that the report does not contain had
-// no usage.
-func (h *Handler) RecordPeerUsage(from string, usage map[string]retrybudget.Usage, nodes int, at time.Time) {
-	h.ensureBudgets(usage)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service, b := range h.budgets {
-		b.RecordPeerUsage(from, usage[service], nodes, at)
-	}
-}
-
-// RecordFinalUsage records the last usage report of a node that is stopping.
-func (h *Handler) RecordFinalUsage(from string, usage map[string]retrybudget.Usage, at time.Time) {
-	h.ensureBudgets(usage)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service, b := range h.budgets {
-		b.RecordFinalUsage(from, usage[service], at)
+	var names []string
+	for _, s := range c.Services() {
+		names = append(names, s.Name)
 	}
+	return names
 }
 
 // exchange is a caller's request and the state of its processing.
@@ -195,6 +154,7 @@
 	features     crashcause.Request
 	whole        []crashcause.Feature // of the request as a whole
 	lost         bool                 // a connection ended while a server ran the request
+	rollout      *traffic.Request
 }
 
 // ServeHTTP implements http.Handler. It is on the stack while a response is written, and with a few
@@ -216,10 +176,12 @@
 		x.respondError(err)
 		return
 	}
-	budget := h.budget(x.service.Name)
+	budget := h.Budget(x.service.Name)
 	budget.Begin(x.arrived)
 	defer budget.End()
 	defer x.recordDuration()
+	x.rollout = h.Rollouts.Begin(x.service.Name, x.route.Name)
+	defer x.rollout.End()
 	if x.route.Kind.IsStream() {
 		defer x.held.Release()
 		x.serveStream()
@@ -287,7 +249,7 @@
 	if code == fault.Draining {
 		return x.drainingError(step, text)
 	}
-	earliest, found := x.h.Fleet.Relief(x.service.Name, now)
+	earliest, found := x.h.Fleet.Relief(x.rollout.Limit(fleet.Query{Service: x.service.Name, Now: now}))
 	if !found || code == fault.CallerLeft {
 		return notRunError(code, step, text, retryAfterNoServer)
 	}
@@ -439,14 +401,14 @@
 // only stopped sending still reads the response.
 func (x *exchange) parentContext() context.Context {
 	if x.route.Kind == catalog.AtMostOnce {
-		return callerConn(x.r).base
+		return tcp.CallerConnOf(x.r).Base
 	}
 	return x.r.Context()
 }
 
 // stopping reports whether the node stops.
 func (x *exchange) stopping() bool {
-	return errors.Is(context.Cause(callerConn(x.r).base), ErrStopping)
+	return errors.Is(context.Cause(tcp.CallerConnOf(x.r).Base), ErrStopping)
 }
 
 // callerLeft reports whether the caller has closed its connection, or at least its sending
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -130,6 +130,9 @@
 	if seed >= firstSeedWithParts {
 		e.startPartCallers(seed, &g, stop)
 	}
+	if hasRollout(seed) {
+		e.startRollout(d)
+	}
 	until := time.Now().Add(d)
 	var beside sync.WaitGroup
 	beside.Go(func() { e.injectRestores(until) })
@@ -138,6 +141,9 @@
 	if seed >= firstSeedWithLimits {
 		beside.Go(func() { e.injectLimits(seed, until) })
 	}
+	if hasRollout(seed) {
+		beside.Go(func() { e.awaitRollout(d + rolloutEndTimeout) })
+	}
 	e.injectFaults(faults, until)
 	beside.Wait()
 	if seed >= firstSeedWithParts {
@@ -160,6 +166,9 @@
 	for _, x := range e.results.list() {
 		counts[x.Status]++
 	}
+	if hasRollout(seed) {
+		t.Logf("seed %d: the roll-out was %s", seed, e.rolloutState)
+	}
 	t.Logf("seed %d: %d faults, responses by status %v", seed, len(e.faultSpans), counts)
 	t.Logf("seed %d: %s", seed, e.faultLog[len(e.faultLog)-1])
 	if len(violations) == 0 {
