crashcause: a conviction outlives the report of a suspicion that gave way

A suspicion whose crashes a wider one explains is dropped: no features remain in it. Another host that convicted the same cause within 3 s of that took it for one that was found together, and kept the features that remain in both, none. Each trial then crashed a server, convicted the cause at most hosts and left it without effect. A suspicion says nothing against a conviction now; requests that ran well are reported on their own.

--- a/core/crashcause/report.go
+++ b/core/crashcause/report.go
@@ -159,7 +159,8 @@
 
 // mergeCause applies a cause that another node reported and returns it if it is new or was
 // renewed. Of two versions of a cause the newer one holds; of two that nodes found together, the
-// features that remain in both.
+// features that remain in both. A suspicion that gave way to a wider one has none left, which says
+// nothing against a conviction.
 func (l *List) mergeCause(r CauseReport, now time.Time) *cause {
 	if len(r.Features) == 0 || len(r.Features) > maxFeatures {
 		return nil
@@ -197,7 +198,7 @@
 		l.acquitSound(known)
 		l.notify()
 		return known
-	case together:
+	case together && (x.suspicion == nil || known.suspicion != nil):
 		n := len(known.remaining)
 		known.remaining = slices.DeleteFunc(known.remaining, func(f Feature) bool { return !slices.Contains(r.Remaining, f) })
 		if len(known.remaining) < n {
--- a/core/crashcause/suspicion.go
+++ b/core/crashcause/suspicion.go
@@ -139,9 +139,8 @@
 	return released
 }
 
-// endTrials ends the trials of this node whose server has crashed, and draws the conclusion. Crashes of
-// other servers leave them alone: else the request would be sent to a second server, beside trials of
-// other nodes.
+// endTrials ends the trials of this node whose server has crashed, and draws the conclusion. If crashes of
+// other servers ended them, their requests would be sent to a second server.
 func (l *List) endTrials(x *crash) {
 	var ended []*cause
 	for _, c := range l.causesOf(x) {
--- a/core/crashcause/suspicion_test.go
+++ b/core/crashcause/suspicion_test.go
@@ -255,3 +255,28 @@
 		t.Error("the trial goes on after the crash of its server")
 	}
 }
+
+// A conviction was taken back when another host reported the same cause as a suspicion that had given way to a
+// wider one, so that each trial crashed a server and convicted in vain.
+func TestConvictionOutlivesSuspicionThatGaveWay(t *testing.T) {
+	l := suspected(t)
+	now := at(5 * time.Second)
+	bad := request(7, "first")
+	if refuses(l, bad, now) {
+		t.Fatal("no request runs")
+	}
+	crash(l, "s9", now.Add(time.Second), bad)
+	now = now.Add(1300 * time.Millisecond)
+	found := l.Evaluate(now)
+	if len(found) == 0 || found[0].Suspected {
+		t.Fatalf("got causes %v, want one that is convicted", found)
+	}
+	var r crashcause.Report
+	for _, c := range found {
+		r.Causes = append(r.Causes, crashcause.CauseReport{Features: c.Features, Class: bad.Class, Age: 2 * time.Second, Probation: &crashcause.ProbationReport{}})
+	}
+	l.Merge(r, now, func(string, time.Time) bool { return false })
+	if !refuses(l, bad, now.Add(3*time.Second)) {
+		t.Error("the request that crashed the servers is let through")
+	}
+}
