platform, fleet: load headers with the slowdown of the server's machine

X-Server-Load may have a fourth figure: how long work takes on the machine now, 100 being usual. Such headers were dropped as a whole. The figure enters the expected latency of the server and loses weight within 0.3 s, as it changes many times a second.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 	cd io && go test ./engine -run none -fuzz FuzzStream -fuzztime 30s
 	cd io && go test ./sse -run none -fuzz FuzzReader -fuzztime 30s
 	cd platform && go test . -run none -fuzz FuzzDecodeServer -fuzztime 30s
+	cd platform && go test . -run none -fuzz FuzzLoadHeader -fuzztime 30s
 	cd cmd && go test ./settings -run none -fuzz FuzzParse -fuzztime 30s
 
 clean:
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -19,6 +19,12 @@
 	failureHalfLife = 4 * time.Second
 	// loadDecayTime is the time constant with which a load report loses weight.
 	loadDecayTime = time.Second
+	// slowdownDecayTime is the time constant with which a reported slowdown loses weight: it changes
+	// many times a second. Slower phases of 0.6 s, of which a report may come at any time, last 0.3 s
+	// more on average.
+	slowdownDecayTime = 300 * time.Millisecond
+	// maxSlowdown limits the effect of a wrong figure.
+	maxSlowdown = 10
 	// defaultAnswerTime is assumed for a server that has not answered yet.
 	defaultAnswerTime = 40 * time.Millisecond
 	answerTimeWeight  = 0.1
@@ -57,6 +63,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is how long work takes on the server's machine now in proportion to the usual time,
+	// 0 if the server doesn't tell.
+	Slowdown float64
 }
 
 // Member is a server with its state as known to this node.
@@ -221,6 +230,16 @@
 	}
 }
 
+// slowdown is how long work is expected to take on the server's machine in proportion to the usual
+// time: the last report of it, which loses weight with age.
+func (m *Member) slowdown(now time.Time) float64 {
+	if m.load.Slowdown == 0 {
+		return 1
+	}
+	age := max(0, now.Sub(m.loadAt))
+	return 1 + (min(m.load.Slowdown, maxSlowdown)-1)*math.Exp(-float64(age)/float64(slowdownDecayTime))
+}
+
 func (m *Member) plainCost(q Query) time.Duration {
 	average := m.answerTime
 	if average == 0 {
@@ -228,7 +247,7 @@
 	}
 	slots := float64(max(m.server.Slots, 1))
 	busy := float64(m.running+m.peerWork(q).Running) / slots
-	c := time.Duration(float64(average) * (1 + busy/4 + max(0, busy-0.8)*2))
+	c := time.Duration(float64(average) * m.slowdown(q.Now) * (1 + busy/4 + max(0, busy-0.8)*2))
 	return c.Round(plainCostStep)
 }
 
@@ -243,7 +262,7 @@
 	if q.CachedOn == m.server.ID {
 		tokens -= cachedPromptFactor * q.PromptTokens
 	}
-	c := time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond))
+	c := time.Duration(float64(tokens) / prefillRate * m.slowdown(q.Now) * float64(time.Millisecond))
 	c += time.Duration(running) * runPenalty
 	if float64(m.reservedKVCacheTokens+peerWork.Memory+q.Memory) > maxKVCacheShare*float64(q.Capacity) {
 		c += fullPenalty
