READY: fleet: a server that has not answered yet is assumed as fast as the others of its service

The assumed time was 40 ms: beside servers that take 10 ms, a new one got none of the first 12 requests, and none of 300 after a restart; beside servers that take 200 ms, it got all of the first 12. It is now the lower median of the servers that have answered, so that one slow server does not change it.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -226,8 +226,9 @@
 	AvoidDataCentre string
 	Now             time.Time
 
-	peerWorkKnown bool // work reports of other nodes are current
-	hasQuota      bool // the server is brittle: this node may have quota requests there at a time
+	peerWorkKnown bool          // work reports of other nodes are current
+	answerTime    time.Duration // assumed for a server that has not answered yet, 0 for defaultAnswerTime
+	hasQuota      bool          // the server is brittle: this node may have quota requests there at a time
 	quota         int
 }
 
@@ -340,6 +341,9 @@
 	f.mu.RUnlock()
 	found := make([]candidate, 0, len(all))
 	q.peerWorkKnown = f.peerWorkKnown(q.Now)
+	if q.Capacity == 0 {
+		q.answerTime = medianAnswerTime(all)
+	}
 	out := f.outagesByDataCentre(q.Service, all, q.Now)
 	for _, m := range all {
 		if q.Exclude[m.ID()] || !m.matches(q) || !m.usable(q.Now) {
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -25,7 +27,7 @@
 	slowdownDecayTime = 300 * time.Millisecond
 	// maxSlowdown limits the effect of a wrong figure.
 	maxSlowdown = 10
-	// defaultAnswerTime is assumed for a server that has not answered yet.
+	// defaultAnswerTime is assumed for a server that has not answered yet if no other of its service has.
 	defaultAnswerTime = 40 * time.Millisecond
 	answerTimeWeight  = 0.1
 	// defaultPrefillRate, in prompt tokens per millisecond, is assumed for an engine
@@ -230,6 +232,29 @@
 	}
 }
 
+// medianAnswerTime is assumed for those of a service's servers that have not answered yet: the lower
+// median of the others' averages, which one slow server does not change. It is 0 if all have answered,
+// or none has.
+func medianAnswerTime(all []*Member) time.Duration {
+	var known []time.Duration
+	for _, m := range all {
+		if t := m.averageAnswerTime(); t > 0 {
+			known = append(known, t)
+		}
+	}
+	if len(known) == 0 || len(known) == len(all) {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
+func (m *Member) averageAnswerTime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answerTime
+}
+
 // slowdown is how long work is expected to take on the server's machine in proportion to the usual
 // time: the last report of it, which loses weight with age.
 func (m *Member) slowdown(now time.Time) float64 {
@@ -241,10 +266,7 @@
 }
 
 func (m *Member) plainCost(q Query) time.Duration {
-	average := m.answerTime
-	if average == 0 {
-		average = defaultAnswerTime
-	}
+	average := cmp.Or(m.answerTime, q.answerTime, defaultAnswerTime)
 	slots := float64(max(m.server.Slots, 1))
 	busy := float64(m.running+m.peerWork(q).Running) / slots
 	c := time.Duration(float64(average) * m.slowdown(q.Now) * (1 + busy/4 + max(0, busy-0.8)*2))
