placement, fleet: even load over servers that are known by stale reports

Hosts that take the server of the lowest cost by reports 0.2 to 1.5 s old choose the same idle ones. Package core/placement has the cost of a request at a server, moved from core/fleet, and a policy for services whose servers report the slowdown of their machine, or for all with the setting [balance] even-load: requests are spread so that costs are equal once the requests that other nodes have sent since their reports are added, own data centre first. Other services are served as before.

--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -104,6 +104,7 @@
 		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: fleet.NewPromptIndex(), pool: http1.NewPool(),
 		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
+	n.fleet.SetEvenLoad(s.evenLoad)
 	n.buffers = bytebudget.New(s.bufferBytes)
 	n.pool.From(s.source)
 	n.partition = partition.NewDetector()
--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -50,6 +50,7 @@
 	cores       int
 	grace       time.Duration
 	limits      relay.Limits
+	evenLoad    bool // see fleet.SetEvenLoad
 	logLevel    string
 }
 
@@ -85,6 +86,7 @@
 	s.readBuffers(x)
 	s.cores = int(nonNegative(x, "cores", 1))
 	s.readLimits(d.Section("bounds"))
+	s.evenLoad = d.Section("balance").Bool("even-load", false)
 	s.logLevel = d.Section("log").OneOf("level", "info", "debug", "info", "warn", "error")
 	s.topology.Regions = make(map[string]string)
 	for _, x := range d.Sections("data-centre") {
--- a/cmd/entry/settings_test.go
+++ b/cmd/entry/settings_test.go
@@ -18,3 +18,16 @@
 		}
 	}
 }
+
+// Guards against services getting even load that are not to: the setting is off unless it says yes.
+func TestEvenLoadSetting(t *testing.T) {
+	const base = "[node]\nname = n\ndata-centre = a\n[listen]\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\nneighbours = 127.0.0.1:3\n[platform]\naddress = 127.0.0.1:4\n"
+	for text, want := range map[string]bool{"": false, "[balance]\neven-load = no\n": false, "[balance]\neven-load = yes\n": true} {
+		if s, err := Parse("entry.ini", []byte(base+text)); err != nil || s.evenLoad != want {
+			t.Errorf("%q: got %+v, error %v", text, s, err)
+		}
+	}
+	if _, err := Parse("entry.ini", []byte(base+"[balance]\neven-load = sometimes\n")); err == nil || !strings.Contains(err.Error(), "even-load") {
+		t.Errorf("got error %v, want one about even-load", err)
+	}
+}
--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -39,4 +39,6 @@
 		}
 	}
 	b.Run("usual", run)
+	f.SetEvenLoad(true)
+	b.Run("even", run)
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -15,11 +15,11 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"cicadabeam/core/placement"
 	"cicadabeam/core/serverlimit"
 	"cicadabeam/core/slotshare"
 )
@@ -83,6 +83,8 @@
 
 	lastPeerWork atomic.Pointer[time.Time] // time of the last work report from another node
 
+	evenLoad atomic.Bool // see SetEvenLoad
+
 	limits *serverlimit.Table // of servers, by incarnation
 	slots  *slotshare.Table   // of brittle servers
 }
@@ -92,6 +94,10 @@
 	return &Fleet{slots: slotshare.New(t.DataCentre + "/" + t.Node), topology: t, members: make(map[string]*Member), addresses: make(map[string][]*Member), services: make(map[string][]*Member), peerWork: make(map[string]map[string]Work), limits: serverlimit.NewTable()}
 }
 
+// SetEvenLoad sets whether requests are spread evenly (placement.OrderEvenly) over the servers of all
+// services, not only of those whose servers report the slowdown of their machines.
+func (f *Fleet) SetEvenLoad(on bool) { f.evenLoad.Store(on) }
+
 // Upsert adds a server or updates its state. It reports whether anything changed.
 func (f *Fleet) Upsert(s Server) bool {
 	f.mu.Lock()
@@ -227,7 +233,8 @@
 	Now             time.Time
 
 	peerWorkKnown bool          // work reports of other nodes are current
-	answerTime    time.Duration // assumed for a server that has not answered yet, 0 for defaultAnswerTime
+	answerTime    time.Duration // see placement.Request
+	evenly        bool          // costs are not rounded, see placement.OrderEvenly
 	hasQuota      bool          // the server is brittle: this node may have quota requests there at a time
 	quota         int
 }
@@ -236,8 +243,8 @@
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
 	for _, c := range f.ranked(q) {
-		if f.reserve(c.member, q) && f.withinLimit(c.member, q) {
-			return c.member
+		if f.reserve(c.Server, q) && f.withinLimit(c.Server, q) {
+			return c.Server
 		}
 	}
 	return nil
@@ -254,19 +261,19 @@
 	q.Exclude = withID(q.Exclude, primary.ID())
 	best := f.ranked(q)
 	for _, c := range best {
-		if c.member.DataCentre() != q.AvoidDataCentre && f.topology.SameRegion(c.member.DataCentre(), q.AvoidDataCentre) {
-			return c.member
+		if c.Server.DataCentre() != q.AvoidDataCentre && f.topology.SameRegion(c.Server.DataCentre(), q.AvoidDataCentre) {
+			return c.Server
 		}
 	}
 	for _, c := range best {
-		if c.member.DataCentre() != q.AvoidDataCentre {
-			return c.member
+		if c.Server.DataCentre() != q.AvoidDataCentre {
+			return c.Server
 		}
 	}
 	if len(best) == 0 {
 		return nil
 	}
-	return best[0].member
+	return best[0].Server
 }
 
 // KVCacheUse returns the part of the KV caches of a service's servers, each of which holds
@@ -314,24 +321,26 @@
 	return m
 }
 
-// outagesByDataCentre reports for each data centre whether it is in an outage.
-func (f *Fleet) outagesByDataCentre(service string, all []*Member, now time.Time) map[string]bool {
-	members := make(map[string]int)
+// zones returns the data centres of a service's servers, and whether one of these reports the slowdown
+// of its machine.
+func (f *Fleet) zones(service string, all []*Member, now time.Time) (z placement.Zones, reportsSlowdown bool) {
+	z = make(placement.Zones, 0, 8)
 	for _, m := range all {
-		members[m.DataCentre()]++
+		i := z.Index(m.DataCentre())
+		if i < 0 {
+			i = int32(len(z))
+			z = append(z, placement.Zone{Name: m.DataCentre(), Distance: f.topology.distance(m.DataCentre())})
+		}
+		z[i].Servers++
+		reportsSlowdown = reportsSlowdown || m.reportsSlowdown.Load()
 	}
-	out := make(map[string]bool, len(members))
-	for dataCentre, n := range members {
-		out[dataCentre] = f.inOutage(outageKey{service, dataCentre}, n, now)
+	for i := range z {
+		z[i].Outage = f.inOutage(outageKey{service, z[i].Name}, z[i].Servers, now)
 	}
-	return out
+	return z, reportsSlowdown
 }
 
-type candidate struct {
-	member *Member
-	cost   time.Duration
-	rank   uint64
-}
+type candidate = placement.Candidate[*Member]
 
 // ranked returns the servers that may get the request, best first. Servers that were
 // unreachable a moment ago come last.
@@ -344,13 +353,16 @@
 	if q.Capacity == 0 {
 		q.answerTime = medianAnswerTime(all)
 	}
-	out := f.outagesByDataCentre(q.Service, all, q.Now)
+	zones, reported := f.zones(q.Service, all, q.Now)
+	q.evenly = (reported || f.evenLoad.Load()) && (!q.ReturningCaller || q.CachedOn != "")
+	var tally placement.Tally
 	for _, m := range all {
 		if q.Exclude[m.ID()] || !m.matches(q) || !m.usable(q.Now) {
 			continue
 		}
-		c := m.cost(q) + f.topology.distance(m.DataCentre())
-		if out[m.DataCentre()] && !m.recentlyContacted(q.Now) {
+		zone := zones.Index(m.DataCentre())
+		c := m.cost(q, &tally) + f.limitPenalty(m, q.Now)
+		if zones[zone].Outage && !m.recentlyContacted(q.Now) {
 			c += outagePenalty
 		}
 		if q.AvoidDataCentre != "" && m.DataCentre() == q.AvoidDataCentre {
@@ -359,17 +371,16 @@
 		if m.doubted(q.Now) {
 			c += doubtPenalty
 		}
-		found = append(found, candidate{m, c + f.limitPenalty(m, q.Now), q.rank(m.ID())})
+		found = append(found, candidate{Server: m, Cost: c, Rank: q.rank(m.ID()), Zone: zone, Cached: q.cachedOn(m.ID())})
 	}
-	if q.ReturningCaller && q.CachedOn == "" {
-		q.equalizeNearBest(found)
+	switch {
+	case q.evenly:
+		placement.OrderEvenly(found, zones, tally.Unseen(q.need("")))
+	case q.ReturningCaller && q.CachedOn == "":
+		placement.OrderNearEqual(found, zones, returningCostSlack)
+	default:
+		placement.Order(found, zones)
 	}
-	sort.Slice(found, func(a, b int) bool {
-		if found[a].cost != found[b].cost {
-			return found[a].cost < found[b].cost
-		}
-		return found[a].rank < found[b].rank
-	})
 	return found
 }
 
@@ -382,23 +393,6 @@
 	return rank(q.Prompt, id)
 }
 
-// equalizeNearBest gives the servers whose cost is within returningCostSlack of the
-// lowest the same cost. The first of them by rank has most likely processed the prompt.
-func (q Query) equalizeNearBest(all []candidate) {
-	if len(all) == 0 {
-		return
-	}
-	best := all[0].cost
-	for _, c := range all {
-		best = min(best, c.cost)
-	}
-	for i := range all {
-		if all[i].cost <= best+returningCostSlack {
-			all[i].cost = best
-		}
-	}
-}
-
 // HasAddress reports whether a known server has an address.
 func (f *Fleet) HasAddress(address string) bool {
 	f.mu.RLock()
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -3,12 +3,13 @@
 import (
 	"cmp"
 	"math"
-	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cicadabeam/core/deferral"
+	"cicadabeam/core/placement"
 )
 
 const (
@@ -20,34 +21,9 @@
 	failureWeight   = 0.3
 	failureHalfLife = 4 * time.Second
 	// loadDecayTime is the time constant with which a load report loses weight.
-	loadDecayTime = time.Second
-	// slowdownDecayTime is the time constant with which a reported slowdown loses weight: it changes
-	// many times a second. Slower phases of 0.6 s, of which a report may come at any time, last 0.3 s
-	// more on average.
-	slowdownDecayTime = 300 * time.Millisecond
-	// maxSlowdown limits the effect of a wrong figure.
-	maxSlowdown = 10
-	// defaultAnswerTime is assumed for a server that has not answered yet if no other of its service has.
-	defaultAnswerTime = 40 * time.Millisecond
+	loadDecayTime     = time.Second
 	answerTimeWeight  = 0.1
-	// defaultPrefillRate, in prompt tokens per millisecond, is assumed for an engine
-	// until its rate is measured.
-	defaultPrefillRate = 8.0
-	prefillRateWeight  = 0.2
-	// fullPenalty is the cost added to an engine whose KV cache or slots are used up.
-	fullPenalty     = 5 * time.Second
-	maxKVCacheShare = 0.9
-	// runPenalty is the cost of each run on an engine: a run gets hardly any tokens
-	// while the engine processes a prompt.
-	runPenalty = 250 * time.Millisecond
-	// cachedPromptFactor is how many times the prompt's tokens are deducted for a server
-	// that has already processed it: once for the time saved and once for the work
-	// saved.
-	cachedPromptFactor = 2
-	// Costs are rounded to these steps. Servers with nearly equal costs then tie, so
-	// that nodes that select at the same time do not all select the same server.
-	engineCostStep = 100 * time.Millisecond
-	plainCostStep  = 4 * time.Millisecond
+	prefillRateWeight = 0.2
 	// initialBackoff is how long a server gets no requests after it was found
 	// unreachable. The time doubles up to maxBackoff while the server remains
 	// unreachable.
@@ -102,7 +78,8 @@
 	load                  Load
 	ownAtLoad             int
 	loadAt                time.Time
-	workByNode            map[string]workReport
+	reportsSlowdown       atomic.Bool       // load reports the slowdown of the machine
+	peers                 placement.Reports // work of other nodes
 }
 
 func (m *Member) identity() identity {
@@ -198,43 +175,63 @@
 
 // cost is the expected response time, or for engines the expected time until the prompt
 // is processed, plus penalties.
-func (m *Member) cost(q Query) time.Duration {
+func (m *Member) cost(q Query, t *placement.Tally) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	c := time.Duration(m.recentFailures(q.Now) * float64(failurePenalty))
-	if q.Now.Before(m.backoffUntil) {
+	s, r := m.stateLocked(q), q.need(m.server.ID)
+	t.Add(s)
+	c := s.Cost(r)
+	if !q.evenly {
+		c = r.Round(c)
+	}
+	return c + m.penaltyLocked(q.Now)
+}
+
+func (m *Member) penaltyLocked(now time.Time) time.Duration {
+	c := time.Duration(m.recentFailures(now) * float64(failurePenalty))
+	if now.Before(m.backoffUntil) {
 		c += unreachablePenalty
 	}
-	if q.Now.Before(m.indirectUntil) {
+	if now.Before(m.indirectUntil) {
 		c += indirectPenalty
 	}
-	if q.Capacity > 0 {
-		return c + m.engineCost(q)
+	return c
+}
+
+func (q Query) cachedOn(server string) bool { return q.CachedOn != "" && q.CachedOn == server }
+
+// need is what the request needs of a server.
+func (q Query) need(server string) placement.Request {
+	return placement.Request{PromptTokens: q.PromptTokens, Memory: q.Memory, Capacity: q.Capacity, Cached: q.cachedOn(server), AnswerTime: q.answerTime}
+}
+
+func (m *Member) stateLocked(q Query) placement.Server {
+	peers, ages := m.peerWork(q)
+	return placement.Server{
+		Slots: m.server.Slots, Own: m.workLocked(), Peers: peers, Ages: ages,
+		AnswerTime: m.answerTime, PrefillRate: m.prefillRate, Slowdown: placement.Slowdown(m.load.Slowdown, q.Now.Sub(m.loadAt)),
 	}
-	return c + m.plainCost(q)
 }
 
 // peerWork is the work of other nodes on the server. It comes from their reports or,
 // if these are not current, from the server's last load report, which loses weight with
 // age.
-func (m *Member) peerWork(q Query) Work {
+func (m *Member) peerWork(q Query) (w Work, ages time.Duration) {
 	if q.peerWorkKnown {
-		return m.sumPeerWork(q.Now)
+		return m.peers.Sum(q.Now)
 	}
 	if m.loadAt.IsZero() {
-		return Work{}
+		return Work{}, 0
 	}
 	decay := math.Exp(-float64(q.Now.Sub(m.loadAt)) / float64(loadDecayTime))
 	running := max(0, float64(m.load.Running+m.load.Waiting-m.ownAtLoad)) * decay
 	return Work{
 		Running: int(math.Round(running)), Memory: int(running * float64(q.Memory)),
 		Prompts: int(decay * float64(m.load.Waiting*q.PromptTokens)),
-	}
+	}, 0
 }
 
-// medianAnswerTime is assumed for those of a service's servers that have not answered yet: the lower
-// median of the others' averages, which one slow server does not change. It is 0 if all have answered,
-// or none has.
+// medianAnswerTime returns the time that is assumed for those of a service's servers that have not answered yet.
 func medianAnswerTime(all []*Member) time.Duration {
 	var known []time.Duration
 	for _, m := range all {
@@ -242,11 +239,7 @@
 			known = append(known, t)
 		}
 	}
-	if len(known) == 0 || len(known) == len(all) {
-		return 0
-	}
-	slices.Sort(known)
-	return known[(len(known)-1)/2]
+	return placement.MedianAnswerTime(known)
 }
 
 func (m *Member) averageAnswerTime() time.Duration {
@@ -255,46 +248,6 @@
 	return m.answerTime
 }
 
-// slowdown is how long work is expected to take on the server's machine in proportion to the usual
-// time: the last report of it, which loses weight with age.
-func (m *Member) slowdown(now time.Time) float64 {
-	if m.load.Slowdown == 0 {
-		return 1
-	}
-	age := max(0, now.Sub(m.loadAt))
-	return 1 + (min(m.load.Slowdown, maxSlowdown)-1)*math.Exp(-float64(age)/float64(slowdownDecayTime))
-}
-
-func (m *Member) plainCost(q Query) time.Duration {
-	average := cmp.Or(m.answerTime, q.answerTime, defaultAnswerTime)
-	slots := float64(max(m.server.Slots, 1))
-	busy := float64(m.running+m.peerWork(q).Running) / slots
-	c := time.Duration(float64(average) * m.slowdown(q.Now) * (1 + busy/4 + max(0, busy-0.8)*2))
-	return c.Round(plainCostStep)
-}
-
-func (m *Member) engineCost(q Query) time.Duration {
-	prefillRate := m.prefillRate
-	if prefillRate == 0 {
-		prefillRate = defaultPrefillRate
-	}
-	peerWork := m.peerWork(q)
-	running := m.running + peerWork.Running
-	tokens := m.pendingPromptTokens + peerWork.Prompts + q.PromptTokens
-	if q.CachedOn == m.server.ID {
-		tokens -= cachedPromptFactor * q.PromptTokens
-	}
-	c := time.Duration(float64(tokens) / prefillRate * m.slowdown(q.Now) * float64(time.Millisecond))
-	c += time.Duration(running) * runPenalty
-	if float64(m.reservedKVCacheTokens+peerWork.Memory+q.Memory) > maxKVCacheShare*float64(q.Capacity) {
-		c += fullPenalty
-	}
-	if m.server.Slots > 0 && running >= m.server.Slots {
-		c += fullPenalty
-	}
-	return c.Round(engineCostStep)
-}
-
 // PrefillTime returns the time that the server needs to process a prompt if it processes no
 // other one, 0 if it has the prompt cached.
 func (m *Member) PrefillTime(q Query) time.Duration {
@@ -303,11 +256,7 @@
 	if q.CachedOn == m.server.ID {
 		return 0
 	}
-	prefillRate := m.prefillRate
-	if prefillRate == 0 {
-		prefillRate = defaultPrefillRate
-	}
-	return time.Duration(float64(q.PromptTokens) / prefillRate * float64(time.Millisecond))
+	return placement.Server{PrefillRate: m.prefillRate, Slowdown: 1}.PrefillTime(q.PromptTokens)
 }
 
 // recentFailures is the share of failed requests, decayed by the time since the last
@@ -355,10 +304,8 @@
 	m.answeredLocked(q.Now.Add(elapsed))
 	ms := float64(elapsed) / float64(time.Millisecond)
 	if ms > 0 && q.PromptTokens > 0 {
-		measured := min(float64(max(m.pendingPromptTokens, q.PromptTokens))/ms, 4*defaultPrefillRate)
-		if m.prefillRate == 0 {
-			m.prefillRate = defaultPrefillRate
-		}
+		measured := min(float64(max(m.pendingPromptTokens, q.PromptTokens))/ms, 4*placement.DefaultPrefillRate)
+		m.prefillRate = cmp.Or(m.prefillRate, placement.DefaultPrefillRate)
 		m.prefillRate += prefillRateWeight * (measured - m.prefillRate)
 	}
 	m.pendingPromptTokens -= q.PromptTokens
@@ -411,6 +358,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.load = l
+	m.reportsSlowdown.Store(l.Slowdown > 0)
 	m.ownAtLoad = m.running
 	m.loadAt = now
 	m.lastContact = now
@@ -469,4 +417,4 @@
 
 // ExpectedLatency returns the expected response time, or for engines the expected time
 // until the prompt is processed, plus penalties.
-func (m *Member) ExpectedLatency(q Query) time.Duration { return m.cost(q) }
+func (m *Member) ExpectedLatency(q Query) time.Duration { return m.cost(q, &placement.Tally{}) }
--- a/core/fleet/work.go
+++ b/core/fleet/work.go
@@ -1,21 +1,13 @@
 package fleet
 
-import "time"
+import (
+	"time"
 
-// peerWorkTTL is how long a work report of another node is valid.
-const peerWorkTTL = 1500 * time.Millisecond
+	"cicadabeam/core/placement"
+)
 
 // Work is the work that a node has in flight on a server.
-type Work struct {
-	Running int
-	Prompts int // prompt tokens not processed yet
-	Memory  int // KV cache tokens that the runs may need
-}
-
-type workReport struct {
-	work Work
-	at   time.Time
-}
+type Work = placement.Work
 
 // Work returns the work that this node has in flight, by server ID.
 func (f *Fleet) Work() map[string]Work {
@@ -60,43 +52,29 @@
 // peerWorkKnown reports whether the work reports of other nodes are current.
 func (f *Fleet) peerWorkKnown(now time.Time) bool {
 	last := f.lastPeerWork.Load()
-	return last != nil && now.Sub(*last) < peerWorkTTL
+	return last != nil && now.Sub(*last) < placement.ReportTTL
 }
 
 func (m *Member) work() Work {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.workLocked()
+}
+
+func (m *Member) workLocked() Work {
 	return Work{Running: m.running, Prompts: m.pendingPromptTokens, Memory: m.reservedKVCacheTokens}
 }
 
 func (m *Member) setPeerWork(node string, w Work, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.workByNode == nil {
-		m.workByNode = make(map[string]workReport)
-	}
-	m.workByNode[node] = workReport{work: w, at: now}
+	m.peers.Set(node, w, now)
 }
 
 func (m *Member) removePeerWork(node string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.workByNode, node)
-}
-
-// sumPeerWork returns the total work of the other nodes and removes expired reports.
-func (m *Member) sumPeerWork(now time.Time) Work {
-	var all Work
-	for node, r := range m.workByNode {
-		if now.Sub(r.at) > peerWorkTTL {
-			delete(m.workByNode, node)
-			continue
-		}
-		all.Running += r.work.Running
-		all.Prompts += r.work.Prompts
-		all.Memory += r.work.Memory
-	}
-	return all
+	m.peers.Remove(node)
 }
 
 // kvCacheNeed returns the KV cache tokens that the runs of all nodes on the server may need,
@@ -107,5 +85,6 @@
 	if !m.remainsLocked(now) || now.Before(m.backoffUntil) || m.lostAt.After(m.lastContact) && now.Sub(m.lostAt) < outageHold {
 		return 0, false
 	}
-	return m.reservedKVCacheTokens + m.sumPeerWork(now).Memory, true
+	peers, _ := m.peers.Sum(now)
+	return m.reservedKVCacheTokens + peers.Memory, true
 }
