--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -53,6 +53,7 @@
 	grace       time.Duration
 	limits      relay.Limits
 	exposure    rollout.Limits
+	evenLoad    bool // see fleet.SetEvenLoad
 	logLevel    string
 }
 
@@ -89,6 +90,7 @@
 	s.cores = int(nonNegative(x, "cores", 1))
 	s.readLimits(d.Section("bounds"))
 	s.readExposure(d.Section("bounds"))
+	s.evenLoad = d.Section("balance").Bool("even-load", false)
 	s.logLevel = d.Section("log").OneOf("level", "info", "debug", "info", "warn", "error")
 	s.topology.Regions = make(map[string]string)
 	for _, x := range d.Sections("data-centre") {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -15,13 +15,13 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"cicadabeam/core/placement"
 	"cicadabeam/core/serverlimit"
 	"cicadabeam/core/slotshare"
 )
@@ -85,6 +85,8 @@
 
 	lastPeerWork atomic.Pointer[time.Time] // time of the last work report from another node
 
+	evenLoad atomic.Bool // see SetEvenLoad
+
 	limits *serverlimit.Table // of servers, by incarnation
 	slots  *slotshare.Table   // of brittle servers
 }
@@ -94,6 +96,10 @@
 	return &Fleet{slots: slotshare.New(t.DataCentre + "/" + t.Node), topology: t, members: make(map[string]*Member), addresses: make(map[string][]*Member), services: make(map[string][]*Member), peerWork: make(map[string]map[string]Work), limits: serverlimit.NewTable()}
 }
 
+// SetEvenLoad sets whether requests are spread evenly (placement.OrderEvenly) over the servers of all
+// services, not only of those whose servers report the slowdown of their machines.
+func (f *Fleet) SetEvenLoad(on bool) { f.evenLoad.Store(on) }
+
 // Upsert adds a server or updates its state. It reports whether anything changed.
 func (f *Fleet) Upsert(s Server) bool {
 	f.mu.Lock()
@@ -230,8 +236,10 @@
 	AvoidDataCentre string
 	Now             time.Time
 
-	peerWorkKnown bool // work reports of other nodes are current
-	hasQuota      bool // the server is brittle: this node may have quota requests there at a time
+	peerWorkKnown bool          // work reports of other nodes are current
+	answerTime    time.Duration // see placement.Request
+	evenly        bool          // costs are not rounded, see placement.OrderEvenly
+	hasQuota      bool          // the server is brittle: this node may have quota requests there at a time
 	quota         int
 }
 
@@ -248,8 +256,8 @@
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
 	for _, c := range f.ranked(q) {
-		if f.reserve(c.member, q) && f.withinLimit(c.member, q) {
-			return c.member
+		if f.reserve(c.Server, q) && f.withinLimit(c.Server, q) {
+			return c.Server
 		}
 	}
 	return nil
@@ -266,19 +274,19 @@
 	q.Exclude = withID(q.Exclude, primary.ID())
 	best := f.ranked(q)
 	for _, c := range best {
-		if c.member.DataCentre() != q.AvoidDataCentre && f.topology.SameRegion(c.member.DataCentre(), q.AvoidDataCentre) {
-			return c.member
+		if c.Server.DataCentre() != q.AvoidDataCentre && f.topology.SameRegion(c.Server.DataCentre(), q.AvoidDataCentre) {
+			return c.Server
 		}
 	}
 	for _, c := range best {
-		if c.member.DataCentre() != q.AvoidDataCentre {
-			return c.member
+		if c.Server.DataCentre() != q.AvoidDataCentre {
+			return c.Server
 		}
 	}
 	if len(best) == 0 {
 		return nil
 	}
-	return best[0].member
+	return best[0].Server
 }
 
 // KVCacheUse returns the part of the KV caches of a service's servers, each of which holds
@@ -326,24 +334,26 @@
 	return m
 }
 
-// outagesByDataCentre reports for each data centre whether it is in an outage.
-func (f *Fleet) outagesByDataCentre(service string, all []*Member, now time.Time) map[string]bool {
-	members := make(map[string]int)
+// zones returns the data centres of a service's servers, and whether one of these reports the slowdown
+// of its machine.
+func (f *Fleet) zones(service string, all []*Member, now time.Time) (z placement.Zones, reportsSlowdown bool) {
+	z = make(placement.Zones, 0, 8)
 	for _, m := range all {
-		members[m.DataCentre()]++
+		i := z.Index(m.DataCentre())
+		if i < 0 {
+			i = int32(len(z))
+			z = append(z, placement.Zone{Name: m.DataCentre(), Distance: f.topology.distance(m.DataCentre())})
+		}
+		z[i].Servers++
+		reportsSlowdown = reportsSlowdown || m.reportsSlowdown.Load()
 	}
-	out := make(map[string]bool, len(members))
-	for dataCentre, n := range members {
-		out[dataCentre] = f.inOutage(outageKey{service, dataCentre}, n, now)
+	for i := range z {
+		z[i].Outage = f.inOutage(outageKey{service, z[i].Name}, z[i].Servers, now)
 	}
-	return out
+	return z, reportsSlowdown
 }
 
-type candidate struct {
-	member *Member
-	cost   time.Duration
-	rank   uint64
-}
+type candidate = placement.Candidate[*Member]
 
 // ranked returns the servers that may get the request, best first. Servers that were
 // unreachable a moment ago come last.
@@ -353,13 +363,19 @@
 	f.mu.RUnlock()
 	found := make([]candidate, 0, len(all))
 	q.peerWorkKnown = f.peerWorkKnown(q.Now)
-	out := f.outagesByDataCentre(q.Service, all, q.Now)
+	if q.Capacity == 0 {
+		q.answerTime = medianAnswerTime(all)
+	}
+	zones, reported := f.zones(q.Service, all, q.Now)
+	q.evenly = (reported || f.evenLoad.Load()) && (!q.ReturningCaller || q.CachedOn != "")
+	var tally placement.Tally
 	for _, m := range q.selectable(all) {
 		if q.Exclude[m.ID()] || !m.matches(q) || !m.usable(q.Now) {
 			continue
 		}
-		c := m.cost(q) + f.topology.distance(m.DataCentre())
-		if out[m.DataCentre()] && !m.recentlyContacted(q.Now) {
+		zone := zones.Index(m.DataCentre())
+		c := m.cost(q, &tally) + f.limitPenalty(m, q.Now)
+		if zones[zone].Outage && !m.recentlyContacted(q.Now) {
 			c += outagePenalty
 		}
 		if q.AvoidDataCentre != "" && m.DataCentre() == q.AvoidDataCentre {
@@ -368,17 +384,16 @@
 		if m.doubted(q.Now) {
 			c += doubtPenalty
 		}
-		found = append(found, candidate{m, c + f.limitPenalty(m, q.Now), q.rank(m.ID())})
+		found = append(found, candidate{Server: m, Cost: c, Rank: q.rank(m.ID()), Zone: zone, Cached: q.cachedOn(m.ID())})
 	}
-	if q.ReturningCaller && q.CachedOn == "" {
-		q.equalizeNearBest(found)
+	switch {
+	case q.evenly:
+		placement.OrderEvenly(found, zones, tally.Unseen(q.need("")))
+	case q.ReturningCaller && q.CachedOn == "":
+		placement.OrderNearEqual(found, zones, returningCostSlack)
+	default:
+		placement.Order(found, zones)
 	}
-	sort.Slice(found, func(a, b int) bool {
-		if found[a].cost != found[b].cost {
-			return found[a].cost < found[b].cost
-		}
-		return found[a].rank < found[b].rank
-	})
 	return found
 }
 
@@ -395,23 +410,6 @@
 // probably processed the prompt of a returning caller.
 const returningCostSlack = 1200 * time.Millisecond
 
-// equalizeNearBest gives the servers whose cost is within returningCostSlack of the
-// lowest the same cost. The first of them by rank has most likely processed the prompt.
-func (q Query) equalizeNearBest(all []candidate) {
-	if len(all) == 0 {
-		return
-	}
-	best := all[0].cost
-	for _, c := range all {
-		best = min(best, c.cost)
-	}
-	for i := range all {
-		if all[i].cost <= best+returningCostSlack {
-			all[i].cost = best
-		}
-	}
-}
-
 // HasAddress reports whether a known server has an address.
 func (f *Fleet) HasAddress(address string) bool {
 	f.mu.RLock()
