--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -28,6 +28,7 @@
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/partition"
+	"cicadabeam/core/promptindex"
 	"cicadabeam/core/records"
 	"cicadabeam/core/streamversion"
 	"cicadabeam/io/http1"
@@ -55,7 +56,7 @@
 	recorder  *recorder
 	tracker   *freshness.Tracker
 	fleet     *fleet.Fleet
-	prompts   *fleet.PromptIndex
+	prompts   *promptindex.Index
 	// streamVersions knows which software versions began streams.
 	streamVersions *streamversion.Index
 	versionsMissed atomic.Bool // a server that was never known has left
@@ -101,7 +102,7 @@
 // New returns a node that is not listening yet. It logs to out.
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
-		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: fleet.NewPromptIndex(), pool: http1.NewPool(),
+		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: promptindex.New(), pool: http1.NewPool(),
 		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
 	n.buffers = bytebudget.New(s.bufferBytes)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -20,6 +20,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cicadabeam/core/serverlimit"
 	"cicadabeam/core/slotshare"
 )
@@ -378,6 +380,19 @@
 	return rank(q.Prompt, id)
 }
 
+// rank orders servers by rendezvous hashing: differently for each prompt, but in the
+// same order on all nodes.
+func rank(prompt, id string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(prompt)
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
+
+// returningCostSlack is how much higher the cost of a server may be that has
+// probably processed the prompt of a returning caller.
+const returningCostSlack = 1200 * time.Millisecond
+
 // equalizeNearBest gives the servers whose cost is within returningCostSlack of the
 // lowest the same cost. The first of them by rank has most likely processed the prompt.
 func (q Query) equalizeNearBest(all []candidate) {
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -22,6 +22,7 @@
 	"cicadabeam/core/fault"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
+	"cicadabeam/core/promptindex"
 	"cicadabeam/core/retrybudget"
 	"cicadabeam/core/stall"
 	"cicadabeam/core/streamversion"
@@ -49,7 +50,7 @@
 	Codec       Codec
 	Catalog     *freshness.Tracker
 	Fleet       *fleet.Fleet
-	PromptIndex *fleet.PromptIndex
+	PromptIndex *promptindex.Index
 	// StreamVersions knows which software versions began streams.
 	StreamVersions *streamversion.Index
 	Pool           *http1.Pool
