--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -157,11 +157,7 @@
 
 func addWork(sum, more map[string]fleet.Work) {
 	for id, w := range more {
-		s := sum[id]
-		s.Running += w.Running
-		s.Prompts += w.Prompts
-		s.Memory += w.Memory
-		sum[id] = s
+		sum[id] = sum[id].Plus(w)
 	}
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -226,7 +226,11 @@
 	Exclude map[string]bool
 	// AvoidDataCentre is a data centre to use only if no other can serve the request.
 	AvoidDataCentre string
-	Now             time.Time
+	// Urgent is set for the kind with the tightest latency goal, where the kinds of a service differ.
+	Urgent bool
+	// Policy selects among the servers, nil to use them in order of cost.
+	Policy Policy
+	Now    time.Time
 
 	peerWorkKnown bool // work reports of other nodes are current
 	hasQuota      bool // the server is brittle: this node may have quota requests there at a time
@@ -236,7 +240,8 @@
 // Reserve selects a server and counts the request against it until Release. It returns
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
-	for _, c := range f.ranked(q) {
+	q.peerWorkKnown = f.peerWorkKnown(q.Now)
+	for _, c := range q.selected(f.ranked(q)) {
 		if f.reserve(c.member, q) && f.withinLimit(c.member, q) {
 			return c.member
 		}
@@ -329,9 +334,10 @@
 }
 
 type candidate struct {
-	member *Member
-	cost   time.Duration
-	rank   uint64
+	member  *Member
+	cost    time.Duration
+	rank    uint64
+	avoided bool // it may be gone
 }
 
 // ranked returns the servers that may get the request, best first. Servers that were
@@ -348,7 +354,8 @@
 			continue
 		}
 		c := m.cost(q) + f.topology.distance(m.DataCentre())
-		if out[m.DataCentre()] && !m.recentlyContacted(q.Now) {
+		avoided := out[m.DataCentre()] && !m.recentlyContacted(q.Now)
+		if avoided {
 			c += outagePenalty
 		}
 		if q.AvoidDataCentre != "" && m.DataCentre() == q.AvoidDataCentre {
@@ -356,8 +363,9 @@
 		}
 		if m.doubted(q.Now) {
 			c += doubtPenalty
+			avoided = true
 		}
-		found = append(found, candidate{m, c + f.limitPenalty(m, q.Now), q.rank(m.ID())})
+		found = append(found, candidate{m, c + f.limitPenalty(m, q.Now), q.rank(m.ID()), avoided})
 	}
 	if q.ReturningCaller && q.CachedOn == "" {
 		q.equalizeNearBest(found)
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -76,6 +76,7 @@
 	restarted      bool      // the server started again under its ID
 
 	running               int // requests of this node in flight
+	urgent                int // those of them with Query.Urgent
 	pendingPromptTokens   int // prompt tokens of this node's requests that are not processed yet
 	reservedKVCacheTokens int // KV cache tokens that this node's requests may need
 	failureShare          float64
@@ -233,17 +234,13 @@
 }
 
 func (m *Member) engineCost(q Query) time.Duration {
-	prefillRate := m.prefillRate
-	if prefillRate == 0 {
-		prefillRate = defaultPrefillRate
-	}
 	peerWork := m.peerWork(q)
 	running := m.running + peerWork.Running
 	tokens := m.pendingPromptTokens + peerWork.Prompts + q.PromptTokens
 	if q.CachedOn == m.server.ID {
 		tokens -= cachedPromptFactor * q.PromptTokens
 	}
-	c := time.Duration(float64(tokens) / prefillRate * float64(time.Millisecond))
+	c := time.Duration(float64(tokens) / m.knownPrefillRate() * float64(time.Millisecond))
 	c += time.Duration(running) * runPenalty
 	if float64(m.reservedKVCacheTokens+peerWork.Memory+q.Memory) > maxKVCacheShare*float64(q.Capacity) {
 		c += fullPenalty
@@ -262,11 +259,7 @@
 	if q.CachedOn == m.server.ID {
 		return 0
 	}
-	prefillRate := m.prefillRate
-	if prefillRate == 0 {
-		prefillRate = defaultPrefillRate
-	}
-	return time.Duration(float64(q.PromptTokens) / prefillRate * float64(time.Millisecond))
+	return time.Duration(float64(q.PromptTokens) / m.knownPrefillRate() * float64(time.Millisecond))
 }
 
 // recentFailures is the share of failed requests, decayed by the time since the last
@@ -285,6 +278,7 @@
 		return false
 	}
 	m.running++
+	m.urgent += q.urgency()
 	m.pendingPromptTokens += q.PromptTokens
 	m.reservedKVCacheTokens += q.Memory
 	return true
@@ -301,6 +295,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.running--
+	m.urgent -= q.urgency()
 	m.reservedKVCacheTokens -= q.Memory
 	if !promptProcessed {
 		m.pendingPromptTokens -= q.PromptTokens
--- a/core/fleet/work.go
+++ b/core/fleet/work.go
@@ -8,10 +8,16 @@
 // Work is the work that a node has in flight on a server.
 type Work struct {
 	Running int
+	Urgent  int // those of them with Query.Urgent; nodes of earlier versions don't count them
 	Prompts int // prompt tokens not processed yet
 	Memory  int // KV cache tokens that the runs may need
 }
 
+// Plus returns the sum of two works.
+func (w Work) Plus(x Work) Work {
+	return Work{Running: w.Running + x.Running, Urgent: w.Urgent + x.Urgent, Prompts: w.Prompts + x.Prompts, Memory: w.Memory + x.Memory}
+}
+
 type workReport struct {
 	work Work
 	at   time.Time
@@ -66,7 +72,11 @@
 func (m *Member) work() Work {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Work{Running: m.running, Prompts: m.pendingPromptTokens, Memory: m.reservedKVCacheTokens}
+	return m.workLocked()
+}
+
+func (m *Member) workLocked() Work {
+	return Work{Running: m.running, Urgent: m.urgent, Prompts: m.pendingPromptTokens, Memory: m.reservedKVCacheTokens}
 }
 
 func (m *Member) setPeerWork(node string, w Work, now time.Time) {
@@ -92,9 +102,7 @@
 			delete(m.workByNode, node)
 			continue
 		}
-		all.Running += r.work.Running
-		all.Prompts += r.work.Prompts
-		all.Memory += r.work.Memory
+		all = all.Plus(r.work)
 	}
 	return all
 }
