--- a/core/admission/class.go
+++ b/core/admission/class.go
@@ -16,7 +16,8 @@
 
 // Class returns the class that an attempt of a request is sent with at a time. It rises with the
 // slack, which is the time until the latency goal less that of processing the prompt, and with the
-// rank. An attempt after one that an engine worked on comes before all first ones of its rank.
+// rank. An attempt after one that an engine worked on comes before all first ones of
+// its rank.
 func (r Request) Class(repeated bool, prefill time.Duration, now time.Time) int {
 	rank := min(max(r.Rank, 0), ranks)
 	if repeated {
--- a/core/admission/model_test.go
+++ b/core/admission/model_test.go
@@ -21,6 +21,7 @@
 	eventTokens                     = 10
 	hop                             = 2 * time.Millisecond
 	maxAttempts                     = 5
+	urgentGoal                      = 4 * time.Second
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -46,7 +47,6 @@
 	greedy         float64                       // further arrivals a second of the other kind, all of one organisation
 	lossAt         time.Duration                 // when a data centre's engines are lost for 1.2 s, 0 for never
 	gated          bool
-	debug          func(m *model, now time.Time)
 }
 
 // outcome is what the callers of one kind got.
@@ -125,6 +125,7 @@
 	queue   actions
 	hosts   []host
 	engines map[string]*engine
+	ids     []string // of engines
 	result  *result
 }
 
@@ -141,19 +142,21 @@
 	for i := range s.engines {
 		id := fmt.Sprint("e", i)
 		m.engines[id] = &engine{id: id, dataCentre: dcName(i % dataCentres)}
+		m.ids = append(m.ids, id)
 	}
 	for i := range s.hosts {
 		f := fleet.New(fleet.Topology{DataCentre: dcName(i % dataCentres), Node: fmt.Sprint("n", i), Regions: regions})
-		for _, e := range m.engines {
+		for _, id := range m.ids {
+			e := m.engines[id]
 			f.Upsert(fleet.Server{ID: e.id, Service: "chat", Address: "10.0.0.1:" + e.id[1:], DataCentre: e.dataCentre, Slots: slots})
 		}
-		m.hosts = append(m.hosts, host{f, admission.NewGate(4 * time.Second), i % dataCentres})
+		m.hosts = append(m.hosts, host{f, admission.NewGate(rand.New(rand.NewPCG(seed, uint64(i)))), i % dataCentres})
 		m.at(epoch.Add(time.Duration(i)*4*time.Millisecond), func(now time.Time) { m.report(i, now) })
 	}
 	for d := range dataCentres {
 		m.at(epoch.Add(time.Duration(d)*70*time.Millisecond), func(now time.Time) { m.aggregate(d, now) })
 	}
-	m.arrivals("urgent", s.urgent, 4*time.Second)
+	m.arrivals("urgent", s.urgent, urgentGoal)
 	m.arrivals("other", s.other, 10*time.Second)
 	if s.greedy > 0 {
 		m.arrivals("greedy", func(time.Duration) float64 { return s.greedy }, 10*time.Second)
@@ -161,11 +164,6 @@
 	if s.lossAt > 0 {
 		m.at(epoch.Add(s.lossAt), m.lose)
 	}
-	if s.debug != nil {
-		for i := range 40 {
-			m.at(epoch.Add(time.Duration(i)*time.Second), func(now time.Time) { s.debug(m, now) })
-		}
-	}
 	for len(m.queue) > 0 {
 		a := heap.Pop(&m.queue).(action)
 		if a.at.After(epoch.Add(s.duration + 26*time.Second)) {
@@ -246,13 +244,14 @@
 	r := admission.Request{
 		Organisation: c.organisation, Rank: 2, Urgent: c.urgent, Tokens: c.prompt, Memory: c.prompt + outputTokens, Capacity: cacheTokens,
 		Goal: now.Add(c.goal), Deadline: c.deadline(),
+		Hosts: len(m.hosts), Informed: h.fleet.PeerWorkKnown(len(m.hosts), now),
 	}
 	if c.urgent {
 		r.Rank = 0
 	}
 	var t *admission.Ticket
 	if m.gated {
-		t = h.gate.Enter(r, len(m.hosts), now)
+		t = h.gate.Enter(urgentGoal, r, now)
 	}
 	m.result.total++
 	m.step(c, h, r, t, nil, now)
@@ -260,20 +259,24 @@
 
 func (m *model) step(c *call, h host, r admission.Request, t *admission.Ticket, tried map[string]bool, now time.Time) {
 	if c.done {
+		if t != nil {
+			t.Cancel(now)
+		}
 		return
 	}
 	q := fleet.Query{Service: "chat", PromptTokens: c.prompt, Memory: r.Memory, Capacity: cacheTokens, Prompt: fmt.Sprint(c.began.UnixNano()), Nodes: len(m.hosts), Urgent: c.urgent, Exclude: tried, Now: now}
 	var s *fleet.Member
-	reserve := func(now time.Time, p fleet.Policy) bool {
-		q.Now, q.Policy = now, p
+	if t != nil {
+		q.Policy = t
+	}
+	reserve := func(now time.Time) bool {
+		q.Now = now
 		s = h.fleet.Reserve(q)
 		return s != nil
 	}
 	class := r.Rank
-	if t == nil {
-		reserve(now, nil)
-	} else if len(tried) > 0 {
-		reserve(now, t.Repeat())
+	if t == nil || len(tried) > 0 {
+		reserve(now)
 	} else {
 		switch v, at := t.Step(now, reserve); v {
 		case admission.Waiting:
@@ -286,7 +289,7 @@
 		}
 	}
 	if t != nil {
-		class = t.Class(now)
+		class = t.Class(len(tried) > 0, now)
 	}
 	if s == nil {
 		m.refuse(c, now.Add(300*time.Millisecond), now)
@@ -383,7 +386,8 @@
 
 // lose ends the engines of a data centre, which are back 1.2 s later.
 func (m *model) lose(now time.Time) {
-	for _, e := range m.engines {
+	for _, id := range m.ids {
+		e := m.engines[id]
 		if e.dataCentre != dcName(0) {
 			continue
 		}
--- a/core/admission/shares.go
+++ b/core/admission/shares.go
@@ -14,8 +14,10 @@
 	// leastUse is the use, in requests, up to which an organisation is not held back: a host
 	// sees a few requests in shareTime, of which two can be of one organisation by chance.
 	leastUse = 3
-	// reportAge is the age of what a host knows of others.
-	reportAge = time.Second
+	// checkInterval is the time between two checks of who has got more than its share.
+	checkInterval = 100 * time.Millisecond
+	// maxOrganisations limits the organisations that are remembered.
+	maxOrganisations = 1024
 )
 
 // use is the decayed number of requests of an organisation, and of those that began.
@@ -30,13 +32,14 @@
 }
 
 // shares is the use that organisations make of a service through this host.
-type shares struct{ all map[string]use }
+type shares struct {
+	all     map[string]use
+	over    map[string]bool // organisations that have got more than their share
+	checkAt time.Time
+}
 
 func newShares() shares { return shares{all: make(map[string]use)} }
 
-// maxOrganisations limits the organisations that are remembered.
-const maxOrganisations = 1024
-
 func (s *shares) arrived(r Request, now time.Time) {
 	u, found := s.all[r.Organisation]
 	if !found && len(s.all) >= maxOrganisations {
@@ -57,26 +60,36 @@
 
 // exceeded reports whether an organisation has got more than its share while others asked too.
 func (s *shares) exceeded(organisation string, now time.Time) bool {
-	own := s.all[organisation].decayed(now)
-	if own.begun < leastUse {
-		return false
+	if !now.Before(s.checkAt) {
+		s.check(now)
+		s.checkAt = now.Add(checkInterval)
 	}
-	total, active := 0.0, 0
+	return s.over[organisation]
+}
+
+func (s *shares) check(now time.Time) {
+	total := 0.0
 	for o, u := range s.all {
-		u = u.decayed(now)
-		if u.asked < 1/math.E {
+		if u = u.decayed(now); u.asked < 1/math.E {
 			delete(s.all, o)
 			continue
 		}
 		total += u.begun
-		active++
 	}
-	return active > 1 && own.begun > shareFactor*total/float64(active)
+	s.over = nil
+	for o, u := range s.all {
+		if b := u.decayed(now).begun; len(s.all) > 1 && b >= leastUse && b > shareFactor*total/float64(len(s.all)) {
+			if s.over == nil {
+				s.over = make(map[string]bool)
+			}
+			s.over[o] = true
+		}
+	}
 }
 
-// othersRate returns how many requests of other organisations arrive at all hosts while reports
+// others returns how many requests of other organisations arrive at all hosts while reports
 // are on their way.
-func (s *shares) othersRate(organisation string, now time.Time, hosts int) int {
+func (s *shares) others(organisation string, now time.Time, hosts int) int {
 	n := 0.0
 	for o, u := range s.all {
 		if o != organisation {
--- a/core/fleet/candidates.go
+++ b/core/fleet/candidates.go
@@ -6,35 +6,29 @@
 type Candidate struct {
 	member    *Member
 	work      Work
+	own       int
 	slots     int
 	rate      float64
 	available bool
 }
 
-// NewCandidate returns a candidate, for tests of policies.
-func NewCandidate(w Work, slots int, available bool) Candidate {
-	return Candidate{work: w, slots: slots, rate: defaultPrefillRate, available: available}
-}
-
 // Work returns the work of all nodes on the server.
 func (c Candidate) Work() Work { return c.work }
 
+// OwnRuns returns how many of the runs are those of this node.
+func (c Candidate) OwnRuns() int { return c.own }
+
 // Slots returns the number of runs that the server runs at a time, 0 if it is unknown.
 func (c Candidate) Slots() int { return c.slots }
 
-// Backlog returns the time in which the server processes the prompts that it has.
-func (c Candidate) Backlog() time.Duration { return c.prefillTime(c.work.Prompts) }
-
-// Prefill returns the time in which the server processes a prompt of its own.
-func (c Candidate) Prefill(tokens int) time.Duration { return c.prefillTime(tokens) }
+// PrefillTime returns the time in which the server processes a number of prompt tokens.
+func (c Candidate) PrefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / c.rate * float64(time.Millisecond))
+}
 
 // Available reports whether the server was neither just unreachable nor in an outage.
 func (c Candidate) Available() bool { return c.available }
 
-func (c Candidate) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / c.rate * float64(time.Millisecond))
-}
-
 // Policy selects and orders the servers that may get a request, of those in order of cost.
 type Policy interface {
 	Select(all []Candidate, now time.Time) []Candidate
@@ -59,7 +53,7 @@
 func (m *Member) candidate(q Query, avoided bool) Candidate {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Candidate{member: m, work: m.peerWork(q).Plus(m.workLocked()), slots: m.server.Slots, rate: m.knownPrefillRate(), available: !avoided && !q.Now.Before(m.backoffUntil) && !q.Now.Before(m.indirectUntil)}
+	return Candidate{member: m, work: m.peerWork(q).Plus(m.workLocked()), own: m.running, slots: m.server.Slots, rate: m.knownPrefillRate(), available: !avoided && !q.Now.Before(m.backoffUntil) && !q.Now.Before(m.indirectUntil)}
 }
 
 // knownPrefillRate returns the measured rate or the default, in prompt tokens per millisecond.
