--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -4,7 +4,6 @@
 	"sort"
 	"time"
 
-	"cicadabeam/core/fleet"
 	"cicadabeam/core/records"
 	"cicadabeam/core/retrybudget"
 	"cicadabeam/io/neighbour"
@@ -144,7 +143,9 @@
 			continue
 		}
 		x.Nodes++
-		addWork(x.Work, p.report.Work)
+		for id, w := range p.report.Work {
+			x.Work[id] = x.Work[id].Plus(w)
+		}
 		addUsage(x.Usage, p.report.Usage)
 		mergeLosses(x.Lost, p.report.Lost, now.Sub(p.reportedAt))
 		x.Crashes.Add(p.report.Crashes, now.Sub(p.reportedAt))
@@ -155,12 +156,6 @@
 	return x
 }
 
-func addWork(sum, more map[string]fleet.Work) {
-	for id, w := range more {
-		sum[id] = sum[id].Plus(w)
-	}
-}
-
 func addUsage(sum, more map[string]retrybudget.Usage) {
 	for service, u := range more {
 		s := sum[service]
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -23,6 +23,7 @@
 	"github.com/oklog/run"
 	"golang.org/x/sys/unix"
 
+	"cicadabeam/core/admission"
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/drain"
 	"cicadabeam/core/fleet"
@@ -57,6 +58,7 @@
 	tracker   *freshness.Tracker
 	fleet     *fleet.Fleet
 	prompts   *promptindex.Index
+	admission *admission.Gates
 	// streamVersions knows which software versions began streams.
 	streamVersions *streamversion.Index
 	versionsMissed atomic.Bool // a server that was never known has left
@@ -102,7 +104,7 @@
 // New returns a node that is not listening yet. It logs to out.
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
-		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: promptindex.New(), pool: http1.NewPool(),
+		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: promptindex.New(), admission: admission.NewGates(), pool: http1.NewPool(),
 		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
 	n.buffers = bytebudget.New(s.bufferBytes)
@@ -118,7 +120,7 @@
 	n.recorder = newRecorder(newLogger(n.logWriter, s.logLevel, s.name), n.metrics)
 	n.streamVersions = streamversion.New(streamPeers{n})
 	n.handler = relay.New(relay.Dependencies{
-		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits, Buffers: n.buffers,
+		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Admission: n.admission, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits, Buffers: n.buffers,
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
@@ -269,6 +271,8 @@
 		n.prompts.Expire(now)
 		n.metrics.gauge("buffered_bytes", float64(n.buffers.Held()))
 		n.metrics.countTo("buffer_refusals", "kind", n.buffers.Refusals())
+		n.metrics.gauge("admission_waiting", float64(n.admission.Waiting()))
+		n.metrics.countTo("admission", "outcome", n.admission.Totals())
 		n.metrics.gauge("running", float64(n.handler.Running()))
 		n.metrics.gauge("store_era", float64(n.eras.Current()))
 		n.metrics.gauge("store_calls", float64(n.store.Calls()))
--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -41,6 +41,7 @@
 	Hosts        int  // that send to the engines
 	Informed     bool // the work of all hosts on the engines is known
 	Resumed      bool // the caller has received a part of the response
+	Cached       bool // a server that has processed the prompt is known
 }
 
 // Verdict is the outcome of a request at the gate.
--- a/core/admission/model_test.go
+++ b/core/admission/model_test.go
@@ -59,10 +59,11 @@
 func (o outcome) share() float64 { return float64(o.inTime) / float64(max(o.asked, 1)) }
 
 type result struct {
-	kinds                      map[string]*outcome
-	vain, preempted, rejected  int // prompt tokens processed in vain, runs, requests
-	otherServer, waited, total int // first attempts elsewhere than without the gate; that waited; all
-	firstEvents                map[string][]time.Duration
+	kinds                     map[string]*outcome
+	vain, preempted, rejected int // prompt tokens processed in vain, runs, requests
+	waited, tries             int
+	selected                  []string // servers, in the order of the attempts
+	firstEvents               map[string][]time.Duration
 }
 
 func (r *result) String() string {
@@ -253,7 +254,7 @@
 	if m.gated {
 		t = h.gate.Enter(urgentGoal, r, now)
 	}
-	m.result.total++
+	m.result.tries++
 	m.step(c, h, r, t, nil, now)
 }
 
@@ -299,6 +300,7 @@
 }
 
 func (m *model) send(c *call, h host, r admission.Request, t *admission.Ticket, tried map[string]bool, s *fleet.Member, q fleet.Query, class int, now time.Time) {
+	m.result.selected = append(m.result.selected, s.ID())
 	processed := false
 	excluded := map[string]bool{s.ID(): true}
 	for id := range tried {
--- a/core/admission/room.go
+++ b/core/admission/room.go
@@ -60,7 +60,7 @@
 			return nil
 		}
 	}
-	if short {
+	if short && !(t.request.Cached && len(rooms) > 0 && rooms[0] == all[0]) {
 		g.spread(rooms)
 	}
 	if t.admitted {
@@ -106,7 +106,7 @@
 }
 
 // spread puts one of two random servers first, the one with less to do. Hosts that know of the same
-// servers by the same reports would else all send to the first one.
+// servers by the same reports would else all send to the first one. More choices were no better.
 func (g *Gate) spread(rooms []fleet.Candidate) {
 	g.random.Shuffle(len(rooms), func(i, j int) { rooms[i], rooms[j] = rooms[j], rooms[i] })
 	if len(rooms) > 1 && rooms[1].Work().Prompts < rooms[0].Work().Prompts {
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -10,6 +10,8 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -109,13 +111,17 @@
 	services     map[string]Service
 	keys         map[string]Organisation
 	limits       Limits
+	goals        map[string]goals // of the streams of services
 }
 
+// goals are the tightest and the widest latency goal of a service's routes.
+type goals struct{ tightest, widest time.Duration }
+
 // New returns a catalog for the spec, which must not be modified afterwards.
 func New(s Spec) *Catalog {
 	c := &Catalog{
 		revision: s.Revision, requiresKeys: s.RequireKeys, limits: s.Limits, keys: s.Organisations,
-		routes: make(map[string][]Route), services: make(map[string]Service, len(s.Services)),
+		routes: make(map[string][]Route), services: make(map[string]Service, len(s.Services)), goals: make(map[string]goals),
 	}
 	for _, x := range s.Services {
 		c.services[x.Name] = x
@@ -123,6 +129,7 @@
 	for _, r := range s.Routes {
 		h := strings.ToLower(r.Host)
 		c.routes[h] = append(c.routes[h], r)
+		c.addGoal(r)
 	}
 	for _, all := range c.routes {
 		sort.SliceStable(all, func(a, b int) bool { return len(all[a].Prefix) > len(all[b].Prefix) })
@@ -130,6 +137,27 @@
 	return c
 }
 
+// addGoal records the latency goal of a route, if it has one, for the services of its streams.
+func (c *Catalog) addGoal(r Route) {
+	if !r.Kind.IsStream() || r.LatencyGoal <= 0 {
+		return
+	}
+	for _, t := range r.Targets {
+		g, found := c.goals[t.Service]
+		if !found {
+			g = goals{r.LatencyGoal, r.LatencyGoal}
+		}
+		c.goals[t.Service] = goals{min(g.tightest, r.LatencyGoal), max(g.widest, r.LatencyGoal)}
+	}
+}
+
+// TightestGoal returns the tightest latency goal of the streams of a service, and whether they differ
+// in it.
+func (c *Catalog) TightestGoal(service string) (goal time.Duration, differ bool) {
+	g := c.goals[service]
+	return g.tightest, g.tightest < g.widest
+}
+
 // Revision returns the revision of the configuration. Revisions only increase.
 func (c *Catalog) Revision() uint64 { return c.revision }
 
@@ -165,6 +193,14 @@
 	return all
 }
 
+// ServiceNames returns the names of all services, none for a nil catalog.
+func (c *Catalog) ServiceNames() []string {
+	if c == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(c.services))
+}
+
 // Organisation returns the organisation that an API key belongs to.
 func (c *Catalog) Organisation(key string) (Organisation, bool) {
 	o, found := c.keys[key]
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"cicadabeam/core/admission"
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/crashcause"
@@ -56,6 +56,8 @@
 	Pool           *http1.Pool
 	Recorder       Recorder
 	Limits         Limits
+	// Admission admits streams while engines are short.
+	Admission *admission.Gates
 	// Buffers limits what is buffered of requests and responses, nil for no limit.
 	Buffers *bytebudget.Budget
 	// Uptime reads a clock that keeps running while the host is suspended.
@@ -91,13 +93,12 @@
 	firstEventMonitor *firstEventMonitor
 	crashDetector     *crashDetector
 	paces             stall.Paces // of the servers of streams
-	mu                sync.Mutex
-	budgets           map[string]*retrybudget.Budget
+	budgets           *retrybudget.Services
 }
 
 // New returns a handler that uses the dependencies.
 func New(d Dependencies) *Handler {
-	h := &Handler{Dependencies: d, started: time.Now(), budgets: make(map[string]*retrybudget.Budget)}
+	h := &Handler{Dependencies: d, started: time.Now(), budgets: retrybudget.NewServices(d.Limits.RetryLimit)}
 	h.firstEventMonitor = newFirstEventMonitor(h)
 	h.crashDetector = newCrashDetector(h)
 	return h
@@ -106,63 +107,18 @@
 // Running returns the number of requests in flight.
 func (h *Handler) Running() int64 { return h.inFlight.Load() }
 
-func (h *Handler) budget(service string) *retrybudget.Budget {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	b := h.budgets[service]
-	if b == nil {
-		b = retrybudget.New(h.Limits.RetryLimit)
-		h.budgets[service] = b
-	}
-	return b
-}
-
-// ensureBudgets creates the budgets of all services, so that reports of other nodes are
-// known when the first request for a service arrives.
-func (h *Handler) ensureBudgets(usage map[string]retrybudget.Usage) {
-	for service := range usage {
-		h.budget(service)
-	}
-	if c := h.Catalog.Catalog(); c != nil {
-		for _, s := range c.Services() {
-			h.budget(s.Name)
-		}
-	}
-}
-
 // RetryUsage returns the usage of the retry budgets that this node counted, by service.
-func (h *Handler) RetryUsage(now time.Time) map[string]retrybudget.Usage {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	all := make(map[string]retrybudget.Usage, len(h.budgets))
-	for service, b := range h.budgets {
-		if u := b.Usage(now); u != (retrybudget.Usage{}) {
-			all[service] = u
-		}
-	}
-	return all
-}
+func (h *Handler) RetryUsage(now time.Time) map[string]retrybudget.Usage { return h.budgets.Usage(now) }
 
 // RecordPeerUsage records a usage report of another node, or of one that reports on
-// behalf of several nodes, as of time at. Services that the report does not contain had
-// no usage.
+// behalf of several nodes, as of time at.
 func (h *Handler) RecordPeerUsage(from string, usage map[string]retrybudget.Usage, nodes int, at time.Time) {
-	h.ensureBudgets(usage)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service, b := range h.budgets {
-		b.RecordPeerUsage(from, usage[service], nodes, at)
-	}
+	h.budgets.RecordPeerUsage(from, usage, nodes, h.Catalog.Catalog().ServiceNames(), at)
 }
 
 // RecordFinalUsage records the last usage report of a node that is stopping.
 func (h *Handler) RecordFinalUsage(from string, usage map[string]retrybudget.Usage, at time.Time) {
-	h.ensureBudgets(usage)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for service, b := range h.budgets {
-		b.RecordFinalUsage(from, usage[service], at)
-	}
+	h.budgets.RecordFinalUsage(from, usage, h.Catalog.Catalog().ServiceNames(), at)
 }
 
 // exchange is a caller's request and the state of its processing.
@@ -195,6 +151,8 @@
 	dispatched   dispatch.Attempts
 	features     crashcause.Request
 	whole        []crashcause.Feature // of the request as a whole
+	ticket       *admission.Ticket    // nil unless the service's routes differ in their latency goal
+	refused      *fault.Error         // why the request was not admitted
 	lost         bool                 // a connection ended while a server ran the request
 }
 
@@ -217,7 +175,7 @@
 		x.respondError(err)
 		return
 	}
-	budget := h.budget(x.service.Name)
+	budget := h.budgets.Of(x.service.Name)
 	budget.Begin(x.arrived)
 	defer budget.End()
 	defer x.recordDuration()
@@ -310,7 +268,7 @@
 	f.ServerID = m.ID()
 	f.Organisation = x.organisation.Name
 	f.PriorityScheduling = x.service.Engine != nil
-	f.Priority = x.priority()
+	f.Priority = x.class()
 	header := make(http.Header, len(x.header)+systemHeaders)
 	maps.Copy(header, x.header)
 	x.h.Codec.SetHeaders(header, f)
--- a/io/relay/retries.go
+++ b/io/relay/retries.go
@@ -18,7 +18,7 @@
 
 // reserveRetry reserves a further retry and reports whether the retry budget allows it.
 func (x *exchange) reserveRetry(retry int) bool {
-	r, allowed := x.h.budget(x.service.Name).Reserve(time.Now(), x.h.NodeCount(), retry)
+	r, allowed := x.h.budgets.Of(x.service.Name).Reserve(time.Now(), x.h.NodeCount(), retry)
 	if allowed {
 		x.retries = append(x.retries, r)
 	}
@@ -32,13 +32,13 @@
 	}
 	r := x.retries[0]
 	x.retries = x.retries[1:]
-	return x.h.budget(x.service.Name).Renew(r, time.Now()), true
+	return x.h.budgets.Of(x.service.Name).Renew(r, time.Now()), true
 }
 
 // returnRetries returns the retries that were granted and are not needed.
 func (x *exchange) returnRetries() {
 	for _, r := range x.retries {
-		x.h.budget(x.service.Name).Return(r)
+		x.h.budgets.Of(x.service.Name).Return(r)
 	}
 	x.retries = nil
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -51,10 +51,15 @@
 // serveStream forwards an event stream.
 func (x *exchange) serveStream() {
 	x.awaitPromptServer()
+	x.ticket = x.enter()
 	s := &stream{exchange: x, lastEvent: x.meta.LastEventID, version: x.version}
 	defer x.returnRetries()
 	for {
 		a := s.nextAttempt()
+		if a == nil && s.refused != nil {
+			s.respondError(s.refused)
+			return
+		}
 		if a == nil {
 			s.denied = "servers"
 			s.fail("choose", "no server is available")
@@ -75,6 +80,9 @@
 func (s *stream) query() fleet.Query {
 	q := s.exchange.query()
 	q.Version = s.version
+	if s.ticket != nil {
+		q.Urgent, q.Policy = s.ticket.Urgent(), s.ticket
+	}
 	return q
 }
 
@@ -93,8 +101,8 @@
 		return a
 	}
 	s.resumeFrom = kvSource{}
-	m := s.h.Fleet.Reserve(q)
-	if m == nil {
+	m := s.reserve(&q)
+	if m == nil && s.refused == nil {
 		m = s.reserveEnded(q)
 	}
 	if m == nil && s.responseStarted {
--- a/test/relay/harness_test.go
+++ b/test/relay/harness_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"cicadabeam/core/admission"
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
@@ -115,7 +116,7 @@
 	h := &harness{t: t, tracker: freshness.New(), uptime: time.Hour, nodes: 1, versions: streamversion.New(nil)}
 	h.fleet = fleet.New(fleet.Topology{DataCentre: "a", Regions: map[string]string{"a": "north", "b": "north", "c": "north"}})
 	d := relay.Dependencies{
-		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: promptindex.New(), StreamVersions: h.versions, Pool: newPool(), Recorder: h,
+		Codec: platform.Codec{}, Catalog: h.tracker, Fleet: h.fleet, PromptIndex: promptindex.New(), Admission: admission.NewGates(), StreamVersions: h.versions, Pool: newPool(), Recorder: h,
 		Limits:    relay.Limits{MaxConfigAge: 2500 * time.Millisecond, MaxKeyAge: 5 * time.Second, RetryLimit: retrybudget.Limit{Ratio: 0.8, Extra: 150, Window: 10 * time.Second}},
 		Uptime:    func() time.Duration { h.mu.Lock(); defer h.mu.Unlock(); return h.uptime },
 		NodeCount: func() int { return h.nodes }, NotifyPeers: func() {}, StallDetector: &h.stalls, Ready: closedChannel(),
