--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -134,6 +134,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tightest = tightest
+	if r.Deadline.Before(r.Goal) {
+		r.Goal = r.Deadline
+	}
 	g.shares.arrived(r, now)
 	return &Ticket{gate: g, request: r, entered: now, prefill: defaultPrefill, admitted: r.Resumed || !r.Informed}
 }
--- a/io/relay/admission.go
+++ b/io/relay/admission.go
@@ -25,7 +25,7 @@
 
 // reserve reserves a server for the next attempt. A first attempt may wait for one, or be refused.
 func (s *stream) reserve(q *fleet.Query) (m *fleet.Member) {
-	if s.ticket == nil || s.sentAttempts > 0 {
+	if s.ticket == nil || s.reservations > 0 {
 		return s.h.Fleet.Reserve(*q)
 	}
 	v := s.ticket.Await(s.ctx, func(now time.Time) bool {
