--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sys/unix"
 
 	"cicadabeam/cmd/rollouts"
+	"cicadabeam/core/admission"
 	"cicadabeam/core/aggregation"
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/changelog"
@@ -61,6 +62,7 @@
 	tracker   *freshness.Tracker
 	fleet     *fleet.Fleet
 	prompts   *promptindex.Index
+	admission *admission.Gates
 	// streamVersions knows which software versions began streams.
 	streamVersions *streamversion.Index
 	versionsMissed atomic.Bool // a server that was never known has left
@@ -109,7 +111,7 @@
 // New returns a node that is not listening yet. It logs to out.
 func New(s *Settings, out io.Writer) *Node {
 	n := &Node{
-		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: promptindex.New(), pool: http1.NewPool(),
+		settings: s, metrics: newMetrics(), tracker: freshness.New(), fleet: fleet.New(s.topology), prompts: promptindex.New(), admission: admission.NewGates(), pool: http1.NewPool(),
 		restored: make(chan struct{}, 1), started: uptime(), synced: make(chan struct{}), drainStarted: make(chan struct{}),
 	}
 	n.fleet.SetEvenLoad(s.evenLoad)
@@ -127,7 +129,7 @@
 	n.streamVersions = streamversion.New(streamPeers{n})
 	n.rollouts = n.newRollouts()
 	n.handler = relay.New(relay.Dependencies{
-		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits, Buffers: n.buffers,
+		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Admission: n.admission, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits, Buffers: n.buffers,
 		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Rollouts: n.rollouts.Traffic(), Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
@@ -281,6 +283,8 @@
 		n.rollouts.Gauges(n.metrics.serviceGauge)
 		n.metrics.gauge("buffered_bytes", float64(n.buffers.Held()))
 		n.metrics.countTo("buffer_refusals", "kind", n.buffers.Refusals())
+		n.metrics.gauge("admission_waiting", float64(n.admission.Waiting()))
+		n.metrics.countTo("admission", "outcome", n.admission.Totals())
 		n.metrics.gauge("running", float64(n.handler.Running()))
 		n.metrics.gauge("store_era", float64(n.eras.Current()))
 		n.metrics.gauge("store_calls", float64(n.store.Calls()))
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -234,7 +234,11 @@
 	Exclude map[string]bool
 	// AvoidDataCentre is a data centre to use only if no other can serve the request.
 	AvoidDataCentre string
-	Now             time.Time
+	// Urgent is set for the kind with the tightest latency goal, where the kinds of a service differ.
+	Urgent bool
+	// Policy selects among the servers, nil to use them in order of cost.
+	Policy Policy
+	Now    time.Time
 
 	peerWorkKnown bool          // work reports of other nodes are current
 	answerTime    time.Duration // see placement.Request
@@ -255,7 +259,8 @@
 // Reserve selects a server and counts the request against it until Release. It returns
 // nil if no server is available.
 func (f *Fleet) Reserve(q Query) *Member {
-	for _, c := range f.ranked(q) {
+	q.peerWorkKnown = f.peerWorkKnown(q.Now)
+	for _, c := range q.selected(f.ranked(q)) {
 		if f.reserve(c.Server, q) && f.withinLimit(c.Server, q) {
 			return c.Server
 		}
@@ -375,7 +380,8 @@
 		}
 		zone := zones.Index(m.DataCentre())
 		c := m.cost(q, &tally) + f.limitPenalty(m, q.Now)
-		if zones[zone].Outage && !m.recentlyContacted(q.Now) {
+		avoided := zones[zone].Outage && !m.recentlyContacted(q.Now)
+		if avoided {
 			c += outagePenalty
 		}
 		if q.AvoidDataCentre != "" && m.DataCentre() == q.AvoidDataCentre {
@@ -383,8 +389,9 @@
 		}
 		if m.doubted(q.Now) {
 			c += doubtPenalty
+			avoided = true
 		}
-		found = append(found, candidate{Server: m, Cost: c, Rank: q.rank(m.ID()), Zone: zone, Cached: q.cachedOn(m.ID())})
+		found = append(found, candidate{Server: m, Cost: c, Rank: q.rank(m.ID()), Zone: zone, Cached: q.cachedOn(m.ID()), Avoided: avoided})
 	}
 	switch {
 	case q.evenly:
--- a/core/fleet/member.go
+++ b/core/fleet/member.go
@@ -63,6 +63,7 @@
 	restarted      bool      // the server started again under its ID
 
 	running               int // requests of this node in flight
+	urgent                int // those of them with Query.Urgent
 	pendingPromptTokens   int // prompt tokens of this node's requests that are not processed yet
 	reservedKVCacheTokens int // KV cache tokens that this node's requests may need
 	failureShare          float64
@@ -277,6 +278,7 @@
 		return false
 	}
 	m.running++
+	m.urgent += q.urgency()
 	m.pendingPromptTokens += q.PromptTokens
 	m.reservedKVCacheTokens += q.Memory
 	return true
@@ -293,6 +295,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.running--
+	m.urgent -= q.urgency()
 	m.reservedKVCacheTokens -= q.Memory
 	if !promptProcessed {
 		m.pendingPromptTokens -= q.PromptTokens
--- a/core/fleet/work.go
+++ b/core/fleet/work.go
@@ -62,7 +62,7 @@
 }
 
 func (m *Member) workLocked() Work {
-	return Work{Running: m.running, Prompts: m.pendingPromptTokens, Memory: m.reservedKVCacheTokens}
+	return Work{Running: m.running, Urgent: m.urgent, Prompts: m.pendingPromptTokens, Memory: m.reservedKVCacheTokens}
 }
 
 func (m *Member) setPeerWork(node string, w Work, now time.Time) {
--- a/core/placement/order.go
+++ b/core/placement/order.go
@@ -14,6 +14,8 @@
 	Rank   uint64        // of servers of equal cost, the one with the lowest rank comes first
 	Zone   int32         // index of the server's zone
 	Cached bool          // the server has processed the prompt, see OrderEvenly
+	// Avoided is set if the server may be gone.
+	Avoided bool
 }
 
 // Zone is a data centre.
--- a/core/placement/reports.go
+++ b/core/placement/reports.go
@@ -11,13 +11,14 @@
 // Work is the work that a node has in flight on a server.
 type Work struct {
 	Running int
+	Urgent  int // those of them of the kind with the tightest latency goal; nodes of earlier versions don't count them
 	Prompts int // prompt tokens not processed yet
 	Memory  int // KV cache tokens that the runs may need
 }
 
 // Add returns the sum of w and x.
 func (w Work) Add(x Work) Work {
-	return Work{Running: w.Running + x.Running, Prompts: w.Prompts + x.Prompts, Memory: w.Memory + x.Memory}
+	return Work{Running: w.Running + x.Running, Urgent: w.Urgent + x.Urgent, Prompts: w.Prompts + x.Prompts, Memory: w.Memory + x.Memory}
 }
 
 // Reports are the last reports of other nodes of their work on a server, of which there are few. The zero
--- a/io/relay/handler.go
+++ b/io/relay/handler.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"cicadabeam/core/admission"
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/catalog"
 	"cicadabeam/core/crashcause"
@@ -57,6 +58,8 @@
 	Pool           *http1.Pool
 	Recorder       Recorder
 	Limits         Limits
+	// Admission admits streams while engines are short.
+	Admission *admission.Gates
 	// Buffers limits what is buffered of requests and responses, nil for no limit.
 	Buffers *bytebudget.Budget
 	// Uptime reads a clock that keeps running while the host is suspended.
@@ -153,6 +156,8 @@
 	dispatched   dispatch.Attempts
 	features     crashcause.Request
 	whole        []crashcause.Feature // of the request as a whole
+	ticket       *admission.Ticket    // nil unless the service's routes differ in their latency goal
+	refused      *fault.Error         // why the request was not admitted
 	lost         bool                 // a connection ended while a server ran the request
 	rollout      *traffic.Request
 }
@@ -271,7 +276,7 @@
 	f.ServerID = m.ID()
 	f.Organisation = x.organisation.Name
 	f.PriorityScheduling = x.service.Engine != nil
-	f.Priority = x.priority()
+	f.Priority = x.class()
 	header := make(http.Header, len(x.header)+systemHeaders)
 	maps.Copy(header, x.header)
 	x.h.Codec.SetHeaders(header, f)
