--- a/core/canary/simulation_test.go
+++ b/core/canary/simulation_test.go
@@ -55,7 +55,17 @@
 	slow     [][2]int
 	failFrom int // answers 500 to half of the requests, reporting good health
 	failTo   int
-	inUse    int
+	recent   float64 // requests, decayed, up to at
+	at       int
+}
+
+// busy counts a request and returns the server's load: recent requests, compared with those that it has
+// when the new servers get all of them.
+func (x *server) busy(l load, ms int) float64 {
+	constant := max(1, l.runs.Seconds())
+	x.recent = x.recent*math.Exp(-float64(ms-x.at)/1000/constant) + 1
+	x.at = ms
+	return x.recent * float64(l.servers) / (l.rate * constant)
 }
 
 func during(all [][2]int, from, to int) (int, bool) {
@@ -247,7 +257,6 @@
 			Service: "x", Route: name, Server: x.id, DataCentre: strconv.Itoa(x.centre), New: x.isNew,
 		}, ms)
 	}
-	x.inUse++
 	s.serve(x, h, a, route)
 }
 
@@ -263,9 +272,7 @@
 	}
 	isBad := false
 	if x.isNew && s.fault.of != nil {
-		// The load that a server is to have at full share is 1.
-		busy := float64(x.inUse) * float64(s.load.servers) / (s.load.rate * s.load.runs.Seconds())
-		f, y := s.fault.of(sent, route, busy)
+		f, y := s.fault.of(sent, route, x.busy(s.load, sent))
 		failures = 1 - (1-failures)*(1-f)
 		slower *= y
 		isBad = y > 2
@@ -298,7 +305,6 @@
 			g = time.Duration(gap * float64(time.Millisecond))
 		}
 		a.End(failed, g)
-		x.inUse--
 		if !x.isNew {
 			h.old--
 		}
