--- a/core/canary/simulation_test.go
+++ b/core/canary/simulation_test.go
@@ -143,10 +143,7 @@
 		}
 	}
 	for _, n := range []int{0, s.load.servers} { // one that fails on each version
-		var some []*server
-		for _, x := range s.servers[n : n+s.load.servers] {
-			some = append(some, x)
-		}
+		some := s.servers[n : n+s.load.servers]
 		// In half of the roll-outs, and then one of those that get requests from the beginning.
 		if s.rng.Float64() < 0.5 {
 			x := some[s.rng.IntN(len(some))]
