--- a/test/entry/rollout_test.go
+++ b/test/entry/rollout_test.go
@@ -220,25 +220,34 @@
 	}
 }
 
-// Guards against a roll-out that ends with the host that drives it, or exceeds its share by that.
+// Guards against a roll-out that ends with the host that drives it, and against a driver that was suspended
+// and goes on as if it still were the driver.
 func TestRolloutSurvivesItsDriver(t *testing.T) {
-	r := startRollout(t, 4)
-	r.order(backend.Delay(workTime, backend.Respond(http.StatusOK, "ok")))
-	r.awaitStatusRow("in_progress", 3*time.Second)
-	time.Sleep(1500 * time.Millisecond)
-	d := r.driver()
-	if d == nil {
-		t.Fatal("no host drives the roll-out")
-	}
-	d.Kill()
-	killed := time.Now()
-	r.await("another host drives the roll-out", 5*time.Second, func() bool { x := r.driver(); return x != nil && x != d })
-	t.Logf("%s took over from %s after %v", r.driver().Name(), d.Name(), time.Since(killed).Round(10*time.Millisecond))
-	r.awaitStatusRow("completed", rolloutLength)
-	before := countRequests(r.older)
-	time.Sleep(500 * time.Millisecond)
-	if after := countRequests(r.older); after != before {
-		t.Errorf("old servers got %d requests after the roll-out was completed", after-before)
+	for name, lose := range map[string]func(n *node){"killed": func(n *node) { n.Kill() }, "suspended": func(n *node) { n.Suspend() }} {
+		t.Run(name, func(t *testing.T) {
+			r := startRollout(t, 4)
+			r.order(backend.Delay(workTime, backend.Respond(http.StatusOK, "ok")))
+			r.awaitStatusRow("in_progress", 3*time.Second)
+			time.Sleep(1500 * time.Millisecond)
+			d := r.driver()
+			if d == nil {
+				t.Fatal("no host drives the roll-out")
+			}
+			lose(d)
+			lost := time.Now()
+			r.await("another host drives the roll-out", 5*time.Second, func() bool { x := r.driver(); return x != nil && x != d })
+			t.Logf("%s took over from %s after %v", r.driver().Name(), d.Name(), time.Since(lost).Round(10*time.Millisecond))
+			if name == "suspended" {
+				time.Sleep(time.Second)
+				d.Resume()
+			}
+			r.awaitStatusRow("completed", rolloutLength)
+			before := countRequests(r.older)
+			time.Sleep(500 * time.Millisecond)
+			if after := countRequests(r.older); after != before {
+				t.Errorf("old servers got %d requests after the roll-out was completed", after-before)
+			}
+		})
 	}
 }
 
