--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -90,14 +90,15 @@
 // Gate admits the requests of one service on one host. Its methods may be called by several
 // goroutines at once.
 type Gate struct {
-	mu       sync.Mutex
-	tightest time.Duration // latency goal of the urgent kind
-	random   *rand.Rand
-	waiting  []*Ticket
-	waits    [2]lastWait // of the other kinds and of the urgent one
-	shares   shares
-	credit   credit
-	totals   map[string]int64
+	mu         sync.Mutex
+	tightest   time.Duration // latency goal of the urgent kind
+	random     *rand.Rand
+	waiting    []*Ticket
+	waits      [2]lastWait // of the other kinds and of the urgent one
+	shares     shares
+	credit     credit
+	shortUntil time.Time
+	totals     map[string]int64
 }
 
 // lastWait is how long the request that began last had waited.
--- a/core/admission/room.go
+++ b/core/admission/room.go
@@ -11,13 +11,11 @@
 	// runs that this host does not know of yet.
 	memoryShare = 0.9
 	// backlogShare is the part of the tightest latency goal that the prompts of an engine may take for it
-	// to get a further one, and targetShare the part up to which all engines are filled. An urgent
-	// prompt that takes a quarter of its goal then still meets it. Reports of other hosts are up
-	// to 1.5 s old, so that engines with less to do would stand idle.
+	// to get a further one, and targetShare the part up to which all engines are filled; they are short
+	// from this mean on. An urgent prompt that takes a quarter of its goal then still meets it.
+	// Reports of other hosts are up to 1.5 s old, so that engines with less to do would stand idle.
 	backlogShare = 0.375
 	targetShare  = 0.3
-	// shortageShare is the mean backlog, as a part of the tightest latency goal, from which engines are short.
-	shortageShare = 0.25
 	// urgentPart is the number of urgent runs in progress for each server on which room is reserved
 	// for the next ones: a run takes five to ten times the time for its prompt, and those that
 	// begin while reports of them are on their way find room too.
@@ -27,6 +25,9 @@
 	maxReserved = 0.5
 	// reportAge is the age of what a host knows of the others' work.
 	reportAge = time.Second
+	// shortTime is how long engines count as short after that was last seen: what the hosts change then
+	// makes them look less short, and the reports that tell are up to 1.5 s old.
+	shortTime = 3 * time.Second
 )
 
 // view is what a request saw of the servers.
@@ -53,7 +54,10 @@
 	if v.available == 0 {
 		return all
 	}
-	short := t.waits || len(rooms) == 0 || rooms[0] != all[0] || v.mean > g.part(shortageShare)
+	if len(rooms) == 0 || rooms[0] != all[0] || v.mean > g.part(targetShare) {
+		g.shortUntil = now.Add(shortTime)
+	}
+	short := now.Before(g.shortUntil)
 	if !t.admitted {
 		v.reserved = min(g.reserved(t, now), int(maxReserved*float64(v.available)))
 		if len(rooms) <= v.reserved || short && !t.request.Urgent && !g.credit.take(v, t.prefill, len(g.waiting), t.request.Hosts, now) {
