test/entry: connections without requests and few file descriptors

The request beside 600 silent connections or half heads gets 503, and the host has all its 500 descriptors open. Fails until callers' connections are limited.

--- a/test/cluster/process.go
+++ b/test/cluster/process.go
@@ -21,6 +21,7 @@
 	path       string
 	args       []string
 	outputPath string
+	maxFiles   int // limit of file descriptors, 0 for that of the test
 	cmd        *exec.Cmd
 	exited     chan struct{}
 }
@@ -36,6 +37,15 @@
 // OutputPath returns the path of the file that collects standard output and standard error.
 func (p *Process) OutputPath() string { return p.outputPath }
 
+// LimitFiles limits the file descriptors of the process, which hasn't started yet.
+func (p *Process) LimitFiles(n int) { p.maxFiles = n }
+
+// OpenFiles returns the number of open file descriptors of the process.
+func (p *Process) OpenFiles() (int, error) {
+	all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Pid()))
+	return len(all), err
+}
+
 // Start starts the process. It may be called again after the process has exited.
 func (p *Process) Start() error {
 	f, err := os.OpenFile(p.outputPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -44,6 +54,10 @@
 	}
 	defer func() { _ = f.Close() }()
 	c := exec.Command(p.path, p.args...)
+	if p.maxFiles > 0 {
+		script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.maxFiles)
+		c = exec.Command("/bin/sh", append([]string{"-c", script, p.path}, p.args...)...)
+	}
 	c.Stdout = f
 	c.Stderr = f
 	if err := c.Start(); err != nil {
--- /dev/null
+++ b/test/entry/caller_connections_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadabeam/test/standin/backend"
+)
+
+const (
+	// floodFiles is the limit of file descriptors of a host that gets too many connections.
+	floodFiles       = 500
+	floodConnections = 600
+	// maxFloodFiles and maxFloodMemory are what the host may use meanwhile: some descriptors have to
+	// be left for connections to servers.
+	maxFloodFiles  = 400
+	maxFloodMemory = 96 << 20
+	// floodTime is how long the connections are kept open before a request is sent beside them.
+	floodTime = time.Second
+)
+
+// flood opens connections to an address that send some bytes and nothing more, until the test ends.
+func flood(t *testing.T, address string, connections int, begin string) {
+	t.Helper()
+	var all []net.Conn
+	t.Cleanup(func() {
+		for _, c := range all {
+			_ = c.Close()
+		}
+	})
+	for range connections {
+		c, err := net.DialTimeout("tcp", address, testTimeout)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+		_, _ = c.Write([]byte(begin)) // the host may have closed it
+	}
+}
+
+// startFlooded starts a host with few file descriptors and a server.
+func startFlooded(t *testing.T) *system {
+	t.Helper()
+	s := startSystem(t, 1, &system{maxFiles: floodFiles})
+	s.addServer("orders-0", "orders", backend.Respond(http.StatusOK, "ok"))
+	s.awaitStatus(s.nodes[0], "/r1/1", "", http.StatusOK, testTimeout)
+	return s
+}
+
+// checkFlooded checks that a host with too many connections serves a request, and stays within its
+// file descriptors and memory.
+func (s *system) checkFlooded() {
+	s.t.Helper()
+	n := s.nodes[0]
+	time.Sleep(floodTime)
+	files, err := n.OpenFiles()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if status, _ := n.send("/r1/1", ""); status != http.StatusOK {
+		s.t.Errorf("the request beside the connections got status %d, want 200", status)
+	}
+	if !n.Ready() {
+		s.t.Error("the host is not ready")
+	}
+	if n.Metrics() == "" {
+		s.t.Error("the metrics can't be read")
+	}
+	peak, err := peakBytes(n.Pid())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Logf("%d descriptors, peak memory %d MB", files, peak>>20)
+	if files > maxFloodFiles {
+		s.t.Errorf("the host has %d open file descriptors, want at most %d", files, maxFloodFiles)
+	}
+	if peak > maxFloodMemory {
+		s.t.Errorf("the peak memory is %d MB, want at most %d", peak>>20, maxFloodMemory>>20)
+	}
+}
+
+// Guards against callers' connections that use up the host's file descriptors, so that no request is
+// served any more.
+func TestConnectionsWithoutRequestsLeaveRoom(t *testing.T) {
+	for name, begin := range map[string]string{
+		"silent":    "",
+		"half head": "POST /buy/1 HTTP/1.1\r\nHost: test.example\r\nX-Field: ",
+		"half body": "POST /r1/1 HTTP/1.1\r\nHost: test.example\r\nContent-Length: 1000\r\n\r\n" + strings.Repeat("x", 500),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startFlooded(t)
+			flood(t, s.nodes[0].CallerAddress(), floodConnections, begin)
+			s.checkFlooded()
+		})
+	}
+}
--- a/test/entry/entry_test.go
+++ b/test/entry/entry_test.go
@@ -45,6 +45,7 @@
 	// settings are added to those of each host, bounds to their section of bounds.
 	settings string
 	bounds   string
+	maxFiles int // limit of file descriptors of each host, 0 for that of the test
 }
 
 type node struct {
@@ -123,6 +124,7 @@
 	if err := h.AddSettings(s.settings); err != nil {
 		s.t.Fatal(err)
 	}
+	h.LimitFiles(s.maxFiles)
 	n := &node{Host: h, storeEndpoint: endpoint}
 	if err := n.ChangeSetting("[bounds]\n", "[bounds]\n"+s.bounds); err != nil {
 		s.t.Fatal(err)
