--- a/cmd/entry/http_server.go
+++ b/cmd/entry/http_server.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/core/connlimit"
 	"cicadabeam/io/httpserver"
 	"cicadabeam/io/tcp"
 )
@@ -23,13 +24,15 @@
 )
 
 // newHTTPServer listens on an address. ctx is the context of requests.
-func newHTTPServer(ctx context.Context, address string, h http.Handler) (*httpserver.Server, error) {
+func newHTTPServer(ctx context.Context, address string, limit *connlimit.Limit, h http.Handler) (*httpserver.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	return httpserver.New(l, &http.Server{
+	s := httpserver.New(l, &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		BaseContext: func(net.Listener) context.Context { return ctx }, ConnContext: tcp.ConnContext,
-	}), nil
+	})
+	s.LimitConnections(limit)
+	return s, nil
 }
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -23,10 +23,12 @@
 	"github.com/oklog/run"
 	"golang.org/x/sys/unix"
 
+	"cicadabeam/cmd/connections"
 	"cicadabeam/cmd/rollouts"
 	"cicadabeam/core/aggregation"
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/changelog"
+	"cicadabeam/core/connlimit"
 	"cicadabeam/core/drain"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/freshness"
@@ -69,6 +71,7 @@
 	buffers        *bytebudget.Budget
 	handler        *relay.Handler
 	callers        *httpserver.Server
+	connections    *connections.Limits
 	// configurationWatcher and serverWatcher follow the store's tables.
 	configurationWatcher *tableWatcher
 	serverWatcher        *tableWatcher
@@ -123,6 +126,7 @@
 	n.store = platform.NewStoreClient(s.platform, s.name).WithEras(n.eras)
 	n.hosts = records.NewHostStore(platform.NewTable(n.store))
 	n.recorder = newRecorder(newLogger(n.logWriter, s.logLevel, s.name), n.metrics)
+	n.connections = connections.New(s.connections, s.memoryMB, func(event string, f map[string]any) { n.recorder.Record(event, f) })
 	n.streamVersions = streamversion.New(streamPeers{n})
 	n.rollouts = n.newRollouts()
 	n.handler = relay.New(relay.Dependencies{
@@ -207,16 +211,16 @@
 		return err
 	}
 	var err error
-	if n.callers, err = newHTTPServer(requests, n.settings.callers, n.handler); err != nil {
+	if n.callers, err = newHTTPServer(requests, n.settings.callers, n.connections.Callers(), n.handler); err != nil {
 		return err
 	}
 	n.callers.Limit(n.buffers)
 	g.Add(n.callers.Run, n.closeCallers)
-	if err := addHTTP(requests, &g, n.settings.readiness, n.readinessHandler()); err != nil {
+	if err := addHTTP(requests, &g, n.settings.readiness, n.connections.Readiness(), n.readinessHandler()); err != nil {
 		return err
 	}
 	if n.settings.metrics != "" {
-		if err := addHTTP(requests, &g, n.settings.metrics, n.metricsHandler()); err != nil {
+		if err := addHTTP(requests, &g, n.settings.metrics, n.connections.Metrics(), n.metricsHandler()); err != nil {
 			return err
 		}
 	}
@@ -224,8 +228,8 @@
 }
 
 // addHTTP adds an HTTP server that ends without waiting for its requests.
-func addHTTP(ctx context.Context, g *run.Group, address string, h http.Handler) error {
-	s, err := newHTTPServer(ctx, address, h)
+func addHTTP(ctx context.Context, g *run.Group, address string, limit *connlimit.Limit, h http.Handler) error {
+	s, err := newHTTPServer(ctx, address, limit, h)
 	if err != nil {
 		return err
 	}
@@ -280,6 +284,7 @@
 		n.rollouts.Gauges(n.metrics.serviceGauge)
 		n.metrics.gauge("buffered_bytes", float64(n.buffers.Held()))
 		n.metrics.countTo("buffer_refusals", "kind", n.buffers.Refusals())
+		n.connections.Report(n.metrics.scope)
 		n.metrics.gauge("running", float64(n.handler.Running()))
 		n.metrics.gauge("store_era", float64(n.eras.Current()))
 		n.metrics.gauge("store_calls", float64(n.store.Calls()))
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -15,6 +15,7 @@
 	"cicadabeam/core/records"
 	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
+	"cicadabeam/io/tcp"
 )
 
 const (
@@ -74,7 +75,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for other entry hosts (setting neighbours)")
 	}
-	g.Add(func() error { return neighbour.Serve(l, n, n.tunnels) }, func(error) { _ = l.Close() })
+	g.Add(func() error { return neighbour.Serve(tcp.LimitListener(l, n.connections.Hosts()), n, n.tunnels) }, func(error) { _ = l.Close() })
 	a, err := net.ResolveUDPAddr("udp", l.Addr().String())
 	if err != nil {
 		return errors.Wrap(err, "address for leases (setting neighbours)")
--- a/cmd/entry/settings.go
+++ b/cmd/entry/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/cmd/connections"
 	"cicadabeam/core/fleet"
 	"cicadabeam/core/inifile"
 	"cicadabeam/core/retrybudget"
@@ -50,6 +51,7 @@
 	// bufferBytes is what may be buffered of requests and responses.
 	bufferBytes int64
 	cores       int
+	connections connections.Settings
 	grace       time.Duration
 	limits      relay.Limits
 	exposure    rollout.Limits
@@ -86,6 +88,7 @@
 	x = d.Section("limits")
 	s.memoryMB = int(nonNegative(x, "memory-mb", defaultMemoryMB))
 	s.readBuffers(x)
+	s.connections = connections.ReadSettings(x)
 	s.cores = int(nonNegative(x, "cores", 1))
 	s.readLimits(d.Section("bounds"))
 	s.readExposure(d.Section("bounds"))
--- a/cmd/node/node.go
+++ b/cmd/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/google/uuid"
 	"github.com/oklog/run"
 
+	"cicadabeam/cmd/connections"
 	"cicadabeam/cmd/settings"
 	"cicadabeam/core/admit"
 	"cicadabeam/core/answer"
@@ -29,6 +30,7 @@
 	"cicadabeam/core/bytebudget"
 	"cicadabeam/core/claim"
 	"cicadabeam/core/config"
+	"cicadabeam/core/connlimit"
 	"cicadabeam/core/drain"
 	"cicadabeam/core/freshness"
 	"cicadabeam/core/generation"
@@ -44,6 +46,7 @@
 	"cicadabeam/io/operator"
 	"cicadabeam/io/peer"
 	"cicadabeam/io/service"
+	"cicadabeam/io/tcp"
 	"cicadabeam/platform"
 )
 
@@ -76,6 +79,7 @@
 	configs            *records.ConfigStore
 	claims             *records.ClaimStore
 	buffers            *bytebudget.Budget
+	connections        *connections.Limits
 	traffic            *peer.Traffic
 	peers              *peer.Client
 
@@ -123,6 +127,7 @@
 		heartbeatTrigger: make(chan struct{}, 1), restored: make(chan struct{}, 1), drainStarted: make(chan struct{}), ctx: ctx, stop: stop,
 	}
 	n.state.Store(starting)
+	n.connections = connections.New(s.Connections(), 0, func(event string, f map[string]any) { l.WithFields(log.Fields(f)).Warn(event) })
 	n.eras = freshness.NewEras(func() time.Duration { return time.Since(n.started) }, n.handleRise)
 	n.platform = platform.NewTable(platform.NewStoreClient(s.PlatformURL(), s.Self().Name).WithEras(n.eras))
 	n.hosts = records.NewHostStore(n.platform)
@@ -170,18 +175,18 @@
 func (n *Node) addListeners(g *run.Group) error {
 	limits := caller.Limits{MaxBodyBytes: n.settings.MaxBodyBytes(), Buffers: n.buffers, BodyReadTimeout: n.settings.BodyTimeout(), WriteTimeout: n.settings.WriteTimeout()}
 	callers := caller.New(n, limits, n)
-	if err := n.addHTTP(g, n.settings.CallerAddress(), nil, callers); err != nil {
+	if err := n.addHTTP(g, n.settings.CallerAddress(), nil, n.connections.Callers(), callers); err != nil {
 		return err
 	}
 	operators := operator.NewHandler(n, n.settings.OperatorSecret(), n.metrics.handler())
-	if err := n.addHTTP(g, n.settings.OperatorAddress(), n.settings.OperatorTLS(), operators); err != nil {
+	if err := n.addHTTP(g, n.settings.OperatorAddress(), n.settings.OperatorTLS(), n.connections.Metrics(), operators); err != nil {
 		return err
 	}
 	l, err := net.Listen("tcp", n.settings.PeerAddress())
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	s, err := peer.NewServer(l, n.settings.PeerSecret(), n.settings.PeerServerTLS(), peerHandler{n}, n.traffic, n.peerRejected)
+	s, err := peer.NewServer(tcp.LimitListener(l, n.connections.Hosts()), n.settings.PeerSecret(), n.settings.PeerServerTLS(), peerHandler{n}, n.traffic, n.peerRejected)
 	if err != nil {
 		return err
 	}
@@ -189,7 +194,7 @@
 	return nil
 }
 
-func (n *Node) addHTTP(g *run.Group, address string, c *tls.Config, h http.Handler) error {
+func (n *Node) addHTTP(g *run.Group, address string, c *tls.Config, limit *connlimit.Limit, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -207,6 +212,7 @@
 	}
 	x := httpserver.New(l, s)
 	x.Limit(n.buffers)
+	x.LimitConnections(limit)
 	g.Add(x.Run, func(error) {
 		x.Drain(time.Now().Add(shutdownTimeout))
 		cancel(caller.ErrStopping)
--- a/cmd/node/observe.go
+++ b/cmd/node/observe.go
@@ -66,6 +66,7 @@
 	for kind, refusals := range n.buffers.Refusals() {
 		s.Tagged(map[string]string{"kind": strings.ReplaceAll(kind, " ", "_")}).Gauge("buffer_refusals").Update(float64(refusals))
 	}
+	n.connections.Report(s)
 	s.Gauge("answers_held").Update(float64(c.Held))
 	s.Gauge("answers_copies").Update(float64(c.Copies))
 	s.Gauge("answers_producing").Update(float64(c.Producing))
--- a/cmd/settings/settings.go
+++ b/cmd/settings/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadabeam/cmd/connections"
 	"cicadabeam/core/inifile"
 	"cicadabeam/core/membership"
 )
@@ -51,6 +52,7 @@
 	maxBodyBytes    int
 	maxHeaderBytes  int
 	bufferBytes     int
+	connections     connections.Settings
 	headerTimeout   time.Duration
 	idleTimeout     time.Duration
 	bodyTimeout     time.Duration
@@ -137,6 +139,7 @@
 	if s.bufferBytes < 2*s.maxBodyBytes {
 		x.AddProblem("buffer-bytes", "is %d; allowed is twice body-bytes, %d, or more", s.bufferBytes, 2*s.maxBodyBytes)
 	}
+	s.connections = connections.ReadSettings(x)
 	s.headerTimeout = x.Duration("header-wait", defaultHeaderTimeout, time.Millisecond, maxTimeout)
 	s.idleTimeout = x.Duration("idle-wait", defaultIdleTimeout, time.Millisecond, maxTimeout)
 	s.bodyTimeout = x.Duration("body-wait", defaultBodyTimeout, time.Millisecond, maxTimeout)
@@ -193,6 +196,9 @@
 // connections together.
 func (s *Settings) BufferBytes() int64 { return int64(s.bufferBytes) }
 
+// Connections returns the settings of the limits of connections.
+func (s *Settings) Connections() connections.Settings { return s.connections }
+
 // MaxHeaderBytes returns the maximum size of a request header.
 func (s *Settings) MaxHeaderBytes() int { return s.maxHeaderBytes }
 
--- a/io/httpserver/server.go
+++ b/io/httpserver/server.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"cicadabeam/core/bytebudget"
+	"cicadabeam/core/connlimit"
 )
 
 const (
@@ -48,6 +49,7 @@
 	waiting  bool // for its first request
 	active   bool // a request is in progress
 	closed   bool // by the server; nothing that is read on it runs
+	limited  *connlimit.Conn
 }
 
 // connKey is the context key of a request's connection.
@@ -83,11 +85,19 @@
 	}
 	switch state {
 	case http.StateNew:
-		s.conns[c] = &connState{accepted: time.Now(), waiting: true}
+		if x == nil {
+			x = &connState{}
+			s.conns[c] = x
+		}
+		x.accepted, x.waiting = time.Now(), true
 	case http.StateIdle:
 		x.waiting, x.active = false, false
+		x.limited.Wait(time.Now())
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
+		if _, removes := c.(*conn); !removes && x != nil {
+			x.limited.Remove()
+		}
 	}
 }
 
@@ -96,7 +106,8 @@
 func (s *Server) tracked(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(net.Conn)
-		if !s.begin(c) {
+		limited, open := s.begin(c, r)
+		if !open {
 			panic(http.ErrAbortHandler)
 		}
 		x, ok := c.(*conn)
@@ -104,7 +115,7 @@
 			x.head.complete()
 		}
 		s.announceClose(w)
-		h.ServeHTTP(w, r)
+		h.ServeHTTP(w, whenWhole(r, limited))
 		s.announceClose(w)
 		if ok {
 			x.announced.Store(w.Header().Get("Connection") == "close")
@@ -122,15 +133,15 @@
 }
 
 // begin records that a request begins and reports whether its connection is open.
-func (s *Server) begin(c net.Conn) bool {
+func (s *Server) begin(c net.Conn, r *http.Request) (*connlimit.Conn, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x := s.conns[c]
-	if x == nil || x.closed || s.ended {
-		return false
+	if x == nil || x.closed || s.ended || !x.beginLimited(r) {
+		return nil, false
 	}
 	x.active = true
-	return true
+	return x.limited, true
 }
 
 // Run serves until the server is closed.
--- a/io/neighbour/neighbour.go
+++ b/io/neighbour/neighbour.go
@@ -414,6 +414,20 @@
 	return c.Conn.Read(b)
 }
 
+// keptConn is a connection that doesn't give way to others once a request on it is answered.
+type keptConn struct {
+	*tcp.LimitedConn
+	kept bool // used by Write only
+}
+
+// Write implements net.Conn.
+func (c *keptConn) Write(b []byte) (int, error) {
+	if !c.kept {
+		c.kept = tcp.Keep(c.LimitedConn)
+	}
+	return c.LimitedConn.Write(b)
+}
+
 // serveConn serves a connection by its first byte.
 func serveConn(c net.Conn, rpc func(io.ReadWriteCloser), t Tunnels) {
 	first := make([]byte, 1)
@@ -421,6 +435,9 @@
 		_ = c.Close()
 		return
 	}
+	if x, ok := c.(*tcp.LimitedConn); ok {
+		c = &keptConn{LimitedConn: x}
+	}
 	if t != nil && (first[0] == tunnel.PlainMark || first[0] == tunnel.Mark) {
 		t.ServeConn(c, first[0])
 		return
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -113,6 +113,7 @@
 		_ = c.Close()
 		return
 	}
+	_ = tcp.Keep(c)
 	s.rpc.ServeConn(counted)
 }
 
--- a/io/tunnel/passage.go
+++ b/io/tunnel/passage.go
@@ -87,7 +87,7 @@
 	_, _ = p.host.Write([]byte{0, 0, kind})
 	// Bytes that are not read yet would make the kernel discard what was sent last.
 	_ = p.host.SetReadDeadline(time.Now().Add(lastFrameTimeout))
-	if t, ok := p.host.(*net.TCPConn); ok {
+	if t, ok := p.host.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 	}
 }
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -60,6 +60,7 @@
 	ExtraOrganisationConfig string // more lines for each organisation section
 	ExtraServiceConfig      string // more lines for the section of the model service
 	ExtraSettings           string // more sections for the settings of the nodes
+	NodeFiles               int    // limit of file descriptors of the nodes, 0 for that of the test
 	// OperatorTLS is the configuration of operator clients, if ExtraSettings has a
 	// section tls.
 	OperatorTLS *tls.Config
--- a/test/cluster/node.go
+++ b/test/cluster/node.go
@@ -34,6 +34,9 @@
 			cluster: c, host: hostNodes + i, dataCentre: dataCentre(dc), region: c.region(dc), settings: settings,
 		})
 	}
+	for _, n := range c.nodes {
+		n.LimitFiles(c.layout.NodeFiles)
+	}
 	if c.layout.ProxyNodes {
 		if err := c.linkNodes(); err != nil {
 			return err
--- a/test/entry/bytes_without_end_test.go
+++ b/test/entry/bytes_without_end_test.go
@@ -8,8 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,21 +75,6 @@
 	}
 }
 
-// peakBytes returns the peak resident memory of a process.
-func peakBytes(pid int) (int, error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(b)) {
-		if v, found := strings.CutPrefix(line, "VmHWM:"); found {
-			kb, err := strconv.Atoi(strings.Fields(v)[0])
-			return kb << 10, err
-		}
-	}
-	return 0, fmt.Errorf("process %d: no VmHWM in its status file", pid)
-}
-
 // sendFaulty sends requests to the faulty servers, as many at a time, until a channel is closed.
 func (n *node) sendFaulty(path string, done <-chan struct{}) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -187,7 +170,7 @@
 			served, sent := n.sendSound(t, faultyTime)
 			close(done)
 			g.Wait()
-			peak, err := peakBytes(n.Pid())
+			peak, err := n.PeakBytes()
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/test/entry/caller_connections_test.go
+++ b/test/entry/caller_connections_test.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"cicadabeam/io/neighbour"
+	"cicadabeam/test/cluster"
 	"cicadabeam/test/standin/backend"
 )
 
@@ -22,23 +23,14 @@
 	floodTime = time.Second
 )
 
-// flood opens connections to an address that send some bytes and nothing more, until the test ends.
+// flood opens connections to an address that send some bytes and read nothing, until the test ends.
 func flood(t *testing.T, address string, connections int, begin string) {
 	t.Helper()
-	var all []net.Conn
-	t.Cleanup(func() {
-		for _, c := range all {
-			_ = c.Close()
-		}
-	})
-	for range connections {
-		c, err := net.DialTimeout("tcp", address, testTimeout)
-		if err != nil {
-			t.Fatal(err)
-		}
-		all = append(all, c)
-		_, _ = c.Write([]byte(begin)) // the host may have closed it
+	f, err := cluster.OpenFlood(address, connections, begin)
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(f.Close)
 }
 
 // startFlooded starts a host with few file descriptors and a server.
@@ -69,7 +61,7 @@
 	if n.Metrics() == "" {
 		s.t.Error("the metrics can't be read")
 	}
-	peak, err := peakBytes(n.Pid())
+	peak, err := n.PeakBytes()
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -97,3 +89,31 @@
 		})
 	}
 }
+
+// Guards against connections to the other listeners that use up the host's file descriptors, so that
+// readiness and metrics can't be read and other hosts can't connect.
+func TestConnectionsToOtherListenersLeaveRoom(t *testing.T) {
+	for name, x := range map[string]struct {
+		address func(n *node) string
+		begin   string
+	}{
+		"readiness, silent":    {(*node).ReadinessAddress, ""},
+		"readiness, half head": {(*node).ReadinessAddress, "GET /v1/readyz HTTP/1.1\r\nHost: "},
+		"metrics, silent":      {(*node).MetricsAddress, ""},
+		"metrics, half head":   {(*node).MetricsAddress, "GET /metrics HTTP/1.1\r\nHost: "},
+		"hosts, silent":        {(*node).PeerAddress, ""},
+		"hosts, half message":  {(*node).PeerAddress, "\x7fabc"},
+		"hosts, half tunnel":   {(*node).PeerAddress, "\x01"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startFlooded(t)
+			flood(t, x.address(s.nodes[0]), floodConnections, x.begin)
+			s.checkFlooded()
+			c := neighbour.NewClient(s.nodes[0].PeerAddress())
+			defer c.Close()
+			if _, err := c.Hosts(time.Now().Add(testTimeout)); err != nil {
+				t.Errorf("another host can't connect: %v", err)
+			}
+		})
+	}
+}
--- a/test/entryhost/host.go
+++ b/test/entryhost/host.go
@@ -154,6 +154,15 @@
 // CallerAddress returns the address on which the host accepts requests of callers.
 func (h *Host) CallerAddress() string { return h.callers }
 
+// ReadinessAddress returns the address of the listener for readiness.
+func (h *Host) ReadinessAddress() string { return h.readiness }
+
+// MetricsAddress returns the address of the listener for metrics.
+func (h *Host) MetricsAddress() string { return h.metrics }
+
+// PeerAddress returns the address of the listener for other hosts.
+func (h *Host) PeerAddress() string { return h.peers }
+
 // Metrics returns what the host's metrics endpoint responds, empty if it doesn't.
 func (h *Host) Metrics() string {
 	c := http.Client{Timeout: time.Second}
