--- a/core/admission/gate.go
+++ b/core/admission/gate.go
@@ -17,7 +17,7 @@
 //		m = f.Reserve(q)
 //		return m != nil
 //	})
-//	class := t.Class(false, time.Now())
+//	class := t.Class(false)
 package admission
 
 import (
@@ -190,12 +190,11 @@
 
 // Class returns the class of an attempt of the request; repeated is set if an engine worked on an
 // earlier one.
-func (t *Ticket) Class(repeated bool, now time.Time) int {
-	repeated = repeated || t.request.Resumed
-	if t.lowest && !repeated {
+func (t *Ticket) Class(repeated bool) int {
+	if t.lowest && !repeated && !t.request.Resumed {
 		return lowestClass
 	}
-	return t.request.Class(repeated, t.prefill, now)
+	return t.request.Class()
 }
 
 // Urgent reports whether the request is of the urgent kind.
@@ -233,8 +232,8 @@
 	return n
 }
 
-// order is the class, of which the slack is a part, so that a request rises as it waits. It is the
-// lowest while others are to be served before the organisation.
+// order is the place, of which the slack is a part, so that a request rises as it waits. It is the
+// last while others are to be served before the organisation.
 func (t *Ticket) order(now time.Time) int {
 	if t.admitted {
 		return -1
@@ -242,7 +241,7 @@
 	if t.gate.shares.exceeded(t.request.Organisation, now) {
 		return lowestClass
 	}
-	return t.request.Class(false, t.prefill, now)
+	return t.request.Place(t.prefill, now)
 }
 
 // mayWait reports whether the request may wait, and when it is tried again: as long as it can begin
--- a/io/relay/admission.go
+++ b/io/relay/admission.go
@@ -51,5 +51,5 @@
 	if x.ticket == nil {
 		return x.priority()
 	}
-	return x.ticket.Class(x.sentAttempts > 0, time.Now())
+	return x.ticket.Class(x.sentAttempts > 0)
 }
