core/retrybudget: later retries are bounded by what nodes grant, not by all requests in progress

Cause: for the second and later retries of a request the retries that other nodes may have granted since their reports counted as the larger of two bounds: as many as this node granted, and all their requests in progress. The first bound suffices by itself: a node that has granted as many as any other has counted as many for each.

TestLaterRetriesStayWithinLimit: 0 of 6 later retries of one node were granted before, all now; nothing over the limit where all nodes retry again and again before they hear of each other.

--- a/core/retrybudget/retrybudget.go
+++ b/core/retrybudget/retrybudget.go
@@ -299,13 +299,13 @@
 // if this node has granted so many in total: each of them as many as this node, the one in
 // question included, that they don't know of. A first retry also has the bound of their
 // requests in progress. A later one does not, as their requests may be retried more than
-// once too.
+// once too, but it needs no more than the first bound: nodes that grant as many as this one have
+// counted as many for each other node.
 func (r report) unreported(granted int64, now time.Time, retry int, window time.Duration) float64 {
 	equal := float64(r.nodes) * float64(granted-r.retries)
-	arrivals := float64(r.usage.Firsts) * float64(now.Sub(r.at)) / float64(window)
-	inProgress := float64(r.usage.Running) + arrivalMargin*arrivals
 	if retry > 1 {
-		return max(equal, inProgress)
+		return equal
 	}
-	return min(equal, inProgress)
+	arrivals := float64(r.usage.Firsts) * float64(now.Sub(r.at)) / float64(window)
+	return min(equal, float64(r.usage.Running)+arrivalMargin*arrivals)
 }
--- a/core/retrybudget/retrybudget_test.go
+++ b/core/retrybudget/retrybudget_test.go
@@ -340,6 +340,70 @@
 	}
 }
 
+// laterRetries plays requests on all nodes, of which some retry several each at the same moment, up to four
+// times without a report in between. It returns the later retries that were wanted and granted and
+// the excess over the limit.
+func laterRetries(nodes, running, retrying, each int) (wanted, granted int, excess float64) {
+	c := &cluster{now: time.Unix(1_000_000, 0)}
+	for range nodes {
+		c.budgets = append(c.budgets, retrybudget.New(limit))
+	}
+	none := make([]int, nodes)
+	for i := range 300 {
+		requests := none
+		if i%(100/running) == 0 {
+			requests = make([]int, nodes)
+			for j := range requests {
+				requests[j] = 1
+			}
+		}
+		c.step(requests, none)
+		if i%25 == 0 {
+			c.exchangeUsage(0)
+		}
+	}
+	firsts := make([]int, nodes)
+	for j := range nodes {
+		for range each {
+			if j < retrying && c.budgets[j].AllowRetry(c.now, nodes, 1) {
+				firsts[j]++
+			}
+		}
+	}
+	c.requests, c.retries = append(c.requests, 0), append(c.retries, sum(firsts))
+	later := 0
+	for retry := 2; retry <= 4; retry++ {
+		for j, n := range firsts {
+			for range n {
+				wanted++
+				if c.budgets[j].AllowRetry(c.now, nodes, retry) {
+					granted++
+					later++
+				}
+			}
+		}
+	}
+	c.requests, c.retries = append(c.requests, 0), append(c.retries, later)
+	return wanted, granted, c.maxExcess()
+}
+
+// Guards against later retries that are refused because other nodes have many requests in progress, and against
+// more than the limit if all nodes retry their requests again and again before they hear of each other.
+func TestLaterRetriesStayWithinLimit(t *testing.T) {
+	for _, nodes := range []int{24, 127} {
+		for _, running := range []int{1, 4} {
+			for _, retrying := range []int{1, nodes / 6, nodes} {
+				if _, _, excess := laterRetries(nodes, running, retrying, 3*running); excess > 0 {
+					t.Errorf("%d nodes, %d retry %d requests: %.0f over the limit", nodes, retrying, 3*running, excess)
+				}
+			}
+		}
+	}
+	if wanted, granted, _ := laterRetries(24, 4, 1, 2); granted < wanted {
+		t.Errorf("%d of %d later retries of one node were granted", granted, wanted)
+	}
+}
+
 // Guards against reserved retries that count although they were not made, or not as of the time when they were.
 func TestReservedRetryCountsWhenItIsMade(t *testing.T) {
 	for _, nodes := range []int{1, 2} { // with and without reports of all nodes
