--- a/io/http1/conn.go
+++ b/io/http1/conn.go
@@ -263,6 +263,7 @@
 		if responseID == id || (responseID == "" && !c.reused) {
 			c.SetReadDeadline(deadline)
 			c.updateReuse(r)
+			c.checkUpload(r)
 			return r, nil
 		}
 		if r.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
--- a/test/standin/backend/backend.go
+++ b/test/standin/backend/backend.go
@@ -64,6 +64,19 @@
 	partitioned     map[string]bool // IP addresses of callers
 	partitionedAt   time.Time
 	connectionCount int
+	early           bool
+	greeting        Step // nil for none
+}
+
+// StartEarly is like Start for a server that responds to requests with a body before it has read any of it.
+func StartEarly(address string, steps ...Step) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{listener: l, steps: steps, conns: make(map[net.Conn]bool), early: true}
+	go s.accept()
+	return s, nil
 }
 
 // Start returns a server that listens at an address. Each request is handled by the next
@@ -148,15 +161,24 @@
 func (s *Server) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	c := &partitionableConn{Conn: conn, server: s, opened: time.Now()}
+	s.mu.Lock()
+	greeting := s.greeting
+	s.mu.Unlock()
+	if greeting != nil {
+		greeting(&Conn{Conn: c}, nil, nil)
+		return
+	}
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
+		var body []byte
+		if !s.early {
+			if body, err = io.ReadAll(r.Body); err != nil {
+				return
+			}
 		}
 		step := s.recordRequest(r, body)
 		if !step(&Conn{Conn: c}, r, body) {
@@ -262,6 +284,14 @@
 	s.steps = steps
 }
 
+// SetGreeting makes a step handle each new connection before anything is read from it, without a request.
+// nil ends that.
+func (s *Server) SetGreeting(step Step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.greeting = step
+}
+
 // NoResponse never responds. The connection stays open until the caller closes it.
 func NoResponse() Step {
 	return func(c *Conn, _ *http.Request, _ []byte) bool {
