--- a/io/service/client.go
+++ b/io/service/client.go
@@ -31,6 +31,7 @@
 	"cicadabeam/core/config"
 	"cicadabeam/core/fault"
 	"cicadabeam/core/route"
+	"cicadabeam/io/tcp"
 )
 
 const (
@@ -61,7 +62,7 @@
 func New(r Router) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	noRedirects := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	t := &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	t := &http.Transport{DialContext: tcp.CheckEnds(d.DialContext), DisableKeepAlives: true, DisableCompression: true}
 	return &Client{router: r, client: &http.Client{Transport: t, CheckRedirect: noRedirects}}
 }
 
@@ -160,6 +161,9 @@
 		return claim.Response{}, sent.Load(), err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusContinue {
+		return claim.Response{}, true, errors.Newf("the response has the invalid status %03d", response.StatusCode)
+	}
 	held := c.buffers.Hold("response", cancel)
 	defer held.Release()
 	body, err := bytebudget.ReadAll(response.Body, maxResponseBytes+1, response.ContentLength, held)
--- a/io/service/client_test.go
+++ b/io/service/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -62,3 +63,37 @@
 		}
 	}
 }
+
+// Guards against complete responses of servers that read the request's body afterwards, which would be taken
+// for parts.
+func TestResponseThatEndsBeforeTheUploadIsComplete(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\nwhole"))
+		_ = c.(*net.TCPConn).CloseWrite()
+		time.Sleep(100 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}()
+	c, err := config.Parse("t", []byte("[region r]\n[data-centre d]\nregion = r\n[service s]\n[server a]\ndata-centre = d\naddress = http://"+l.Addr().String()+"\nservices = s\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	call := claim.Call{Method: http.MethodPost, Path: "/x", Body: make([]byte, 8<<20), Deadline: time.Now().Add(5 * time.Second)}
+	r, _, err := New(nil).call(context.Background(), c.Servers("s")[0], call, 0)
+	if err != nil || string(r.Body) != "whole" {
+		t.Errorf("got %q, error %v", r.Body, err)
+	}
+}
--- a/io/tunnel/passage.go
+++ b/io/tunnel/passage.go
@@ -11,14 +11,13 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/lease"
+	"cicadabeam/io/tcp"
 )
 
 const (
 	// lastFrameTimeout limits the time in which the node behind closes a tunnel that its server has ended,
 	// and that for which it awaits the last frame of one that it has given up.
 	lastFrameTimeout = time.Second
-	// pendingTimeout limits the time in which a server that has ended its response takes what is being sent.
-	pendingTimeout = time.Second
 	// confirmTimeout limits the time until the server of a tunnel that was given up knows of that.
 	confirmTimeout = 500 * time.Millisecond
 )
@@ -32,9 +31,8 @@
 	openedAt time.Time
 	mu       sync.Mutex
 	ended    End
-	writing  chan struct{} // closed when the write to the server that is pending has ended, nil if none is
-	unsent   bool          // something that the node behind sent was not taken by the server
-	until    time.Time     // for telling the node behind that the server knows of the end, if it was given up
+	writes   tcp.Writes // to the server
+	until    time.Time  // for telling the node behind that the server knows of the end, if it was given up
 }
 
 // finish records how the tunnel ended, unless it is known already.
@@ -111,7 +109,8 @@
 	for {
 		n, err := p.host.Read(b)
 		if n > 0 && sending {
-			sending = p.send(b[:n])
+			_, sendErr := p.writes.Write(p.backend, b[:n])
+			sending = sendErr == nil
 		}
 		if err != nil {
 			p.giveUp(HostClosed)
@@ -120,42 +119,6 @@
 	}
 }
 
-// send writes to the server and reports whether that succeeded.
-func (p *passage) send(b []byte) bool {
-	done := make(chan struct{})
-	p.mu.Lock()
-	p.writing = done
-	p.mu.Unlock()
-	_, err := p.backend.Write(b)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.writing, p.unsent = nil, p.unsent || err != nil
-	close(done)
-	return err == nil
-}
-
-// serverBroke reports whether a connection whose end was read was reset. The kernel reports a reset to the
-// pending write only, so that it looks like an end to the reader. A reset may follow an end while the
-// server leaves a request unread, so the pending write is awaited until a time.
-func (p *passage) serverBroke(until time.Time) bool {
-	p.mu.Lock()
-	writing, unsent := p.writing, p.unsent
-	p.mu.Unlock()
-	if writing == nil {
-		return unsent
-	}
-	t := time.NewTimer(time.Until(until))
-	defer t.Stop()
-	select {
-	case <-writing:
-	case <-t.C:
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.unsent
-}
-
 // passResponses passes on what the server sends, and how it ended.
 func (p *passage) passResponses() {
 	b := make([]byte, headerBytes+frameBytes)
@@ -174,7 +137,7 @@
 	}
 	e, kind := PathBroke, byte(0)
 	switch {
-	case errors.Is(err, io.EOF) && p.serverBroke(time.Now().Add(pendingTimeout)):
+	case errors.Is(err, io.EOF) && p.writes.Broke():
 		e, kind = ServerBroke, frameBroke
 	case errors.Is(err, io.EOF):
 		e, kind = ServerEnded, frameEnded
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -389,6 +389,9 @@
 	logPath    string
 }
 
+// Address returns the IP address and port of the server.
+func (s *server) Address() string { return s.address }
+
 // DataCentre returns the name of the server's data centre.
 func (s *server) DataCentre() string { return s.dataCentre }
 
