--- a/io/tunnel/passage.go
+++ b/io/tunnel/passage.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadabeam/core/lease"
+	"cicadabeam/io/tcp"
 )
 
 const (
@@ -30,7 +31,8 @@
 	openedAt time.Time
 	mu       sync.Mutex
 	ended    End
-	until    time.Time // for telling the node behind that the server knows of the end, if it was given up
+	writes   tcp.Writes // to the server
+	until    time.Time  // for telling the node behind that the server knows of the end, if it was given up
 }
 
 // finish records how the tunnel ended, unless it is known already.
@@ -107,7 +109,7 @@
 	for {
 		n, err := p.host.Read(b)
 		if n > 0 && sending {
-			_, sendErr := p.backend.Write(b[:n])
+			_, sendErr := p.writes.Write(p.backend, b[:n])
 			sending = sendErr == nil
 		}
 		if err != nil {
@@ -135,6 +137,8 @@
 	}
 	e, kind := PathBroke, byte(0)
 	switch {
+	case errors.Is(err, io.EOF) && p.writes.Broke():
+		e, kind = ServerBroke, frameBroke
 	case errors.Is(err, io.EOF):
 		e, kind = ServerEnded, frameEnded
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
