--- a/cmd/entry/causes.go
+++ b/cmd/entry/causes.go
@@ -103,7 +103,7 @@
 // syncWithCauses closes n.synced once the causes of crashes were read, which come with the hosts. A store
 // that is back may have told the servers before, and requests that crash them wait at each host.
 func (n *Node) syncWithCauses() {
-	if n.directory.freshness(uptime()).Known {
+	if n.directory.Freshness(uptime()).Known {
 		close(n.synced)
 		return
 	}
--- a/cmd/entry/directory.go
+++ b/cmd/entry/directory.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cicadabeam/core/records"
-	"cicadabeam/io/neighbour"
 	"cicadabeam/io/relay"
 )
 
@@ -25,9 +21,6 @@
 	// listReaders is the number of nodes of each data centre that read the list after the
 	// start. The others fetch it from them.
 	listReaders = 2
-	// minListAdvance is by how much a peer's list must be newer than this node's to be
-	// fetched. Lists that were read at the start of many nodes differ all the time.
-	minListAdvance = 500 * time.Millisecond
 	// registrationDelay is how long after its registration this node may be missing from a
 	// list.
 	registrationDelay = time.Second
@@ -38,110 +31,8 @@
 	// nodes that share limits. A host that was only cut off registers again when it
 	// finds its row missing.
 	staleHostAge = 10 * time.Minute
-	// assumedNodes is the number of nodes assumed before the host list is known.
-	assumedNodes = 16
 )
 
-// directory holds the known entry hosts: the last list from the store, read by this node or
-// by a peer, and the hosts that reported since.
-type directory struct {
-	mu     sync.Mutex
-	hosts  map[string]records.EntryHost
-	listed bool
-	hash   uint64        // of the last list
-	asOf   time.Duration // uptime at which the last list was read or later
-	// revisions are those of the hosts' rows, by name, from lists that this node read. The
-	// hosts in hosts have none, so that equal ones are equal whoever listed them.
-	revisions map[string]uint64
-}
-
-// count returns the number of known nodes, or assumedNodes before the host list is known.
-func (d *directory) count() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.hosts) == 0 {
-		return assumedNodes
-	}
-	return len(d.hosts)
-}
-
-func (d *directory) contains(name string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_, found := d.hosts[name]
-	return found
-}
-
-// containsHost reports whether a host is known with the same address and place.
-func (d *directory) containsHost(h records.EntryHost) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.hosts[h.Name] == h
-}
-
-// knownCount returns the number of known nodes, 0 before the host list is known.
-func (d *directory) knownCount() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.hosts)
-}
-
-// set replaces the known hosts by a list that was current at uptime asOf or later.
-func (d *directory) set(list []records.EntryHost, asOf time.Duration) {
-	hosts := make(map[string]records.EntryHost, len(list))
-	hash := uint64(0)
-	revisions := make(map[string]uint64, len(list))
-	for _, h := range list {
-		if h.Revision != 0 {
-			revisions[h.Name] = h.Revision
-		}
-		h.Revision = 0
-		hosts[h.Name] = h
-		hash += xxhash.Sum64String(h.Name + "\x00" + h.Address + "\x00" + h.DataCentre + "\x00" + h.Region) // in any order
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.listed && asOf < d.asOf {
-		return
-	}
-	d.hosts, d.listed, d.hash, d.asOf = hosts, true, hash, asOf
-	if len(revisions) > 0 {
-		d.revisions = revisions
-	}
-}
-
-// revision returns the revision of a host's row, 0 if it is unknown.
-func (d *directory) revision(name string) uint64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.revisions[name]
-}
-
-// freshness returns which list is known and the time since it was read.
-func (d *directory) freshness(now time.Duration) neighbour.VersionInfo {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return neighbour.VersionInfo{Known: d.listed, Version: d.hash, Age: now - d.asOf}
-}
-
-// isNewer reports whether a peer that was asked at uptime sent has another and newer list.
-func (d *directory) isNewer(x neighbour.VersionInfo, sent time.Duration) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return x.Known && (!d.listed || x.Version != d.hash && sent-x.Age > d.asOf+minListAdvance)
-}
-
-// hostList returns the known hosts for another node.
-func (d *directory) hostList(now time.Duration) neighbour.HostList {
-	x := neighbour.HostList{Fact: d.freshness(now)}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, h := range d.hosts {
-		x.Hosts = append(x.Hosts, h)
-	}
-	return x
-}
-
 // maintainRegistration registers this node, keeps it registered and reads the host list
 // periodically.
 func (n *Node) maintainRegistration(ctx context.Context) error {
@@ -159,7 +50,7 @@
 		}
 		registered = registered && !n.missingFromList()
 		wait = firstListInterval
-		if registered && !reregistering && n.directory.knownCount() > 0 {
+		if registered && !reregistering && n.directory.KnownCount() > 0 {
 			wait = n.nextListInterval()
 		}
 	}
@@ -171,8 +62,8 @@
 // the store does a limited number a second. It reports whether this node is registered.
 func (n *Node) join(ctx context.Context) bool {
 	n.listHosts(ctx)
-	registered := n.directory.containsHost(n.self())
-	if n.directory.knownCount() > 0 {
+	registered := n.directory.ContainsHost(n.self())
+	if n.directory.KnownCount() > 0 {
 		n.connectPeers()
 	}
 	if !registered {
@@ -192,13 +83,13 @@
 }
 
 func (n *Node) nextListInterval() time.Duration {
-	return listInterval * time.Duration(max(1, n.directory.knownCount()/nodesPerListInterval))
+	return listInterval * time.Duration(max(1, n.directory.KnownCount()/nodesPerListInterval))
 }
 
 // listsHosts reports whether this node is to read the host list again: it is one of the
 // first of its data centre, or nobody sent it a recent list.
 func (n *Node) listsHosts() bool {
-	f := n.directory.freshness(uptime())
+	f := n.directory.Freshness(uptime())
 	if !f.Known || f.Age > 2*n.nextListInterval() {
 		return true
 	}
@@ -211,8 +102,8 @@
 // registration.
 func (n *Node) missingFromList() bool {
 	up := uptime()
-	f := n.directory.freshness(up)
-	return f.Known && up-f.Age > n.registeredAt+registrationDelay && !n.directory.contains(n.settings.name)
+	f := n.directory.Freshness(up)
+	return f.Known && up-f.Age > n.registeredAt+registrationDelay && !n.directory.Contains(n.settings.name)
 }
 
 // removeStaleHosts removes the rows of this region's entry hosts that have not been in
@@ -281,7 +172,7 @@
 	if err != nil {
 		return false
 	}
-	n.directory.set(t.Hosts, sent)
+	n.directory.Set(t.Hosts, sent)
 	n.streamVersions.MergeStored(t.Versions, time.Now())
 	n.storeCauses(n.handler.MergeStoredCauses(t.Causes, time.Now()))
 	return true
--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sort"
 	"time"
 
 	"cicadabeam/core/aggregation"
@@ -35,7 +34,7 @@
 
 // selectPeers returns the nodes with which this one exchanges reports.
 func (n *Node) selectPeers(now time.Time) []records.EntryHost {
-	all := n.directory.others(n.settings.name)
+	all := n.directory.Others(n.settings.name)
 	if len(all) <= fullMeshMaxPeers {
 		return all
 	}
@@ -72,7 +71,7 @@
 
 // usesGateways reports whether there are so many nodes that data centres exchange
 // aggregates through gateways.
-func (n *Node) usesGateways() bool { return n.directory.count() > fullMeshMaxPeers+1 }
+func (n *Node) usesGateways() bool { return n.directory.Count() > fullMeshMaxPeers+1 }
 
 // aggregatesFor returns the aggregates to send to a node, or nil if none are due. A
 // node of this data centre gets those of the other data centres that it lacks. A node of another
@@ -199,29 +198,3 @@
 		}
 	}
 }
-
-// others returns the nodes other than self, ordered by name.
-func (d *directory) others(self string) []records.EntryHost {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	all := make([]records.EntryHost, 0, len(d.hosts))
-	for name, h := range d.hosts {
-		if name != self {
-			all = append(all, h)
-		}
-	}
-	sort.Slice(all, func(a, b int) bool { return all[a].Name < all[b].Name })
-	return all
-}
-
-// add adds a node that sent a report.
-func (d *directory) add(h records.EntryHost) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.hosts == nil {
-		d.hosts = make(map[string]records.EntryHost)
-	}
-	if h.Name != "" {
-		d.hosts[h.Name] = h
-	}
-}
--- a/cmd/entry/node.go
+++ b/cmd/entry/node.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sys/unix"
 
 	"cicadabeam/cmd/connections"
+	"cicadabeam/cmd/hostlist"
 	"cicadabeam/cmd/rollouts"
 	"cicadabeam/core/admission"
 	"cicadabeam/core/aggregation"
@@ -101,7 +102,7 @@
 	drainOnce            sync.Once
 	drainWindow          drain.Window // set before drainStarted is closed
 	hosts                *records.HostStore
-	directory            directory
+	directory            hostlist.List
 	registeredAt         time.Duration // uptime of the last registration; used by maintainRegistration only
 	peers                peers
 	causes               storedCauses
@@ -134,7 +135,7 @@
 	n.rollouts = n.newRollouts()
 	n.handler = relay.New(relay.Dependencies{
 		Codec: platform.Codec{}, Catalog: n.tracker, Fleet: n.fleet, PromptIndex: n.prompts, Admission: n.admission, StreamVersions: n.streamVersions, Pool: n.pool, Recorder: n.recorder, Limits: s.limits, Buffers: n.buffers,
-		Uptime: uptime, NodeCount: n.directory.count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Rollouts: n.rollouts.Traffic(), Ready: n.synced,
+		Uptime: uptime, NodeCount: n.directory.Count, NotifyPeers: n.triggerExchange, StoreCauses: n.storeCauses, StoreSuspicion: n.storeCause, Partitioned: n.partition.Partitioned, StallDetector: &n.stallDetector, Rollouts: n.rollouts.Traffic(), Ready: n.synced,
 	})
 	n.configurationWatcher = n.newWatcher(platform.OperatorTable, n.applyConfigurationUpdate, n.configurationKnown)
 	n.configurationWatcher.pollWait = n.configurationPollWait
@@ -151,7 +152,7 @@
 func (n *Node) newWatcher(table string, onUpdate func(tableUpdate), known func() bool) *tableWatcher {
 	return &tableWatcher{
 		table: table, store: n.store, uptime: uptime, recorder: n.recorder, onUpdate: onUpdate, observe: n.metrics.observe, shouldRead: n.readsStore,
-		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: func(ctx context.Context) bool { return n.awaitPeerState(ctx, known) }, knownNodes: n.directory.knownCount,
+		pollWait: func() time.Duration { return n.readTiming().PollWait() }, awaitPeerState: func(ctx context.Context) bool { return n.awaitPeerState(ctx, known) }, knownNodes: n.directory.KnownCount,
 		eras: n.eras, clock: &freshness.StoreClock{},
 	}
 }
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -205,7 +205,7 @@
 	}
 	x := neighbour.NodeReport{
 		Host: n.self(), AggregateAges: n.aggregateAges(now), Young: up-n.started < startupWindow, Handed: n.aggregatesFor(name, dataCentre, now), Leaving: n.draining.Load(), Era: n.eras.Info(), StoreLost: n.configurationWatcher.failing.Load() || n.serverWatcher.failing.Load(), Work: n.fleet.Work(), Usage: n.handler.RetryUsage(now),
-		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
+		Crashes: n.handler.CrashReport(now), Configuration: n.configurationFreshness(up), Servers: n.serverFreshness.freshness(up), HostList: n.directory.Freshness(up), Prompts: n.prompts.LearntSince(promptsFrom),
 		Lost: n.ownLosses(now), LeavingServers: n.fleet.RecentlyLeaving(now), Limits: n.fleet.LimitReport(now),
 		Streams: n.streamVersions.Report(now, promptsFrom.IsZero()), Partitioned: n.partition.Partitioned(), ServerAge: n.serverAge(now), Leases: true, Brittle: n.fleet.BrittleReport(now), Rollouts: n.rollouts.Report(),
 	}
@@ -243,7 +243,7 @@
 func (n *Node) handleReport(x neighbour.NodeReport, sent time.Duration) {
 	now := time.Now()
 	missedRise := n.eras.Merge(x.Era, x.Host.Name)
-	n.directory.add(x.Host)
+	n.directory.Add(x.Host)
 	n.applyAggregates(x.Handed, now)
 	n.forwarding.RecordKnown(x.Host.Name, x.AggregateAges, now)
 	if !n.usesGateways() || x.Host.DataCentre == n.settings.topology.DataCentre {
@@ -306,7 +306,7 @@
 	case x.Servers.At() == servers.At() && sent != unknownSendTime:
 		n.serverFreshness.confirm(servers.At(), sent-x.Servers.Age)
 	}
-	if sent != unknownSendTime && n.directory.isNewer(x.HostList, sent) {
+	if sent != unknownSendTime && n.directory.IsNewer(x.HostList, sent) {
 		go n.fetch(p, "hosts", n.fetchHosts)
 	}
 }
@@ -349,12 +349,12 @@
 	if err != nil || !x.Fact.Known {
 		return err
 	}
-	n.directory.set(x.Hosts, sent-x.Fact.Age)
+	n.directory.Set(x.Hosts, sent-x.Fact.Age)
 	return nil
 }
 
 // Hosts implements neighbour.Handler.
-func (n *Node) Hosts() neighbour.HostList { return n.directory.hostList(uptime()) }
+func (n *Node) Hosts() neighbour.HostList { return n.directory.HostList(uptime()) }
 
 // Servers implements neighbour.Handler.
 func (n *Node) Servers(since freshness.StoreVersion) neighbour.ServerList {
--- a/cmd/entry/prompts.go
+++ b/cmd/entry/prompts.go
@@ -42,7 +42,7 @@
 func (n *Node) assignedEngines(now time.Time) []*fleet.Member {
 	self := n.settings.name
 	names := []string{self}
-	for _, h := range n.directory.others(self) {
+	for _, h := range n.directory.Others(self) {
 		if h.DataCentre == n.settings.topology.DataCentre {
 			names = append(names, h.Name)
 		}
--- a/cmd/entry/readers.go
+++ b/cmd/entry/readers.go
@@ -61,10 +61,10 @@
 			continue
 		}
 		others = append(others, readers.Host{
-			Name: p.host.Name, Region: p.host.Region, Listed: n.directory.revision(p.host.Name), Live: p.live(now), Leaving: p.report.Leaving, StoreLost: p.report.StoreLost,
+			Name: p.host.Name, Region: p.host.Region, Listed: n.directory.Revision(p.host.Name), Live: p.live(now), Leaving: p.report.Leaving, StoreLost: p.report.StoreLost,
 		})
 	}
-	x := readers.Host{Name: self.Name, Region: self.Region, Listed: n.directory.revision(self.Name)}
+	x := readers.Host{Name: self.Name, Region: self.Region, Listed: n.directory.Revision(self.Name)}
 	if starting {
 		return readers.AheadAtStart(x, others)
 	}
--- a/cmd/entry/restore.go
+++ b/cmd/entry/restore.go
@@ -158,7 +158,7 @@
 }
 
 func (n *Node) reregistrationWindow() time.Duration {
-	return minReregistrationWindow + time.Duration(n.directory.knownCount())*reregistrationTimePerNode
+	return minReregistrationWindow + time.Duration(n.directory.KnownCount())*reregistrationTimePerNode
 }
 
 // hostsReregister reports whether hosts may still be missing from the store because it came
--- a/cmd/entry/stream_versions.go
+++ b/cmd/entry/stream_versions.go
@@ -123,7 +123,7 @@
 
 // RefreshInterval implements streamversion.Peers.
 func (s streamPeers) RefreshInterval() time.Duration {
-	return max(minRefreshInterval, time.Duration(s.node.directory.count())*refreshIntervalPerNode)
+	return max(minRefreshInterval, time.Duration(s.node.directory.Count())*refreshIntervalPerNode)
 }
 
 // allPeers returns the peers, also those that were not in contact recently.
