--- a/io/httpserver/conn.go
+++ b/io/httpserver/conn.go
@@ -65,6 +65,8 @@
 	lingering *atomic.Int64 // connections that are being closed
 	limited   *connlimit.Conn
 	head      head
+	// writeLimited is set while the handler limits the time of writes.
+	writeLimited atomic.Bool
 }
 
 // NetConn returns the connection without what Close does.
--- a/io/httpserver/limit_test.go
+++ b/io/httpserver/limit_test.go
@@ -139,3 +139,46 @@
 		t.Errorf("%d connections are counted after all were closed", n)
 	}
 }
+
+// Guards against callers that read nothing of their responses and keep others out as long as they like, and
+// against slow callers whose responses are broken off.
+func TestUnreadResponsesEnd(t *testing.T) {
+	const size = 32 << 20
+	s := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		if r.URL.Path == "/copied" {
+			_, _ = io.Copy(w, io.LimitReader(zeros{}, size))
+			return
+		}
+		_, _ = w.Write(make([]byte, size))
+	}))
+	s.LimitConnections(connlimit.New(3))
+	x := &limited{t: t, server: s}
+	go func() { _ = s.Run() }()
+	t.Cleanup(func() { s.Shutdown(time.Now()) })
+	unread := []net.Conn{x.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), x.send("GET /copied HTTP/1.1\r\nHost: x\r\n\r\n")}
+	slow := x.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	_ = slow.SetDeadline(time.Now().Add(3 * stallTimeout))
+	time.Sleep(100 * time.Millisecond)
+	x.checkStatus(x.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), http.StatusServiceUnavailable)
+	read := 0
+	for until := time.Now().Add(stallTimeout + 4*time.Second); time.Now().Before(until); time.Sleep(stallTimeout / 20) {
+		n, err := io.ReadFull(slow, make([]byte, 512<<10))
+		if read += n; err != nil {
+			t.Fatalf("a response that is read slowly broke off after %d bytes: %v", read, err)
+		}
+	}
+	x.checkStatus(x.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), http.StatusOK)
+	if n, err := io.CopyN(io.Discard, slow, int64(size-read)); err != nil {
+		t.Errorf("got %d bytes of the response that is read slowly, error %v", read+int(n), err)
+	}
+	for _, c := range unread {
+		if n, err := io.Copy(io.Discard, c); err == nil && n >= size {
+			t.Error("a response that was not read did not break off")
+		}
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { clear(b); return len(b), nil }
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -47,6 +47,14 @@
 	return info != nil && (info.Unacked > 0 || info.Notsent_bytes > 0)
 }
 
+// Acknowledged returns how many bytes the other side's kernel has acknowledged, 0 if the kernel does not tell.
+func Acknowledged(c net.Conn) uint64 {
+	if info := readInfo(c); info != nil {
+		return info.Bytes_acked
+	}
+	return 0
+}
+
 // acceptRetryDelay is the delay before another connection is accepted if there was no file
 // descriptor for one.
 const acceptRetryDelay = 20 * time.Millisecond
