--- a/cmd/entry/configuration_test.go
+++ b/cmd/entry/configuration_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"net"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"cicadabeam/core/records"
-	"cicadabeam/io/neighbour"
 )
 
 // largeConfiguration returns a configuration with many routes, as encoded in the store.
@@ -28,17 +26,12 @@
 	first := testNode(t, "first")
 	value := largeConfiguration(routes)
 	first.installConfiguration(value, uptime(), true, "store")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	go func() { _ = neighbour.Serve(&link{Listener: l, bytesPerSecond: 10e6 / 8}, first, nil) }()
+	address := serveOverLink(t, first, 10e6/8)
 	began := time.Now()
 	var done sync.WaitGroup
 	for i := range hosts {
 		n := testNode(t, fmt.Sprint("host-", i))
-		n.peers.set([]records.EntryHost{{Name: "first", Address: l.Addr().String(), DataCentre: "a", Region: "north"}}, began)
+		n.peers.set([]records.EntryHost{{Name: "first", Address: address, DataCentre: "a", Region: "north"}}, began)
 		done.Go(func() {
 			for time.Since(began) < 10*time.Second && !n.configurationKnown() {
 				if err := n.fetchConfiguration(n.peers.all["first"]); err != nil {
--- a/cmd/entry/whole_list_test.go
+++ b/cmd/entry/whole_list_test.go
@@ -60,6 +60,18 @@
 	return n
 }
 
+// serveOverLink serves a node's peers over a link and returns its address.
+func serveOverLink(t *testing.T, n *Node, bytesPerSecond float64) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = neighbour.Serve(&link{Listener: l, bytesPerSecond: bytesPerSecond}, n, nil) }()
+	return l.Addr().String()
+}
+
 // All hosts of a data centre that start together ask the first one that has the list. Sent to all
 // at once over its link, none had it before its request timed out, and all asked again.
 func TestWholeListReachesStartingHostsOverSlowLink(t *testing.T) {
@@ -72,17 +84,12 @@
 		}
 	}
 	first.applyPeerServers(neighbour.ServerList{Fact: neighbour.VersionInfo{Known: true, Version: 7}, Whole: true, Changes: all}, uptime(), "store")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	go func() { _ = neighbour.Serve(&link{Listener: l, bytesPerSecond: 20e6 / 8}, first, nil) }()
+	address := serveOverLink(t, first, 20e6/8)
 	began := time.Now()
 	var done sync.WaitGroup
 	for i := range hosts {
 		n := testNode(t, fmt.Sprint("host-", i))
-		n.peers.set([]records.EntryHost{{Name: "first", Address: l.Addr().String(), DataCentre: "a", Region: "north"}}, began)
+		n.peers.set([]records.EntryHost{{Name: "first", Address: address, DataCentre: "a", Region: "north"}}, began)
 		done.Go(func() {
 			for time.Since(began) < 10*time.Second && !n.serversKnown() {
 				if err := n.fetchServers(n.peers.all["first"]); err != nil {
