review/9: a request that crashes servers is let through anew after all hosts were killed

Rule BUDGET (the request that crashes the servers that run it). The request comes each 8 s at hosts that know it as suspected and let one through after pauses that grow. All hosts are killed 2 s after such a trial has crashed a server, twice. What the trials have shown isn't stored whole, so that further ones follow without a pause: a fourth request reaches a server and crashes it.

--- a/review/rig/crashing.go
+++ b/review/rig/crashing.go
@@ -9,18 +9,22 @@
 	"time"
 )
 
-// Case 9: a request that crashes each server that begins to run it comes again, at any host. All hosts are killed once.
+// Case 9: a request that crashes each server that begins to run it comes again, at any host. All hosts are killed twice.
 
 const (
 	backAfter    = 5 * time.Second // from a crash until the server is back
 	contactTime  = 4 * time.Second // ContactMs
-	againAfter   = 6 * time.Second // until the request comes again
+	againAfter   = 8 * time.Second // until the request comes again
 	mostRetries  = 3               // later than contactTime after the third crash
-	killAt       = 32 * time.Second
-	restartDelay = time.Second
-	crashingTime = 85 * time.Second
+	mostKills    = 2
+	killAfter    = 2 * time.Second // from the arrival of such a retry until all hosts are killed
+	restartDelay = 500 * time.Millisecond
+	crashingTime = 75 * time.Second
 )
 
+// span is a time in which no host is in touch.
+type span struct{ from, to time.Time }
+
 type arrivedAt struct {
 	id string
 	at time.Time
@@ -47,7 +51,7 @@
 	var crashes []time.Time
 	running := make(map[string]*process)
 	ended := false
-	var killed, restarted time.Time
+	var kills []span
 	var start func(id, address, zone string, seq int)
 	start = func(id, address, zone string, seq int) {
 		p, err := startProcess(address, id, "crashes", func(a arrival) {
@@ -92,7 +96,7 @@
 		}()
 	}
 	for i, zone := range []string{"zone-a", "zone-b", "zone-a"} {
-		start(fmt.Sprintf("i-%d", i+1), "127.0.0.1:0", zone, 1)
+		start(fmt.Sprintf("i-%d", i+1), freeAddress("127.0.0.1"), zone, 1)
 	}
 	defer func() {
 		mu.Lock()
@@ -115,39 +119,45 @@
 		from := crashes[2].Add(contactTime)
 		requests := make(map[string]bool)
 		for _, a := range arrivals {
-			if a.at.After(from) && (killed.IsZero() || a.at.Before(killed) || a.at.After(restarted.Add(contactTime))) {
+			inTouch := true
+			for _, k := range kills {
+				inTouch = inTouch && (a.at.Before(k.from) || a.at.After(k.to))
+			}
+			if a.at.After(from) && inTouch {
 				requests[a.id] = true
 			}
 		}
 		return len(requests)
 	}
-	if g.trouble {
-		time.AfterFunc(time.Until(g.began.Add(killAt)), func() {
-			mu.Lock()
-			killed, restarted = time.Now(), time.Now().Add(time.Hour)
-			mu.Unlock()
-			g.say("SIGKILL to the processes of all hosts")
-			for _, h := range g.hosts {
-				h.kill()
-			}
-			time.Sleep(restartDelay)
-			for _, h := range g.hosts {
-				h.start()
-			}
-			mu.Lock()
-			restarted = time.Now()
-			mu.Unlock()
-			g.say("all hosts are started again")
-		})
+	kill := func() {
+		g.say("SIGKILL to the processes of all hosts")
+		mu.Lock()
+		kills = append(kills, span{time.Now(), time.Now().Add(time.Hour)})
+		mu.Unlock()
+		for _, h := range g.hosts {
+			h.kill()
+		}
+		time.Sleep(restartDelay)
+		for _, h := range g.hosts {
+			h.start()
+		}
+		mu.Lock()
+		kills[len(kills)-1].to = time.Now().Add(contactTime)
+		mu.Unlock()
+		g.say("all hosts are started again")
 	}
 	end := g.began.Add(crashingTime)
 	for n := 0; time.Now().Before(end) && late() <= mostRetries; n++ {
-		next := time.Now().Add(againAfter)
+		sent, before := time.Now(), late()
 		h := g.hosts[n%len(g.hosts)]
 		q := &request{id: newID(), method: "GET", host: "kiosk.example", path: "/reports/bad?month=11", key: "key-a", deadline: 4 * time.Second}
 		a := do(h.callers, q)
 		g.say("client sent request %s to %s and got status %d (%v)", q.id, h.name, a.status, a.err)
-		time.Sleep(time.Until(next))
+		if g.trouble && late() > before && len(kills) < mostKills {
+			time.Sleep(time.Until(sent.Add(killAfter)))
+			kill()
+		}
+		time.Sleep(time.Until(sent.Add(againAfter)))
 	}
 	g.say("%d servers crashed; later than %v after the third crash %d requests like it reached servers, allowed are %d", len(crashes), contactTime, late(), mostRetries)
 	switch {
--- a/review/rig/host.go
+++ b/review/rig/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,14 +20,15 @@
 	done                      chan struct{}
 }
 
-// freeAddress returns an address that nothing listens on.
+// freeAddress returns an address that nothing listens on. Its port is below those that the kernel picks for connections.
 func freeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, 12000+rand.IntN(20000)))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func newHost(dir, name, zone, store, extra string) *host {
