--- a/review/rig/full.go
+++ b/review/rig/full.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -11,7 +12,7 @@
 
 const (
 	serverSlots = 2
-	streams     = 2 * serverSlots
+	streams     = serverCount * serverSlots
 )
 
 var busySlots atomic.Int64 // of this server's process
@@ -32,7 +33,8 @@
 		{"Name": "report", "Host": "kiosk.example", "Prefix": "/report/", "Type": "stream", "TimeoutMs": 25000, "GoalMs": 4500, "GapGoalMs": 700, "Priority": 1, "Service": "assistant", "MaxAttempts": 5, "Public": false, "Resumable": true},
 	}, []object{{"Name": "assistant", "HealthPath": "/healthz", "MaxConns": 150, "Protocol": "h1", "Tls": false}})
 	servers := make(map[string]*process)
-	for _, id := range []string{"i-1", "i-2"} {
+	for i := range serverCount {
+		id := fmt.Sprintf("i-%d", i+1)
 		p, err := startProcess("127.0.0.1:0", id, "slots", g.arrive)
 		if err != nil {
 			g.say("server %s: %v", id, err)
@@ -61,7 +63,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	if g.trouble {
-		// One user more than there are slots; both servers say that they are full.
+		// One user more than there are slots; all servers say that they are full.
 		_, done := send("another", 2*time.Second)
 		a := <-done
 		g.say("the client of another stream got status %d", a.status)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,17 +1,19 @@
 // Command rig plays the cases of this review: it starts entry hosts with the command of the deploy file, before
 // stand-ins of the platform's store, of servers and of clients.
 //
-//	rig CASE RECORD       exit status 1: the rule was broken, 0: it held, 2: the case could not run
+//	rig CASE RECORD on|off      exit status 1: the rule was broken, 0: it held, 2: the case could not run
 //	rig server ADDRESS ID BEHAVIOUR
 //
-// With TROUBLE=0 in the environment a case goes without its disruption.
+// With off a case goes without its disruption.
 package main
 
 import (
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,22 @@
 	return n
 }
 
+// serverOf returns the server that runs a request, "" if none does within a second.
+func (g *rig) serverOf(id string) string {
+	for range 100 {
+		g.mu.Lock()
+		for _, a := range g.arrived {
+			if a.Request == id && a.Ran {
+				g.mu.Unlock()
+				return a.Server
+			}
+		}
+		g.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+	return ""
+}
+
 type object = map[string]any
 
 // configure writes a configuration.
@@ -110,15 +128,32 @@
 	if len(os.Args) == 5 && os.Args[1] == "server" {
 		serverMain(os.Args[2], os.Args[3], os.Args[4])
 	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil || os.Args[3] != "on" && os.Args[3] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD on|off")
 		os.Exit(failed)
 	}
-	os.Exit(play(os.Args[1], os.Args[2]))
+	os.Exit(play(os.Args[1], os.Args[2], os.Args[3] == "on"))
+}
+
+// longestPlay limits a play, which may take 120 s.
+const longestPlay = 118 * time.Second
+
+// endEarly ends a play at a signal, or if it takes too long. Servers and hosts end with this process.
+func (g *rig) endEarly() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case s := <-stop:
+		g.say("ended by a signal: %v", s)
+	case <-time.After(longestPlay):
+		g.say("ended after %v", longestPlay)
+	}
+	_ = os.RemoveAll(g.dir)
+	os.Exit(failed)
 }
 
-func play(name, record string) (status int) {
-	g := &rig{trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+func play(name, record string, trouble bool) (status int) {
+	g := &rig{trouble: trouble, began: time.Now()}
 	var err error
 	if g.record, err = os.Create(record); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -132,6 +167,8 @@
 	if g.store, err = startStore(); err != nil {
 		return failed
 	}
+	go g.endEarly()
+	g.say("case %s, disruption: %v", name, trouble)
 	status = cases[name](g)
 	g.say("exit status %d (0: the rule held, 1: it was broken, 2: the case could not run)", status)
 	return status
--- a/review/rig/unframed.go
+++ b/review/rig/unframed.go
@@ -10,6 +10,7 @@
 // Cases 6 and 7: a server that answers without a length, as the pages allow, is killed in the middle of its answer.
 
 const (
+	serverCount  = 3
 	streamEvents = 40
 	eventPause   = 60 * time.Millisecond
 	bodyParts    = 6
@@ -75,33 +76,50 @@
 	g.configure(1, []object{route("book", "/book/", "unsafe", false), route("stock", "/stock/", "safe", false), route("chat", "/chat/", "stream", false), route("report", "/report/", "stream", true)},
 		[]object{{"Name": "forge", "HealthPath": "/healthz", "MaxConns": 100, "Protocol": "h1", "Tls": false}})
 	started := 0
-	start := func() *process {
+	running := make(map[string]*process)
+	start := func() bool {
 		started++
 		p, err := startProcess("127.0.0.1:0", fmt.Sprintf("i-%d", started), "unframed", g.arrive)
 		if err != nil {
 			g.say("server: %v", err)
-			return nil
+			return false
 		}
+		running[p.id] = p
 		g.store.put(entry(p.id, "forge", p.addr, "zone-a", "ready", 6, p.born, 1))
 		g.say("server %s is ready at %s", p.id, p.addr)
-		return p
+		return true
 	}
-	p := start()
-	if p == nil || !g.startHosts(1) {
+	defer func() {
+		for _, p := range running {
+			p.kill()
+		}
+	}()
+	for range serverCount {
+		if !start() {
+			return failed
+		}
+	}
+	if !g.startHosts(1) {
 		return failed
 	}
-	defer func() { p.kill() }()
 	status := held
 	for n := range 2 * len(kinds) {
 		k := kinds[n%len(kinds)]
 		q := &request{id: newID(), method: k.method, host: "forge.example", path: k.path, key: "key-a", deadline: 25 * time.Second, body: "order 17"}
 		g.say("client sends %s %s, request %s", k.method, k.path, q.id)
-		done := make(chan answer)
+		done := make(chan answer, 1)
+		sent := time.Now()
 		go func() { done <- do(g.hosts[0].callers, q) }()
+		killed := ""
 		if g.trouble {
-			time.Sleep(k.killAfter)
-			g.say("SIGKILL to the process of server %s", p.id)
-			p.kill()
+			killed = g.serverOf(q.id)
+			if killed == "" {
+				return failed
+			}
+			time.Sleep(time.Until(sent.Add(k.killAfter)))
+			g.say("SIGKILL to the process of server %s", killed)
+			running[killed].kill()
+			delete(running, killed)
 		}
 		a := <-done
 		got := k.count(string(a.body))
@@ -120,13 +138,12 @@
 		if !g.trouble {
 			continue
 		}
-		before := p.id
 		time.Sleep(1200 * time.Millisecond)
-		if p = start(); p == nil {
+		if !start() {
 			return failed
 		}
 		time.Sleep(2400 * time.Millisecond) // an entry is removed after three heartbeat intervals of silence
-		g.store.put(gone(before))
+		g.store.put(gone(killed))
 		time.Sleep(300 * time.Millisecond)
 	}
 	return status
