--- a/review/rig/full.go
+++ b/review/rig/full.go
@@ -22,7 +22,7 @@
 	behaviours["slots"] = func(c *serverConn, r *http.Request, body []byte) bool {
 		defer busySlots.Add(-1)
 		if busySlots.Add(1) > serverSlots {
-			return c.respond(r, 503, "X-Not-Executed: 1\r\nRetry-After: 2\r\n", "")
+			return c.turnAway(r, "Retry-After: 2\r\n")
 		}
 		return unframed(c, r, body)
 	}
@@ -63,13 +63,17 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	if g.trouble {
-		// One user more than there are slots; all servers say that they are full.
-		_, done := send("another", 2*time.Second)
+		// One user more than there are slots. A server that says that it is full is killed.
+		q, done := send("another", 2*time.Second)
 		a := <-done
+		full := g.serverOf(q.id)
 		g.say("the client of another stream got status %d", a.status)
-		g.say("SIGKILL to the process of server i-1")
-		servers["i-1"].kill()
-		time.AfterFunc(3600*time.Millisecond, func() { g.store.put(gone("i-1")) })
+		if a.status != 503 || full == "" {
+			return failed
+		}
+		g.say("SIGKILL to the process of server %s", full)
+		servers[full].kill()
+		time.AfterFunc(3600*time.Millisecond, func() { g.store.put(gone(full)) })
 	}
 	status := held
 	for i, done := range answers {
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -27,9 +27,9 @@
 	Tenant   string
 	Deadline string
 	Last     string
-	Ran      bool
+	Ran      bool // unless it is turned away after that
 	Status   int
-	Event    string // "run", "reject", "end", "close"
+	Event    string // "gets", "rejects" (another server, no id) or "turns away" (full)
 }
 
 // behaviour answers a request that runs. It returns false if the connection ends with the answer.
@@ -126,15 +126,15 @@
 	case strings.HasPrefix(r.URL.Path, "/v1/"):
 		return c.respond(r, 404, "X-Not-Executed: 1\r\n", "")
 	case id == "":
-		a.Event = "reject"
+		a.Event = "rejects"
 		s.report(a)
 		return c.respond(r, 400, "X-Not-Executed: 1\r\n", "")
 	case a.Expected != "" && a.Expected != s.id:
-		a.Event = "reject"
+		a.Event = "rejects"
 		s.report(a)
 		return c.respond(r, 421, "X-Not-Executed: 1\r\n", "")
 	}
-	a.Event, a.Ran = "run", true
+	a.Event, a.Ran = "gets", true
 	s.report(a)
 	return s.behave(c, r, body)
 }
@@ -149,6 +149,12 @@
 	return err == nil
 }
 
+// turnAway refuses a request that the server has no slot for.
+func (c *serverConn) turnAway(r *http.Request, headers string) bool {
+	c.s.report(arrival{At: time.Now().UnixMilli(), Server: c.s.id, Request: r.Header.Get("X-Request-Id"), Method: r.Method, Target: r.RequestURI, Event: "turns away", Status: 503})
+	return c.respond(r, 503, "X-Not-Executed: 1\r\n"+headers, "")
+}
+
 func (c *serverConn) signature() string { return "X-Server-Signature: s1." + c.s.id + "\r\n" }
 
 // process is a server that runs as a process of its own, so that it can be killed.
--- a/review/rig/storm.go
+++ b/review/rig/storm.go
@@ -41,6 +41,7 @@
 		var busy atomic.Bool // its only slot; a request runs to its end also if its caller is gone
 		s, err := startServer(freeAddress("127.0.0.1"), id, func(c *serverConn, r *http.Request, _ []byte) bool {
 			if busy.Swap(true) {
+				g.say("server %s is full and turns request %s away", id, r.Header.Get("X-Request-Id"))
 				return c.respond(r, 503, "X-Not-Executed: 1\r\n", "")
 			}
 			defer busy.Store(false)
@@ -51,7 +52,7 @@
 			}
 			return c.respond(r, 200, c.signature(), "done")
 		}, func(a arrival) {
-			g.say("server %s: request %s", a.Server, a.Request)
+			g.say("server %s gets request %s", a.Server, a.Request)
 			mu.Lock()
 			arrivals = append(arrivals, seen{a.Request, time.Now()})
 			mu.Unlock()
